Hold a version as an immutable set of content-addressed resources

Cause: whole-or-nothing application and crossed updates need one type that can only be complete, missing named bodies, or refused. Conclusion: distribution can move Sets without knowing what is in them.

--- a/internal/snapshot/set.go
+++ b/internal/snapshot/set.go
@@ -4,44 +4,207 @@
 package snapshot
 
 import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
+	"slices"
 
+	"sliphead/internal/declaration"
+	"sliphead/internal/fault"
 	"sliphead/internal/version"
 )
 
-// Kind is the kind of a resource.
-type Kind string
-
-// The kinds of resource. Document-wide fields, such as the epoch, are part of
-// the version.
-const (
-	KindZone     Kind = "zone"
-	KindService  Kind = "service"
-	KindWorker   Kind = "worker"
-	KindSelector Kind = "selector"
-	KindRoute    Kind = "route"
-	KindSecret   Kind = "secret"
-)
+// Set is one configuration version: every resource that it names, with the
+// bodies held so far. It is immutable and safe for any number of readers.
+type Set struct {
+	version   version.Version
+	resources []Resource // sorted by key
+}
+
+// Empty returns the set of a node that holds nothing.
+func Empty() *Set { return &Set{} }
+
+// Build splits a document into resources. Values of secrets that are not given
+// or do not match the declared digest stay missing.
+func Build(document *declaration.Document, revision uint64, secrets map[string]string) (*Set, error) {
+	resources, err := split(document)
+	if err != nil {
+		return nil, err
+	}
+	set := newSet(document.Epoch, revision, resources)
+	return set.WithBodies(secretResources(document, secrets)), nil
+}
+
+// newSet sorts the resources and derives the version's digest from them.
+func newSet(epoch, revision uint64, resources []Resource) *Set {
+	slices.SortFunc(resources, compareResources)
+	return &Set{
+		version:   version.Version{Epoch: epoch, Revision: revision, Digest: digestOf(resources)},
+		resources: resources,
+	}
+}
+
+// Version returns the version of the set.
+func (s *Set) Version() version.Version { return s.version }
+
+// Len returns the number of resources named, held or not.
+func (s *Set) Len() int { return len(s.resources) }
+
+// Missing returns the keys of the resources whose bodies are not held, sorted.
+func (s *Set) Missing() []Key {
+	var missing []Key
+	for _, resource := range s.resources {
+		if resource.Body == nil {
+			missing = append(missing, resource.Key)
+		}
+	}
+	return missing
+}
+
+// Complete reports whether all bodies are held.
+func (s *Set) Complete() bool {
+	return !slices.ContainsFunc(s.resources, func(r Resource) bool { return r.Body == nil })
+}
+
+// Lookup returns a resource by key. Its body is nil while it is missing.
+func (s *Set) Lookup(key Key) (Resource, bool) {
+	index, found := slices.BinarySearchFunc(s.resources, key, func(r Resource, k Key) int { return r.Key.compare(k) })
+	if !found {
+		return Resource{}, false
+	}
+	return s.resources[index], true
+}
+
+// WithBodies returns a set in which missing bodies are filled from resources.
+// Resources that the set does not name, or whose bodies do not match the
+// named digest, are passed over.
+func (s *Set) WithBodies(resources []Resource) *Set {
+	filled := slices.Clone(s.resources)
+	for _, resource := range resources {
+		index, found := slices.BinarySearchFunc(filled, resource.Key, func(r Resource, k Key) int { return r.Key.compare(k) })
+		if found && filled[index].Body == nil && bodyMatches(filled[index], resource.Body) {
+			filled[index].Body = resource.Body
+		}
+	}
+	return &Set{version: s.version, resources: filled}
+}
+
+// Diff returns the delta that leads from one set to another.
+func Diff(from, to *Set) Delta {
+	delta := Delta{From: from.version, To: to.version}
+	for _, resource := range to.resources {
+		held, found := from.Lookup(resource.Key)
+		if !found || held.Digest != resource.Digest || held.Body == nil {
+			delta.Put = append(delta.Put, resource)
+		}
+	}
+	for _, resource := range from.resources {
+		if _, found := to.Lookup(resource.Key); !found {
+			delta.Remove = append(delta.Remove, resource.Key)
+		}
+	}
+	return delta
+}
+
+// Apply returns the set that the delta leads to. It refuses a delta that starts
+// elsewhere, a body that does not match its digest and a result whose digest is
+// not that of the version named.
+func (s *Set) Apply(delta Delta) (*Set, error) {
+	if delta.From != s.version {
+		return nil, fault.New(fault.Peer, "pull with the version held", "delta starts at %s, held is %s", delta.From, s.version)
+	}
+	byKey := make(map[Key]Resource, len(s.resources)+len(delta.Put))
+	for _, resource := range s.resources {
+		byKey[resource.Key] = resource
+	}
+	for _, key := range delta.Remove {
+		delete(byKey, key)
+	}
+	for _, resource := range delta.Put {
+		if resource.Body != nil && !bodyMatches(resource, resource.Body) {
+			return nil, fault.New(fault.Peer, "pull from another peer", "body of %s does not match its digest", resource.Key)
+		}
+		byKey[resource.Key] = resource
+	}
+	resources := make([]Resource, 0, len(byKey))
+	for _, resource := range byKey {
+		resources = append(resources, resource)
+	}
+	set := newSet(delta.To.Epoch, delta.To.Revision, resources)
+	if set.version != delta.To {
+		return nil, fault.New(fault.Peer, "pull from another peer", "content has version %s, announced was %s", set.version, delta.To)
+	}
+	return set, nil
+}
+
+// Document puts the declarations together again. Missing bodies are left out.
+func (s *Set) Document() (*declaration.Document, error) {
+	document := &declaration.Document{Epoch: s.version.Epoch}
+	for _, resource := range s.resources {
+		if err := addTo(document, resource); err != nil {
+			return nil, err
+		}
+	}
+	return document, nil
+}
+
+// SecretValue returns the value of a secret, and false while it is not held.
+func (s *Set) SecretValue(name string) (string, bool) {
+	resource, found := s.Lookup(Key{Kind: KindSecret, Name: name})
+	if !found || resource.Body == nil {
+		return "", false
+	}
+	var value string
+	err := json.Unmarshal(resource.Body, &value)
+	return value, err == nil
+}
+
+// SecretResource returns a secret's value as a resource to fill a set with.
+func SecretResource(name, value string) Resource {
+	body, _ := json.Marshal(value) // a string always marshals
+	return Resource{Key: Key{Kind: KindSecret, Name: name}, Digest: secretDigest(value), Body: body}
+}
+
+// secretDigest is the digest that operators declare: SHA-256 of the bare value.
+func secretDigest(value string) string { return hashHex([]byte(value)) }
 
-// Key names a resource within a set.
-type Key struct {
-	Kind Kind   `json:"kind"`
-	Name string `json:"name"`
+// bodyMatches checks a body against the digest under which it is named.
+func bodyMatches(named Resource, body json.RawMessage) bool {
+	if body == nil {
+		return false
+	}
+	if named.Kind != KindSecret {
+		return hashHex(body) == named.Digest
+	}
+	var value string
+	if err := json.Unmarshal(body, &value); err != nil {
+		return false
+	}
+	return secretDigest(value) == named.Digest
 }
 
-// Resource is one declared thing. Its body may be missing: a secret's value is
-// read apart from the declaration that names it.
-type Resource struct {
-	Key
-	Digest string          `json:"digest"` // SHA-256 of the body in hexadecimal
-	Body   json.RawMessage `json:"body,omitempty"`
+// digestOf hashes the sorted keys and digests. Bodies do not count: a set has
+// its version before the secrets' values have come.
+func digestOf(resources []Resource) string {
+	hash := sha256.New()
+	for _, resource := range resources {
+		hash.Write([]byte(string(resource.Kind) + "\x00" + resource.Name + "\x00" + resource.Digest + "\n"))
+	}
+	const digestBytes = 16
+	return hex.EncodeToString(hash.Sum(nil)[:digestBytes])
 }
 
-// Delta leads from one version to another. A delta from the zero version
-// carries the whole set.
-type Delta struct {
-	From   version.Version `json:"from"`
-	To     version.Version `json:"to"`
-	Put    []Resource      `json:"put,omitempty"`
-	Remove []Key           `json:"remove,omitempty"`
+func hashHex(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
 }
+
+func compareResources(a, b Resource) int { return a.Key.compare(b.Key) }
+
+func (k Key) compare(other Key) int {
+	return cmp.Or(cmp.Compare(k.Kind, other.Kind), cmp.Compare(k.Name, other.Name))
+}
+
+// String returns kind/name.
+func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
