Parse, validate and resolve declarations

Cause: the parts of the system need declarations that every node judges alike, and routes resolved for one moment.

Ruled out: time.LoadLocation with time/tzdata linked in. It reads the host's database first, so two hosts could judge one version differently. The IANA database of the Go distribution is embedded and is the only copy read.

Change: strict parsing of JSON and YAML, validation with a remedy for each finding, schedules by the local wall clock, resolving of a compiled set, matching of requests, the commands check, plan and explain, and the declarations of both users' meshes.

--- /dev/null
+++ b/internal/command/check/check.go
@@ -0,0 +1,35 @@
+// Package check tells operators what is wrong with a directory of declarations.
+package check
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"sliphead/internal/declaration"
+	"sliphead/internal/fault"
+)
+
+// Command is the grammar of "check DIR".
+type Command struct {
+	Directory string `arg:"" name:"dir" help:"Directory of declarations (*.yaml)." type:"existingdir"`
+}
+
+// Run prints each finding on a line, "file:line: what (remedy: …)", or that
+// there are none. It returns an error when there are findings.
+func (c *Command) Run(output io.Writer) error {
+	document, findings, err := declaration.Load(os.DirFS(c.Directory))
+	if err != nil {
+		return err
+	}
+	for _, finding := range findings {
+		fmt.Fprintln(output, finding)
+	}
+	if len(findings) > 0 {
+		return fault.New(fault.Declaration, "mend each finding and check again", "%s: %d findings", c.Directory, len(findings))
+	}
+	fmt.Fprintf(output, "%s: sound: %d zones, %d services, %d workers, %d selectors, %d routes, %d secrets\n", c.Directory,
+		len(document.Zones), len(document.Services), len(document.Workers),
+		len(document.Selectors), len(document.Routes), len(document.Secrets))
+	return nil
+}
--- /dev/null
+++ b/internal/command/explain/explain.go
@@ -0,0 +1,78 @@
+// Package explain tells operators why a route reaches a worker or does not.
+package explain
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"sliphead/internal/declaration"
+	"sliphead/internal/fault"
+)
+
+// Command is the grammar of "explain --declarations DIR --route R --at TIME".
+type Command struct {
+	Declarations string    `required:"" help:"Directory of declarations (*.yaml)." type:"existingdir"`
+	Route        string    `required:"" help:"Name of the route."`
+	At           time.Time `help:"Moment to explain, as in 2026-12-02T18:30:00+05:30 (default: now)."`
+	Zone         string    `help:"Show only the workers of this zone."`
+}
+
+// Run prints each worker of the route's service, whether it is selected, and
+// the reasons of each selector that does not select it.
+func (c *Command) Run(output io.Writer) error {
+	document, err := declaration.LoadValid(os.DirFS(c.Declarations))
+	if err != nil {
+		return err
+	}
+	route, err := findRoute(document, c.Route)
+	if err != nil {
+		return err
+	}
+	if err := checkZone(document, c.Zone); err != nil {
+		return err
+	}
+	at := cmp.Or(c.At, time.Now())
+	fmt.Fprintf(output, "route %s of service %s at %s\n", route.Name, route.Service, at.Format(time.RFC3339))
+	for _, judgement := range declaration.NewEvaluator(document).Explain(route, at) {
+		if c.Zone == "" || c.Zone == judgement.Worker.Zone {
+			write(output, judgement)
+		}
+	}
+	return nil
+}
+
+func write(output io.Writer, judgement declaration.WorkerJudgement) {
+	state := "not selected"
+	if judgement.Selected {
+		state = "selected"
+	}
+	fmt.Fprintf(output, "%s in %s: %s\n", judgement.Worker.Name, judgement.Worker.Zone, state)
+	for _, each := range judgement.Selectors {
+		if each.Selected {
+			fmt.Fprintf(output, "  %s: selects it\n", each.Selector)
+			continue
+		}
+		fmt.Fprintf(output, "  %s: %s\n", each.Selector, strings.Join(each.Reasons, "; "))
+	}
+}
+
+func findRoute(document *declaration.Document, name string) (declaration.Route, error) {
+	index := slices.IndexFunc(document.Routes, func(route declaration.Route) bool { return route.Name == name })
+	if index < 0 {
+		return declaration.Route{}, fault.New(fault.Declaration, "name a route under routes", "no route %q is declared", name)
+	}
+	return document.Routes[index], nil
+}
+
+func checkZone(document *declaration.Document, name string) error {
+	declared := slices.ContainsFunc(document.Zones, func(zone declaration.Zone) bool { return zone.Name == name })
+	if name == "" || declared {
+		return nil
+	}
+	return fault.New(fault.Declaration, "name a zone under zones", "no zone %q is declared", name)
+}
--- /dev/null
+++ b/internal/declaration/items.go
@@ -0,0 +1,119 @@
+package declaration
+
+import "strings"
+
+func checkZone(zone Zone, report report) {
+	report.unless(validName(zone.Name), zone.Name, "name", ruleName)
+	report.unless(validName(zone.Region), zone.Region, "region", ruleName)
+	report.unless(validTimeZone(zone.TimeZone), zone.TimeZone, "timeZone", ruleTimeZone)
+	checkLabels(zone.Labels, "labels", report)
+}
+
+func checkService(service Service, report report) {
+	report.unless(validName(service.Name), service.Name, "name", ruleName)
+}
+
+func checkWorker(worker Worker, report report) {
+	report.unless(validName(worker.Name), worker.Name, "name", ruleName)
+	report.unless(worker.Slots <= maxSlots, worker.Slots, "slots", ruleCount)
+	report.unless(worker.Connections <= maxSlots, worker.Connections, "connections", ruleCount)
+	checkLabels(worker.Labels, "labels", report)
+}
+
+func checkSelector(selector Selector, report report) {
+	report.unless(validName(selector.Name), selector.Name, "name", ruleName)
+	report.unless(len(selector.Windows) <= maxWindows, nil, "windows", ruleCount)
+	checkLabels(selector.WorkerLabels, "workerLabels", report)
+	checkLabels(selector.ZoneLabels, "zoneLabels", report)
+}
+
+func checkWindow(window Window, report report) {
+	_, daysErr := parseDays(window.Days)
+	report.unless(daysErr == nil, window.Days, "days", ruleDays)
+	report.unless(unique(window.Days), nil, "days", ruleRepeats)
+	from, fromValid := parseClock(window.From)
+	to, toValid := parseEnd(window.To)
+	report.unless(fromValid, window.From, "from", ruleClock)
+	report.unless(toValid, window.To, "to", ruleEnd)
+	report.unless(!fromValid || !toValid || from != to, window.From+" to "+window.To, "from", ruleSpan)
+	report.unless(window.TimeZone == "" || validTimeZone(window.TimeZone), window.TimeZone, "timeZone", ruleTimeZone)
+}
+
+func checkRoute(route Route, report report) {
+	report.unless(validName(route.Name), route.Name, "name", ruleName)
+	report.unless(route.Host == "" || validHost(route.Host), route.Host, "host", ruleHost)
+	report.unless(validPath(route.PathPrefix), route.PathPrefix, "pathPrefix", rulePath)
+	report.unless(priorities[route.Priority], route.Priority, "priority", rulePriority)
+	report.unless(len(route.Selectors) <= maxSelected, nil, "selectors", ruleCount)
+	report.unless(unique(route.Selectors), nil, "selectors", ruleRepeats)
+	report.unless(unique(route.Methods), nil, "methods", ruleRepeats)
+	for _, method := range route.Methods {
+		if !methods[method] {
+			report(method, "methods", ruleMethods)
+		}
+	}
+	for _, selector := range route.Selectors {
+		if !validName(selector) {
+			report(selector, "selectors", ruleName)
+		}
+	}
+}
+
+func checkSecret(secret Secret, report report) {
+	report.unless(validName(secret.Name), secret.Name, "name", ruleName)
+	report.unless(digestPattern.MatchString(secret.Digest), secret.Digest, "digest", ruleDigest)
+}
+
+func checkLabels(labels Labels, field string, report report) {
+	if len(labels) > maxLabels {
+		report(nil, field, ruleCount)
+		return
+	}
+	for key, value := range labels {
+		if !labelPattern.MatchString(key) || !labelPattern.MatchString(value) {
+			report(key+": "+value, field, ruleLabels)
+		}
+	}
+}
+
+func validName(name string) bool { return namePattern.MatchString(name) }
+
+func validTimeZone(name string) bool {
+	_, err := LoadLocation(name)
+	return err == nil
+}
+
+func validHost(host string) bool {
+	if len(host) > maxHostBytes {
+		return false
+	}
+	for label := range strings.SplitSeq(host, ".") {
+		if !validName(label) {
+			return false
+		}
+	}
+	return true
+}
+
+func validPath(prefix string) bool {
+	if len(prefix) > maxPathBytes || !pathPattern.MatchString(prefix) {
+		return false
+	}
+	for segment := range strings.SplitSeq(prefix, "/") {
+		if segment == "." || segment == ".." {
+			return false
+		}
+	}
+	return true
+}
+
+func unique(values []string) bool {
+	seen := make(map[string]bool, len(values))
+	for _, value := range values {
+		if seen[value] {
+			return false
+		}
+		seen[value] = true
+	}
+	return true
+}
--- /dev/null
+++ b/internal/declaration/validate.go
@@ -0,0 +1,96 @@
+package declaration
+
+import (
+	"fmt"
+	"slices"
+)
+
+// The bounds on the length of each list. They leave room for ten times the
+// size that the system is designed for.
+const (
+	maxZones     = 64
+	maxServices  = 500
+	maxWorkers   = 10_000
+	maxSelectors = 2_000
+	maxRoutes    = 2_000
+	maxSecrets   = 1_000
+)
+
+// Validate returns what is wrong with a document, sorted, nil for a sound one.
+// The verdict depends on the document alone: it is the same on every node.
+func Validate(document *Document) []Finding {
+	check := &validation{document: document}
+	check.counts()
+	if len(check.findings) > 0 {
+		return check.sorted()
+	}
+	check.fields()
+	check.duplicates()
+	check.references()
+	check.ambiguities()
+	return check.sorted()
+}
+
+// validation gathers findings on one document.
+type validation struct {
+	document *Document
+	findings []Finding
+}
+
+func (v *validation) add(at place, remedy, format string, args ...any) {
+	v.findings = append(v.findings, Finding{What: fmt.Sprintf(format, args...), Remedy: remedy, place: at})
+}
+
+func (v *validation) sorted() []Finding {
+	slices.SortFunc(v.findings, compareFindings)
+	return slices.Compact(v.findings)
+}
+
+// counts bounds the lists before anything walks them.
+func (v *validation) counts() {
+	document := v.document
+	v.count(listZones, len(document.Zones), 1, maxZones)
+	v.count(listServices, len(document.Services), 1, maxServices)
+	v.count(listWorkers, len(document.Workers), 0, maxWorkers)
+	v.count(listSelectors, len(document.Selectors), 0, maxSelectors)
+	v.count(listRoutes, len(document.Routes), 0, maxRoutes)
+	v.count(listSecrets, len(document.Secrets), 0, maxSecrets)
+}
+
+func (v *validation) count(of list, length, least, most int) {
+	if length < least {
+		v.add(place{}, fmt.Sprintf("declare at least one under %s", of), "the document has no %s", of)
+	}
+	if length > most {
+		v.add(place{}, "split the mesh or drop what is not used", "the document has %d %s, the bound is %d", length, of, most)
+	}
+}
+
+// fields applies the rules on single fields to each item.
+func (v *validation) fields() {
+	document := v.document
+	validateItems(v, listZones, document.Zones)
+	validateItems(v, listServices, document.Services)
+	validateItems(v, listWorkers, document.Workers)
+	validateItems(v, listSelectors, document.Selectors)
+	validateItems(v, listRoutes, document.Routes)
+	validateItems(v, listSecrets, document.Secrets)
+}
+
+func validateItems[T named](v *validation, of list, items []T) {
+	for index, item := range items {
+		for _, fault := range fieldFaults(item) {
+			v.add(place{list: of, index: index}, fault.remedy, "%s %q: %s", kinds[of], item.name(), fault.what)
+		}
+	}
+}
+
+// named is any declared item.
+type named interface{ name() string }
+
+func (z Zone) name() string     { return z.Name }
+func (s Service) name() string  { return s.Name }
+func (w Worker) name() string   { return w.Name }
+func (s Selector) name() string { return s.Name }
+func (r Route) name() string    { return r.Name }
+func (s Secret) name() string   { return s.Name }
