--- /dev/null
+++ b/internal/claim/group.go
@@ -0,0 +1,114 @@
+package claim
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Worker is a declared worker of a service. Its node is a replica.
+type Worker struct {
+	Name string
+	Zone string
+}
+
+// slotCount is the number of slots that a service's keys hash to. A slot has
+// one replica group; a replica recovers slot by slot.
+const slotCount = 64
+
+// allSlots has the bit of each slot set.
+const allSlots = ^uint64(0)
+
+// slotOf returns the slot of a key.
+func slotOf(key string) int {
+	return int(xxhash.Sum64String(key) % slotCount)
+}
+
+// group is the replicas of one slot.
+type group []string
+
+// majority returns how many replicas are more than half of the group.
+func (g group) majority() int { return len(g)/2 + 1 }
+
+// contains reports whether the worker is a replica of the group.
+func (g group) contains(worker string) bool { return slices.Contains(g, worker) }
+
+// sourcesNeeded returns from how many others the replica must have heard so
+// that every majority that it may have been part of has one of them.
+func (g group) sourcesNeeded(self string) int {
+	needed := len(g) - g.majority() + 1
+	if g.contains(self) {
+		needed = min(needed, len(g)-1)
+	}
+	return needed
+}
+
+// count returns how many of the group satisfy the predicate.
+func (g group) count(holds func(worker string) bool) int {
+	total := 0
+	for _, worker := range g {
+		if holds(worker) {
+			total++
+		}
+	}
+	return total
+}
+
+// configuration is one list of declared workers and the groups made from it.
+type configuration struct {
+	digest  string
+	workers []Worker
+	groups  [slotCount]group
+}
+
+// newConfiguration computes the groups of all slots. The order of the workers
+// does not matter.
+func newConfiguration(service string, workers []Worker, size int) *configuration {
+	sorted := slices.Clone(workers)
+	slices.SortFunc(sorted, func(a, b Worker) int { return cmp.Compare(a.Name, b.Name) })
+	sorted = slices.CompactFunc(sorted, func(a, b Worker) bool { return a.Name == b.Name })
+	digest := xxhash.New()
+	for _, worker := range sorted {
+		fmt.Fprintf(digest, "%q %q\n", worker.Name, worker.Zone)
+	}
+	made := &configuration{digest: fmt.Sprintf("%016x", digest.Sum64()), workers: sorted}
+	for slot := range made.groups {
+		made.groups[slot] = chooseGroup(service, slot, sorted, size)
+	}
+	return made
+}
+
+// ranked is a worker with its rendezvous weight and its rank in its zone.
+type ranked struct {
+	worker Worker
+	weight uint64
+	round  int
+}
+
+// chooseGroup ranks the workers of each zone by rendezvous hash and takes the
+// first of each zone, then the second of each, until the group is full. So the
+// group lies in as many zones as can be. (Thaler and Ravishankar, 1998.)
+func chooseGroup(service string, slot int, workers []Worker, size int) group {
+	candidates := make([]ranked, 0, len(workers))
+	for _, worker := range workers {
+		weight := xxhash.Sum64String(fmt.Sprintf("%s/%d/%s", service, slot, worker.Name))
+		candidates = append(candidates, ranked{worker: worker, weight: weight})
+	}
+	slices.SortFunc(candidates, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.worker.Name, b.worker.Name))
+	})
+	taken := make(map[string]int)
+	for index := range candidates {
+		zone := candidates[index].worker.Zone
+		candidates[index].round = taken[zone]
+		taken[zone]++
+	}
+	slices.SortStableFunc(candidates, func(a, b ranked) int { return cmp.Compare(a.round, b.round) })
+	chosen := make(group, 0, size)
+	for _, candidate := range candidates[:min(size, len(candidates))] {
+		chosen = append(chosen, candidate.worker.Name)
+	}
+	return chosen
+}
--- /dev/null
+++ b/internal/claim/recovery.go
@@ -0,0 +1,227 @@
+package claim
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sliphead/internal/wire"
+)
+
+// Bounds of copying.
+const (
+	copyRetryFactor = 4   // unanswered copies are asked for again after so many Config.Retry
+	copyPartRecords = 256 // records in one message
+)
+
+// recovery is how far a replica that has forgotten its votes has come. It
+// copies the records of each slot from others until no majority that its
+// earlier process may have been part of lacks one of them.
+type recovery struct {
+	number  uint64                              // of the copies asked for last
+	nextAsk time.Time                           // when to ask again
+	sources map[string]source                   // by worker, those whose copy has come whole
+	parts   map[answerID]map[int]wire.ClaimCopy // parts of the copies under way
+}
+
+// answerID tells the answers to a copy apart: a request that arrives twice is
+// answered twice, and their parts must not be mixed.
+type answerID struct {
+	worker      string
+	incarnation uint64
+	serial      uint64
+}
+
+// source is a replica that has given its copy and so knows this incarnation.
+type source struct {
+	incarnation uint64
+	slots       uint64 // slots that were copied
+	able        uint64 // slots in which the source itself had lost nothing
+}
+
+func (r *recovery) restart() {
+	r.sources = make(map[string]source)
+	r.parts = make(map[answerID]map[int]wire.ClaimCopy)
+	r.nextAsk = time.Time{}
+}
+
+// askCopies asks all others for the slots in which this replica may not vote.
+// With all slots recovered it still asks, for no slots, while earlier
+// configurations count: the answers tell who has left them.
+func (m *Machine) askCopies(held *service, now time.Time) []Effect {
+	if now.Before(held.recovery.nextAsk) || (held.ready() == allSlots && len(held.priors) == 0) {
+		return nil
+	}
+	held.recovery.nextAsk = now.Add(copyRetryFactor * m.config.Retry)
+	held.recovery.number = m.nextNumber()
+	held.recovery.parts = make(map[answerID]map[int]wire.ClaimCopy)
+	request := wire.ClaimCopy{
+		Number: held.recovery.number, Service: held.name, Worker: m.config.Worker, Incarnation: m.incarnation,
+		Group: held.current.digest, Version: m.version, Slots: ^held.able,
+	}
+	var effects []Effect
+	for _, worker := range held.workers() {
+		if worker == m.config.Worker {
+			continue
+		}
+		effects = m.send(effects, held, worker, wire.Envelope{ClaimCopy: &request})
+	}
+	return effects
+}
+
+// giveCopy answers another replica that recovers. Noting the asker's
+// incarnation before its answer leaves is what makes votes of the asker's
+// earlier process count no longer beside later votes of this replica.
+func (m *Machine) giveCopy(from string, request wire.ClaimCopy, now time.Time) []Effect {
+	held := m.services[request.Service]
+	if held == nil || !held.sameGroups(request.Group, request.Version) {
+		return nil
+	}
+	held.learnKnown(map[string]uint64{request.Worker: request.Incarnation})
+	reply := wire.ClaimCopy{
+		Number: request.Number, Service: held.name, Reply: true, Worker: m.config.Worker, Incarnation: m.incarnation,
+		Able: held.able == allSlots, Group: held.current.digest, Version: m.version,
+		Slots: request.Slots, AbleSlots: held.able, Serial: m.nextNumber(),
+		Known: held.knownOf(held.workers()), Priors: held.exportPriors(), SinceMS: now.Sub(held.since).Milliseconds(),
+	}
+	records := m.exportRecords(held, request, now)
+	reply.Parts = max(1, (len(records)+copyPartRecords-1)/copyPartRecords)
+	var effects []Effect
+	for part := range reply.Parts {
+		message := reply
+		message.Part = part
+		message.Records = records[part*copyPartRecords : min(len(records), (part+1)*copyPartRecords)]
+		outgoing := wire.Outgoing{To: from, Message: wire.Envelope{From: m.config.Node, ClaimCopy: &message}}
+		effects = append(effects, Send{outgoing})
+	}
+	return effects
+}
+
+// exportRecords returns the records of the slots asked for, in key order.
+func (m *Machine) exportRecords(held *service, request wire.ClaimCopy, now time.Time) []wire.ClaimRecord {
+	var records []wire.ClaimRecord
+	for key, entry := range held.table.records {
+		if request.Slots&(1<<slotOf(key)) != 0 && entry.expires.After(now) {
+			records = append(records, entry.export(held.name, key, now))
+		}
+	}
+	slices.SortFunc(records, func(a, b wire.ClaimRecord) int { return cmp.Compare(a.Key, b.Key) })
+	return records
+}
+
+// takeCopy takes in a part of a copy; the copy counts once it is whole.
+func (m *Machine) takeCopy(reply wire.ClaimCopy, now time.Time) []Effect {
+	held := m.services[reply.Service]
+	if held == nil || !held.sameGroups(reply.Group, reply.Version) || reply.Number != held.recovery.number {
+		return nil
+	}
+	if replaced := m.raiseIncarnation(held, reply.Known); replaced != nil {
+		return replaced
+	}
+	held.noteLeft(reply.Worker, time.Duration(reply.SinceMS)*time.Millisecond, now)
+	id := answerID{reply.Worker, reply.Incarnation, reply.Serial}
+	parts := held.recovery.parts[id]
+	if parts == nil {
+		parts = make(map[int]wire.ClaimCopy)
+		held.recovery.parts[id] = parts
+	}
+	parts[reply.Part] = reply
+	if len(parts) < reply.Parts {
+		return nil
+	}
+	m.mergeCopy(held, parts, now)
+	before := held.ready()
+	m.updateAble(held, now)
+	if before != allSlots && held.ready() == allSlots {
+		return []Effect{Log{Name: LogRecovered, Service: held.name, Count: len(held.table.records)}}
+	}
+	return nil
+}
+
+// raiseIncarnation handles that a process of the same worker with a greater
+// incarnation is known: the clock went back. This process takes a greater one
+// and recovers anew. It returns nil if there is none.
+func (m *Machine) raiseIncarnation(held *service, known map[string]uint64) []Effect {
+	if known[m.config.Worker] <= m.incarnation {
+		return nil
+	}
+	m.incarnation = known[m.config.Worker] + 1
+	for _, other := range m.services {
+		other.able, other.announced = 0, 0
+		other.recovery.restart()
+	}
+	return []Effect{Log{Name: LogReplaced, Service: held.name, Count: 1}}
+}
+
+// mergeCopy joins a whole copy into the slots that are not recovered yet.
+// Recovered slots are left alone: their records are this process's own votes.
+func (m *Machine) mergeCopy(held *service, parts map[int]wire.ClaimCopy, now time.Time) {
+	whole := parts[0]
+	held.learnKnown(whole.Known)
+	held.learnPriors(whole.Priors, m.config.GroupSize)
+	for _, part := range parts {
+		for _, copied := range part.Records {
+			if held.isAble(slotOf(copied.Key)) {
+				continue
+			}
+			expires := now.Add(time.Duration(copied.ExpiresMS) * time.Millisecond)
+			entry := held.table.open(copied.Key, now, expires, m.config.MaxKeys)
+			if entry == nil {
+				return // too many keys to hold: the copy does not count
+			}
+			entry.extend(expires)
+			entry.merge(copied)
+		}
+	}
+	held.recovery.sources[whole.Worker] = source{whole.Incarnation, whole.Slots, whole.AbleSlots}
+}
+
+// updateAble opens the slots in which enough others have given their copy.
+// Either those had lost nothing themselves, or this process is older than
+// every vote that its earlier processes can have left.
+func (m *Machine) updateAble(held *service, now time.Time) {
+	if held.ready() == allSlots {
+		return
+	}
+	aged := now.Sub(m.started) >= m.config.hold() || m.startedBeforeFirstVote()
+	for slot := range slotCount {
+		if !held.isAble(slot) && m.recovered(held, slot, aged, now) {
+			held.able |= 1 << slot
+		}
+		if m.isAnnounced(held, held.current.groups[slot]) {
+			held.announced |= 1 << slot
+		}
+	}
+}
+
+// isAnnounced reports whether so many of the group know this process that no
+// majority can take an earlier process of the same worker, paused and woken,
+// for it.
+func (m *Machine) isAnnounced(held *service, one group) bool {
+	told := one.count(func(worker string) bool {
+		given, have := held.recovery.sources[worker]
+		return have && given.incarnation >= held.known[worker] && worker != m.config.Worker
+	})
+	return told >= one.sourcesNeeded(m.config.Worker)
+}
+
+func (m *Machine) startedBeforeFirstVote() bool {
+	return !m.config.Since.IsZero() && !m.started.Add(m.config.ClockSkew).After(m.config.Since)
+}
+
+// recovered reports whether the sources cover every group of the slot.
+func (m *Machine) recovered(held *service, slot int, aged bool, now time.Time) bool {
+	bit := uint64(1) << slot
+	for _, one := range held.groups(slot, now, m.config.hold()) {
+		sources := one.count(func(worker string) bool {
+			given, have := held.recovery.sources[worker]
+			current := have && given.incarnation >= held.known[worker] && given.slots&bit != 0
+			return current && worker != m.config.Worker && (aged || given.able&bit != 0)
+		})
+		needed := one.sourcesNeeded(m.config.Worker)
+		if sources < needed || (needed == 0 && !aged) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/claim/sim_test.go
@@ -0,0 +1,252 @@
+package claim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"sliphead/internal/version"
+	"sliphead/internal/wire"
+)
+
+// process is one run of a node's process beside a worker.
+type process struct {
+	worker  string
+	node    string
+	machine *Machine
+	frozen  bool
+	version uint64
+}
+
+// flight is a message under way.
+type flight struct {
+	from, to string
+	message  wire.Envelope
+}
+
+// run is an entry of the journal of the workers.
+type run struct {
+	key, body, holder string
+	at                time.Time
+}
+
+const simService = "orders"
+
+// sim is a fleet of machines on a lossy network with a journal of runs.
+type sim struct {
+	random    *rand.Rand
+	now       time.Time
+	config    Config
+	configs   [][]Worker // by version, from 1
+	processes []*process // all that run, the newest of a worker last
+	started   int
+	submitted int
+	network   []flight
+	cut       map[string]bool // workers on the minor side of a cut
+	journal   []run
+	decided   map[string]Decision
+	undone    map[string]bool // holders that were released, cancelled or refused
+	claims    map[string]Claim
+	logs      map[LogName]int
+	messages  int
+	limited   func(run) bool // whether to run; false releases
+}
+
+func newSim(random *rand.Rand, config Config, workers []Worker) *sim {
+	s := &sim{
+		random: random, config: config, configs: [][]Worker{workers}, now: time.Unix(1_800_000_000, 0),
+		cut: make(map[string]bool), decided: make(map[string]Decision), undone: make(map[string]bool),
+		claims: make(map[string]Claim), logs: make(map[LogName]int),
+	}
+	return s
+}
+
+// workersOf makes count workers over the zones.
+func workersOf(count, first, zones int) []Worker {
+	var workers []Worker
+	for index := range count {
+		number := first + index
+		workers = append(workers, Worker{Name: fmt.Sprintf("w%02d", number), Zone: fmt.Sprintf("z%d", number%zones)})
+	}
+	return workers
+}
+
+// start runs a new process for a worker that knows the version.
+func (s *sim) start(worker string, known uint64) *process {
+	s.started++
+	config := s.config
+	config.Worker, config.Node = worker, fmt.Sprintf("%s#%d", worker, s.started)
+	config.Random = rand.New(rand.NewPCG(uint64(s.started), 7))
+	s.now = s.now.Add(time.Microsecond)
+	p := &process{worker: worker, node: config.Node, machine: NewMachine(config, s.now)}
+	s.processes = append(s.processes, p)
+	for _, other := range s.processes {
+		if !other.frozen {
+			s.configure(other, max(other.version, known*b2u(other == p)))
+		}
+	}
+	return p
+}
+
+func b2u(value bool) uint64 {
+	if value {
+		return 1
+	}
+	return 0
+}
+
+// startAll runs a process for each worker of the first version.
+func (s *sim) startAll() {
+	for _, worker := range s.configs[0] {
+		s.start(worker.Name, 1)
+	}
+}
+
+// configure tells a process of a version and of the newest nodes.
+func (s *sim) configure(p *process, number uint64) {
+	p.version = number
+	nodes := make(map[string]string)
+	for _, other := range s.processes {
+		nodes[other.worker] = other.node
+	}
+	s.step(p, Configure{
+		Version: version.Version{Revision: number},
+		Workers: map[string][]Worker{simService: s.configs[number-1]},
+		Nodes:   nodes,
+	})
+}
+
+// kill ends a process; what it sent stays under way.
+func (s *sim) kill(p *process) {
+	for index, other := range s.processes {
+		if other == p {
+			s.processes = append(s.processes[:index], s.processes[index+1:]...)
+			return
+		}
+	}
+}
+
+func (s *sim) find(node string) *process {
+	for _, p := range s.processes {
+		if p.node == node {
+			return p
+		}
+	}
+	return nil
+}
+
+// latest returns the newest process of a worker.
+func (s *sim) latest(worker string) *process {
+	for index := len(s.processes) - 1; index >= 0; index-- {
+		if s.processes[index].worker == worker {
+			return s.processes[index]
+		}
+	}
+	return nil
+}
+
+// submit sends a request to a process and returns the attempt's holder.
+func (s *sim) submit(p *process, key, body string) string {
+	s.submitted++
+	holder := fmt.Sprintf("%s/%d", p.node, s.submitted)
+	claim := Claim{Service: simService, Key: key, Body: body, Holder: holder, Deadline: s.now.Add(s.config.MaxClaim)}
+	s.claims[holder] = claim
+	s.step(p, claim)
+	return holder
+}
+
+// step feeds a process and carries out the effects; a frozen one gets nothing.
+func (s *sim) step(p *process, event Event) {
+	for _, effect := range p.machine.Step(event, s.now) {
+		switch effect := effect.(type) {
+		case Send:
+			s.messages++
+			s.network = append(s.network, flight{p.node, effect.Outgoing.To, effect.Outgoing.Message})
+		case Decided:
+			s.decide(p, effect)
+		case Log:
+			s.logs[effect.Name]++
+		}
+	}
+}
+
+// decide carries a decision out: runs the request, or gives it up.
+func (s *sim) decide(p *process, effect Decided) {
+	if _, twice := s.decided[effect.Holder]; twice {
+		panic("decided twice: " + effect.Holder)
+	}
+	s.decided[effect.Holder] = effect.Decision
+	if effect.Decision.Verdict != VerdictRun {
+		s.undone[effect.Holder] = true
+		return
+	}
+	claim := s.claims[effect.Holder]
+	entry := run{claim.Key, claim.Body, effect.Holder, s.now}
+	if s.undone[effect.Holder] || (s.limited != nil && !s.limited(entry)) {
+		s.undone[effect.Holder] = true
+		s.step(p, Release{Service: simService, Key: claim.Key, Holder: effect.Holder})
+		return
+	}
+	s.journal = append(s.journal, entry)
+}
+
+// deliver hands over the message at an index, unless the network is cut there.
+func (s *sim) deliver(index int, keep bool) {
+	message := s.network[index]
+	if !keep {
+		s.network[index] = s.network[len(s.network)-1]
+		s.network = s.network[:len(s.network)-1]
+	}
+	p := s.find(message.to)
+	if p == nil || p.frozen || s.cut[workerOf(message.from)] != s.cut[p.worker] {
+		return
+	}
+	s.step(p, Received{Message: message.message})
+}
+
+func workerOf(node string) string {
+	var worker string
+	for _, letter := range node {
+		if letter == '#' {
+			break
+		}
+		worker += string(letter)
+	}
+	return worker
+}
+
+// pass lets time go by in steps, each with a tick, and delivers all messages.
+func (s *sim) pass(total time.Duration) {
+	const step = 20 * time.Millisecond
+	for end := s.now.Add(total); s.now.Before(end); {
+		s.tick(step)
+		s.settle()
+	}
+}
+
+// settle delivers until nothing is under way.
+func (s *sim) settle() {
+	for len(s.network) > 0 {
+		s.deliver(0, false)
+	}
+}
+
+func (s *sim) tick(step time.Duration) {
+	s.now = s.now.Add(step)
+	for _, p := range append([]*process(nil), s.processes...) {
+		if !p.frozen {
+			s.step(p, Tick{})
+		}
+	}
+}
+
+// runs returns how often a key ran.
+func (s *sim) runs(key string) int {
+	total := 0
+	for _, entry := range s.journal {
+		if entry.key == key {
+			total++
+		}
+	}
+	return total
+}
