Move versions from readers to the fleet by a pure state machine

Cause: a version has to reach every node from a few readers, be held by enough members before it is in force and be repaired where it was missed. Pull and Accepted gain a number, so that an answer after a pause is told from older messages.

--- /dev/null
+++ b/internal/distribution/catchup.go
@@ -0,0 +1,227 @@
+package distribution
+
+import (
+	"strconv"
+	"time"
+
+	"sliphead/internal/version"
+	"sliphead/internal/wire"
+)
+
+// phase is how far a node has caught up with its peers.
+type phase string
+
+// The phases of catching up.
+const (
+	phaseStarting phase = "starting"  // the process has no memory: nothing is put in force yet
+	phaseResumed  phase = "resumed"   // the process was paused and has no duties
+	phaseCaughtUp phase = "caught-up" // no accepted version is known that is not held
+)
+
+// reportsPerZone is the number of members of each zone whose word a started
+// node waits for.
+const reportsPerZone = 2
+
+// confirmersAsked is the number of peers that a resumed node asks at a time.
+const confirmersAsked = 3
+
+// report is the version in force at a peer, by its own word.
+type report struct {
+	active version.Version
+	start  int64 // of the peer's process
+}
+
+// catchUp is what a node knows while it catches up, and what it last heard of
+// the source.
+type catchUp struct {
+	phase   phase
+	began   time.Time
+	reports map[string]report
+
+	number  uint64    // of the question asked after a pause
+	askAt   time.Time // when it is asked again
+	attempt int
+
+	sourceRead   bool // since the phase began
+	sourceErr    error
+	older        version.Version // last logged
+	equivocation version.Version // last logged
+}
+
+func (c *catchUp) begin(next phase, now time.Time) {
+	c.phase = next
+	c.began = now
+	c.askAt = now
+	c.attempt = 0
+	c.reports = make(map[string]report)
+	c.sourceRead = false
+}
+
+// note keeps a peer's word. Peers that are not live by the view don't count.
+func (c *catchUp) note(view *view, from string, active version.Version) {
+	member := view.member(from)
+	if c.phase == phaseCaughtUp || member == nil || from == view.self {
+		return
+	}
+	known := c.reports[from]
+	c.reports[from] = report{active: version.Max(known.active, active), start: member.Start}
+}
+
+// forgetAbsent drops the words of members that have left or restarted.
+func (c *catchUp) forgetAbsent(view *view) {
+	for name, known := range c.reports {
+		if member := view.member(name); member == nil || member.Start != known.start {
+			delete(c.reports, name)
+		}
+	}
+}
+
+// goal returns the newest version in force by the peers' words.
+func (c *catchUp) goal() version.Version {
+	var goal version.Version
+	for _, known := range c.reports {
+		goal = version.Max(goal, known.active)
+	}
+	return goal
+}
+
+// heardEveryZone reports whether in each zone some members with a version in
+// force gave word, or all did.
+func (c *catchUp) heardEveryZone(view *view) bool {
+	if len(view.members) <= 1 {
+		return false
+	}
+	words, useful := make(map[string]int), make(map[string]int)
+	for name, known := range c.reports {
+		zone := view.member(name).Zone
+		words[zone]++
+		if !known.active.IsZero() {
+			useful[zone]++
+		}
+	}
+	own := view.member(view.self).Zone
+	for zone, members := range view.zones {
+		if zone == own {
+			members--
+		}
+		if words[zone] < members && useful[zone] < reportsPerZone {
+			return false
+		}
+	}
+	return true
+}
+
+// timedOut reports whether the wait for words has ended.
+func (m *Machine) timedOut() bool { return m.now.Sub(m.catchUp.began) >= m.config.CatchUpTimeout }
+
+// noticeGap takes a gap between steps that is longer than the lease as a pause.
+func (m *Machine) noticeGap() {
+	gap := m.now.Sub(m.last)
+	m.last = m.now
+	if m.config.Lease > 0 && gap > m.config.Lease {
+		m.pause()
+	}
+}
+
+// pause gives up duties and freshness until a peer has confirmed the state. A
+// node that was still starting starts again.
+func (m *Machine) pause() {
+	m.log(LogPaused, nil)
+	m.flight = nil
+	clear(m.notices)
+	m.repair = repair{}
+	if m.catchUp.phase == phaseStarting {
+		m.catchUp.begin(phaseStarting, m.now)
+		return
+	}
+	m.catchUp.begin(phaseResumed, m.now)
+	m.catchUp.number = m.config.Random.Uint64() | 1
+}
+
+// advanceCatchUp ends the phase once enough peers gave word and the newest
+// version of which they told is held.
+func (m *Machine) advanceCatchUp() {
+	if m.catchUp.phase == phaseCaughtUp {
+		return
+	}
+	if m.catchUp.phase == phaseResumed {
+		m.askForConfirmation()
+	}
+	if !m.heardEnough() || m.catchUp.goal().After(m.newestAccepted()) {
+		return
+	}
+	if len(m.catchUp.reports) == 0 {
+		m.log(LogAlone, nil)
+	}
+	m.log(LogCaughtUp, nil, versionField(m.newestAccepted()),
+		Field{"words", strconv.Itoa(len(m.catchUp.reports))})
+	m.catchUp.phase = phaseCaughtUp
+	m.catchUp.reports = nil
+}
+
+// heardEnough reports whether the words heard allow the phase to end. Without
+// any word the source must have been read.
+func (m *Machine) heardEnough() bool {
+	words := len(m.catchUp.reports)
+	if m.catchUp.phase == phaseResumed && words > 0 {
+		return true
+	}
+	if m.catchUp.phase == phaseStarting && m.catchUp.heardEveryZone(m.view) {
+		return true
+	}
+	return m.timedOut() && (words > 0 || m.catchUp.sourceRead)
+}
+
+// newestAccepted returns the newest version that is in force here or would be.
+func (m *Machine) newestAccepted() version.Version {
+	for _, staged := range m.staged {
+		if m.isAccepted(staged.version()) {
+			return staged.version()
+		}
+	}
+	return m.active.Version()
+}
+
+// askForConfirmation asks some peers for their version in force. The number
+// tells answers from messages that were sent before or during the pause.
+func (m *Machine) askForConfirmation() {
+	if m.now.Before(m.catchUp.askAt) {
+		return
+	}
+	m.catchUp.askAt = m.now.Add(m.backoff(m.catchUp.attempt))
+	m.catchUp.attempt++
+	for _, peer := range m.randomPeers(confirmersAsked) {
+		m.send(peer, wire.Envelope{Pull: &wire.Pull{Have: m.have(), Number: m.catchUp.number}})
+	}
+}
+
+// onReport keeps a peer's word from gossip. After a pause it does not count:
+// it may have been sent before.
+func (m *Machine) onReport(from string, active version.Version) {
+	if m.catchUp.phase == phaseStarting {
+		m.catchUp.note(m.view, from, active)
+	}
+}
+
+// onConfirmation keeps a peer's answer to the question asked after a pause.
+func (m *Machine) onConfirmation(from string, accepted *wire.Accepted) {
+	if m.catchUp.phase == phaseResumed && accepted.Number == m.catchUp.number {
+		m.catchUp.note(m.view, from, accepted.Version)
+	}
+}
+
+// randomPeers returns up to count distinct live members other than this node.
+func (m *Machine) randomPeers(count int) []string {
+	var peers []string
+	members := m.view.members
+	count = min(count, len(members)-1)
+	for _, index := range m.config.Random.Perm(len(members)) {
+		if len(peers) >= count {
+			break
+		}
+		if members[index].Name != m.config.Self.Name {
+			peers = append(peers, members[index].Name)
+		}
+	}
+	return peers
+}
--- /dev/null
+++ b/internal/distribution/fleet_test.go
@@ -0,0 +1,369 @@
+package distribution
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"sliphead/internal/declaration"
+	"sliphead/internal/fault"
+	"sliphead/internal/snapshot"
+	"sliphead/internal/version"
+	"sliphead/internal/wire"
+)
+
+// The periods of the simulated fleet.
+const (
+	tickPeriod   = 50 * time.Millisecond
+	gossipPeriod = 200 * time.Millisecond
+	readPeriod   = 100 * time.Millisecond
+	detection    = time.Second // lag of membership behind the truth
+)
+
+const secretName = "press"
+
+// edition describes one version of the test declarations.
+type edition struct {
+	epoch, revision uint64
+	variant         string // another variant is another content
+	secret          bool   // whether a secret is named
+	held            bool   // whether its value is given
+	bad             bool   // whether the validator refuses it
+	workers         int
+}
+
+func (e edition) set(t must.T) *snapshot.Set {
+	document := &declaration.Document{Epoch: e.epoch}
+	for i := range max(e.workers, 1) {
+		labels := declaration.Labels{}
+		if i == 0 {
+			labels["variant"] = fmt.Sprint(e.variant, e.revision)
+		}
+		document.Workers = append(document.Workers, declaration.Worker{Name: fmt.Sprintf("worker-%03d", i), Service: "storefront", Zone: "zone-0", Slots: 6, Connections: 130, Labels: labels})
+	}
+	if e.bad {
+		document.Services = append(document.Services, declaration.Service{Name: "bad"})
+	}
+	value := fmt.Sprint("value-", e.revision)
+	values := map[string]string{}
+	if e.secret {
+		digest := snapshot.SecretResource(secretName, value).Digest
+		document.Secrets = append(document.Secrets, declaration.Secret{Name: secretName, Digest: digest})
+	}
+	if e.held {
+		values[secretName] = value
+	}
+	set, err := snapshot.Build(document, e.revision, values)
+	must.NoError(t, err)
+	return set
+}
+
+func validate(set *snapshot.Set) error {
+	if _, found := set.Lookup(snapshot.Key{Kind: snapshot.KindService, Name: "bad"}); found {
+		return fault.New(fault.Declaration, "remove the service", "service named bad")
+	}
+	return nil
+}
+
+// simNode is one node of the fleet. Its machine is replaced when it restarts.
+type simNode struct {
+	member  wire.Member
+	machine *Machine
+	alive   bool
+	frozen  bool
+	inbox   []Event // kept while frozen
+	digests wire.Digests
+	active  version.Version // by the oracle
+	reader  bool
+	fresh   bool
+	side    int           // side of the partition
+	source  *snapshot.Set // what the source shows to this node, nil for an outage
+	view    []wire.Member
+	sent    int
+	cpu     time.Duration
+}
+
+type delivery struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int { return len(d) }
+func (d deliveries) Less(i, j int) bool {
+	if !d[i].at.Equal(d[j].at) {
+		return d[i].at.Before(d[j].at)
+	}
+	return d[i].order < d[j].order
+}
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+// fleet simulates nodes, network, membership and source in virtual time, and
+// checks each effect against the oracle.
+type fleet struct {
+	t         must.T
+	now       time.Time
+	random    *rand.Rand
+	queue     deliveries
+	order     int
+	nodes     []*simNode
+	byName    map[string]*simNode
+	lossy     float64
+	twice     float64
+	delay     func(from, to *simNode) time.Duration
+	held      map[version.Version]map[string]bool
+	accepted  map[version.Version]bool
+	logs      map[string]int
+	onDeliver func(from, to *simNode, message wire.Envelope)
+	onActive  func(node *simNode, v version.Version)
+}
+
+func newFleet(t must.T, seed int64, nodes, zones int) *fleet {
+	f := &fleet{
+		t: t, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewSource(seed)),
+		byName: map[string]*simNode{}, held: map[version.Version]map[string]bool{},
+		accepted: map[version.Version]bool{}, logs: map[string]int{},
+	}
+	f.delay = func(from, to *simNode) time.Duration {
+		return time.Duration(500+f.random.Intn(1500)) * time.Microsecond
+	}
+	for i := range nodes {
+		node := &simNode{member: wire.Member{Name: fmt.Sprintf("node-%03d", i), Zone: fmt.Sprintf("zone-%d", i%zones), Status: wire.StatusAlive}}
+		f.nodes = append(f.nodes, node)
+		f.byName[node.member.Name] = node
+	}
+	return f
+}
+
+func (f *fleet) start(node *simNode) {
+	node.member.Start = f.now.UnixMilli() + 1
+	config := DefaultConfig()
+	config.Self, config.Validate = node.member, validate
+	config.Random = rand.New(rand.NewSource(f.random.Int63()))
+	node.machine = New(config, f.now)
+	node.alive, node.frozen, node.reader, node.fresh = true, false, false, false
+	node.inbox, node.active, node.digests, node.view = nil, version.Version{}, wire.Digests{}, nil
+}
+
+func (f *fleet) startAll() {
+	for _, node := range f.nodes {
+		f.start(node)
+	}
+	f.updateMembers(0)
+	for _, node := range f.nodes {
+		f.every(node, tickPeriod, func() { f.step(node, Tick{}) })
+		f.every(node, gossipPeriod, func() { f.gossip(node) })
+		f.every(node, readPeriod, func() { f.read(node) })
+	}
+}
+
+func (f *fleet) at(when time.Time, run func()) {
+	f.order++
+	heap.Push(&f.queue, delivery{when, f.order, run})
+}
+
+// every runs a node's periodic work, whether or not it lives, with a random phase.
+func (f *fleet) every(node *simNode, period time.Duration, run func()) {
+	var again func()
+	again = func() {
+		if node.alive && !node.frozen {
+			run()
+		}
+		f.at(f.now.Add(period), again)
+	}
+	f.at(f.now.Add(time.Duration(f.random.Int63n(int64(period)))), again)
+}
+
+func (f *fleet) run(span time.Duration) { f.until(f.now.Add(span), func() bool { return false }) }
+
+// until runs the fleet until the condition holds, and reports whether it did.
+func (f *fleet) until(end time.Time, done func() bool) bool {
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		if done() {
+			return true
+		}
+		next := heap.Pop(&f.queue).(delivery)
+		f.now = next.at
+		next.run()
+	}
+	f.now = end
+	return done()
+}
+
+// updateMembers gives each node the live members that it can reach, after a lag.
+func (f *fleet) updateMembers(lag time.Duration) {
+	for _, node := range f.nodes {
+		start := node.member.Start
+		f.at(f.now.Add(lag), func() {
+			if node.alive && node.member.Start == start {
+				node.view = f.reachable(node)
+				f.step(node, Members{Live: node.view})
+			}
+		})
+	}
+}
+
+func (f *fleet) reachable(node *simNode) []wire.Member {
+	var live []wire.Member
+	for _, other := range f.nodes {
+		if other == node || (other.alive && !other.frozen && other.side == node.side) {
+			live = append(live, other.member)
+		}
+	}
+	return live
+}
+
+func (f *fleet) step(node *simNode, event Event) {
+	if !node.alive {
+		return
+	}
+	if node.frozen {
+		node.inbox = append(node.inbox, event)
+		return
+	}
+	began := time.Now()
+	effects := node.machine.Step(event, f.now)
+	node.cpu += time.Since(began)
+	for _, effect := range effects {
+		f.carryOut(node, effect)
+	}
+}
+
+func (f *fleet) carryOut(node *simNode, effect Effect) {
+	switch effect := effect.(type) {
+	case Send:
+		f.send(node, f.byName[effect.To], func(to *simNode) {
+			if f.onDeliver != nil {
+				f.onDeliver(node, to, effect.Message)
+			}
+			f.step(to, Received{Message: effect.Message})
+		})
+	case Activate:
+		f.checkActivation(node, effect.Set)
+	case Duty:
+		node.reader = effect.Reader
+	case DigestsChanged:
+		node.digests = wire.Digests{Active: effect.Active, Staged: effect.Staged}
+		f.hold(node, effect.Staged)
+	case Fresh:
+		node.fresh = true
+	case Stale:
+		node.fresh = false
+	case Log:
+		f.logs[effect.Name]++
+		if effect.Name == LogStaged {
+			f.hold(node, node.machine.newestWhole())
+			for _, staged := range node.machine.staged {
+				f.hold(node, staged.version())
+			}
+		}
+		if effect.Name == LogAccepted {
+			f.checkAcceptance(node)
+		}
+	}
+}
+
+func (f *fleet) hold(node *simNode, v version.Version) {
+	if f.held[v] == nil {
+		f.held[v] = map[string]bool{}
+	}
+	f.held[v][node.member.Name] = true
+}
+
+// checkAcceptance is the oracle's rule: enough distinct nodes hold the version.
+func (f *fleet) checkAcceptance(root *simNode) {
+	v := root.machine.active.Version()
+	need := min(DefaultConfig().Holders, max(len(root.view), 1))
+	must.GreaterEq(f.t, need, len(f.held[v]), must.Sprintf("acceptance guard: %s accepted %s, held by %v", root.member.Name, v, f.held[v]))
+	f.accepted[v] = true
+}
+
+// checkActivation is the oracle's rule for a version put in force.
+func (f *fleet) checkActivation(node *simNode, set *snapshot.Set) {
+	v := set.Version()
+	must.True(f.t, v.After(node.active), must.Sprintf("monotone guard: %s went from %s to %s", node.member.Name, node.active, v))
+	must.True(f.t, set.Complete(), must.Sprintf("completeness guard: %s at %s lacks %v", node.member.Name, v, set.Missing()))
+	must.NoError(f.t, validate(set))
+	copied, err := snapshot.Empty().Apply(snapshot.Diff(snapshot.Empty(), set))
+	must.NoError(f.t, err)
+	must.Eq(f.t, v, copied.Version())
+	must.True(f.t, f.accepted[v], must.Sprintf("acceptance guard: %s put %s in force, held by %v", node.member.Name, v, f.held[v]))
+	node.active = v
+	if f.onActive != nil {
+		f.onActive(node, v)
+	}
+}
+
+// send delivers after the network's delay, which may reorder, lose or repeat.
+func (f *fleet) send(from, to *simNode, deliver func(*simNode)) {
+	from.sent++
+	copies := 1
+	if f.random.Float64() < f.twice {
+		copies = 2
+	}
+	for range copies {
+		if to == nil || f.random.Float64() < f.lossy {
+			continue
+		}
+		start := to.member.Start
+		f.at(f.now.Add(f.delay(from, to)), func() {
+			if to.alive && to.member.Start == start && to.side == from.side {
+				deliver(to)
+			}
+		})
+	}
+}
+
+func (f *fleet) gossip(node *simNode) {
+	if len(node.view) == 0 {
+		return
+	}
+	digests := node.digests
+	for range 2 {
+		peer := f.byName[node.view[f.random.Intn(len(node.view))].Name]
+		if peer != node {
+			f.send(node, peer, func(to *simNode) { f.step(to, PeerDigests{From: node.member.Name, Digests: digests}) })
+		}
+	}
+}
+
+func (f *fleet) read(node *simNode) {
+	if node.reader && node.source != nil {
+		f.step(node, SourceRead{Set: node.source})
+	}
+}
+
+func (f *fleet) publish(set *snapshot.Set) {
+	for _, node := range f.nodes {
+		node.source = set
+	}
+}
+
+// resume lets a paused node run on. It finds all that was sent meanwhile.
+func (f *fleet) resume(node *simNode) {
+	node.frozen = false
+	inbox := node.inbox
+	node.inbox = nil
+	for _, event := range inbox {
+		f.step(node, event)
+	}
+}
+
+// agree reports whether all live nodes are fresh with the version in force.
+func (f *fleet) agree(v version.Version) bool {
+	return !slices.ContainsFunc(f.nodes, func(node *simNode) bool {
+		return node.alive && (node.active != v || !node.fresh)
+	})
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -148,6 +148,9 @@
 	Have version.Version `json:"have"`
 	// Missing are resources named by a staged version whose bodies are not held.
 	Missing []snapshot.Key `json:"missing,omitempty"`
+	// Number, when set, is given back in an Accepted with the version in force,
+	// so that an answer is told from messages sent before the question.
+	Number uint64 `json:"n,omitempty"`
 }
 
 // Staged tells the root that the sender holds a version whole.
@@ -160,6 +163,7 @@
 type Accepted struct {
 	Version version.Version `json:"version"`
 	Root    string          `json:"root,omitempty"` // passed on down this root's tree; "" is a repair
+	Number  uint64          `json:"n,omitempty"`    // of the Pull that this answers
 }
 
 // Resource carries bodies that were missing.
