--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,191 @@
+// Package settings holds what a node is told about itself: a strict YAML file,
+// overridden by flags. It does no more I/O than reading that file.
+package settings
+
+import (
+	"io"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"sliphead/internal/fault"
+)
+
+// Profile weighs convergence time against control bytes.
+type Profile string
+
+// The profiles.
+const (
+	ProfileConvergence Profile = "convergence" // small batches, fast convergence
+	ProfileBytes       Profile = "bytes"       // large batches, few bytes
+)
+
+// Settings are all settings of one node.
+type Settings struct {
+	Name         string       `yaml:"name" validate:"required,max=253,nodeName"`
+	Zone         string       `yaml:"zone" validate:"required,max=253"`
+	Region       string       `yaml:"region" validate:"required,max=253"`
+	Service      string       `yaml:"service,omitempty" validate:"max=253,required_with=Worker"` // "" at an edge
+	Profile      Profile      `yaml:"profile" validate:"oneof=convergence bytes"`
+	Worker       *Worker      `yaml:"worker,omitempty"` // nil at an edge
+	Listen       Listen       `yaml:"listen"`
+	Advertise    Advertise    `yaml:"advertise"`
+	Source       Source       `yaml:"source"`
+	Seeds        []string     `yaml:"seeds,omitempty" validate:"dive,address"`
+	Security     Security     `yaml:"security"`
+	Callers      Callers      `yaml:"callers,omitempty"`
+	Distribution Distribution `yaml:"distribution"`
+	Membership   Membership   `yaml:"membership"`
+	Claims       Claims       `yaml:"claims"`
+	Limits       Limits       `yaml:"limits"`
+	Drain        Drain        `yaml:"drain"`
+}
+
+// Worker is the back end beside the node.
+type Worker struct {
+	Name           string   `yaml:"name" validate:"required,max=253"`
+	Address        string   `yaml:"address" validate:"address"`
+	HealthPath     string   `yaml:"healthPath" validate:"startswith=/"`
+	HealthInterval Duration `yaml:"healthInterval" validate:"atLeast=1s"` // a probe may cost 6 ms
+}
+
+// Listen are the addresses that the node binds.
+type Listen struct {
+	Peer     string `yaml:"peer" validate:"address"`
+	Inbound  string `yaml:"inbound,omitempty" validate:"omitempty,address"` // required with a worker, absent without
+	Outbound string `yaml:"outbound" validate:"address"`
+	Admin    string `yaml:"admin" validate:"address"`
+}
+
+// Advertise are the addresses that peers are told; by default those of Listen.
+type Advertise struct {
+	Peer    string `yaml:"peer,omitempty" validate:"address,routable"`
+	Inbound string `yaml:"inbound,omitempty" validate:"omitempty,address,routable"`
+}
+
+// Source says where the platform's configuration service and machine list are.
+type Source struct {
+	Configuration    string   `yaml:"configuration" validate:"http_url"`
+	Machines         string   `yaml:"machines,omitempty" validate:"omitempty,http_url"`
+	Readers          int      `yaml:"readers" validate:"min=1,max=1000"`          // at most so many nodes read, fleet-wide
+	LongPoll         Duration `yaml:"longPoll" validate:"atLeast=0s,atMost=5m"`   // 0 asks without waiting
+	MachinesInterval Duration `yaml:"machinesInterval" validate:"atLeast=1s"`     //
+	Timeout          Duration `yaml:"timeout" validate:"atLeast=100ms,atMost=5m"` // for one answer, beyond the long poll
+}
+
+// Security holds the keys of the peer protocol. Exactly one of plain and the
+// files is set.
+type Security struct {
+	Plain           bool   `yaml:"plain,omitempty"` // no authentication; for tests only
+	CertificateFile string `yaml:"certificateFile,omitempty"`
+	KeyFile         string `yaml:"keyFile,omitempty"`
+	AuthorityFile   string `yaml:"authorityFile,omitempty"`
+	DatagramKeyFile string `yaml:"datagramKeyFile,omitempty"`
+}
+
+// Callers holds the keys of the listeners towards callers; none means HTTP
+// without TLS.
+type Callers struct {
+	CertificateFile string `yaml:"certificateFile,omitempty" validate:"required_with=KeyFile"`
+	KeyFile         string `yaml:"keyFile,omitempty" validate:"required_with=CertificateFile"`
+}
+
+// Distribution tunes how versions spread.
+type Distribution struct {
+	Holders         int      `yaml:"holders" validate:"min=1,max=15"`        // members that hold a version before it is accepted
+	Fanout          int      `yaml:"fanout" validate:"min=2,max=64"`         // children of a relay
+	ReadersPerZone  int      `yaml:"readersPerZone" validate:"min=1,max=16"` //
+	Lease           Duration `yaml:"lease" validate:"atLeast=100ms,atMost=1m"`
+	ScheduleOverlap Duration `yaml:"scheduleOverlap" validate:"atLeast=0s,atMost=10m"`
+}
+
+// Membership tunes the failure detector.
+type Membership struct {
+	ProbeInterval  Duration `yaml:"probeInterval" validate:"atLeast=50ms,atMost=1m"`
+	GossipInterval Duration `yaml:"gossipInterval" validate:"atLeast=10ms,atMost=1m"` // default by profile
+}
+
+// Claims tunes requests that may not be repeated.
+type Claims struct {
+	KeyLife   Duration `yaml:"keyLife" validate:"atLeast=1s,atMost=24h"`
+	GroupSize int      `yaml:"groupSize" validate:"min=1,max=15"`
+	ColdStart bool     `yaml:"coldStart"` // vote at once after a start: only for the first start of a whole fleet
+}
+
+// Limits bound what callers may cost the node.
+type Limits struct {
+	MaxHeaderBytes  int      `yaml:"maxHeaderBytes" validate:"min=1024,max=1048576"`
+	HeaderTimeout   Duration `yaml:"headerTimeout" validate:"atLeast=100ms"`
+	IdleTimeout     Duration `yaml:"idleTimeout" validate:"atLeast=1s"`
+	BodyIdleTimeout Duration `yaml:"bodyIdleTimeout" validate:"atLeast=1s"`
+	QueueLength     int      `yaml:"queueLength" validate:"min=1,max=100000"`
+	MaxConnections  int      `yaml:"maxConnections" validate:"min=1,max=1000000"`
+}
+
+// Drain tunes the planned stop.
+type Drain struct {
+	Timeout Duration `yaml:"timeout" validate:"atLeast=1s,atMost=24h"` // after it, requests in flight are cut
+}
+
+// The gossip intervals of the profiles.
+const (
+	gossipForConvergence = 50 * time.Millisecond
+	gossipForBytes       = 500 * time.Millisecond
+)
+
+// Default returns the settings of a node before its file is read. Names,
+// addresses, the source and security have no default.
+func Default() *Settings {
+	return &Settings{
+		Profile:      ProfileConvergence,
+		Source:       Source{Readers: 16, LongPoll: Duration{20 * time.Second}, MachinesInterval: Duration{10 * time.Second}, Timeout: Duration{5 * time.Second}},
+		Distribution: Distribution{Holders: 3, Fanout: 8, ReadersPerZone: 2, Lease: Duration{2 * time.Second}, ScheduleOverlap: Duration{10 * time.Second}},
+		Membership:   Membership{ProbeInterval: Duration{time.Second}},
+		Claims:       Claims{KeyLife: Duration{10 * time.Minute}, GroupSize: 5},
+		Limits: Limits{
+			MaxHeaderBytes:  64 << 10,
+			HeaderTimeout:   Duration{5 * time.Second},
+			IdleTimeout:     Duration{time.Minute},
+			BodyIdleTimeout: Duration{30 * time.Second},
+			QueueLength:     256,
+			MaxConnections:  4096,
+		},
+		Drain: Drain{Timeout: Duration{10 * time.Minute}},
+	}
+}
+
+// derive fills the defaults that depend on other settings.
+func (s *Settings) derive() {
+	if s.Advertise.Peer == "" {
+		s.Advertise.Peer = s.Listen.Peer
+	}
+	if s.Advertise.Inbound == "" {
+		s.Advertise.Inbound = s.Listen.Inbound
+	}
+	if s.Membership.GossipInterval.Duration == 0 {
+		s.Membership.GossipInterval.Duration = gossipForConvergence
+		if s.Profile == ProfileBytes {
+			s.Membership.GossipInterval.Duration = gossipForBytes
+		}
+	}
+	if s.Worker == nil {
+		return
+	}
+	if s.Worker.HealthPath == "" {
+		s.Worker.HealthPath = "/health"
+	}
+	if s.Worker.HealthInterval.Duration == 0 {
+		s.Worker.HealthInterval.Duration = time.Second
+	}
+}
+
+// Print writes the settings in force as YAML. It holds names of key files and
+// no keys.
+func (s *Settings) Print(writer io.Writer) error {
+	text, err := yaml.Marshal(s)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "report this defect", "print the settings")
+	}
+	_, err = writer.Write(text)
+	return err
+}
--- /dev/null
+++ b/internal/source/reader.go
@@ -0,0 +1,258 @@
+package source
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"sliphead/internal/declaration"
+	"sliphead/internal/fault"
+	"sliphead/internal/logging"
+)
+
+// Result is what one read brought: a document with the secrets held so far, or
+// an error. A result with a secret that came later repeats the document.
+type Result struct {
+	Document *declaration.Document
+	Revision uint64
+	Secrets  map[string]string // by name; those that could not be read are missing
+	Err      error
+}
+
+// Reader reads the source while the node has the duty to.
+type Reader struct {
+	Configuration *Configuration
+	Parse         func([]byte) (*declaration.Document, error) // declaration.Parse
+	Emit          func(Result)                                // called from Run's goroutine; must not block long
+	LongPoll      time.Duration                               // 0 asks each Interval
+	Interval      time.Duration                               // least time between two questions; default 1 s
+	SecretRetry   time.Duration                               // middle of the wait for a missing secret; default 2 s
+	BackoffBase   time.Duration                               // default 200 ms
+	BackoffMax    time.Duration                               // default 10 s
+	Logger        log.Interface
+	Random        *rand.Rand // jitter; used by Run's goroutine only
+
+	failures int
+	last     string // cause logged last
+	etag     string
+	current  Result
+	reads    atomic.Uint64
+}
+
+// Reads returns how many questions were asked of the source, secrets included.
+func (r *Reader) Reads() uint64 { return r.reads.Load() }
+
+// Run reads whenever duty is on. duty delivers changes of the duty; its first
+// value is awaited. Run returns when ctx ends, after its last question ended.
+func (r *Reader) Run(ctx context.Context, duty <-chan bool) {
+	r.setDefaults()
+	for on := false; ; {
+		if !on {
+			select {
+			case on = <-duty:
+			case <-ctx.Done():
+				return
+			}
+			continue
+		}
+		var ended bool
+		on, ended = r.serve(ctx, duty)
+		if ended {
+			return
+		}
+	}
+}
+
+// setDefaults fills the optional fields.
+func (r *Reader) setDefaults() {
+	for field, value := range map[*time.Duration]time.Duration{
+		&r.Interval: time.Second, &r.SecretRetry: 2 * time.Second, &r.BackoffBase: 200 * time.Millisecond, &r.BackoffMax: 10 * time.Second,
+	} {
+		if *field == 0 {
+			*field = value
+		}
+	}
+	if r.Logger == nil {
+		r.Logger = logging.Discard()
+	}
+}
+
+// serve reads until the duty changes or ctx ends. It starts without an ETag,
+// so that a node that takes the duty on again reads the document afresh.
+func (r *Reader) serve(ctx context.Context, duty <-chan bool) (on, ended bool) {
+	dutyContext, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.read(dutyContext)
+	}()
+	defer func() { <-done }()
+	defer cancel()
+	for {
+		select {
+		case on = <-duty:
+			if !on {
+				return false, false
+			}
+		case <-ctx.Done():
+			return false, true
+		}
+	}
+}
+
+// read asks again and again until ctx ends.
+func (r *Reader) read(ctx context.Context) {
+	r.etag, r.current = "", Result{}
+	for ctx.Err() == nil {
+		started := time.Now()
+		err := r.once(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		wait := r.Interval - time.Since(started)
+		if err != nil {
+			r.report(err)
+			wait = max(wait, r.backoff(err))
+		} else {
+			r.recovered()
+		}
+		sleep(ctx, wait)
+	}
+}
+
+// once asks for the document, or while secrets are missing for these.
+func (r *Reader) once(ctx context.Context) error {
+	wait := r.LongPoll
+	missing := r.missing()
+	if len(missing) > 0 {
+		wait = min(wait, r.jittered(r.SecretRetry))
+	}
+	r.reads.Add(1)
+	document, err := r.Configuration.Fetch(ctx, r.etag, wait)
+	if err != nil {
+		return err
+	}
+	if document != nil {
+		return r.take(ctx, document)
+	}
+	if len(missing) > 0 && r.askSecrets(ctx, missing) {
+		r.Emit(r.copy())
+	}
+	return nil
+}
+
+// take parses a new document, asks for its secrets and emits both. A document
+// that is refused keeps its ETag, so that it is not read again and again.
+func (r *Reader) take(ctx context.Context, document *Document) error {
+	parsed, err := r.Parse(document.Raw)
+	r.etag = document.ETag
+	if err != nil {
+		r.Emit(Result{Revision: document.Revision, Err: err})
+		return err
+	}
+	r.current = Result{Document: parsed, Revision: document.Revision, Secrets: make(map[string]string, len(parsed.Secrets))}
+	r.askSecrets(ctx, r.missing())
+	if ctx.Err() == nil {
+		r.Emit(r.copy())
+	}
+	return nil
+}
+
+// missing returns the names of the secrets declared and not held.
+func (r *Reader) missing() []string {
+	if r.current.Document == nil {
+		return nil
+	}
+	var names []string
+	for _, secret := range r.current.Document.Secrets {
+		if _, held := r.current.Secrets[secret.Name]; !held {
+			names = append(names, secret.Name)
+		}
+	}
+	return names
+}
+
+// askSecrets asks for secrets and reports whether one came.
+func (r *Reader) askSecrets(ctx context.Context, names []string) bool {
+	came := false
+	for _, name := range names {
+		r.reads.Add(1)
+		value, err := r.Configuration.Secret(ctx, name)
+		if ctx.Err() != nil {
+			return came
+		}
+		if err != nil {
+			logging.Problem(r.Logger, "source.secretMissing", err, logging.Fields{"secret": name})
+			continue
+		}
+		r.current.Secrets[name] = value
+		came = true
+	}
+	return came
+}
+
+// copy returns the current result with its own map, as the receiver keeps it.
+func (r *Reader) copy() Result {
+	result := r.current
+	result.Secrets = make(map[string]string, len(r.current.Secrets))
+	for name, value := range r.current.Secrets {
+		result.Secrets[name] = value
+	}
+	return result
+}
+
+// report logs a failure once per cause and emits it.
+func (r *Reader) report(err error) {
+	r.failures++
+	if cause := err.Error(); cause != r.last {
+		r.last = cause
+		logging.Problem(r.Logger, "source.failed", err, logging.Fields{"kind": fault.KindOf(err)})
+	}
+	if fault.KindOf(err) == fault.Source {
+		r.Emit(Result{Err: err})
+	}
+}
+
+// recovered ends a row of failures.
+func (r *Reader) recovered() {
+	if r.failures > 0 {
+		logging.Event(r.Logger, "source.recovered", logging.Fields{"failures": r.failures})
+	}
+	r.failures, r.last = 0, ""
+}
+
+// backoff returns the wait after a failure: full jitter over a bound that
+// grows exponentially, or beyond the time that the service asked for.
+func (r *Reader) backoff(err error) time.Duration {
+	bound := r.BackoffMax
+	if shift := r.failures - 1; shift < 16 {
+		bound = min(bound, r.BackoffBase<<max(shift, 0))
+	}
+	wait := time.Duration(r.Random.Int64N(int64(bound) + 1))
+	if asked := RetryAfter(err); asked > 0 {
+		return asked + wait
+	}
+	return wait
+}
+
+// jittered returns a wait between half and one and a half of the middle.
+func (r *Reader) jittered(middle time.Duration) time.Duration {
+	return middle/2 + time.Duration(r.Random.Int64N(int64(middle)+1))
+}
+
+// sleep waits for a duration or until ctx ends.
+func sleep(ctx context.Context, duration time.Duration) {
+	if duration <= 0 {
+		return
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/transport/network.go
@@ -0,0 +1,39 @@
+package transport
+
+import (
+	"context"
+	"net"
+)
+
+// Network opens sockets. Tests and the lab replace it to add delay, loss and
+// cuts.
+type Network interface {
+	Listen(ctx context.Context, address string) (net.Listener, error)
+	ListenPacket(ctx context.Context, address string) (net.PacketConn, error)
+	// Dial connects to address from the local IP given, any when "".
+	Dial(ctx context.Context, from, address string) (net.Conn, error)
+}
+
+// System is the operating system's network: TCP and UDP.
+type System struct{}
+
+// Listen implements Network.
+func (System) Listen(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	return config.Listen(ctx, "tcp", address)
+}
+
+// ListenPacket implements Network.
+func (System) ListenPacket(ctx context.Context, address string) (net.PacketConn, error) {
+	var config net.ListenConfig
+	return config.ListenPacket(ctx, "udp", address)
+}
+
+// Dial implements Network.
+func (System) Dial(ctx context.Context, from, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	if ip := net.ParseIP(from); ip != nil && !ip.IsUnspecified() {
+		dialer.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return dialer.DialContext(ctx, "tcp", address)
+}
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,121 @@
+package transport
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	"sliphead/internal/version"
+	"sliphead/internal/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// node is a transport that runs until the test ends.
+type node struct {
+	*Transport
+	received chan Received
+	stop     func()
+}
+
+// startNode runs a transport on a free loopback port.
+func startNode(t *testing.T, name string, change func(*Config)) *node {
+	t.Helper()
+	received := make(chan Received, 10000)
+	config := Config{
+		Bind:     "127.0.0.1:0",
+		Self:     func() wire.Member { return wire.Member{Name: name, Status: wire.StatusAlive} },
+		Security: Security{Plain: true},
+		Deliver:  func(message Received) { received <- message },
+		Random:   rand.New(rand.NewPCG(1, 2)),
+	}
+	if change != nil {
+		change(&config)
+	}
+	transport, err := New(config)
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- transport.Run(ctx) }()
+	<-transport.Bound()
+	stop := sync.OnceFunc(func() {
+		cancel()
+		must.NoError(t, <-ended)
+	})
+	t.Cleanup(stop)
+	return &node{Transport: transport, received: received, stop: stop}
+}
+
+// next waits for a message of a kind.
+func (n *node) next(t *testing.T, kind string) Received {
+	t.Helper()
+	for {
+		select {
+		case message := <-n.received:
+			if message.Envelope.Kind() == kind {
+				return message
+			}
+		case <-t.Context().Done():
+			t.Fatalf("no %s message came", kind)
+		}
+	}
+}
+
+// until waits for a condition on the counters.
+func (n *node) until(t *testing.T, condition func(Counters) bool) {
+	t.Helper()
+	for !condition(n.Counters()) {
+		must.NoError(t, t.Context().Err())
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func staged(from string, revision uint64) wire.Envelope {
+	return wire.Envelope{From: from, Staged: &wire.Staged{Version: version.Version{Revision: revision}}}
+}
+
+func TestMessagesArriveInOrderOnOneStream(t *testing.T) {
+	for _, compression := range []Compression{CompressionDeflate, CompressionNone} {
+		alpha := startNode(t, "alpha", func(config *Config) { config.Compression = compression })
+		beta := startNode(t, "beta", nil)
+		const count = 200
+		for revision := range uint64(count) {
+			alpha.Send(beta.Address(), staged("alpha", revision))
+		}
+		must.Eq(t, "alpha", beta.next(t, "hello").Envelope.Hello.Member.Name)
+		for revision := range uint64(count) {
+			must.Eq(t, revision, beta.next(t, "staged").Envelope.Staged.Version.Revision)
+		}
+		must.Eq(t, 1, alpha.Counters().StreamsOpened)
+		must.Eq(t, 0, alpha.Counters().Dropped)
+		must.Eq(t, alpha.Counters().StreamBytesSent, beta.Counters().StreamBytesReceived)
+	}
+}
+
+func TestDatagramsArrive(t *testing.T) {
+	alpha := startNode(t, "alpha", nil)
+	beta := startNode(t, "beta", nil)
+	alpha.SendDatagram(beta.Address(), wire.Envelope{From: "alpha", Ping: &wire.Ping{Number: 7}})
+	message := beta.next(t, "ping")
+	must.True(t, message.Datagram)
+	must.Eq(t, alpha.Address(), message.Remote)
+	must.Eq(t, 7, message.Envelope.Ping.Number)
+}
+
+func TestIdleStreamCloses(t *testing.T) {
+	alpha := startNode(t, "alpha", func(config *Config) { config.Limits.IdleTimeout = 20 * time.Millisecond })
+	beta := startNode(t, "beta", nil)
+	for opened := range uint64(3) {
+		alpha.Send(beta.Address(), staged("alpha", opened))
+		beta.next(t, "staged")
+		alpha.until(t, func(counters Counters) bool { return counters.StreamsOut == 0 })
+		must.Eq(t, opened+1, alpha.Counters().StreamsOpened)
+	}
+	must.Eq(t, 0, alpha.Counters().Dropped)
+	must.Eq(t, 0, beta.Counters().StreamsClosedForFault)
+}
