Carry requests over two hops to a worker and back

Change: outbound and inbound handlers as pipes of filters; whole small answers, streamed large ones, uploads with back pressure; request and try ids matched on each hop; a connection wrapper that knows whether a byte of a request left.

--- /dev/null
+++ b/internal/traffic/answer.go
@@ -0,0 +1,94 @@
+package traffic
+
+import (
+	"io"
+	"net/http"
+	"sync"
+
+	"sliphead/internal/outcome"
+)
+
+const copyBufferSize = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
+
+// answer is what the next hop answered, not yet passed on.
+type answer struct {
+	response *http.Response
+	whole    []byte // the body when it is small and of known length
+	isWhole  bool
+}
+
+// receive takes an answer in. A small one is read whole, so that a short one
+// can still be turned into a failure.
+func receive(x *exchange, response *http.Response) (*answer, *result) {
+	if !framed(response) {
+		_ = response.Body.Close()
+		failure := unknown(http.StatusBadGateway, causeUnframed, "let the worker send Content-Length or chunks, so that a short answer can be told from a whole one")
+		return nil, &failure
+	}
+	if response.ContentLength < 0 || response.ContentLength > x.smallAnswer || x.request.Method == http.MethodHead {
+		return &answer{response: response}, nil
+	}
+	whole := make([]byte, response.ContentLength)
+	_, err := io.ReadFull(response.Body, whole)
+	_ = response.Body.Close()
+	if err != nil {
+		failure := roundTripFailure(x, true, err)
+		return nil, &failure
+	}
+	return &answer{response: response, whole: whole, isWhole: true}, nil
+}
+
+// framed reports whether the end of the answer can be told from a cut.
+func framed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Uncompressed ||
+		response.Request.Method == http.MethodHead || response.Body == http.NoBody
+}
+
+// pass hands the answer on. The header of a streamed answer goes out before
+// its body is known to be whole: a broken one is cut.
+func (a *answer) pass(x *exchange) result {
+	defer func() { _ = a.response.Body.Close() }()
+	header := x.writer.Header()
+	copyEndToEnd(header, a.response.Header)
+	if x.request.Method != http.MethodHead && a.response.ContentLength < 0 {
+		delete(header, "Content-Length")
+	}
+	x.setOutcome(header, outcome.Answered)
+	x.writer.WriteHeader(a.response.StatusCode)
+	ended := result{outcome: outcome.Answered, status: a.response.StatusCode, cause: causeNone, sent: true}
+	if a.isWhole {
+		_, _ = x.writer.Write(a.whole) // an error means that the caller has gone
+		return ended
+	}
+	if err := a.stream(x); err != nil {
+		ended.outcome = outcome.Unknown
+		ended.cause = causeBroken
+		ended.cut = true
+	}
+	return ended
+}
+
+// stream copies the body and flushes after each read, so that nothing that
+// has come is held back.
+func (a *answer) stream(x *exchange) error {
+	buffer := copyBuffers.Get().(*[copyBufferSize]byte)
+	defer copyBuffers.Put(buffer)
+	controller := http.NewResponseController(x.writer)
+	for {
+		count, err := a.response.Body.Read(buffer[:])
+		if count > 0 {
+			if _, writeErr := x.writer.Write(buffer[:count]); writeErr != nil {
+				return writeErr
+			}
+			_ = controller.Flush() // not offered by all writers
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/traffic/deadline.go
@@ -0,0 +1,44 @@
+package traffic
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"sliphead/internal/outcome"
+)
+
+// limitTime ends the exchange at the earlier of the route's own deadline and
+// the one that the caller's node told. A deadline only shrinks on its way.
+func limitTime(next stage) stage {
+	return func(x *exchange) result {
+		allowed := time.Duration(x.route.DeadlineMS) * time.Millisecond
+		told := number(x.request.Header, outcome.Deadline, -1)
+		if told >= 0 {
+			allowed = min(allowed, time.Duration(told)*time.Millisecond)
+		}
+		if allowed <= 0 {
+			return refuse(causeDeadline, time.Second, "the deadline has passed, send it again with more time")
+		}
+		x.deadline = x.started.Add(allowed)
+		limited, cancel := context.WithDeadline(x.request.Context(), x.deadline)
+		defer cancel()
+		x.context = limited
+		return next(x)
+	}
+}
+
+// limitDepth refuses requests that call each other in a loop.
+func limitDepth(levels int) filter {
+	return func(next stage) stage {
+		return func(x *exchange) result {
+			if x.depth >= levels {
+				return reject(http.StatusLoopDetected, causeDepth, "look for services that call each other in a loop")
+			}
+			return next(x)
+		}
+	}
+}
+
+// millisecondsLeft returns the time left for the request.
+func (x *exchange) millisecondsLeft() int64 { return time.Until(x.deadline).Milliseconds() }
--- /dev/null
+++ b/internal/traffic/exchange.go
@@ -0,0 +1,105 @@
+package traffic
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"sliphead/internal/outcome"
+	"sliphead/internal/snapshot"
+)
+
+// exchange is one request on its way through the filters.
+type exchange struct {
+	writer  http.ResponseWriter
+	request *http.Request
+	context context.Context // ends with the caller's connection and at the deadline
+	started time.Time
+	view    *snapshot.View
+	route   *snapshot.Route
+
+	id       string // request id, the same on all levels of the call tree
+	attempt  string // names this try of the caller's node; set by inbound
+	deadline time.Time
+	budget   int // retries left, in thousandths
+	depth    int // level in the call tree, from 0
+	body     body
+
+	smallAnswer int64         // answers up to this many bytes are read whole
+	load        func() string // the local worker's load; nil at outbound
+}
+
+// result is how a request ended. A result that was not passed on yet becomes
+// the final answer.
+type result struct {
+	outcome    outcome.Outcome
+	status     int
+	cause      cause
+	remedy     string
+	retryAfter time.Duration
+	sent       bool // whether the answer's header was passed on
+	cut        bool // whether the answer has to be cut because it is not whole
+	final      bool // whether a level below has already spent its retries
+}
+
+// cause is the bounded label under which endings are counted.
+type cause string
+
+// The causes of endings.
+const (
+	causeNone       cause = "none"
+	causeDraining   cause = "draining"
+	causeLease      cause = "lease"
+	causeRoute      cause = "route"
+	causeMalformed  cause = "malformed"
+	causeDepth      cause = "depth"
+	causeDeadline   cause = "deadline"
+	causeEndpoints  cause = "endpoints"
+	causeNotLocal   cause = "not-local"
+	causeQueue      cause = "queue"
+	causeClaim      cause = "claim"
+	causeConnect    cause = "connect"
+	causeRefused    cause = "refused"
+	causeBroken     cause = "broken"
+	causeForeign    cause = "foreign"
+	causeUnframed   cause = "unframed"
+	causeCallerGone cause = "caller-gone"
+)
+
+// stage handles an exchange; filter puts a step in front of a stage.
+type (
+	stage  func(*exchange) result
+	filter func(next stage) stage
+)
+
+// pipe joins filters, first to last, in front of the final stage.
+func pipe(last stage, filters ...filter) stage {
+	joined := last
+	for index := len(filters) - 1; index >= 0; index-- {
+		joined = filters[index](joined)
+	}
+	return joined
+}
+
+// refuse returns the result of a request that did not run and may be sent
+// again after a while.
+func refuse(why cause, retryAfter time.Duration, remedy string) result {
+	return result{
+		outcome:    outcome.NotRun,
+		status:     http.StatusServiceUnavailable,
+		cause:      why,
+		remedy:     remedy,
+		retryAfter: max(retryAfter, time.Second),
+	}
+}
+
+// reject returns the result of a request that did not run and will not run if
+// it is sent again unchanged.
+func reject(status int, why cause, remedy string) result {
+	return result{outcome: outcome.NotRun, status: status, cause: why, remedy: remedy}
+}
+
+// unknown returns the result of a request that may have run.
+func unknown(status int, why cause, remedy string) result {
+	return result{outcome: outcome.Unknown, status: status, cause: why, remedy: remedy}
+}
--- /dev/null
+++ b/internal/traffic/forward.go
@@ -0,0 +1,126 @@
+package traffic
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"time"
+
+	"sliphead/internal/outcome"
+)
+
+// expectWait is how long a node waits for 100 Continue before it streams a
+// body regardless. The request's deadline ends the wait long before.
+const expectWait = 24 * time.Hour
+
+// newTransport returns a transport that does what it is told and no more: no
+// proxies, no compression, no HTTP/2.
+func newTransport(dial DialFunc, connections, idle int) *http.Transport {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		DialContext:           sealedDial(dial),
+		DisableCompression:    true,
+		MaxConnsPerHost:       connections,
+		MaxIdleConnsPerHost:   idle,
+		IdleConnTimeout:       defaultIdleTimeout / 2,
+		ExpectContinueTimeout: expectWait,
+		Protocols:             protocols,
+		WriteBufferSize:       copyBufferSize,
+		ReadBufferSize:        readBufferSize,
+	}
+}
+
+const readBufferSize = 8 << 10
+
+// hop is where a request goes next.
+type hop struct {
+	transport *http.Transport
+	address   string // host:port
+	header    http.Header
+	expect    bool // whether a streamed body waits for 100 Continue
+}
+
+// send makes one try. It returns the answer, or how the try failed.
+func send(x *exchange, to hop, check func(*http.Response) *result) (*answer, *result) {
+	watch := newSending()
+	request := outgoing(httptrace.WithClientTrace(x.context, &watch.trace), x, to)
+	response, err := to.transport.RoundTrip(request)
+	if err != nil {
+		failure := roundTripFailure(x, watch.left(), err)
+		return nil, &failure
+	}
+	if failure := check(response); failure != nil {
+		_ = response.Body.Close()
+		return nil, failure
+	}
+	return receive(x, response)
+}
+
+// outgoing builds the request of the next hop.
+func outgoing(ctx context.Context, x *exchange, to hop) *http.Request {
+	target := *x.request.URL
+	target.Scheme = "http"
+	target.Host = to.address
+	target.User = nil
+	request := &http.Request{
+		Method:        x.request.Method,
+		URL:           &target,
+		Host:          x.request.Host,
+		Header:        to.header,
+		Body:          x.body.reader(),
+		ContentLength: x.body.length,
+	}
+	if to.expect && x.body.stream != nil {
+		set(to.header, "Expect", "100-continue")
+	}
+	return request.WithContext(ctx)
+}
+
+// roundTripFailure tells what a failed try came to.
+func roundTripFailure(x *exchange, left bool, err error) result {
+	deadlinePassed := errors.Is(err, context.DeadlineExceeded) || x.context.Err() != nil && !time.Now().Before(x.deadline)
+	callerGone := x.request.Context().Err() != nil || x.body.stream != nil && x.body.stream.broken.Load()
+	switch {
+	case callerGone && left:
+		return unknown(http.StatusBadGateway, causeCallerGone, "the caller's connection ended, send the request again if it may be repeated")
+	case callerGone:
+		return reject(http.StatusBadRequest, causeCallerGone, "keep the connection open until the answer has come")
+	case deadlinePassed && left:
+		return unknown(http.StatusGatewayTimeout, causeDeadline, "check whether it ran before sending it again, or raise the route's deadlineMs")
+	case deadlinePassed:
+		return refuse(causeDeadline, time.Second, "send it again later, or raise the route's deadlineMs")
+	case left:
+		return unknown(http.StatusBadGateway, causeBroken, "check whether it ran before sending it again")
+	default:
+		return refuse(causeConnect, time.Second, "send it again later, the next hop does not accept connections")
+	}
+}
+
+// hasHeader is here so that a header given empty still counts as given.
+func hasHeader(header http.Header, name string) bool { return len(header[name]) > 0 }
+
+// pathOf returns the path that routes match against.
+func pathOf(u *url.URL) string { return u.Path }
+
+// refusedByNode reads a refusal from the answer of another node, nil if it is none.
+func refusedByNode(response *http.Response) *result {
+	told := outcome.Outcome(get(response.Header, outcome.Header))
+	if told == outcome.Answered {
+		return nil
+	}
+	refused := result{
+		outcome: told,
+		status:  response.StatusCode,
+		cause:   causeRefused,
+		remedy:  get(response.Header, outcome.Remedy),
+		final:   hasHeader(response.Header, finalHeader),
+	}
+	if told != outcome.NotRun {
+		refused.outcome = outcome.Unknown
+	}
+	refused.retryAfter = time.Duration(number(response.Header, "Retry-After", 0)) * time.Second
+	return &refused
+}
--- /dev/null
+++ b/internal/traffic/inbound.go
@@ -0,0 +1,133 @@
+package traffic
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sliphead/internal/outcome"
+)
+
+// Inbound takes requests from other nodes to the local worker.
+type Inbound struct {
+	config    Config
+	gate      *gate
+	transport *http.Transport
+	handle    stage
+}
+
+// NewInbound returns the handler of the inbound listener.
+func NewInbound(config Config) *Inbound {
+	config = config.withDefaults()
+	in := &Inbound{config: config, gate: newGate()}
+	in.transport = newTransport(config.Dial, config.Limits.Connections, config.Limits.Connections)
+	in.handle = pipe(in.forward, in.classify, limitDepth(config.Limits.MaxDepth), limitTime, readBody(&in.config.Limits))
+	return in
+}
+
+// ServeHTTP implements http.Handler.
+func (in *Inbound) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	x := &exchange{
+		writer:      writer,
+		request:     request,
+		context:     request.Context(),
+		started:     time.Now(),
+		id:          get(request.Header, outcome.RequestID),
+		attempt:     get(request.Header, attemptHeader),
+		budget:      number(request.Header, outcome.RetryBudget, 0),
+		depth:       number(request.Header, outcome.Depth, 0),
+		smallAnswer: in.config.Limits.SmallAnswer,
+		load:        in.load,
+	}
+	if !in.gate.enter() {
+		conclude(x, refuse(causeDraining, time.Second, "send it again, another worker will take it"))
+		return
+	}
+	defer in.gate.leave()
+	conclude(x, in.handle(x))
+}
+
+// Drain refuses new requests as not run from now on.
+func (in *Inbound) Drain() { in.gate.drain() }
+
+// InFlight returns the number of requests that have not ended.
+func (in *Inbound) InFlight() int { return in.gate.count() }
+
+// Wait returns when the handler drains and all requests have ended.
+func (in *Inbound) Wait(ctx context.Context) error { return in.gate.wait(ctx) }
+
+// load tells busy, slots and queued requests to callers' nodes.
+func (in *Inbound) load() string {
+	return strconv.Itoa(in.gate.count()) + "/" + strconv.Itoa(in.config.Limits.Slots) + "/0"
+}
+
+// classify finds the route that the caller's node chose and checks that the
+// local worker takes it.
+func (in *Inbound) classify(next stage) stage {
+	return func(x *exchange) result {
+		if fix := malformed(x.request); fix != "" {
+			return reject(http.StatusBadRequest, causeMalformed, fix)
+		}
+		view, current := in.config.Holder.Current(x.started)
+		if !current {
+			return refuse(causeLease, time.Second, "send it again, this node has no confirmed configuration")
+		}
+		route := view.Route(get(x.request.Header, outcome.Route))
+		if route == nil || !route.LocalAllowed {
+			return refuse(causeNotLocal, time.Second, "send it again, the worker of this node does not take this route now")
+		}
+		x.view = view
+		x.route = route
+		return next(x)
+	}
+}
+
+// forward runs the request at the worker.
+func (in *Inbound) forward(x *exchange) result {
+	header := make(http.Header, len(x.request.Header)+1)
+	copyEndToEnd(header, x.request.Header)
+	x.setContext(header, x.millisecondsLeft())
+	set(header, attemptHeader, x.attempt)
+	if x.route.Credential != "" {
+		set(header, "Authorization", "Bearer "+x.route.Credential)
+	}
+	got, failure := send(x, hop{transport: in.transport, address: in.config.WorkerAddress, header: header}, x.checkWorker)
+	if failure != nil {
+		return *failure
+	}
+	return got.pass(x)
+}
+
+// checkWorker refuses a worker's answer that belongs to another request and
+// takes the worker's own refusal: 503, outcome not-run and the try it was sent
+// for. Without naming the try it may be a copy of what another service told
+// the worker.
+func (x *exchange) checkWorker(response *http.Response) *result {
+	echoed := get(response.Header, attemptHeader)
+	named := get(response.Header, outcome.RequestID)
+	if echoed != "" && echoed != x.attempt || named != "" && named != x.id || response.StatusCode == http.StatusSwitchingProtocols {
+		foreign := unknown(http.StatusBadGateway, causeForeign, "check the worker, it answered for another request")
+		return &foreign
+	}
+	told := outcome.Outcome(get(response.Header, outcome.Header))
+	if response.StatusCode == http.StatusServiceUnavailable && told == outcome.NotRun && echoed != "" {
+		shed := refuse(causeRefused, time.Duration(number(response.Header, "Retry-After", 1))*time.Second, "send it again later, the worker sheds load")
+		return &shed
+	}
+	return nil
+}
+
+// readBody opens the request's body.
+func readBody(limits *Limits) filter {
+	return func(next stage) stage {
+		return func(x *exchange) result {
+			opened, err := openBody(x.writer, x.request, limits)
+			if err != nil {
+				return reject(http.StatusBadRequest, causeMalformed, "send the whole body")
+			}
+			x.body = opened
+			return next(x)
+		}
+	}
+}
--- /dev/null
+++ b/internal/traffic/outbound.go
@@ -0,0 +1,131 @@
+package traffic
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sliphead/internal/outcome"
+)
+
+// Outbound takes requests from callers or from the local worker and chooses an
+// endpoint for each.
+type Outbound struct {
+	config    Config
+	gate      *gate
+	random    *rand.Rand
+	transport *http.Transport
+	handle    stage
+}
+
+// NewOutbound returns the handler of the outbound listener.
+func NewOutbound(config Config) *Outbound {
+	config = config.withDefaults()
+	out := &Outbound{config: config, gate: newGate(), random: rand.New(config.Random)}
+	out.transport = newTransport(config.Dial, 0, config.Limits.IdlePerNode)
+	out.handle = pipe(out.choose, out.classify, limitDepth(config.Limits.MaxDepth), limitTime, readBody(&out.config.Limits))
+	return out
+}
+
+// ServeHTTP implements http.Handler.
+func (out *Outbound) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	x := out.begin(writer, request)
+	if !out.gate.enter() {
+		conclude(x, refuse(causeDraining, time.Second, "send it again through another node"))
+		return
+	}
+	defer out.gate.leave()
+	conclude(x, out.handle(x))
+}
+
+// begin reads the request's context. An edge believes none of it but the id.
+func (out *Outbound) begin(writer http.ResponseWriter, request *http.Request) *exchange {
+	x := &exchange{
+		writer:      writer,
+		request:     request,
+		context:     request.Context(),
+		started:     time.Now(),
+		id:          get(request.Header, outcome.RequestID),
+		budget:      out.config.Limits.RetryBudget,
+		smallAnswer: out.config.Limits.SmallAnswer,
+	}
+	if !validID(x.id) {
+		x.id = out.newID()
+	}
+	if out.config.Edge {
+		delete(request.Header, outcome.Deadline)
+		return x
+	}
+	x.budget = min(x.budget, number(request.Header, outcome.RetryBudget, x.budget))
+	x.depth = number(request.Header, outcome.Depth, -1) + 1
+	return x
+}
+
+// newID returns an id that no other request has.
+func (out *Outbound) newID() string {
+	const base = 36
+	return strconv.FormatUint(out.random.Uint64(), base) + strconv.FormatUint(out.random.Uint64(), base)
+}
+
+// Drain refuses new requests as not run from now on. The outbound handler
+// drains after the inbound one has ended: the worker may need it until then.
+func (out *Outbound) Drain() { out.gate.drain() }
+
+// InFlight returns the number of requests that have not ended.
+func (out *Outbound) InFlight() int { return out.gate.count() }
+
+// Wait returns when the handler drains and all requests have ended.
+func (out *Outbound) Wait(ctx context.Context) error { return out.gate.wait(ctx) }
+
+// classify finds the route.
+func (out *Outbound) classify(next stage) stage {
+	return func(x *exchange) result {
+		if fix := malformed(x.request); fix != "" {
+			return reject(http.StatusBadRequest, causeMalformed, fix)
+		}
+		view, current := out.config.Holder.Current(x.started)
+		if !current {
+			return refuse(causeLease, time.Second, "send it again, this node has no confirmed configuration")
+		}
+		x.view = view
+		x.route = match(view, hostOf(x.request), pathOf(x.request.URL), x.request.Method)
+		if x.route == nil {
+			return reject(http.StatusNotFound, causeRoute, "check host, path and method, no route is declared for them")
+		}
+		return next(x)
+	}
+}
+
+// choose tries one endpoint.
+func (out *Outbound) choose(x *exchange) result {
+	if len(x.route.Endpoints) == 0 {
+		return refuse(causeEndpoints, time.Second, "send it again later, no worker takes this route now")
+	}
+	endpoint := x.route.Endpoints[out.random.IntN(len(x.route.Endpoints))]
+	header := make(http.Header, len(x.request.Header)+5)
+	copyEndToEnd(header, x.request.Header)
+	x.setContext(header, x.millisecondsLeft())
+	set(header, outcome.Route, x.route.Name)
+	attempt := out.newID()
+	set(header, attemptHeader, attempt)
+	to := hop{transport: out.transport, address: endpoint.Address, header: header, expect: true}
+	got, failure := send(x, to, x.checkNode(attempt))
+	if failure != nil {
+		return *failure
+	}
+	return got.pass(x)
+}
+
+// checkNode refuses an answer that belongs to another try and reads another
+// node's refusal.
+func (x *exchange) checkNode(attempt string) func(*http.Response) *result {
+	return func(response *http.Response) *result {
+		if get(response.Header, attemptHeader) != attempt || get(response.Header, outcome.RequestID) != x.id {
+			foreign := unknown(http.StatusBadGateway, causeForeign, "check whether it ran, the answer was for another request")
+			return &foreign
+		}
+		return refusedByNode(response)
+	}
+}
--- /dev/null
+++ b/internal/traffic/traffic.go
@@ -0,0 +1,151 @@
+// Package traffic carries requests: from a caller through the outbound handler
+// of the caller's node and the inbound handler of the worker's node to the
+// worker, and the answer back. Each handler is a pipe of filters, one a file:
+// classify, deadline, admit, claim, choose, forward, outcome. Traffic only
+// reads the published snapshot; it writes no control state.
+//
+// Each request ends in exactly one outcome (package outcome). Trailers and
+// protocol upgrades are not passed on.
+package traffic
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"sliphead/internal/claim"
+	"sliphead/internal/snapshot"
+)
+
+// Claimer lets a request with an idempotency key run at most once.
+type Claimer interface {
+	// Claim asks for the key; body is a digest of the request.
+	Claim(ctx context.Context, service, key, body string) claim.Decision
+	// Finish tells that the holder's run has ended, with its answer if kept.
+	Finish(service, key, holder string, answer []byte)
+	// Release tells that the holder's request was not run after all.
+	Release(service, key, holder string)
+}
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Config is what a handler needs. Holder is required.
+type Config struct {
+	Node, Zone, Region string
+	Holder             *snapshot.Holder
+	// Claims guards idempotency keys. While it is nil, the inbound handler
+	// refuses requests that may not be repeated and carry a key.
+	Claims        Claimer
+	Worker        string // name of the local worker
+	WorkerAddress string // host:port of the local worker
+	Edge          bool   // whether callers are outside the mesh: their internal headers are stripped
+	Limits        Limits
+	Registerer    prometheus.Registerer // nil: metrics are kept but not registered
+	Logger        log.Interface         // nil: log.Log
+	Dial          DialFunc              // nil: net.Dialer
+	Random        rand.Source           // nil: seeded from the clock
+	// Calls joins the inbound and the outbound handler of one node; see Calls.
+	Calls *Calls
+}
+
+// Limits bound what a handler holds and waits for. Zero fields take defaults.
+type Limits struct {
+	SmallBody      int64         // request bodies of known length up to this many bytes are read whole and may be sent again
+	SmallAnswer    int64         // answers of known length up to this many bytes are read whole before they are passed on
+	KeptAnswer     int64         // answers up to this many bytes are kept for replay under an idempotency key
+	MaxDepth       int           // levels of the call tree
+	Slots          int           // requests that the local worker runs at once, unless declared
+	Connections    int           // connections to the local worker, unless declared
+	QueueLength    int           // requests that wait for a slot at most
+	RetryRatio     float64       // retries per request of this node, over time
+	RetryBurst     float64       // retries that may be saved up
+	RetryBudget    int           // retries of one call tree, in thousandths
+	IdlePerNode    int           // idle connections kept to each node
+	HeaderTimeout  time.Duration // to read a request's header
+	IdleTimeout    time.Duration // between requests on a connection
+	BodyTimeout    time.Duration // between two reads of a streamed request body
+	MaxHeaderBytes int
+}
+
+// Default limits.
+const (
+	defaultSmall          = 64 << 10
+	defaultKeptAnswer     = 16 << 10
+	defaultMaxDepth       = 32
+	defaultSlots          = 6
+	defaultConnections    = 130
+	defaultQueueLength    = 128
+	defaultRetryRatio     = 0.1
+	defaultRetryBurst     = 10
+	defaultRetryBudget    = 2000
+	defaultIdlePerNode    = 64
+	defaultHeaderTimeout  = 5 * time.Second
+	defaultIdleTimeout    = 2 * time.Minute
+	defaultBodyTimeout    = 30 * time.Second
+	defaultMaxHeaderBytes = 32 << 10
+)
+
+// withDefaults fills the zero fields.
+func (l Limits) withDefaults() Limits {
+	setDefault(&l.SmallBody, defaultSmall)
+	setDefault(&l.SmallAnswer, defaultSmall)
+	setDefault(&l.KeptAnswer, defaultKeptAnswer)
+	setDefault(&l.MaxDepth, defaultMaxDepth)
+	setDefault(&l.Slots, defaultSlots)
+	setDefault(&l.Connections, defaultConnections)
+	setDefault(&l.QueueLength, defaultQueueLength)
+	setDefault(&l.RetryRatio, defaultRetryRatio)
+	setDefault(&l.RetryBurst, defaultRetryBurst)
+	setDefault(&l.RetryBudget, defaultRetryBudget)
+	setDefault(&l.IdlePerNode, defaultIdlePerNode)
+	setDefault(&l.HeaderTimeout, defaultHeaderTimeout)
+	setDefault(&l.IdleTimeout, defaultIdleTimeout)
+	setDefault(&l.BodyTimeout, defaultBodyTimeout)
+	setDefault(&l.MaxHeaderBytes, defaultMaxHeaderBytes)
+	return l
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// withDefaults fills the zero fields.
+func (c Config) withDefaults() Config {
+	c.Limits = c.Limits.withDefaults()
+	if c.Logger == nil {
+		c.Logger = log.Log
+	}
+	if c.Dial == nil {
+		c.Dial = (&net.Dialer{KeepAlive: 15 * time.Second}).DialContext
+	}
+	if c.Random == nil {
+		c.Random = rand.NewPCG(uint64(time.Now().UnixNano()), 0)
+	}
+	c.Random = &lockedSource{source: c.Random}
+	if c.Calls == nil {
+		c.Calls = NewCalls()
+	}
+	return c
+}
+
+// lockedSource lets several goroutines draw from one source.
+type lockedSource struct {
+	mutex  sync.Mutex
+	source rand.Source
+}
+
+// Uint64 implements rand.Source.
+func (l *lockedSource) Uint64() uint64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.source.Uint64()
+}
