Admit requests by class, deadline and slot

Change: a pure queue for one worker. Classes are served in order; one grant in twenty goes to the oldest aged request; each class has a reserve of places; a request whose predicted wait leaves no time for its run is refused on arrival. Ruled out: plain ageing into the next class. Under lasting overload all of batch is aged, and would then crowd out price checks. Conclusion: the queue holds the classes apart; it is not wired in yet.

--- /dev/null
+++ b/internal/traffic/admission/admission.go
@@ -0,0 +1,268 @@
+// Package admission decides which requests run at a worker now, which wait and
+// which are refused: slots with a bounded queue by priority class. It is pure:
+// the caller passes the time and carries out what is decided.
+//
+// Lower classes wait while higher ones are queued, but a request that has
+// waited long is aged: one grant in Settings.AgedEvery goes to the oldest aged
+// request, so that no class starves and aged requests can't crowd out a higher
+// class. A request whose predicted wait leaves too little time for its run is
+// refused on arrival. Each class has some places in the queue to itself.
+package admission
+
+import (
+	"container/list"
+	"time"
+
+	"sliphead/internal/declaration"
+)
+
+// Class is a priority class, the lowest number first served.
+type Class int
+
+// The classes, in the order in which they are served.
+const (
+	Internal Class = iota
+	Interactive
+	Upload
+	Batch
+	classes
+)
+
+// ClassOf returns the class of a declared priority.
+func ClassOf(priority declaration.Priority) Class {
+	switch priority {
+	case declaration.PriorityInternal:
+		return Internal
+	case declaration.PriorityInteractive:
+		return Interactive
+	case declaration.PriorityUpload:
+		return Upload
+	default:
+		return Batch
+	}
+}
+
+// Settings bound the queue.
+type Settings struct {
+	Slots     int           // requests that run at once
+	Length    int           // requests that wait at most
+	AgeAfter  time.Duration // a request that has waited this long is aged
+	AgedEvery int           // one grant in so many goes to an aged request
+}
+
+// Default settings.
+const (
+	DefaultAgeAfter  = time.Second
+	DefaultAgedEvery = 20
+)
+
+// Verdict is what becomes of a request.
+type Verdict int
+
+// The verdicts.
+const (
+	Queued  Verdict = iota // it waits
+	Granted                // it runs now
+	Refused                // it does not run
+)
+
+// Ticket is one request.
+type Ticket[W any] struct {
+	Waiter     W // whom to tell
+	Verdict    Verdict
+	RetryAfter time.Duration // when refused: the wait that was predicted
+	GiveUp     time.Time     // when queued: the last moment at which a grant is of use
+
+	class    Class
+	arrived  time.Time
+	granted  time.Time
+	deadline time.Time
+	element  *list.Element
+}
+
+// Queue holds the running and the waiting requests of one worker. It is not
+// safe for use by several goroutines at once.
+type Queue[W any] struct {
+	settings Settings
+	waiting  [classes]*list.List // of *Ticket[W], oldest first
+	length   int
+	busy     [classes]int
+	running  int
+	grants   int
+	service  [classes]estimate
+}
+
+// New returns an empty queue.
+func New[W any](settings Settings) *Queue[W] {
+	queue := &Queue[W]{settings: settings}
+	for class := range queue.waiting {
+		queue.waiting[class] = list.New()
+	}
+	return queue
+}
+
+// Running returns the number of requests that hold a slot.
+func (q *Queue[W]) Running() int { return q.running }
+
+// Waiting returns the number of requests that wait.
+func (q *Queue[W]) Waiting() int { return q.length }
+
+// Slots returns the number of slots.
+func (q *Queue[W]) Slots() int { return q.settings.Slots }
+
+// Resize changes the number of slots and returns the tickets that this decides.
+func (q *Queue[W]) Resize(slots int, now time.Time) []*Ticket[W] {
+	q.settings.Slots = slots
+	return q.fill(now)
+}
+
+// Arrive takes in a request. The ticket tells its verdict; decided are other
+// tickets that had to give way to it.
+func (q *Queue[W]) Arrive(class Class, deadline, now time.Time, waiter W) (ticket *Ticket[W], decided []*Ticket[W]) {
+	ticket = &Ticket[W]{Waiter: waiter, class: class, arrived: now, deadline: deadline}
+	if q.running < q.settings.Slots && q.length == 0 {
+		q.grant(ticket, now)
+		return ticket, nil
+	}
+	wait := q.predict(class, now)
+	if now.Add(wait + q.service[class].at(now)).After(deadline) {
+		refuse(ticket, wait)
+		return ticket, nil
+	}
+	if !q.hasRoom(class) {
+		victim := q.youngestBelow(class)
+		if victim == nil {
+			refuse(ticket, wait)
+			return ticket, nil
+		}
+		q.remove(victim)
+		refuse(victim, q.predict(victim.class, now))
+		decided = append(decided, victim)
+	}
+	q.enqueue(ticket, now)
+	return ticket, decided
+}
+
+// Cancel takes back a request that waits. It reports false when the request
+// waits no more; then it was decided and, if granted, must be ended by Done.
+func (q *Queue[W]) Cancel(ticket *Ticket[W], now time.Time) bool {
+	if ticket.element == nil {
+		return false
+	}
+	q.remove(ticket)
+	refuse(ticket, q.predict(ticket.class, now))
+	return true
+}
+
+// Done ends a granted request and returns the tickets that this decides.
+func (q *Queue[W]) Done(ticket *Ticket[W], now time.Time) []*Ticket[W] {
+	q.running--
+	q.busy[ticket.class]--
+	q.service[ticket.class].add(now.Sub(ticket.granted), now)
+	return q.fill(now)
+}
+
+func (q *Queue[W]) enqueue(ticket *Ticket[W], now time.Time) {
+	const marginShare = 20
+	margin := max(q.service[ticket.class].at(now)/2, ticket.deadline.Sub(now)/marginShare)
+	ticket.GiveUp = ticket.deadline.Add(-margin)
+	ticket.Verdict = Queued
+	ticket.element = q.waiting[ticket.class].PushBack(ticket)
+	q.length++
+}
+
+func (q *Queue[W]) remove(ticket *Ticket[W]) {
+	q.waiting[ticket.class].Remove(ticket.element)
+	ticket.element = nil
+	q.length--
+}
+
+func (q *Queue[W]) grant(ticket *Ticket[W], now time.Time) {
+	ticket.Verdict = Granted
+	ticket.granted = now
+	q.running++
+	q.busy[ticket.class]++
+	q.grants++
+}
+
+func refuse[W any](ticket *Ticket[W], wait time.Duration) {
+	ticket.Verdict = Refused
+	ticket.RetryAfter = wait
+}
+
+// fill gives free slots to waiting requests and refuses those that could no
+// longer be served in time.
+func (q *Queue[W]) fill(now time.Time) []*Ticket[W] {
+	var decided []*Ticket[W]
+	for q.running < q.settings.Slots && q.length > 0 {
+		ticket := q.next(now)
+		q.remove(ticket)
+		if now.After(ticket.GiveUp) {
+			refuse(ticket, q.predict(ticket.class, now))
+		} else {
+			q.grant(ticket, now)
+		}
+		decided = append(decided, ticket)
+	}
+	return decided
+}
+
+// next chooses the request to be decided next.
+func (q *Queue[W]) next(now time.Time) *Ticket[W] {
+	if q.settings.AgedEvery > 0 && (q.grants+1)%q.settings.AgedEvery == 0 {
+		if aged := q.oldestAged(now); aged != nil {
+			return aged
+		}
+	}
+	for class := range q.waiting {
+		if front := q.waiting[class].Front(); front != nil {
+			return front.Value.(*Ticket[W])
+		}
+	}
+	return nil
+}
+
+func (q *Queue[W]) oldestAged(now time.Time) *Ticket[W] {
+	var oldest *Ticket[W]
+	for class := range q.waiting {
+		front := q.waiting[class].Front()
+		if front == nil {
+			continue
+		}
+		ticket := front.Value.(*Ticket[W])
+		aged := now.Sub(ticket.arrived) >= q.settings.AgeAfter
+		if aged && (oldest == nil || ticket.arrived.Before(oldest.arrived)) {
+			oldest = ticket
+		}
+	}
+	return oldest
+}
+
+// reserve is the number of places in the queue that no other class may take.
+func (q *Queue[W]) reserve() int {
+	const share = 16
+	return q.settings.Length / share
+}
+
+// hasRoom reports whether the class may take a place and leave the others
+// their reserves.
+func (q *Queue[W]) hasRoom(class Class) bool {
+	taken := q.length
+	for other := range q.waiting {
+		if Class(other) != class {
+			taken += max(0, q.reserve()-q.waiting[other].Len())
+		}
+	}
+	return taken < q.settings.Length
+}
+
+// youngestBelow returns the youngest request of the lowest class below the
+// given one that holds more than its reserve.
+func (q *Queue[W]) youngestBelow(class Class) *Ticket[W] {
+	for lower := classes - 1; lower > class; lower-- {
+		if q.waiting[lower].Len() > q.reserve() {
+			return q.waiting[lower].Back().Value.(*Ticket[W])
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/traffic/admission/admission_test.go
@@ -0,0 +1,179 @@
+package admission
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func TestHigherClassFirst(t *testing.T) {
+	queue := New[string](Settings{Slots: 1, Length: 8, AgeAfter: DefaultAgeAfter, AgedEvery: DefaultAgedEvery})
+	deadline := start.Add(time.Minute)
+	first, _ := queue.Arrive(Batch, deadline, start, "running")
+	must.Eq(t, Granted, first.Verdict)
+	for _, class := range []Class{Batch, Upload, Interactive, Internal} {
+		ticket, _ := queue.Arrive(class, deadline, start, "")
+		must.Eq(t, Queued, ticket.Verdict)
+	}
+	running := first
+	for _, class := range []Class{Internal, Interactive, Upload, Batch} {
+		decided := queue.Done(running, start)
+		must.Len(t, 1, decided)
+		must.Eq(t, class, decided[0].class)
+		running = decided[0]
+	}
+}
+
+func TestLateRequestIsRefusedOnArrival(t *testing.T) {
+	queue := New[string](Settings{Slots: 1, Length: 8})
+	far := start.Add(time.Minute)
+	warm, _ := queue.Arrive(Interactive, far, start, "")
+	now := start.Add(100 * time.Millisecond)
+	queue.Done(warm, now) // a run takes 100 ms
+	queue.Arrive(Interactive, far, now, "")
+	queue.Arrive(Interactive, far, now, "")
+	late, _ := queue.Arrive(Interactive, now.Add(200*time.Millisecond), now, "")
+	must.Eq(t, Refused, late.Verdict)
+	must.Eq(t, 150*time.Millisecond, late.RetryAfter)
+	must.Eq(t, 1, queue.Waiting())
+}
+
+func TestFullQueueGivesWayToHigherClass(t *testing.T) {
+	queue := New[string](Settings{Slots: 1, Length: 1})
+	far := start.Add(time.Minute)
+	queue.Arrive(Batch, far, start, "")
+	waiting, _ := queue.Arrive(Batch, far, start, "")
+	urgent, decided := queue.Arrive(Internal, far, start, "")
+	must.Eq(t, Queued, urgent.Verdict)
+	must.Len(t, 1, decided)
+	must.Eq(t, Refused, waiting.Verdict)
+	another, decided := queue.Arrive(Internal, far, start, "")
+	must.Eq(t, Refused, another.Verdict)
+	must.SliceEmpty(t, decided)
+}
+
+func TestCancelledRequestFreesItsPlace(t *testing.T) {
+	queue := New[string](Settings{Slots: 1, Length: 1})
+	far := start.Add(time.Minute)
+	running, _ := queue.Arrive(Batch, far, start, "")
+	waiting, _ := queue.Arrive(Batch, far, start, "")
+	must.True(t, queue.Cancel(waiting, start))
+	must.False(t, queue.Cancel(waiting, start))
+	must.SliceEmpty(t, queue.Done(running, start))
+	must.Zero(t, queue.Running())
+}
+
+// flow is one class's load in the simulation.
+type flow struct {
+	class    Class
+	perSec   float64
+	service  time.Duration
+	deadline time.Duration
+}
+
+// tally counts what became of a class's requests.
+type tally struct{ offered, inTime, late, refused int }
+
+type event struct {
+	at     time.Time
+	flow   *flow          // an arrival
+	ticket *Ticket[*flow] // the end of a run
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// simulate offers Poisson flows to a queue in virtual time. Runs have
+// exponential service times.
+func simulate(settings Settings, flows []flow, length time.Duration) map[Class]*tally {
+	random := rand.New(rand.NewPCG(7, 7))
+	queue := New[*flow](settings)
+	tallies := map[Class]*tally{}
+	var pending events
+	next := func(f *flow, now time.Time) {
+		heap.Push(&pending, event{at: now.Add(time.Duration(random.ExpFloat64() / f.perSec * float64(time.Second))), flow: f})
+	}
+	for index := range flows {
+		tallies[flows[index].class] = &tally{}
+		next(&flows[index], start)
+	}
+	decide := func(ticket *Ticket[*flow], now time.Time) {
+		switch ticket.Verdict {
+		case Granted:
+			heap.Push(&pending, event{at: now.Add(time.Duration(random.ExpFloat64() * float64(ticket.Waiter.service))), ticket: ticket})
+		case Refused:
+			tallies[ticket.class].refused++
+		}
+	}
+	for now := start; now.Before(start.Add(length)); {
+		e := heap.Pop(&pending).(event)
+		now = e.at
+		var decided []*Ticket[*flow]
+		if e.flow != nil {
+			tallies[e.flow.class].offered++
+			next(e.flow, now)
+			var ticket *Ticket[*flow]
+			ticket, decided = queue.Arrive(e.flow.class, now.Add(e.flow.deadline), now, e.flow)
+			decide(ticket, now)
+		} else {
+			if now.After(e.ticket.deadline) {
+				tallies[e.ticket.class].late++
+			} else {
+				tallies[e.ticket.class].inTime++
+			}
+			decided = queue.Done(e.ticket, now)
+		}
+		for _, ticket := range decided {
+			decide(ticket, now)
+		}
+	}
+	return tallies
+}
+
+// overload offers the multiple of what six slots can do in ten milliseconds a
+// run, 600 a second: a tenth of that internal, a quarter interactive, the rest
+// uploads and batch.
+func overload(multiple float64) []flow {
+	const capacity, run = 600.0, 10 * time.Millisecond
+	rest := max(0, multiple-0.35)
+	return []flow{
+		{Internal, 0.10 * capacity, run, 100 * time.Millisecond},
+		{Interactive, 0.25 * capacity, run, 250 * time.Millisecond},
+		{Upload, 0.2 * rest * capacity, run, 5 * time.Second},
+		{Batch, 0.8 * rest * capacity, run, 20 * time.Second},
+	}
+}
+
+func TestOverloadKeepsHigherClasses(t *testing.T) {
+	settings := Settings{Slots: 6, Length: 128, AgeAfter: DefaultAgeAfter, AgedEvery: DefaultAgedEvery}
+	total := map[float64]int{}
+	for _, multiple := range []float64{1, 2, 5} {
+		tallies := simulate(settings, overload(multiple), time.Minute)
+		for class := Internal; class < classes; class++ {
+			got := tallies[class]
+			t.Logf("load=%gx class=%d offered=%d in-time=%d late=%d refused=%d", multiple, class, got.offered, got.inTime, got.late, got.refused)
+			total[multiple] += got.inTime
+			if class <= Interactive {
+				must.GreaterEq(t, got.offered*95/100, got.inTime)
+			}
+		}
+		for _, got := range tallies { // no class starves
+			must.GreaterEq(t, total[multiple]/100, got.inTime)
+		}
+	}
+	must.GreaterEq(t, total[1]*90/100, total[5])
+}
--- /dev/null
+++ b/internal/traffic/admission/estimate.go
@@ -0,0 +1,46 @@
+package admission
+
+import "time"
+
+// estimate is a moving average of service times. It is forgotten when nothing
+// was observed for a while: else a class that is refused on a bad estimate
+// could never correct it.
+type estimate struct {
+	mean  time.Duration
+	since time.Time
+}
+
+const (
+	estimateWeight = 8 // one observation counts one in so many
+	forgetAfter    = 5 * time.Second
+)
+
+func (e *estimate) add(observed time.Duration, now time.Time) {
+	if e.at(now) == 0 {
+		e.mean = observed
+	} else {
+		e.mean += (observed - e.mean) / estimateWeight
+	}
+	e.since = now
+}
+
+func (e *estimate) at(now time.Time) time.Duration {
+	if now.Sub(e.since) > forgetAfter {
+		return 0
+	}
+	return e.mean
+}
+
+// predict returns the expected wait of a request of the class that arrives
+// now: the work queued ahead of it and half of the running work, over the slots.
+func (q *Queue[W]) predict(class Class, now time.Time) time.Duration {
+	var work time.Duration
+	for other := range q.waiting {
+		mean := q.service[other].at(now)
+		if Class(other) <= class {
+			work += mean * time.Duration(q.waiting[other].Len())
+		}
+		work += mean * time.Duration(q.busy[other]) / 2
+	}
+	return work / time.Duration(max(1, q.settings.Slots))
+}
