Choose endpoints by zone, load seen and failures

Change: a pure balancer. Nearest tier with a free slot, power of two choices within it, slow start, exponential back-off after failures; an endpoint's answer time counts relative to what is typical for the route. Ruled out: peak latency in milliseconds per endpoint, since routes of one worker differ by orders of magnitude.

--- /dev/null
+++ b/internal/traffic/balance/balance_test.go
@@ -0,0 +1,113 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"sliphead/internal/snapshot"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func endpoint(worker, zone, region string) snapshot.Endpoint {
+	return snapshot.Endpoint{Worker: worker, Zone: zone, Region: region, Address: worker, Slots: 6}
+}
+
+func newBalancer() *Balancer {
+	return New(DefaultSettings("z1", "r1"), rand.New(rand.NewPCG(7, 7)))
+}
+
+func TestNearestWithAFreeSlot(t *testing.T) {
+	b := newBalancer()
+	endpoints := []snapshot.Endpoint{endpoint("far", "z9", "r2"), endpoint("mid", "z2", "r1"), endpoint("near", "z1", "r1")}
+	counts := map[string]int{}
+	for range 15 {
+		counts[endpoints[b.Pick(start, endpoints, nil)].Worker]++
+	}
+	must.Eq(t, map[string]int{"near": 6, "mid": 6, "far": 3}, counts)
+}
+
+func TestAllTried(t *testing.T) {
+	b := newBalancer()
+	must.Eq(t, -1, b.Pick(start, []snapshot.Endpoint{endpoint("a", "z1", "r1")}, []int{0}))
+	must.Eq(t, -1, b.Pick(start, nil, nil))
+}
+
+func TestAllBackedOffStillTriesOne(t *testing.T) {
+	b := newBalancer()
+	only := []snapshot.Endpoint{endpoint("a", "z1", "r1")}
+	must.Eq(t, 0, b.Pick(start, only, nil))
+	b.Ended(start, "", only[0], Observation{Failed: true})
+	must.Eq(t, 0, b.Pick(start, only, nil))
+}
+
+// share runs requests one after the other and returns how many of them each
+// endpoint got. The outcome is told by answer.
+func share(b *Balancer, endpoints []snapshot.Endpoint, count int, answer func(worker string) Observation) map[string]int {
+	counts := map[string]int{}
+	now := start
+	for range count {
+		now = now.Add(5 * time.Millisecond)
+		chosen := endpoints[b.Pick(now, endpoints, nil)]
+		counts[chosen.Worker]++
+		b.Ended(now, "route", chosen, answer(chosen.Worker))
+	}
+	return counts
+}
+
+func three() []snapshot.Endpoint {
+	return []snapshot.Endpoint{endpoint("a", "z1", "r1"), endpoint("b", "z1", "r1"), endpoint("c", "z1", "r1")}
+}
+
+func TestFailingEndpointIsLeftAlone(t *testing.T) {
+	counts := share(newBalancer(), three(), 1000, func(worker string) Observation {
+		return Observation{Failed: worker == "b", Latency: time.Millisecond}
+	})
+	must.Less(t, 30, counts["b"])
+	must.Positive(t, counts["b"]) // it is tried again now and then
+}
+
+func TestSlowEndpointIsUsedLess(t *testing.T) {
+	counts := share(newBalancer(), three(), 1000, func(worker string) Observation {
+		if worker == "b" {
+			return Observation{Latency: 10 * time.Millisecond}
+		}
+		return Observation{Latency: time.Millisecond}
+	})
+	must.Less(t, 100, counts["b"])
+}
+
+// An endpoint that claims to be idle and fails, or to be idle and is slow,
+// draws no more than its behaviour earns.
+func TestMisleadingLoadIsOutweighed(t *testing.T) {
+	counts := share(newBalancer(), three(), 1000, func(worker string) Observation {
+		if worker == "b" {
+			return Observation{Latency: 10 * time.Millisecond, Loaded: true, Load: Load{Busy: 0, Slots: 6}}
+		}
+		return Observation{Latency: time.Millisecond, Loaded: true, Load: Load{Busy: 1, Slots: 6}}
+	})
+	must.Less(t, 150, counts["b"])
+}
+
+func TestColdEndpointStartsSlowly(t *testing.T) {
+	endpoints := three()
+	endpoints[1].ReadySince = start
+	counts := share(newBalancer(), endpoints, 100, func(string) Observation { return Observation{Latency: time.Millisecond} })
+	must.Less(t, 10, counts["b"])
+	endpoints[1].ReadySince = start.Add(-time.Minute)
+	counts = share(newBalancer(), endpoints, 900, func(string) Observation { return Observation{Latency: time.Millisecond} })
+	must.Between(t, 200, counts["b"], 400)
+}
+
+func TestForgetsEndpointsThatAreGone(t *testing.T) {
+	b := newBalancer()
+	only := []snapshot.Endpoint{endpoint("a", "z1", "r1")}
+	b.Pick(start, only, nil)
+	b.Ended(start, "", only[0], Observation{})
+	other := []snapshot.Endpoint{endpoint("b", "z1", "r1")}
+	b.Pick(start.Add(time.Hour), other, nil)
+	must.Eq(t, 1, b.Len())
+}
