Join the parts into one process: control loop, node, command line

Change: internal/control owns the state on one goroutine and publishes views under a lease; internal/node assembles transport, source duty, claims, request and admin listeners, planned stop; commands node, status, drain. Ruled out: every node reading the machine list at intervals (850 readers); only readers do, and a node that knows no other.

--- /dev/null
+++ b/internal/command/status/status.go
@@ -0,0 +1,107 @@
+// Package status holds the command that shows a node's status.
+package status
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"sliphead/internal/fault"
+	"sliphead/internal/node"
+	"sliphead/internal/version"
+	"sliphead/internal/wire"
+)
+
+// requestTimeout bounds one question to an admin listener.
+const requestTimeout = 5 * time.Second
+
+// Command prints what a node says of itself and of the fleet it sees.
+type Command struct {
+	Node string `required:"" help:"The node's admin listener (IP:port)."`
+	JSON bool   `help:"Print the whole status as JSON."`
+}
+
+// Run implements the command.
+func (c *Command) Run(output io.Writer) error {
+	body, err := fetch(c.Node)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		_, err = output.Write(body)
+		return err
+	}
+	var status node.Status
+	if err := json.Unmarshal(body, &status); err != nil {
+		return fault.Wrap(err, fault.Peer, "use the same release as the node", "the status of %s can't be read", c.Node)
+	}
+	return write(output, status)
+}
+
+// fetch asks an admin listener for its status.
+func fetch(address string) ([]byte, error) {
+	const remedy = "name a live node's admin listener with --node"
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Settings, remedy, "%q is no address", address)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Peer, remedy, "%s does not answer", address)
+	}
+	defer response.Body.Close()
+	const mostBytes = 16 << 20
+	body, err := io.ReadAll(io.LimitReader(response.Body, mostBytes))
+	return body, fault.Wrap(err, fault.Peer, remedy, "the status of %s broke off", address)
+}
+
+// write prints a status for a person, the most urgent first.
+func write(output io.Writer, status node.Status) error {
+	fmt.Fprintf(output, "node       %s in zone %s\n", status.Name, status.Zone)
+	fmt.Fprintf(output, "ready      %t %s\n", status.Ready, status.Reason)
+	fmt.Fprintf(output, "version    %s in force, %s staged\n", status.Version, status.Distribution.Staged)
+	lowest, highest, behind := fleetVersions(status)
+	fmt.Fprintf(output, "fleet      %d members, versions %s to %s as last heard\n", len(status.Members), lowest, highest)
+	for _, name := range behind {
+		fmt.Fprintf(output, "behind     %s at %s\n", name, status.PeerVersions[name])
+	}
+	fmt.Fprintf(output, "readers    %v\n", status.Distribution.Readers)
+	fmt.Fprintf(output, "tree       parent %q, children %v\n", status.Distribution.Parent, status.Distribution.Children)
+	for _, waiting := range status.Distribution.Waiting {
+		fmt.Fprintf(output, "waiting    %s for %s since %s\n", waiting.Version, waiting.Key, waiting.Since.Format(time.RFC3339))
+	}
+	for _, refused := range status.Distribution.Refused {
+		fmt.Fprintf(output, "refused    %s: %s\n", refused.Version, refused.Reason)
+	}
+	for _, member := range status.Members {
+		if member.Status != wire.StatusAlive || (member.Worker != "" && member.Endpoint != wire.EndpointReady) {
+			fmt.Fprintf(output, "member     %s is %s, worker %s\n", member.Name, member.Status, member.Endpoint)
+		}
+	}
+	return nil
+}
+
+// fleetVersions returns the lowest and highest version in force that the node
+// has heard of, and the members below the highest.
+func fleetVersions(status node.Status) (lowest, highest version.Version, behind []string) {
+	lowest, highest = status.Version, status.Version
+	for _, heard := range status.PeerVersions {
+		highest = version.Max(highest, heard)
+		if lowest.After(heard) {
+			lowest = heard
+		}
+	}
+	for name, heard := range status.PeerVersions {
+		if highest.After(heard) {
+			behind = append(behind, name)
+		}
+	}
+	slices.Sort(behind)
+	return lowest, highest, behind
+}
--- /dev/null
+++ b/internal/control/clock.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"slices"
+	"time"
+)
+
+// Bounds of the clock estimate.
+const (
+	clockTolerance = time.Second // a clock that is off by less is left alone
+	clockSamples   = 31          // peers whose offsets are kept
+	clockQuorum    = 3           // peers needed before the own clock is doubted
+)
+
+// clockOffset estimates how far the own wall clock is off against the median of
+// the peers' clocks, so that a schedule opens at the same moment everywhere.
+// The median of many peers outvotes a few clocks that are wrong.
+type clockOffset struct {
+	byPeer map[string]time.Duration
+	order  []string // oldest first
+}
+
+func newClockOffset() *clockOffset {
+	return &clockOffset{byPeer: make(map[string]time.Duration)}
+}
+
+// observe notes a peer's clock, in Unix milliseconds, as seen at now.
+func (c *clockOffset) observe(peer string, clock int64, now time.Time) {
+	if clock == 0 {
+		return
+	}
+	if _, known := c.byPeer[peer]; !known {
+		c.order = append(c.order, peer)
+	}
+	c.byPeer[peer] = time.UnixMilli(clock).Sub(now)
+	if len(c.order) > clockSamples {
+		delete(c.byPeer, c.order[0])
+		c.order = c.order[1:]
+	}
+}
+
+// correction returns what to add to the own clock: zero while it agrees with
+// the median of the peers within the tolerance.
+func (c *clockOffset) correction() time.Duration {
+	if len(c.byPeer) < clockQuorum {
+		return 0
+	}
+	offsets := make([]time.Duration, 0, len(c.byPeer))
+	for _, offset := range c.byPeer {
+		offsets = append(offsets, offset)
+	}
+	slices.Sort(offsets)
+	median := offsets[len(offsets)/2]
+	if median.Abs() <= clockTolerance {
+		return 0
+	}
+	return median
+}
--- /dev/null
+++ b/internal/node/configure.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	mathrand "math/rand"
+	"math/rand/v2"
+	"time"
+
+	"sliphead/internal/claim"
+	"sliphead/internal/control"
+	"sliphead/internal/declaration"
+	"sliphead/internal/distribution"
+	"sliphead/internal/fault"
+	"sliphead/internal/logging"
+	"sliphead/internal/membership"
+	"sliphead/internal/snapshot"
+	"sliphead/internal/transport"
+	"sliphead/internal/wire"
+)
+
+// transportConfig wires the peer transport to the control loop.
+func (n *Node) transportConfig() transport.Config {
+	return transport.Config{
+		Bind:     n.settings.Listen.Peer,
+		Self:     func() wire.Member { return n.self },
+		Network:  n.options.Network,
+		Security: transport.Security(n.settings.Security),
+		Deliver:  func(received transport.Received) { n.loop.Deliver(received) },
+		Logger:   n.options.Logger,
+		Random:   newRandom(),
+	}
+}
+
+// claimConfig wires the claim keeper.
+func (n *Node) claimConfig() claim.KeeperConfig {
+	return claim.KeeperConfig{
+		Config: claim.Config{
+			Node:      n.self.Name,
+			Worker:    n.self.Worker,
+			KeyLife:   n.settings.Claims.KeyLife.Duration,
+			GroupSize: n.settings.Claims.GroupSize,
+			Since:     n.settings.Claims.Since,
+			Random:    newRandom(),
+		},
+		Send: func(outgoing wire.Outgoing) { n.loop.Send(outgoing) },
+		Log:  n.logClaim,
+	}
+}
+
+// logClaim writes an event of the claim machine to the log.
+func (n *Node) logClaim(event claim.Log) {
+	logging.Event(n.options.Logger, string(event.Name), logging.Fields{"service": event.Service, "count": event.Count})
+}
+
+// controlConfig wires the control loop.
+func (n *Node) controlConfig() control.Config {
+	return control.Config{
+		Membership:   n.membershipConfig(),
+		Distribution: n.distributionConfig(),
+		Holder:       n.holder,
+		Sender:       n.transport,
+		Claims:       n.keeper,
+		Lease:        n.settings.Distribution.Lease.Duration,
+		Tick:         controlTick,
+		Overlap:      n.settings.Distribution.ScheduleOverlap.Duration,
+		LocalWorker:  n.self.Worker,
+		Now:          time.Now,
+		Logger:       n.options.Logger,
+		OnReader:     func(reader bool) { n.source.setDuty(reader) },
+	}
+}
+
+// membershipConfig applies the settings to the profile's defaults.
+func (n *Node) membershipConfig() membership.Config {
+	config := membership.DefaultConfig(membership.Profile(n.settings.Profile))
+	config.Self = n.self
+	config.Seeds = n.settings.Seeds
+	config.ProbeInterval = n.settings.Membership.ProbeInterval.Duration
+	config.GossipInterval = n.settings.Membership.GossipInterval.Duration
+	config.Random = newRandom()
+	return config
+}
+
+// distributionConfig applies the settings to the defaults.
+func (n *Node) distributionConfig() distribution.Config {
+	config := distribution.DefaultConfig()
+	config.Self = n.self
+	config.Holders = n.settings.Distribution.Holders
+	config.Fanout = n.settings.Distribution.Fanout
+	config.ReadersPerZone = n.settings.Distribution.ReadersPerZone
+	config.MaxReaders = n.settings.Source.Readers
+	config.Lease = n.settings.Distribution.Lease.Duration
+	config.Validate = validate
+	config.Random = mathrand.New(mathrand.NewSource(rand.Int64()))
+	return config
+}
+
+// validate is the deterministic check that every node makes of a version. It
+// does not ask for secrets' values, which may come later.
+func validate(set *snapshot.Set) error {
+	document, err := set.Document()
+	if err != nil {
+		return err
+	}
+	findings := declaration.Validate(document)
+	if len(findings) == 0 {
+		return nil
+	}
+	first := findings[0]
+	return fault.New(fault.Declaration, first.Remedy, "%s (%d findings)", first.What, len(findings))
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,116 @@
+// Package node assembles one sliphead process from its parts: the peer
+// transport, the control loop, the readers of the platform, the claim keeper,
+// the request listeners and the admin listener. It decides nothing itself.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+
+	"sliphead/internal/claim"
+	"sliphead/internal/control"
+	"sliphead/internal/logging"
+	"sliphead/internal/settings"
+	"sliphead/internal/snapshot"
+	"sliphead/internal/transport"
+	"sliphead/internal/wire"
+)
+
+// controlTick is how often the control loop looks at its timers.
+const controlTick = 50 * time.Millisecond
+
+// Options are what the program or the lab chooses beside the settings.
+type Options struct {
+	Network  transport.Network // nil for the machine's own
+	Logger   log.Interface
+	Registry *prometheus.Registry
+	Hollow   bool // leaves the request and admin listeners out
+}
+
+// Node is one process of the system.
+type Node struct {
+	settings  *settings.Settings
+	options   Options
+	self      wire.Member
+	holder    *snapshot.Holder
+	transport *transport.Transport
+	loop      *control.Loop
+	keeper    *claim.Keeper
+	source    *sourceDuty
+	requests  *requests
+	stopping  chan struct{}
+	stopOnce  sync.Once
+}
+
+// New assembles a node. It opens no socket.
+func New(configured *settings.Settings, options Options) (*Node, error) {
+	n := &Node{
+		settings: configured,
+		options:  options,
+		self:     selfMember(configured, time.Now()),
+		holder:   &snapshot.Holder{},
+		stopping: make(chan struct{}),
+	}
+	var err error
+	n.transport, err = transport.New(n.transportConfig())
+	if err != nil {
+		return nil, err
+	}
+	n.keeper = claim.NewKeeper(n.claimConfig())
+	n.loop = control.New(n.controlConfig())
+	n.source = newSourceDuty(configured, n.loop, options.Logger)
+	n.requests = newRequests(n)
+	return n, nil
+}
+
+// selfMember is the register that this node writes about itself. Its start
+// stamp tells it from a former process of the same name.
+func selfMember(configured *settings.Settings, start time.Time) wire.Member {
+	member := wire.Member{
+		Name:    configured.Name,
+		Zone:    configured.Zone,
+		Region:  configured.Region,
+		Service: configured.Service,
+		Peer:    configured.Advertise.Peer,
+		Start:   start.UnixMilli(),
+		Status:  wire.StatusAlive,
+	}
+	if configured.Worker != nil {
+		member.Worker = configured.Worker.Name
+		member.Inbound = configured.Advertise.Inbound
+		member.Endpoint = wire.EndpointStarting
+	}
+	return member
+}
+
+// Run serves until ctx ends or a planned stop has finished.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	logging.Event(n.options.Logger, "node.started", logging.Fields{"node": n.self.Name, "zone": n.self.Zone, "start": n.self.Start})
+	group.Go(func() error { return n.transport.Run(ctx) })
+	group.Go(func() error { return n.loop.Run(ctx) })
+	group.Go(func() error { return n.keeper.Run(ctx) })
+	group.Go(func() error { return n.source.run(ctx) })
+	n.requests.start(ctx, group)
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-n.stopping:
+			n.stop(ctx)
+			cancel()
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+// newRandom returns a source of randomness that differs between processes.
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- /dev/null
+++ b/internal/node/requests.go
@@ -0,0 +1,160 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sliphead/internal/admin"
+	"sliphead/internal/fault"
+	"sliphead/internal/logging"
+	"sliphead/internal/traffic"
+	"sliphead/internal/wire"
+	"sliphead/internal/worker"
+)
+
+// requests holds the listeners that serve requests and operators.
+type requests struct {
+	node     *Node
+	inbound  *traffic.Inbound // nil at an edge
+	outbound *traffic.Outbound
+	watcher  *worker.Watcher // nil at an edge
+}
+
+func newRequests(n *Node) *requests {
+	if n.options.Hollow {
+		return &requests{node: n}
+	}
+	config := n.trafficConfig()
+	r := &requests{node: n, outbound: traffic.NewOutbound(config)}
+	if n.settings.Worker != nil {
+		r.inbound = traffic.NewInbound(config)
+	}
+	return r
+}
+
+// trafficConfig wires the request path to the published views and the keeper.
+func (n *Node) trafficConfig() traffic.Config {
+	config := traffic.Config{
+		Node:       n.self.Name,
+		Zone:       n.self.Zone,
+		Region:     n.self.Region,
+		Holder:     n.holder,
+		Claims:     n.keeper,
+		Worker:     n.self.Worker,
+		Edge:       n.settings.Worker == nil,
+		Registerer: n.options.Registry,
+		Logger:     n.options.Logger,
+		Dial:       dialFrom(n.settings.Listen.Peer),
+		Calls:      traffic.NewCalls(),
+		Limits: traffic.Limits{
+			HeaderTimeout:  n.settings.Limits.HeaderTimeout.Duration,
+			IdleTimeout:    n.settings.Limits.IdleTimeout.Duration,
+			BodyTimeout:    n.settings.Limits.BodyIdleTimeout.Duration,
+			MaxHeaderBytes: n.settings.Limits.MaxHeaderBytes,
+			QueueLength:    n.settings.Limits.QueueLength,
+		},
+	}
+	if n.settings.Worker != nil {
+		config.WorkerAddress = n.settings.Worker.Address
+	}
+	return config
+}
+
+// dialFrom dials from the address that the node itself listens on, as a machine
+// with several addresses needs.
+func dialFrom(listen string) traffic.DialFunc {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if bound, err := netip.ParseAddrPort(listen); err == nil && !bound.Addr().IsUnspecified() {
+		dialer.LocalAddr = &net.TCPAddr{IP: bound.Addr().AsSlice()}
+	}
+	return dialer.DialContext
+}
+
+// dialTimeout bounds opening a connection for a request.
+const dialTimeout = 2 * time.Second
+
+// start serves until ctx ends.
+func (r *requests) start(ctx context.Context, group *errgroup.Group) {
+	if r.node.options.Hollow {
+		group.Go(func() error { r.node.loop.SetEndpoint(ctx, wire.EndpointReady); return nil })
+		return
+	}
+	listen := r.node.settings.Listen
+	limits := r.node.trafficConfig().Limits
+	r.serve(ctx, group, listen.Outbound, traffic.NewServer(r.outbound, limits))
+	r.serve(ctx, group, listen.Admin, &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: limits.HeaderTimeout})
+	if r.inbound == nil {
+		return
+	}
+	r.serve(ctx, group, listen.Inbound, traffic.NewServer(r.inbound, limits))
+	r.watcher = worker.NewWatcher(worker.Config{
+		Name:       r.node.self.Worker,
+		URL:        "http://" + r.node.settings.Worker.Address + r.node.settings.Worker.HealthPath,
+		Thresholds: worker.Thresholds{Interval: r.node.settings.Worker.HealthInterval.Duration},
+		OnState:    func(state wire.EndpointState) { r.node.loop.SetEndpoint(ctx, state) },
+		Logger:     r.node.options.Logger,
+	})
+	group.Go(func() error {
+		r.watcher.Run(ctx)
+		return nil
+	})
+}
+
+// serve runs one listener. What is still open when ctx ends is cut: a planned
+// stop has waited for it before.
+func (r *requests) serve(ctx context.Context, group *errgroup.Group, address string, server *http.Server) {
+	group.Go(func() error {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return fault.Wrap(err, fault.Settings, "free the address or change listen in the settings", "listen on %s", address)
+		}
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		if err := server.Serve(listener); ctx.Err() == nil {
+			return fault.Wrap(err, fault.Internal, "restart the node", "serve on %s", address)
+		}
+		return nil
+	})
+}
+
+// adminHandler serves operators.
+func (r *requests) adminHandler() http.Handler {
+	n := r.node
+	return admin.Handler(admin.Config{
+		Ready:    n.ready,
+		Status:   func() any { return n.Status(context.Background()) },
+		Drain:    n.Stop,
+		Registry: n.options.Registry,
+		Logger:   n.options.Logger,
+	})
+}
+
+// ready tells whether the node serves, and why not.
+func (n *Node) ready() (bool, string) {
+	select {
+	case <-n.stopping:
+		return false, "a planned stop is under way"
+	default:
+	}
+	view, current := n.holder.Current(time.Now())
+	if view == nil {
+		return false, "no version is in force yet"
+	}
+	if !current {
+		return false, "the view's lease has ended: peers have not confirmed the state yet"
+	}
+	return true, ""
+}
+
+// logFinished tells what a planned stop came to.
+func (r *requests) logFinished(began time.Time, cut int) {
+	logging.Event(r.node.options.Logger, "node.drained", logging.Fields{
+		"took_ms": time.Since(began).Milliseconds(),
+		"cut":     cut,
+	})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -107,9 +107,9 @@
 
 // Claims tunes requests that may not be repeated.
 type Claims struct {
-	KeyLife   Duration `yaml:"keyLife" validate:"atLeast=1s,atMost=24h"`
-	GroupSize int      `yaml:"groupSize" validate:"min=1,max=15"`
-	ColdStart bool     `yaml:"coldStart"` // vote at once after a start: only for the first start of a whole fleet
+	KeyLife   Duration  `yaml:"keyLife" validate:"atLeast=1s,atMost=24h"`
+	GroupSize int       `yaml:"groupSize" validate:"min=1,max=15"`
+	Since     time.Time `yaml:"since,omitempty"` // no replica votes before it; those started before it have forgotten nothing
 }
 
 // Limits bound what callers may cost the node.
