Add the lab: stand-ins, links, load, meshes of real processes and experiments

Ruled out: network namespaces and proxies that exist already; loopback addresses by zone and a forwarder of our own need no rights and no new dependency. Change: lab/source, machines, worker, load, link, mesh, experiment, report and the command sliphead-lab; both users' meshes and the demo as files.

--- /dev/null
+++ b/lab/load/caller.go
@@ -0,0 +1,200 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"sliphead/internal/outcome"
+	"sliphead/lab/echo"
+)
+
+// Target is an edge to which callers submit.
+type Target struct {
+	Name    string
+	Address string // host:port
+}
+
+// Caller submits requests and verifies their answers.
+type Caller struct {
+	client *http.Client
+}
+
+// NewCaller returns a caller that dials from an address.
+func NewCaller(from netip.Addr) *Caller {
+	dialer := &net.Dialer{Timeout: dialBound}
+	if from.IsValid() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(from, 0))
+	}
+	return &Caller{client: &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		MaxIdleConns:        0,
+		DisableCompression:  true,
+	}}}
+}
+
+const (
+	dialBound       = 2 * time.Second
+	idleConnections = 256
+)
+
+// Close drops idle connections.
+func (c *Caller) Close() { c.client.CloseIdleConnections() }
+
+// Submission is one request as a caller makes it.
+type Submission struct {
+	Class  Class
+	Nonce  string
+	Key    string // idempotency key, "" for none
+	Number int    // of the attempt, from 1
+	Target Target
+	Start  time.Time // intended
+}
+
+// Submit makes the request and waits for its end.
+func (c *Caller) Submit(ctx context.Context, submission Submission) Attempt {
+	class := submission.Class
+	attempt := Attempt{
+		Class:  class.Name,
+		Nonce:  submission.Nonce,
+		Number: submission.Number,
+		Key:    submission.Key,
+		Path:   class.Path,
+		Edge:   submission.Target.Name,
+		Start:  submission.Start,
+	}
+	ctx, cancel := context.WithDeadline(ctx, submission.Start.Add(class.deadline()))
+	defer cancel()
+	content := []byte(echo.Filler("body-"+submission.Nonce, class.BodyBytes))
+	response, err := c.send(ctx, submission, content)
+	if err == nil {
+		judge(&attempt, response, submission.expectation(content))
+	} else {
+		attempt.Ending = EndingFailed
+		attempt.Cause = err.Error()
+	}
+	attempt.Latency = time.Since(submission.Start)
+	return attempt
+}
+
+func (s Submission) expectation(content []byte) echo.Expectation {
+	return echo.Expectation{
+		Nonce:       s.Nonce,
+		Path:        s.Class.Path,
+		BodyDigest:  echo.Digest(content),
+		BodyBytes:   int64(len(content)),
+		AnswerBytes: s.Class.AnswerBytes,
+	}
+}
+
+func (c *Caller) send(ctx context.Context, submission Submission, content []byte) (*http.Response, error) {
+	class := submission.Class
+	body := bodyOf(content, time.Duration(class.BodyMillis)*time.Millisecond)
+	request, err := http.NewRequestWithContext(ctx, class.Method, "http://"+submission.Target.Address+class.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(content))
+	if class.Host != "" {
+		request.Host = class.Host
+	}
+	setHeaders(request.Header, submission)
+	return c.client.Do(request)
+}
+
+func setHeaders(header http.Header, submission Submission) {
+	class := submission.Class
+	header.Set(echo.HeaderNonce, submission.Nonce)
+	header.Set(echo.HeaderAttempt, strconv.Itoa(submission.Number))
+	header.Set(echo.HeaderAnswerBytes, strconv.Itoa(class.AnswerBytes))
+	if class.RunMillis > 0 {
+		header.Set(echo.HeaderRunMicros, strconv.FormatInt(int64(class.RunMillis*1000), 10))
+	}
+	if class.Calls != "" {
+		header.Set(echo.HeaderCalls, class.Calls)
+	}
+	if submission.Key != "" {
+		header.Set(outcome.IdempotencyKey, submission.Key)
+	}
+	for name, value := range class.Headers {
+		header.Set(name, value)
+	}
+}
+
+func bodyOf(content []byte, spread time.Duration) io.Reader {
+	switch {
+	case len(content) == 0:
+		return http.NoBody
+	case spread <= 0:
+		return bytes.NewReader(content)
+	}
+	return &slowReader{content: content, piece: max(1, len(content)/bodyPieces), pause: spread / bodyPieces}
+}
+
+// bodyPieces is the number of pieces in which a spread body is sent.
+const bodyPieces = 20
+
+// slowReader gives its content in pieces with a pause before each.
+type slowReader struct {
+	content []byte
+	piece   int
+	pause   time.Duration
+}
+
+// Read implements io.Reader.
+func (r *slowReader) Read(buffer []byte) (int, error) {
+	if len(r.content) == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(r.pause)
+	count := copy(buffer[:min(len(buffer), r.piece)], r.content)
+	r.content = r.content[count:]
+	return count, nil
+}
+
+// judge reads the response and decides how the attempt ended.
+func judge(attempt *Attempt, response *http.Response, expected echo.Expectation) {
+	defer response.Body.Close()
+	attempt.Status = response.StatusCode
+	body, err := io.ReadAll(response.Body)
+	switch outcome.Outcome(response.Header.Get(outcome.Header)) {
+	case outcome.NotRun:
+		attempt.Ending = EndingNotRun
+		attempt.Cause = response.Header.Get(outcome.Remedy)
+	case outcome.Unknown:
+		attempt.Ending = EndingUnknown
+		attempt.Cause = response.Header.Get(outcome.Remedy)
+	case outcome.Answered:
+		judgeAnswer(attempt, body, err, expected)
+	default:
+		attempt.Ending = EndingFailed
+		attempt.Cause = fmt.Sprintf("status %d without an outcome", response.StatusCode)
+	}
+}
+
+func judgeAnswer(attempt *Attempt, body []byte, readError error, expected echo.Expectation) {
+	switch {
+	case readError != nil: // the caller can see that the answer was cut
+		attempt.Ending = EndingFailed
+		attempt.Cause = readError.Error()
+		return
+	case attempt.Status != http.StatusOK: // the worker's own error, passed on
+		attempt.Ending = EndingFailed
+		attempt.Cause = "answered with an error status by the worker"
+		return
+	}
+	answer, err := expected.Verify(body)
+	attempt.Worker = answer.Worker
+	attempt.Ending = EndingAnswered
+	if err != nil {
+		attempt.Ending = EndingWrong
+		attempt.Cause = err.Error()
+	}
+}
--- /dev/null
+++ b/lab/load/generator.go
@@ -0,0 +1,105 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Generator runs classes of load against edges.
+type Generator struct {
+	Caller  *Caller
+	Targets []Target
+	Result  *Result
+
+	prefix   string // of nonces, so that two generators never share one
+	number   atomic.Int64
+	inFlight atomic.Int64
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+}
+
+// inFlightBound is the most requests that a generator has open at once.
+const inFlightBound = 4000
+
+// resubmitPause is the time that a caller waits before it asks again.
+const resubmitPause = 300 * time.Millisecond
+
+// NewGenerator returns a generator whose nonces begin with prefix.
+func NewGenerator(caller *Caller, targets []Target, prefix string) *Generator {
+	return &Generator{Caller: caller, Targets: targets, Result: newResult(), prefix: prefix}
+}
+
+// Start begins all classes. Stop ends them.
+func (g *Generator) Start(classes []Class) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	for _, class := range classes {
+		g.running.Go(func() { g.run(ctx, class) })
+	}
+}
+
+// Stop begins no more requests and waits for the end of those in flight,
+// which their deadlines bound.
+func (g *Generator) Stop() {
+	g.cancel()
+	g.running.Wait()
+}
+
+// run starts requests of one class at their intended times.
+func (g *Generator) run(ctx context.Context, class Class) {
+	intended := time.Now()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
+		g.begin(ctx, class, intended)
+		intended = intended.Add(class.interval())
+		timer.Reset(time.Until(intended))
+	}
+}
+
+func (g *Generator) begin(ctx context.Context, class Class, intended time.Time) {
+	number := g.number.Add(1)
+	submission := Submission{
+		Class:  class,
+		Nonce:  fmt.Sprintf("%s-%s-%d", g.prefix, class.Name, number),
+		Number: 1,
+		Start:  intended,
+	}
+	if class.Keyed {
+		submission.Key = "key-" + submission.Nonce
+	}
+	if g.inFlight.Add(1) > inFlightBound {
+		g.inFlight.Add(-1)
+		g.Result.add(Attempt{Class: class.Name, Nonce: submission.Nonce, Start: intended, Ending: EndingUnsent})
+		return
+	}
+	g.running.Go(func() {
+		defer g.inFlight.Add(-1)
+		g.submit(ctx, submission, number)
+	})
+}
+
+// submit makes a request, and again as its class says while it has not been
+// answered. Each attempt goes to the next edge.
+func (g *Generator) submit(running context.Context, submission Submission, number int64) {
+	for {
+		submission.Target = g.Targets[(number+int64(submission.Number)-1)%int64(len(g.Targets))]
+		attempt := g.Caller.Submit(context.Background(), submission)
+		g.Result.add(attempt)
+		final := attempt.Ending == EndingAnswered || attempt.Ending == EndingWrong
+		if final || submission.Number > submission.Class.Resubmissions || running.Err() != nil {
+			return
+		}
+		time.Sleep(resubmitPause)
+		submission.Number++
+		submission.Start = time.Now()
+	}
+}
--- /dev/null
+++ b/lab/mesh/layout.go
@@ -0,0 +1,173 @@
+package mesh
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+
+	"sliphead/internal/declaration"
+)
+
+// The ports of a node and its worker, the same on every address.
+const (
+	portPeer     = 7000
+	portInbound  = 7001
+	portOutbound = 7002
+	portAdmin    = 7003
+	portWorker   = 8000
+	portSource   = 9000
+	portMachines = 9001
+)
+
+const (
+	advertisedOffset = 100 // added to the second octet of the address that a node advertises
+	clientsOctet     = 200 // third octet of the callers' addresses
+	clientsZone      = "clients"
+	platformHost     = 254 // last octet of the platform's stand-ins, in the third octet 0
+)
+
+// layout assigns loopback addresses: 127.octet.zone.node.
+type layout struct {
+	octet int
+	zones []string // the third octet is the index, from 1
+}
+
+func (l layout) address(offset, zone, host, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", l.octet+offset, zone, host, port)
+}
+
+func (l layout) source() string   { return l.address(0, 0, platformHost, portSource) }
+func (l layout) machines() string { return l.address(0, 0, platformHost, portMachines) }
+
+// clientAddress is where callers dial from.
+func (l layout) clientAddress() netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(l.octet), clientsOctet, 1})
+}
+
+// zoneOf returns the zone of a sender's address.
+func (l layout) zoneOf(address netip.Addr) string {
+	octets := address.Unmap().As4()
+	if octets[2] == clientsOctet {
+		return clientsZone
+	}
+	index := int(octets[2]) - 1
+	if index < 0 || index >= len(l.zones) {
+		return ""
+	}
+	return l.zones[index]
+}
+
+// PlannedNode is a node with its addresses and, unless it is an edge, its
+// worker.
+type PlannedNode struct {
+	Name      string
+	Zone      string
+	Region    string
+	Service   string
+	Worker    *PlannedWorker // nil at an edge
+	Peer      string         // real addresses
+	Inbound   string
+	Outbound  string
+	Admin     string
+	PeerAt    string // advertised addresses, where a link listens
+	InboundAt string
+	Public    string // where callers reach an edge through a link
+}
+
+// PlannedWorker is a worker with its costs.
+type PlannedWorker struct {
+	declaration.Worker
+	Address string
+	Service Service
+}
+
+// workers returns the declared workers, spread over the zones in turn.
+func (p *Plan) workers() []PlannedWorker {
+	var workers []PlannedWorker
+	next := 0
+	for _, service := range p.Services {
+		for index := range service.Workers {
+			worker := declaration.Worker{
+				Name:        service.Name + "-" + strconv.Itoa(index+1),
+				Service:     service.Name,
+				Zone:        p.Zones[next%len(p.Zones)].Name,
+				Slots:       service.Slots,
+				Connections: service.Connections,
+			}
+			if len(service.Labels) > 0 {
+				worker.Labels = service.Labels[index%len(service.Labels)]
+			}
+			workers = append(workers, PlannedWorker{Worker: worker, Service: service})
+			next++
+		}
+	}
+	return workers
+}
+
+// nodes lays out all nodes of the plan, edges first.
+func (p *Plan) nodes(addresses layout, edges int) []*PlannedNode {
+	used := map[string]int{} // nodes by zone
+	var nodes []*PlannedNode
+	place := func(name, zone string) *PlannedNode {
+		used[zone]++
+		node := p.placeNode(addresses, name, zone, used[zone])
+		nodes = append(nodes, node)
+		return node
+	}
+	for index := range p.edgeCount(edges) {
+		zone := p.Zones[index%len(p.Zones)].Name
+		edge := place(fmt.Sprintf("%s-edge-%d", zone, index/len(p.Zones)+1), zone)
+		edge.Inbound, edge.InboundAt = "", ""
+	}
+	for _, worker := range p.workers() {
+		node := place(worker.Zone+"-"+worker.Name, worker.Zone)
+		worker.Address = hostOf(node.Peer) + ":" + strconv.Itoa(portWorker)
+		node.Worker = &worker
+		node.Service = worker.Worker.Service
+		node.Public = ""
+	}
+	return nodes
+}
+
+func (p *Plan) edgeCount(bound int) int {
+	edges := p.EdgesPerZone * len(p.Zones)
+	if bound > 0 {
+		return min(edges, bound)
+	}
+	return edges
+}
+
+func (p *Plan) placeNode(addresses layout, name, zone string, host int) *PlannedNode {
+	index := 0
+	for addresses.zones[index] != zone {
+		index++
+	}
+	at := func(offset, port int) string { return addresses.address(offset, index+1, host, port) }
+	return &PlannedNode{
+		Name:      name,
+		Zone:      zone,
+		Region:    p.regionOf(index),
+		Peer:      at(0, portPeer),
+		Inbound:   at(0, portInbound),
+		Outbound:  at(0, portOutbound),
+		Admin:     at(0, portAdmin),
+		PeerAt:    at(advertisedOffset, portPeer),
+		InboundAt: at(advertisedOffset, portInbound),
+		Public:    at(advertisedOffset, portOutbound),
+	}
+}
+
+func (p *Plan) regionOf(zoneIndex int) string {
+	if region := p.Zones[zoneIndex].Region; region != "" {
+		return region
+	}
+	return p.Region
+}
+
+func hostOf(address string) string {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return ""
+	}
+	return parsed.Addr().String()
+}
