Let the demo's nodes start: service and claim times in lab settings

Cause: the first demo run ended at once: settings without service are refused, and claim replicas need a moment before which the fleet had not begun.

--- a/internal/node/configure.go
+++ b/internal/node/configure.go
@@ -38,6 +38,7 @@
 			Worker:    n.self.Worker,
 			KeyLife:   n.settings.Claims.KeyLife.Duration,
 			GroupSize: n.settings.Claims.GroupSize,
+			ClockSkew: n.settings.Claims.ClockSkew.Duration,
 			Since:     n.settings.Claims.Since,
 			Random:    newRandom(),
 		},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -109,7 +109,8 @@
 type Claims struct {
 	KeyLife   Duration  `yaml:"keyLife" validate:"atLeast=1s,atMost=24h"`
 	GroupSize int       `yaml:"groupSize" validate:"min=1,max=15"`
-	Since     time.Time `yaml:"since,omitempty"` // no replica votes before it; those started before it have forgotten nothing
+	ClockSkew Duration  `yaml:"clockSkew" validate:"atLeast=0s,atMost=10m"` // bound on the differences between the nodes' clocks
+	Since     time.Time `yaml:"since,omitempty"`                            // no replica votes before it; those started before it have forgotten nothing
 }
 
 // Limits bound what callers may cost the node.
@@ -141,7 +142,7 @@
 		Source:       Source{Readers: 16, LongPoll: Duration{20 * time.Second}, MachinesInterval: Duration{10 * time.Second}, Timeout: Duration{5 * time.Second}},
 		Distribution: Distribution{Holders: 3, Fanout: 8, ReadersPerZone: 2, Lease: Duration{2 * time.Second}, ScheduleOverlap: Duration{10 * time.Second}},
 		Membership:   Membership{ProbeInterval: Duration{time.Second}},
-		Claims:       Claims{KeyLife: Duration{10 * time.Minute}, GroupSize: 5},
+		Claims:       Claims{KeyLife: Duration{10 * time.Minute}, GroupSize: 5, ClockSkew: Duration{10 * time.Second}},
 		Limits: Limits{
 			MaxHeaderBytes:  64 << 10,
 			HeaderTimeout:   Duration{5 * time.Second},
--- a/lab/mesh/mesh.go
+++ b/lab/mesh/mesh.go
@@ -178,9 +178,10 @@
 }
 
 func (m *Mesh) startNodes(planned []*PlannedNode) error {
+	since := time.Now().Add(startTime)
 	for _, each := range planned {
 		node := &Node{PlannedNode: each, mesh: m}
-		path, err := writeSettings(m.options.Directory, m.Plan.Profile, m.layout, each)
+		path, err := writeSettings(m.options.Directory, m.Plan.Profile, m.layout, since, each)
 		if err != nil {
 			return err
 		}
--- a/lab/mesh/settings.go
+++ b/lab/mesh/settings.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/goccy/go-yaml"
 
@@ -14,14 +15,29 @@
 	Name      string          `yaml:"name"`
 	Zone      string          `yaml:"zone"`
 	Region    string          `yaml:"region"`
+	Service   string          `yaml:"service,omitempty"`
 	Profile   string          `yaml:"profile"`
 	Worker    *workerSettings `yaml:"worker,omitempty"`
 	Listen    listenSettings  `yaml:"listen"`
 	Advertise listenSettings  `yaml:"advertise"`
 	Source    sourceSettings  `yaml:"source"`
 	Security  security        `yaml:"security"`
+	Claims    claimSettings   `yaml:"claims"`
 }
 
+// claimSettings tell the nodes when the fleet began, so that its first replicas
+// need not wait for a key's life before they vote.
+type claimSettings struct {
+	Since     time.Time `yaml:"since"`
+	ClockSkew string    `yaml:"clockSkew"`
+}
+
+// The nodes of a mesh share one machine's clock, and all start within startTime.
+const (
+	clockSkew = 100 * time.Millisecond
+	startTime = 3 * time.Second
+)
+
 type workerSettings struct {
 	Name       string `yaml:"name"`
 	Address    string `yaml:"address"`
@@ -45,7 +61,7 @@
 }
 
 // writeSettings writes a node's settings file and returns its path.
-func writeSettings(directory, profile string, addresses layout, node *PlannedNode) (string, error) {
+func writeSettings(directory, profile string, addresses layout, since time.Time, node *PlannedNode) (string, error) {
 	settings := nodeSettings{
 		Name:      node.Name,
 		Zone:      node.Zone,
@@ -55,8 +71,10 @@
 		Advertise: listenSettings{Peer: node.PeerAt, Inbound: node.InboundAt},
 		Source:    sourceSettings{Configuration: "http://" + addresses.source(), Machines: "http://" + addresses.machines()},
 		Security:  security{Plain: true},
+		Claims:    claimSettings{Since: since, ClockSkew: clockSkew.String()},
 	}
 	if node.Worker != nil {
+		settings.Service = node.Worker.Worker.Service
 		settings.Worker = &workerSettings{Name: node.Worker.Name, Address: node.Worker.Address, HealthPath: "/health"}
 	}
 	data, err := yaml.Marshal(settings)
