Prove the lab against fake nodes that hold and that misbehave

Cause: a lab whose verdict never fails proves nothing. Change: tests of each stand-in; a fake node in the tests of lab/experiment that can go back a version, ignore versions, run a request twice or say not-run after a run: the verdict is fail with the matching finding each time, and pass without a fault. The link counted bytes after the write had returned, so a reader could see the answer before the count; it counts before.

--- /dev/null
+++ b/lab/experiment/experiment_test.go
@@ -0,0 +1,83 @@
+package experiment
+
+import (
+	"context"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/shoenig/test/must"
+
+	"sliphead/lab/event"
+	"sliphead/lab/load"
+	"sliphead/lab/mesh"
+)
+
+// runDemo runs the first steps of Chandrika's demo on fake nodes with a fault.
+func runDemo(t *testing.T, fault string, steps int) *Outcome {
+	t.Helper()
+	t.Setenv(fakeFault, fault)
+	spec, plan, err := Read("../../experiments/demo-chandrika.yaml")
+	must.NoError(t, err)
+	spec.Scale.Edges = 2
+	spec.Steps = spec.Steps[:steps]
+	for index := range spec.Steps {
+		spec.Steps[index].For = 200 * time.Millisecond
+		if fault != "" { // what is waited for may never come
+			spec.Steps[index].Within = time.Second
+		}
+	}
+	spec.Checks = Checks{}
+	self, err := os.Executable()
+	must.NoError(t, err)
+	options := Options{
+		Mesh:   mesh.Options{NodeBinary: self, LabBinary: self, Directory: t.TempDir(), Scale: spec.Scale},
+		Logger: &log.Logger{Handler: event.NewHandler(io.Discard), Level: log.InfoLevel},
+	}
+	result, err := Run(context.Background(), spec, plan, options)
+	must.NoError(t, err)
+	return result
+}
+
+func TestDemoPassesWhenRequestsFollowTheVersions(t *testing.T) {
+	result := runDemo(t, "", 9)
+	must.Eq(t, []string(nil), result.Violations)
+	must.Eq(t, VerdictPass, result.Verdict())
+	must.SliceLen(t, 3*result.Nodes, result.Samples)
+	must.Eq(t, 0, result.count(load.EndingWrong))
+}
+
+func TestDemoFailsWhenNodesMisbehave(t *testing.T) {
+	for fault, finding := range map[string]string{
+		faultGoesBack:   "went from version",
+		faultIgnores:    "which is not selected",
+		faultRunsTwice:  "ran 2 times",
+		faultSaysNotRun: "said to be not run, yet a worker ran it",
+	} {
+		t.Run(fault, func(t *testing.T) {
+			result := runDemo(t, fault, 6)
+			must.Eq(t, VerdictFail, result.Verdict())
+			must.StrContains(t, strings.Join(result.Violations, "\n"), finding)
+		})
+	}
+}
+
+func TestEveryExperimentFileIsValid(t *testing.T) {
+	files, err := filepath.Glob("../../experiments/*.yaml")
+	must.NoError(t, err)
+	must.SliceNotEmpty(t, files)
+	for _, path := range files {
+		data, err := os.ReadFile(path)
+		must.NoError(t, err)
+		if !strings.Contains(string(data), "\nsteps:") {
+			_, err = mesh.ReadPlan(path)
+		} else {
+			_, _, err = Read(path)
+		}
+		must.NoError(t, err, must.Sprint(path))
+	}
+}
--- a/lab/link/stream.go
+++ b/lab/link/stream.go
@@ -175,11 +175,10 @@
 			_ = to.CloseWrite()
 			continue
 		}
+		s.network.counters.streamBytes.Add(int64(len(piece.data)))
 		if _, err := to.Write(piece.data); err != nil {
 			s.reset()
-			continue
 		}
-		s.network.counters.streamBytes.Add(int64(len(piece.data)))
 	}
 }
 
--- /dev/null
+++ b/lab/machines/machines_test.go
@@ -0,0 +1,29 @@
+package machines
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestChangesShowAfterTheLag(t *testing.T) {
+	now := time.Unix(1000, 0)
+	list := New(5*time.Second, func() time.Time { return now })
+	first := Machine{Name: "a", State: StateLive}
+	list.Seed(first)
+	must.Eq(t, []Machine{first}, list.Shown())
+
+	leaving := Machine{Name: "a", State: StateLeaving}
+	list.Set(leaving)
+	now = now.Add(3 * time.Second)
+	list.Set(Machine{Name: "b"})
+	must.Eq(t, []Machine{first}, list.Shown())
+	now = now.Add(2 * time.Second)
+	must.Eq(t, []Machine{leaving}, list.Shown())
+	list.Remove("a")
+	now = now.Add(3 * time.Second)
+	must.Eq(t, []Machine{leaving, {Name: "b"}}, list.Shown())
+	now = now.Add(2 * time.Second)
+	must.Eq(t, []Machine{{Name: "b"}}, list.Shown())
+}
