--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -66,7 +66,8 @@
 
 // Member is a register written by the node it names and repeated by others.
 // The greater (Start, Incarnation) wins; then Sequence decides the endpoint
-// part and the order of Status the rest.
+// part and the order of Status the rest. In datagrams a register without Peer
+// leaves out the constant part (Zone to Inbound), which the receiver holds.
 type Member struct {
 	Name        string        `json:"name"`
 	Zone        string        `json:"zone"`
@@ -130,11 +131,14 @@
 	Others       []Member `json:"others,omitempty"`
 }
 
-// Sync gives all member registers; Reply asks for the receiver's in return.
+// Sync gives member registers; Reply asks for the receiver's in return. With
+// Buckets, hashes of the sender's view by parts, only the registers of the parts
+// that differ are exchanged.
 type Sync struct {
 	Members []Member `json:"members"`
 	Digests Digests  `json:"d"`
 	Reply   bool     `json:"reply,omitempty"`
+	Buckets []uint64 `json:"buckets,omitempty"`
 }
 
 // Push carries a version down the tree as a delta.
@@ -148,6 +152,9 @@
 	Have version.Version `json:"have"`
 	// Missing are resources named by a staged version whose bodies are not held.
 	Missing []snapshot.Key `json:"missing,omitempty"`
+	// Number, when set, is given back in an Accepted with the version in force,
+	// so that an answer is told from messages sent before the question.
+	Number uint64 `json:"n,omitempty"`
 }
 
 // Staged tells the root that the sender holds a version whole.
@@ -160,6 +167,7 @@
 type Accepted struct {
 	Version version.Version `json:"version"`
 	Root    string          `json:"root,omitempty"` // passed on down this root's tree; "" is a repair
+	Number  uint64          `json:"n,omitempty"`    // of the Pull that this answers
 }
 
 // Resource carries bodies that were missing.
