Detect failures and spread member registers

SWIM with suspicion, direct and indirect probes, start stamps and incarnations; registers piggybacked and gossiped; joins by stream; views compared by hashed parts instead of whole.

wire.Sync gains Buckets (additive).

--- /dev/null
+++ b/internal/membership/fleet_test.go
@@ -0,0 +1,338 @@
+package membership
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"sliphead/internal/version"
+	"sliphead/internal/wire"
+)
+
+// fleet is a simulated fleet on a virtual clock: one queue of events, so that a
+// seed decides all.
+type fleet struct {
+	t         rapid.TB
+	start     time.Time
+	now       time.Time
+	random    *rand.Rand
+	queue     eventQueue
+	count     uint64
+	nodes     []*node
+	byAddress map[string]*node
+	profile   Profile
+	loss      float64
+	duplicate float64
+	delay     time.Duration // greatest delay of a message
+	side      map[int]int   // of a partition, by index of the node
+	bytes     int           // sent, when measured
+	measure   bool
+	deaths    int // live members declared dead
+	changed   func(observer *node, change Changed)
+	words     map[word]wire.EndpointState // what owners said
+}
+
+// word names one thing that an owner said of its endpoint.
+type word struct {
+	name     string
+	start    int64
+	sequence uint64
+}
+
+type node struct {
+	index    int
+	machine  *Machine
+	life     int // counts restarts; events of a former life are dropped
+	running  bool
+	frozen   time.Time // zero if not
+	inbox    []wire.Envelope
+	address  string
+	endpoint wire.EndpointState
+}
+
+type queuedEvent struct {
+	at    time.Time
+	count uint64
+	run   func()
+}
+
+type eventQueue []queuedEvent
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].count < q[j].count
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(queuedEvent)) }
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	event := (*q)[last]
+	*q = (*q)[:last]
+	return event
+}
+
+func newFleet(t rapid.TB, size int, seed uint64) *fleet {
+	start := time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+	f := &fleet{
+		t: t, start: start, now: start, random: rand.New(rand.NewPCG(seed, 1)),
+		byAddress: make(map[string]*node), delay: 3 * time.Millisecond,
+		side: make(map[int]int), words: make(map[word]wire.EndpointState),
+		profile: ProfileConvergence,
+	}
+	for index := range size {
+		n := &node{index: index, address: fmt.Sprintf("10.1.%d.%d:7946", index/250, index%250+1)}
+		f.nodes = append(f.nodes, n)
+		f.boot(n, 0)
+	}
+	return f
+}
+
+func (f *fleet) after(wait time.Duration, run func()) {
+	f.count++
+	heap.Push(&f.queue, queuedEvent{at: f.now.Add(wait), count: f.count, run: run})
+}
+
+func (f *fleet) run(length time.Duration) {
+	end := f.now.Add(length)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		event := heap.Pop(&f.queue).(queuedEvent)
+		f.now = event.at
+		event.run()
+	}
+	f.now = end
+}
+
+// until runs until the condition holds and returns how long that took.
+func (f *fleet) until(limit time.Duration, what string, condition func() bool) time.Duration {
+	begin := f.now
+	for !condition() {
+		if f.now.Sub(begin) >= limit {
+			f.t.Fatalf("after %v of virtual time: not %s", limit, what)
+		}
+		f.run(10 * time.Millisecond)
+	}
+	return f.now.Sub(begin)
+}
+
+// boot starts a node without memory, its clock off by the given time.
+func (f *fleet) boot(n *node, clock time.Duration) {
+	n.life++
+	n.running, n.frozen, n.inbox = true, time.Time{}, nil
+	n.endpoint = wire.EndpointNone
+	f.byAddress[n.address] = n
+	config := DefaultConfig(f.profile)
+	config.Self = wire.Member{
+		Name: nodeName(n.index), Zone: fmt.Sprintf("zone-%d", n.index%5), Region: "kochi",
+		Service: fmt.Sprintf("service-%d", n.index%29), Worker: fmt.Sprintf("worker-%04d", n.index),
+		Peer: n.address, Inbound: n.address[:len(n.address)-4] + "8080", Start: f.now.Add(clock).UnixMilli(),
+	}
+	config.Random = rand.New(rand.NewPCG(f.random.Uint64(), 2))
+	for _, seed := range f.nodes[:min(3, len(f.nodes))] {
+		config.Seeds = append(config.Seeds, seed.address)
+	}
+	n.machine = New(config, f.now)
+	f.record(n)
+	digest := "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+	held := version.Version{Epoch: 1, Revision: 4711, Digest: digest}
+	f.step(n, SetDigests{Active: held, Staged: held})
+	f.setEndpoint(n, wire.EndpointReady)
+	f.scheduleTick(n, n.life)
+}
+
+func nodeName(index int) string { return fmt.Sprintf("node-%04d", index) }
+
+func (f *fleet) scheduleTick(n *node, life int) {
+	wait := 25*time.Millisecond + time.Duration(f.random.Int64N(int64(25*time.Millisecond)))
+	f.after(wait, func() {
+		if n.life != life || !n.running {
+			return
+		}
+		if n.frozen.IsZero() {
+			f.step(n, Tick{})
+		}
+		f.scheduleTick(n, life)
+	})
+}
+
+func (f *fleet) setEndpoint(n *node, state wire.EndpointState) {
+	n.endpoint = state
+	f.step(n, SetEndpoint{State: state})
+}
+
+func (f *fleet) kill(n *node) { n.running = false }
+
+func (f *fleet) freeze(n *node) { n.frozen = f.now }
+
+// thaw lets a frozen node go on: its clock is noticed first, then it reads what
+// its socket kept.
+func (f *fleet) thaw(n *node) {
+	const lease = 2 * time.Second
+	paused := f.now.Sub(n.frozen)
+	n.frozen = time.Time{}
+	if paused >= lease {
+		f.step(n, Resumed{})
+	}
+	f.step(n, Tick{})
+	inbox := n.inbox
+	n.inbox = nil
+	for _, message := range inbox {
+		f.step(n, Received{Message: message})
+	}
+}
+
+func (f *fleet) step(n *node, event Event) {
+	effects := n.machine.Step(event, f.now)
+	f.record(n)
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case Send:
+			f.transmit(n, effect.Outgoing)
+		case Changed:
+			f.check(n, effect)
+		}
+	}
+}
+
+// record keeps what the owner says, for the oracle.
+func (f *fleet) record(n *node) {
+	self := n.machine.Self()
+	f.words[word{self.Name, self.Start, self.Sequence}] = self.Endpoint
+}
+
+// check is the oracle for each change seen by each observer.
+func (f *fleet) check(observer *node, change Changed) {
+	member, before := change.Member, change.Before
+	forward := member.Start > before.Start || (member.Start == before.Start &&
+		member.Incarnation >= before.Incarnation && member.Sequence >= before.Sequence)
+	if !forward {
+		f.t.Fatalf("%s: register went back from %+v to %+v", nodeName(observer.index), before, member)
+	}
+	said, ok := f.words[word{member.Name, member.Start, member.Sequence}]
+	if !ok || said != member.Endpoint {
+		f.t.Fatalf("%s holds what the owner never said: %+v", nodeName(observer.index), member)
+	}
+	subject := f.named(member.Name)
+	if member.Status == wire.StatusDead && subject.running && subject.frozen.IsZero() {
+		f.deaths++
+	}
+	if f.changed != nil {
+		f.changed(observer, change)
+	}
+}
+
+func (f *fleet) named(name string) *node {
+	var index int
+	_, err := fmt.Sscanf(name, "node-%d", &index)
+	must.NoError(f.t, err)
+	return f.nodes[index]
+}
+
+func (f *fleet) transmit(from *node, outgoing wire.Outgoing) {
+	if f.measure {
+		text, err := json.Marshal(outgoing.Message)
+		must.NoError(f.t, err)
+		f.bytes += len(text) + 1
+		if outgoing.Datagram && len(text) >= datagramLimit {
+			f.t.Fatalf("datagram of %d bytes", len(text))
+		}
+	}
+	copies := 1
+	if outgoing.Datagram && f.random.Float64() < f.loss {
+		copies = 0
+	}
+	if outgoing.Datagram && f.random.Float64() < f.duplicate {
+		copies++
+	}
+	for range copies {
+		f.after(time.Duration(f.random.Int64N(int64(f.delay))), func() { f.deliver(from, outgoing) })
+	}
+}
+
+func (f *fleet) deliver(from *node, outgoing wire.Outgoing) {
+	const socketBuffer = 256
+	to, ok := f.byAddress[outgoing.Address]
+	if !ok || !to.running || to.address != outgoing.Address || f.side[from.index] != f.side[to.index] {
+		return
+	}
+	if to.frozen.IsZero() {
+		f.step(to, Received{Message: outgoing.Message})
+		return
+	}
+	if len(to.inbox) < socketBuffer {
+		to.inbox = append(to.inbox, outgoing.Message)
+	}
+}
+
+// agreed reports whether all running nodes hold the true fleet.
+func (f *fleet) agreed() bool {
+	var hash uint64
+	var running int
+	for _, n := range f.nodes {
+		if !n.running {
+			continue
+		}
+		running++
+		if hash != 0 && n.machine.ViewHash() != hash {
+			return false
+		}
+		hash = n.machine.ViewHash()
+	}
+	for _, n := range f.nodes {
+		if n.running {
+			return f.holdsTruth(n, running)
+		}
+	}
+	return true
+}
+
+func (f *fleet) holdsTruth(observer *node, running int) bool {
+	live := observer.machine.Live()
+	if len(live) != running {
+		return false
+	}
+	for _, member := range live {
+		subject := f.named(member.Name)
+		if !subject.running || member.Endpoint != subject.endpoint || member.Status == wire.StatusSuspect {
+			return false
+		}
+	}
+	return true
+}
+
+// move restarts a node at another address.
+func (f *fleet) move(n *node) {
+	n.address = fmt.Sprintf("10.2.%d.%d:7946", n.life%250, n.index+1)
+	f.boot(n, 0)
+}
+
+// giveList gives a node a list of the first machines, right or out of date.
+func (f *fleet) giveList(n *node, count int) {
+	var machines []ListedMachine
+	for _, listed := range f.nodes[:count] {
+		machines = append(machines, ListedMachine{Name: nodeName(listed.index), Peer: listed.address})
+	}
+	f.step(n, MachineList{Machines: machines})
+}
+
+// endFaults heals the network, wakes who is frozen and gives all the right list.
+func (f *fleet) endFaults() {
+	f.loss, f.duplicate, f.delay = 0, 0, 3*time.Millisecond
+	clear(f.side)
+	for _, n := range f.nodes {
+		if n.running && !n.frozen.IsZero() {
+			f.thaw(n)
+		}
+		if n.running {
+			f.giveList(n, len(f.nodes))
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/sync.go
@@ -0,0 +1,157 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"sliphead/internal/wire"
+)
+
+// joinState is the way into the fleet.
+type joinState struct {
+	joined   bool
+	attempts int
+	next     time.Time
+}
+
+// repairState notices that this node's view differs from its peers'.
+type repairState struct {
+	agreed    time.Time // when a peer's hash last equalled ours
+	differing int       // peers in a row whose hash did not
+	next      time.Time // no repair before
+}
+
+// joinFleet asks seeds and listed machines for all registers until one answers.
+func (m *Machine) joinFleet() {
+	if m.join.joined || m.now.Before(m.join.next) {
+		return
+	}
+	addresses := m.addresses()
+	if len(addresses) == 0 {
+		return
+	}
+	m.join.attempts++
+	for range min(m.join.attempts, joinTargets, len(addresses)) {
+		index := m.config.Random.IntN(len(addresses))
+		m.send("", addresses[index], false, wire.Envelope{Sync: &wire.Sync{
+			Members: []wire.Member{m.Self()}, Digests: m.ownDigests(), Reply: true,
+		}})
+		addresses = slices.Delete(addresses, index, index+1)
+	}
+	bound := min(joinBackoff<<min(m.join.attempts, 8), joinBackoffLimit)
+	m.join.next = m.now.Add(bound/4 + m.jittered(bound))
+}
+
+// noteDigests passes a peer's digests on and compares its view with ours.
+func (m *Machine) noteDigests(from string, digests wire.Digests) {
+	if digests.Staged.IsZero() {
+		digests.Staged = digests.Active
+	}
+	m.effects = append(m.effects, PeerDigests{From: from, Digests: digests})
+	if digests.View == m.table.view {
+		m.repair.agreed, m.repair.differing = m.now, 0
+		return
+	}
+	m.repair.differing++
+	lasting := m.now.Sub(m.repair.agreed) >= m.config.RepairAfter
+	if lasting && m.repair.differing >= repairObservations && !m.now.Before(m.repair.next) {
+		m.startRepair(from)
+	}
+}
+
+// startRepair sends the peer the hashes of this node's buckets. It answers with
+// the registers of those that differ, and gets back what is newer here. A whole
+// exchange would take the size of the fleet; this takes that of the difference.
+func (m *Machine) startRepair(peer string) {
+	target, ok := m.table.member(peer)
+	if !ok {
+		return
+	}
+	m.repair.next = m.now.Add(m.config.RepairInterval)
+	m.repair.agreed, m.repair.differing = m.now, 0
+	m.send(peer, target.Peer, false, wire.Envelope{Sync: &wire.Sync{
+		Members: []wire.Member{m.Self()},
+		Digests: m.ownDigests(),
+		Buckets: m.bucketHashes(),
+		Reply:   true,
+	}})
+}
+
+func (m *Machine) bucketHashes() []uint64 { return slices.Clone(m.table.buckets[:]) }
+
+// receiveSync handles the four forms of a Sync: the request of a node that
+// joins (Reply), the request of a repair (Reply, Buckets), its answer
+// (Buckets), and the registers that end either.
+func (m *Machine) receiveSync(from string, sync wire.Sync) {
+	if len(sync.Buckets) != 0 && len(sync.Buckets) != bucketCount {
+		return
+	}
+	m.noteDigests(from, sync.Digests)
+	compare := len(sync.Buckets) == bucketCount
+	var marked [bucketCount]bool
+	if compare {
+		marked = m.table.differing(sync.Buckets)
+	}
+	buckets := m.bucketHashes()
+	var newer []wire.Member
+	if compare && !sync.Reply {
+		newer = missingFrom(sync.Members, m.table.inBuckets(marked))
+	}
+	m.applyTable(sync.Members)
+	address := m.addressOf(from, sync.Members)
+	switch {
+	case sync.Reply && compare:
+		m.sendSync(from, address, wire.Sync{Members: m.table.inBuckets(marked), Buckets: buckets})
+	case sync.Reply:
+		m.sendSync(from, address, wire.Sync{Members: m.allFor(from)})
+	case len(newer) > 0:
+		m.sendSync(from, address, wire.Sync{Members: newer})
+	}
+	if !sync.Reply && len(sync.Members) > 0 {
+		m.join.joined = true
+	}
+}
+
+// allFor returns the registers of all live members, and the receiver's own if
+// it is held for dead, so that it can refute.
+func (m *Machine) allFor(receiver string) []wire.Member {
+	members := slices.Clone(m.table.sorted())
+	if held, ok := m.table.dead[receiver]; ok {
+		members = append(members, held.member)
+	}
+	return members
+}
+
+// missingFrom returns those of ours that the peer lacks or has older.
+func missingFrom(peers, ours []wire.Member) []wire.Member {
+	theirs := make(map[string]wire.Member, len(peers))
+	for _, member := range peers {
+		theirs[member.Name] = member
+	}
+	return slices.DeleteFunc(ours, func(member wire.Member) bool {
+		other, ok := theirs[member.Name]
+		return ok && merge(other, member) == other
+	})
+}
+
+func (m *Machine) sendSync(to, address string, sync wire.Sync) {
+	if address == "" {
+		return
+	}
+	sync.Digests = m.ownDigests()
+	m.send(to, address, false, wire.Envelope{Sync: &sync})
+}
+
+// applyTable joins the registers of a whole view. A member dead there but live
+// here becomes a suspect only: after a partition each side holds the other's
+// members for dead, and taking that over would empty both sides' views until
+// every member had refuted.
+func (m *Machine) applyTable(members []wire.Member) {
+	for _, member := range members {
+		held, ok := m.table.records[member.Name]
+		if ok && member.Status == wire.StatusDead && held.died.IsZero() {
+			member.Status = wire.StatusSuspect
+		}
+		m.apply(member)
+	}
+}
--- /dev/null
+++ b/internal/membership/update.go
@@ -0,0 +1,180 @@
+package membership
+
+import (
+	"math"
+	"time"
+
+	"sliphead/internal/wire"
+)
+
+// apply joins a register received into the table.
+func (m *Machine) apply(update wire.Member) {
+	if !plausible(update, m.now) {
+		return
+	}
+	if update.Name == m.config.Self.Name {
+		m.refute(update)
+		return
+	}
+	held, ok := m.table.records[update.Name]
+	if !ok {
+		m.admit(update)
+		return
+	}
+	merged := merge(held.member, update)
+	if merged != held.member {
+		m.change(merged)
+		return
+	}
+	if sameWord(merged, update) {
+		m.rumors.told(update.Name, m.tellings()) // the sender knows it: one telling less is needed
+	}
+}
+
+// sameWord reports whether the update says just what the register does.
+func sameWord(held, update wire.Member) bool { return compact(held) == compact(update) }
+
+// admit takes in a member not known. A dead one is not remembered: that would
+// hand tombstones from node to node for ever.
+func (m *Machine) admit(update wire.Member) {
+	if update.Status == wire.StatusDead || isCompact(update) || len(m.table.records) >= memberLimit {
+		return
+	}
+	m.change(update)
+	m.probes.insert(update.Name, m.config.Random)
+}
+
+// change stores a register, tells the owner of the machine and queues it for
+// gossip.
+func (m *Machine) change(member wire.Member) {
+	before, _ := m.table.member(member.Name)
+	wasLive := m.table.isLive(member.Name)
+	held := m.table.put(member, m.now)
+	m.watchSuspicion(held, before)
+	if !wasLive && m.table.isLive(member.Name) && before.Name != "" {
+		m.probes.insert(member.Name, m.config.Random)
+	}
+	m.rumors.add(member.Name)
+	m.effects = append(m.effects, Changed{Member: member, Before: before})
+}
+
+// tellings returns how often each node tells a register: λ·log2(n).
+func (m *Machine) tellings() int {
+	size := float64(m.table.size())
+	return int(math.Ceil(m.config.Retransmit*math.Log2(size+1))) + 1
+}
+
+// refute answers what a peer says of this node where that would win over its
+// own register. An accusation is refuted by a greater incarnation. Words that
+// this process never said, left over from a former process whose clock was
+// ahead, or forged, are outdone by a greater Start, under which nothing else has
+// been said: the part at random keeps two such restarts in a row apart.
+func (m *Machine) refute(update wire.Member) {
+	self := m.Self()
+	if isCompact(update) {
+		update = withIdentity(update, self)
+	}
+	foreign := update.Start > self.Start
+	if update.Start == self.Start {
+		foreign = update.Incarnation > self.Incarnation || laterEndpoint(self, update) != self
+	}
+	switch {
+	case foreign:
+		self.Start = update.Start + 1 + m.config.Random.Int64N(startSpread)
+		self.Incarnation = 0
+	case merge(self, update) != self:
+		self.Incarnation++
+	default:
+		return
+	}
+	m.change(self)
+}
+
+func (m *Machine) setEndpoint(state wire.EndpointState) {
+	self := m.Self()
+	if self.Endpoint == state {
+		return
+	}
+	self.Endpoint = state
+	self.Sequence++
+	m.change(self)
+}
+
+func (m *Machine) leave() {
+	self := m.Self()
+	if self.Status == wire.StatusLeaving {
+		return
+	}
+	self.Status = wire.StatusLeaving
+	self.Incarnation++
+	m.change(self)
+}
+
+// watchSuspicion starts or ends the wait for a refutation as the register says.
+func (m *Machine) watchSuspicion(held *record, before wire.Member) {
+	name := held.member.Name
+	if name == m.config.Self.Name {
+		return
+	}
+	if held.member.Status == wire.StatusSuspect {
+		m.awaitRefutation(held)
+		return
+	}
+	refuted := held.member.Start > before.Start || held.member.Incarnation > before.Incarnation
+	if refuted || held.member.Status != wire.StatusLeaving {
+		held.suspected = time.Time{}
+		delete(m.table.suspects, name)
+	}
+}
+
+// awaitRefutation starts the wait unless it runs.
+func (m *Machine) awaitRefutation(held *record) {
+	if !held.suspected.IsZero() {
+		return
+	}
+	held.suspected = m.now.Add(m.suspicionTimeout())
+	m.table.suspects[held.member.Name] = held
+}
+
+// suspicionTimeout grows with the time that gossip needs, up to twice.
+func (m *Machine) suspicionTimeout() time.Duration {
+	const roundsInSmallFleet, growthLimit = 5, 2
+	growth := math.Log2(float64(m.table.size()+1)) / roundsInSmallFleet
+	growth = min(max(growth, 1), growthLimit)
+	return time.Duration(float64(m.config.SuspicionTimeout) * growth)
+}
+
+// expireSuspects declares those dead that have not refuted in time.
+func (m *Machine) expireSuspects() {
+	if len(m.table.suspects) == 0 {
+		return
+	}
+	for _, name := range sortedNames(m.table.suspects) {
+		held := m.table.suspects[name]
+		if m.now.Before(held.suspected) {
+			continue
+		}
+		member := held.member
+		member.Status = wire.StatusDead
+		m.change(member)
+	}
+}
+
+// suspect accuses a member that did not answer a probe.
+func (m *Machine) suspect(name string) {
+	held, ok := m.table.records[name]
+	if !ok || !held.died.IsZero() {
+		return
+	}
+	if held.member.Status == wire.StatusLeaving {
+		m.awaitRefutation(held) // its own word outranks the accusation, which stays here
+		return
+	}
+	if held.member.Status == wire.StatusAlive {
+		member := held.member
+		member.Status = wire.StatusSuspect
+		m.change(member)
+		m.number++
+		m.ping(name, m.number) // tells it, so that it can refute
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -66,7 +66,8 @@
 
 // Member is a register written by the node it names and repeated by others.
 // The greater (Start, Incarnation) wins; then Sequence decides the endpoint
-// part and the order of Status the rest.
+// part and the order of Status the rest. In datagrams a register without Peer
+// leaves out the constant part (Zone to Inbound), which the receiver holds.
 type Member struct {
 	Name        string        `json:"name"`
 	Zone        string        `json:"zone"`
@@ -130,11 +131,14 @@
 	Others       []Member `json:"others,omitempty"`
 }
 
-// Sync gives all member registers; Reply asks for the receiver's in return.
+// Sync gives member registers; Reply asks for the receiver's in return. With
+// Buckets, hashes of the sender's view by parts, only the registers of the parts
+// that differ are exchanged.
 type Sync struct {
 	Members []Member `json:"members"`
 	Digests Digests  `json:"d"`
 	Reply   bool     `json:"reply,omitempty"`
+	Buckets []uint64 `json:"buckets,omitempty"`
 }
 
 // Push carries a version down the tree as a delta.
