--- a/internal/claim/config.go
+++ b/internal/claim/config.go
@@ -33,7 +33,9 @@
 	// Since is a point before which no replica votes, the zero time for none.
 	// A replica whose process started ClockSkew or more before it has lost
 	// nothing, so a first start need not wait for KeyLife.
-	Since     time.Time
+	Since time.Time
+	// CopyOnly keeps a replica that can't copy from voting also after KeyLife.
+	CopyOnly  bool
 	ClockSkew time.Duration // bound on the differences between the nodes' wall clocks
 
 	Retry        time.Duration // time after which an unanswered message is sent again
--- a/internal/claim/coordinator.go
+++ b/internal/claim/coordinator.go
@@ -166,9 +166,14 @@
 		return m.refuse(a, VerdictNoQuorum, now)
 	}
 	held := m.services[a.claim.Service]
-	if !held.sameGroups(reply.Group, reply.Version) {
+	switch {
+	case !held.sameGroups(reply.Group, reply.Version):
 		reply.Vote = wire.VoteNone // counted as an answer, not as a vote
-	} else {
+	case !held.knowsPriors(reply.Priors):
+		reply.Vote = wire.VoteNone
+		held.recovery.urgent = true
+		fallthrough
+	default:
 		held.noteLeft(reply.Worker, time.Duration(reply.SinceMS)*time.Millisecond, now)
 	}
 	a.replies[reply.Worker] = reply
--- a/internal/claim/recovery.go
+++ b/internal/claim/recovery.go
@@ -20,6 +20,7 @@
 type recovery struct {
 	number  uint64                              // of the copies asked for last
 	nextAsk time.Time                           // when to ask again
+	urgent  bool                                // ask although all slots are recovered: others know more configurations
 	sources map[string]source                   // by worker, those whose copy has come whole
 	parts   map[answerID]map[int]wire.ClaimCopy // parts of the copies under way
 }
@@ -35,8 +36,9 @@
 // source is a replica that has given its copy and so knows this incarnation.
 type source struct {
 	incarnation uint64
-	slots       uint64 // slots that were copied
-	able        uint64 // slots in which the source itself had lost nothing
+	slots       uint64               // slots that were copied
+	able        uint64               // slots in which the source itself had lost nothing
+	left        map[string]time.Time // by digest, since when it has left earlier configurations
 }
 
 func (r *recovery) restart() {
@@ -49,9 +51,11 @@
 // With all slots recovered it still asks, for no slots, while earlier
 // configurations count: the answers tell who has left them.
 func (m *Machine) askCopies(held *service, now time.Time) []Effect {
-	if now.Before(held.recovery.nextAsk) || (held.ready() == allSlots && len(held.priors) == 0) {
+	needed := held.recovery.urgent || held.ready() != allSlots || len(held.priors) > 0
+	if !needed || now.Before(held.recovery.nextAsk) {
 		return nil
 	}
+	held.recovery.urgent = false
 	held.recovery.nextAsk = now.Add(copyRetryFactor * m.config.Retry)
 	held.recovery.number = m.nextNumber()
 	held.recovery.parts = make(map[answerID]map[int]wire.ClaimCopy)
@@ -82,8 +86,10 @@
 		Number: request.Number, Service: held.name, Reply: true, Worker: m.config.Worker, Incarnation: m.incarnation,
 		Able: held.able == allSlots, Group: held.current.digest, Version: m.version,
 		Slots: request.Slots, AbleSlots: held.able, Serial: m.nextNumber(),
-		Known: held.knownOf(held.workers()), Priors: held.exportPriors(), SinceMS: now.Sub(held.since).Milliseconds(),
+		Known: held.knownOf(held.workers()), SinceMS: now.Sub(held.since).Milliseconds(),
 	}
+	held.noteLeft(m.config.Worker, now.Sub(held.since), now)
+	held.exportPriors(&reply, m.config.Worker, now)
 	records := m.exportRecords(held, request, now)
 	reply.Parts = max(1, (len(records)+copyPartRecords-1)/copyPartRecords)
 	var effects []Effect
@@ -158,7 +164,7 @@
 func (m *Machine) mergeCopy(held *service, parts map[int]wire.ClaimCopy, now time.Time) {
 	whole := parts[0]
 	held.learnKnown(whole.Known)
-	held.learnPriors(whole.Priors, m.config.GroupSize)
+	left := held.learnPriors(whole, m.config.GroupSize, now)
 	for _, part := range parts {
 		for _, copied := range part.Records {
 			if held.isAble(slotOf(copied.Key)) {
@@ -173,7 +179,7 @@
 			entry.merge(copied)
 		}
 	}
-	held.recovery.sources[whole.Worker] = source{whole.Incarnation, whole.Slots, whole.AbleSlots}
+	held.recovery.sources[whole.Worker] = source{whole.Incarnation, whole.Slots, whole.AbleSlots, left}
 }
 
 // updateAble opens the slots in which enough others have given their copy.
@@ -183,7 +189,7 @@
 	if held.ready() == allSlots {
 		return
 	}
-	aged := now.Sub(m.started) >= m.config.hold() || m.startedBeforeFirstVote()
+	aged := m.startedBeforeFirstVote() || (!m.config.CopyOnly && now.Sub(m.started) >= m.config.hold())
 	for slot := range slotCount {
 		if !held.isAble(slot) && m.recovered(held, slot, aged, now) {
 			held.able |= 1 << slot
@@ -209,15 +215,16 @@
 	return !m.config.Since.IsZero() && !m.started.Add(m.config.ClockSkew).After(m.config.Since)
 }
 
-// recovered reports whether the sources cover every group of the slot.
+// recovered reports whether the sources cover every group of the slot. The
+// present group, and the groups of later priors, need not be covered when the
+// oldest prior is and can't have been settled by anyone: every attempt since
+// has asked for its majority too.
 func (m *Machine) recovered(held *service, slot int, aged bool, now time.Time) bool {
-	bit := uint64(1) << slot
+	if len(held.priors) > 0 && m.guarded(held, held.priors[0], slot, now) {
+		return true
+	}
 	for _, one := range held.groups(slot, now, m.config.hold()) {
-		sources := one.count(func(worker string) bool {
-			given, have := held.recovery.sources[worker]
-			current := have && given.incarnation >= held.known[worker] && given.slots&bit != 0
-			return current && worker != m.config.Worker && (aged || given.able&bit != 0)
-		})
+		sources := one.count(func(worker string) bool { return m.isSource(held, worker, slot, aged) })
 		needed := one.sourcesNeeded(m.config.Worker)
 		if sources < needed || (needed == 0 && !aged) {
 			return false
@@ -225,3 +232,25 @@
 	}
 	return true
 }
+
+// isSource reports whether a worker's copy of the slot counts.
+func (m *Machine) isSource(held *service, worker string, slot int, aged bool) bool {
+	bit := uint64(1) << slot
+	given, have := held.recovery.sources[worker]
+	if !have || worker == m.config.Worker || given.incarnation < held.known[worker] {
+		return false
+	}
+	return given.slots&bit != 0 && (aged || given.able&bit != 0)
+}
+
+// guarded reports whether the sources cover the slot's group in the prior with
+// replicas that left it so lately that it can't be settled.
+func (m *Machine) guarded(held *service, oldest *prior, slot int, now time.Time) bool {
+	one := oldest.groups[slot]
+	sources := one.count(func(worker string) bool {
+		left, known := held.recovery.sources[worker].left[oldest.digest]
+		return known && now.Sub(left) < m.config.hold() && m.isSource(held, worker, slot, false)
+	})
+	needed := one.sourcesNeeded(m.config.Worker)
+	return needed > 0 && sources >= needed
+}
--- a/internal/claim/replica.go
+++ b/internal/claim/replica.go
@@ -57,6 +57,7 @@
 		return nil
 	}
 	groups := held.groups(slotOf(request.Key), now, m.config.hold())
+	reply.Priors = held.priorDigests()
 	reply.Known = held.knownOf(members(groups))
 	expires := now.Add(m.config.hold())
 	entry := held.table.open(request.Key, now, expires, m.config.MaxKeys)
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -19,7 +19,8 @@
 // decided under it can matter any more.
 type prior struct {
 	*configuration
-	left map[string]time.Time // by worker, a time since which it has left the configuration
+	oldest version.Version      // the earliest version known to have had it in force
+	left   map[string]time.Time // by worker, a time since which it has left the configuration
 }
 
 // settled reports whether the slot needs no majority of the prior any more.
@@ -37,9 +38,10 @@
 type service struct {
 	name    string
 	current *configuration
-	since   time.Time       // when current came into force here
-	first   version.Version // the version that brought it
-	priors  []*prior
+	since   time.Time         // when current came into force here
+	first   version.Version   // the version that brought it
+	oldest  version.Version   // the earliest version known to have had current in force
+	priors  []*prior          // oldest first
 	nodes   map[string]string // node by worker, also of workers no longer declared
 	table   *table
 
@@ -114,42 +116,92 @@
 	if s.current != nil && s.current.digest == next.digest {
 		return false
 	}
-	s.priors = slices.DeleteFunc(s.priors, func(p *prior) bool { return p.digest == next.digest })
 	if s.current != nil {
-		s.priors = append(s.priors, &prior{configuration: s.current, left: make(map[string]time.Time)})
+		s.addPrior(s.current, s.oldest)
 	}
+	s.oldest = first
+	s.priors = slices.DeleteFunc(s.priors, func(p *prior) bool {
+		if p.digest == next.digest {
+			s.oldest = p.oldest // the workers changed back
+		}
+		return p.digest == next.digest
+	})
 	s.current, s.since, s.first = next, now, first
 	s.announced = 0
 	s.recovery.restart()
 	return true
 }
 
-// learnPriors takes in earlier configurations that another replica knows.
-func (s *service) learnPriors(lists [][]wire.ClaimWorker, size int) {
-	for _, list := range lists {
+// addPrior adds an earlier configuration unless it is known, oldest first.
+func (s *service) addPrior(earlier *configuration, oldest version.Version) {
+	index := slices.IndexFunc(s.priors, func(p *prior) bool { return p.digest == earlier.digest })
+	if index < 0 {
+		index = len(s.priors)
+		s.priors = append(s.priors, &prior{configuration: earlier, oldest: oldest, left: make(map[string]time.Time)})
+	}
+	if s.priors[index].oldest.After(oldest) {
+		s.priors[index].oldest = oldest
+	}
+	slices.SortStableFunc(s.priors, func(a, b *prior) int { return a.oldest.Compare(b.oldest) })
+}
+
+// learnPriors takes in earlier configurations that another replica knows. It
+// returns since when that replica has left each, by digest.
+func (s *service) learnPriors(reply wire.ClaimCopy, size int, now time.Time) map[string]time.Time {
+	left := make(map[string]time.Time)
+	for index, list := range reply.Priors {
 		workers := make([]Worker, 0, len(list))
 		for _, worker := range list {
 			workers = append(workers, Worker(worker))
 		}
 		learned := newConfiguration(s.name, workers, size)
-		held := slices.ContainsFunc(s.priors, func(p *prior) bool { return p.digest == learned.digest })
-		if !held && learned.digest != s.current.digest {
-			s.priors = append(s.priors, &prior{configuration: learned, left: make(map[string]time.Time)})
+		if index < len(reply.PriorsLeftMS) && reply.PriorsLeftMS[index] >= 0 {
+			left[learned.digest] = now.Add(-time.Duration(reply.PriorsLeftMS[index]) * time.Millisecond)
+		}
+		if learned.digest != s.current.digest && index < len(reply.PriorsFirst) {
+			s.addPrior(learned, reply.PriorsFirst[index])
+		}
+	}
+	return left
+}
+
+// knowsPriors reports whether all the digests are of configurations that this
+// node counts.
+func (s *service) knowsPriors(digests []string) bool {
+	for _, digest := range digests {
+		held := slices.ContainsFunc(s.priors, func(p *prior) bool { return p.digest == digest })
+		if !held && digest != s.current.digest {
+			return false
 		}
 	}
+	return true
 }
 
-// exportPriors lists the earlier configurations for another replica.
-func (s *service) exportPriors() [][]wire.ClaimWorker {
-	var lists [][]wire.ClaimWorker
+// priorDigests returns the digests of the earlier configurations that count.
+func (s *service) priorDigests() []string {
+	var digests []string
+	for _, earlier := range s.priors {
+		digests = append(digests, earlier.digest)
+	}
+	return digests
+}
+
+// exportPriors tells another replica the earlier configurations, and for how
+// long this worker has left each.
+func (s *service) exportPriors(reply *wire.ClaimCopy, self string, now time.Time) {
 	for _, earlier := range s.priors {
 		list := make([]wire.ClaimWorker, 0, len(earlier.workers))
 		for _, worker := range earlier.workers {
 			list = append(list, wire.ClaimWorker(worker))
 		}
-		lists = append(lists, list)
+		leftMS := int64(-1)
+		if since, known := earlier.left[self]; known {
+			leftMS = now.Sub(since).Milliseconds() + 1
+		}
+		reply.Priors = append(reply.Priors, list)
+		reply.PriorsFirst = append(reply.PriorsFirst, earlier.oldest)
+		reply.PriorsLeftMS = append(reply.PriorsLeftMS, leftMS)
 	}
-	return lists
 }
 
 // noteLeft records that a worker has been under the present configuration for
--- a/internal/wire/claim.go
+++ b/internal/wire/claim.go
@@ -54,6 +54,7 @@
 	Known       map[string]uint64 `json:"known,omitempty"`      // incarnations of the group's replicas that it knows of
 	Promised    uint64            `json:"promised,omitempty"`   // highest round that it promised
 	AcceptedBy  string            `json:"acceptedBy,omitempty"` // holder it voted for, "" if none
+	Priors      []string          `json:"priors,omitempty"`     // digests of earlier groups that still count there
 	SinceMS     int64             `json:"sinceMs,omitempty"`    // for how long its group digest has been in force there
 	Group       string            `json:"group,omitempty"`      // its group digest
 	Version     version.Version   `json:"version"`              // its configuration version
@@ -90,16 +91,18 @@
 	Able    bool          `json:"able,omitempty"` // whether the replier itself may vote
 	Records []ClaimRecord `json:"records,omitempty"`
 
-	Worker      string            `json:"worker,omitempty"`    // the sender's worker
-	Incarnation uint64            `json:"inc,omitempty"`       // of the sender's process
-	Group       string            `json:"group,omitempty"`     // the sender's group digest
-	Version     version.Version   `json:"version"`             // the sender\'s configuration version
-	Slots       uint64            `json:"slots,omitempty"`     // bit set of key slots that are asked for or given
-	AbleSlots   uint64            `json:"ableSlots,omitempty"` // bit set of slots in which the replier may vote
-	Known       map[string]uint64 `json:"known,omitempty"`     // incarnations that the replier knows of
-	Priors      [][]ClaimWorker   `json:"priors,omitempty"`    // earlier declared workers that still count
-	SinceMS     int64             `json:"sinceMs,omitempty"`
-	Serial      uint64            `json:"serial,omitempty"` // same in all parts of one answer
-	Part        int               `json:"part,omitempty"`   // number of this part, from 0
-	Parts       int               `json:"parts,omitempty"`  // count of parts
+	Worker       string            `json:"worker,omitempty"`       // the sender's worker
+	Incarnation  uint64            `json:"inc,omitempty"`          // of the sender's process
+	Group        string            `json:"group,omitempty"`        // the sender's group digest
+	Version      version.Version   `json:"version"`                // the sender\'s configuration version
+	Slots        uint64            `json:"slots,omitempty"`        // bit set of key slots that are asked for or given
+	AbleSlots    uint64            `json:"ableSlots,omitempty"`    // bit set of slots in which the replier may vote
+	Known        map[string]uint64 `json:"known,omitempty"`        // incarnations that the replier knows of
+	Priors       [][]ClaimWorker   `json:"priors,omitempty"`       // earlier declared workers that still count
+	PriorsLeftMS []int64           `json:"priorsLeftMs,omitempty"` // for how long the replier has left each of them, -1 if it is not known
+	PriorsFirst  []version.Version `json:"priorsFirst,omitempty"`  // the versions that brought them
+	SinceMS      int64             `json:"sinceMs,omitempty"`
+	Serial       uint64            `json:"serial,omitempty"` // same in all parts of one answer
+	Part         int               `json:"part,omitempty"`   // number of this part, from 0
+	Parts        int               `json:"parts,omitempty"`  // count of parts
 }
