--- a/internal/command/check/check.go
+++ b/internal/command/check/check.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 
 	"sliphead/internal/declaration"
 	"sliphead/internal/fault"
@@ -23,10 +24,13 @@
 		return err
 	}
 	for _, finding := range findings {
+		if finding.File != "" {
+			finding.File = filepath.Join(c.Directory, finding.File)
+		}
 		fmt.Fprintln(output, finding)
 	}
 	if len(findings) > 0 {
-		return fault.New(fault.Declaration, "mend each finding and check again", "%s: %d findings", c.Directory, len(findings))
+		return fault.New(fault.Declaration, "mend each finding and check again", "findings in %s: %d", c.Directory, len(findings))
 	}
 	fmt.Fprintf(output, "%s: sound: %d zones, %d services, %d workers, %d selectors, %d routes, %d secrets\n", c.Directory,
 		len(document.Zones), len(document.Services), len(document.Workers),
--- a/internal/command/plan/plan.go
+++ b/internal/command/plan/plan.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"sliphead/internal/declaration"
@@ -50,7 +51,7 @@
 
 func write(output io.Writer, step step) {
 	fmt.Fprintln(output, step.at.Format(time.RFC3339))
-	for _, change := range step.changes {
-		fmt.Fprintf(output, "  %s\n", change)
+	for _, each := range step.changes {
+		fmt.Fprintf(output, "  %s: %s\n", strings.Join(each.routes, ","), each.change)
 	}
 }
--- a/internal/command/plan/steps.go
+++ b/internal/command/plan/steps.go
@@ -9,21 +9,18 @@
 	"sliphead/internal/declaration"
 )
 
-// change is what one route gains and loses, by worker name.
-type change struct {
-	route        string
-	gained, lost []string
-}
+// change is what routes gain and lose, by worker name.
+type change struct{ gained, lost []string }
 
 func (c change) empty() bool { return len(c.gained) == 0 && len(c.lost) == 0 }
 
 func (c change) equal(other change) bool {
-	return c.route == other.route && slices.Equal(c.gained, other.gained) && slices.Equal(c.lost, other.lost)
+	return slices.Equal(c.gained, other.gained) && slices.Equal(c.lost, other.lost)
 }
 
-// String returns "route: +gained,… -lost,…".
+// String returns "+gained,… -lost,…".
 func (c change) String() string {
-	parts := []string{c.route + ":"}
+	var parts []string
 	if len(c.gained) > 0 {
 		parts = append(parts, "+"+strings.Join(c.gained, ","))
 	}
@@ -31,15 +28,32 @@
 		parts = append(parts, "-"+strings.Join(c.lost, ","))
 	}
 	if c.empty() {
-		parts = append(parts, "as before the change")
+		return "as before the change"
 	}
 	return strings.Join(parts, " ")
 }
 
+// routesChange is one change of several routes.
+type routesChange struct {
+	routes []string
+	change change
+}
+
 // step holds the routes whose change differs from the moment before.
 type step struct {
 	at      time.Time
-	changes []change
+	changes []routesChange
+}
+
+// add notes a route's change next to the routes that change alike.
+func (s *step) add(route string, each change) {
+	for index := range s.changes {
+		if s.changes[index].change.equal(each) {
+			s.changes[index].routes = append(s.changes[index].routes, route)
+			return
+		}
+	}
+	s.changes = append(s.changes, routesChange{routes: []string{route}, change: each})
 }
 
 // stepsOf compares two documents at a moment and at each boundary of either
@@ -55,9 +69,9 @@
 	for _, moment := range moments {
 		current := step{at: moment.In(at.Location())}
 		for _, name := range routeNames(from, to) {
-			each := compare(name, before.workers(name, moment), after.workers(name, moment))
+			each := compare(before.workers(name, moment), after.workers(name, moment))
 			if last, known := previous[name]; known && !each.equal(last) || !known && !each.empty() {
-				current.changes = append(current.changes, each)
+				current.add(name, each)
 			}
 			previous[name] = each
 		}
@@ -88,8 +102,8 @@
 }
 
 // compare takes sorted names.
-func compare(route string, before, after []string) change {
-	return change{route: route, gained: without(after, before), lost: without(before, after)}
+func compare(before, after []string) change {
+	return change{gained: without(after, before), lost: without(before, after)}
 }
 
 // without returns the names that the sorted others lack.
--- a/internal/declaration/fields.go
+++ b/internal/declaration/fields.go
@@ -25,6 +25,7 @@
 	ruleRepeats  = "unique"
 	ruleCount    = "count"
 	ruleDigest   = "digest"
+	ruleCapacity = "capacity"
 )
 
 // The bounds on what one item may hold.
@@ -33,7 +34,7 @@
 	maxWindows   = 64
 	maxSelected  = 32 // selectors of a route
 	maxPathBytes = 1024
-	maxSlots     = 100_000
+	maxCapacity  = 100_000 // slots or connections of a worker
 )
 
 const remedyDigest = "write the SHA-256 of the value as 64 lower-case hexadecimal digits"
@@ -46,6 +47,7 @@
 	"len":         remedyDigest,
 	"hexadecimal": remedyDigest,
 	ruleDigest:    remedyDigest,
+	ruleCapacity:  "write at most 100000",
 	ruleName:      "use 1 to 63 lower-case letters, digits and inner hyphens",
 	ruleLabels:    "use at most 32 labels whose keys and values are 1 to 63 letters, digits and inner . _ / -",
 	ruleTimeZone:  remedyTimeZone,
@@ -141,6 +143,8 @@
 		return fmt.Sprintf("%s is %v, the bound is %s", field, broken.Value(), broken.Param())
 	case ruleRepeats:
 		return field + " names one thing twice"
+	case ruleCapacity:
+		return fmt.Sprintf("%s %v is out of bounds", field, broken.Value())
 	case ruleCount:
 		return field + " has too many entries"
 	default:
--- a/internal/declaration/items.go
+++ b/internal/declaration/items.go
@@ -1,6 +1,10 @@
 package declaration
 
-import "strings"
+import (
+	"maps"
+	"slices"
+	"strings"
+)
 
 func checkZone(zone Zone, report report) {
 	report.unless(validName(zone.Name), zone.Name, "name", ruleName)
@@ -15,8 +19,8 @@
 
 func checkWorker(worker Worker, report report) {
 	report.unless(validName(worker.Name), worker.Name, "name", ruleName)
-	report.unless(worker.Slots <= maxSlots, worker.Slots, "slots", ruleCount)
-	report.unless(worker.Connections <= maxSlots, worker.Connections, "connections", ruleCount)
+	report.unless(worker.Slots <= maxCapacity, worker.Slots, "slots", ruleCapacity)
+	report.unless(worker.Connections <= maxCapacity, worker.Connections, "connections", ruleCapacity)
 	checkLabels(worker.Labels, "labels", report)
 }
 
@@ -69,7 +73,8 @@
 		report(nil, field, ruleCount)
 		return
 	}
-	for key, value := range labels {
+	for _, key := range slices.Sorted(maps.Keys(labels)) {
+		value := labels[key]
 		if !labelPattern.MatchString(key) || !labelPattern.MatchString(value) {
 			report(key+": "+value, field, ruleLabels)
 		}
--- a/internal/declaration/lines.go
+++ b/internal/declaration/lines.go
@@ -11,23 +11,38 @@
 const maxNesting = 64
 
 // tooDeep reports the line on which a file nests beyond maxNesting. It counts
-// each bracket, list dash and step of indent of a line without regard to
-// quotes, and so errs towards refusing.
+// the open brackets, and the dashes and blanks before each line's text, without
+// regard to quotes and comments.
 func tooDeep(data []byte) (line int, deep bool) {
-	brackets := 0
+	open := 0
 	for text := range bytes.Lines(data) {
 		line++
 		indent := len(text) - len(bytes.TrimLeft(text, " \t-?:"))
-		brackets += bytes.Count(text, []byte("[")) + bytes.Count(text, []byte("{"))
-		if indent > maxNesting || brackets > maxNesting {
+		if indent > maxNesting {
 			return line, true
 		}
-		closing := bytes.Count(text, []byte("]")) + bytes.Count(text, []byte("}"))
-		brackets = max(0, brackets-closing)
+		for _, character := range text {
+			open = max(0, open+bracketStep(character))
+			if open > maxNesting {
+				return line, true
+			}
+		}
 	}
 	return 0, false
 }
 
+// bracketStep is what a character adds to the count of open brackets.
+func bracketStep(character byte) int {
+	switch character {
+	case '[', '{':
+		return 1
+	case ']', '}':
+		return -1
+	default:
+		return 0
+	}
+}
+
 // findReference returns the first node that stands for another one or names a
 // type, nil if there is none. Such nodes can grow a small file without bound.
 func findReference(root ast.Node) ast.Node {
--- a/internal/declaration/load.go
+++ b/internal/declaration/load.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"path"
 	"slices"
@@ -90,22 +92,28 @@
 	if path.Ext(name) != ".yaml" {
 		return nil
 	}
-	info, err := entry.Info()
+	data, err := readBounded(fsys, name)
 	if err != nil {
-		return fault.Wrap(err, fault.Declaration, "make the file readable", "look at %s", name)
+		return fault.Wrap(err, fault.Declaration, "make the file readable", "read %s", name)
 	}
-	if info.Size() > MaxFileBytes {
-		l.add(origin{file: name}, "split it into several files", "the file has %d bytes, the bound is %d", info.Size(), MaxFileBytes)
+	if len(data) > MaxFileBytes {
+		l.add(origin{file: name}, "split it into several files", "the file has more than %d bytes", MaxFileBytes)
 		return nil
 	}
-	data, err := fs.ReadFile(fsys, name)
-	if err != nil {
-		return fault.Wrap(err, fault.Declaration, "make the file readable", "read %s", name)
-	}
 	l.readFile(name, data)
 	return nil
 }
 
+// readBounded reads one byte more than MaxFileBytes at most.
+func readBounded(fsys fs.FS, name string) ([]byte, error) {
+	file, err := fsys.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	return io.ReadAll(io.LimitReader(file, MaxFileBytes+1))
+}
+
 // readFile adds one file to the document, or findings.
 func (l *loader) readFile(name string, data []byte) {
 	if line, deep := tooDeep(data); deep {
@@ -169,8 +177,12 @@
 	l.document.Secrets = append(l.document.Secrets, part.Secrets...)
 }
 
-// validate adds what Validate finds, with the file and line of each item.
+// validate adds what Validate finds, with the file and line of each item, and a
+// document that no node would take for its length.
 func (l *loader) validate() {
+	if encoded, err := json.Marshal(l.document); err == nil && len(encoded) > MaxDocumentBytes {
+		l.add(origin{}, remedyTooLong, "the document has %d bytes as JSON, the bound is %d", len(encoded), MaxDocumentBytes)
+	}
 	for _, finding := range Validate(l.document) {
 		at := l.origins[finding.place]
 		finding.File, finding.Line = at.file, at.line
--- a/internal/declaration/parse.go
+++ b/internal/declaration/parse.go
@@ -12,21 +12,29 @@
 // MaxDocumentBytes bounds an encoded document.
 const MaxDocumentBytes = 8 << 20
 
+const (
+	remedyTooLong = "split the mesh or drop what is not used"
+	remedyJSON    = "serve one whole JSON document of declarations"
+)
+
 // maxShownFindings bounds how many findings one error spells out.
 const maxShownFindings = 3
 
 // Parse decodes one document from JSON and validates it. It refuses documents
-// over MaxDocumentBytes, unknown fields, anything after the document, and
+// over MaxDocumentBytes, unknown and repeated fields, anything after the document, and
 // whatever Validate finds. The errors are of kind fault.Declaration.
 func Parse(data []byte) (*Document, error) {
 	if len(data) > MaxDocumentBytes {
-		return nil, fault.New(fault.Declaration, "split the mesh or drop what is not used",
+		return nil, fault.New(fault.Declaration, remedyTooLong,
 			"document has %d bytes, the bound is %d", len(data), MaxDocumentBytes)
 	}
 	document, err := decode(data)
 	if err != nil {
 		return nil, err
 	}
+	if err := refuseRepeatedKeys(data); err != nil {
+		return nil, err
+	}
 	if err := FindingsError(Validate(document)); err != nil {
 		return nil, err
 	}
@@ -38,7 +46,7 @@
 	decoder.DisallowUnknownFields()
 	document := new(Document)
 	if err := decoder.Decode(document); err != nil {
-		return nil, fault.Wrap(err, fault.Declaration, "serve one whole JSON document of declarations", "decode the document")
+		return nil, fault.Wrap(err, fault.Declaration, remedyJSON, "decode the document")
 	}
 	if _, err := decoder.Token(); err != io.EOF {
 		return nil, fault.New(fault.Declaration, "serve one JSON document and nothing after it",
@@ -58,5 +66,5 @@
 		texts = append(texts, finding.String())
 	}
 	return fault.New(fault.Declaration, "run sliphead check on the declarations, mend each finding and publish again",
-		"%d findings: %s", len(findings), strings.Join(texts, "; "))
+		"findings: %d, first %s", len(findings), strings.Join(texts, "; "))
 }
--- a/internal/declaration/references.go
+++ b/internal/declaration/references.go
@@ -22,7 +22,7 @@
 	seen := make(map[string]bool, len(items))
 	for index, item := range items {
 		if seen[item.name()] {
-			v.add(place{list: of, index: index}, remedyDuplicate, "%s %q is declared twice", kinds[of], item.name())
+			v.add(place{list: of, index: index}, remedyDuplicate, "%s is declared twice", title(of, item))
 		}
 		seen[item.name()] = true
 	}
@@ -57,7 +57,7 @@
 		return // an empty name is a finding of its own
 	}
 	v.add(at, "declare it under "+string(to)+" or correct the name",
-		"%s %q names %s %q, which is not declared", kinds[at.list], from.name(), kinds[to], name)
+		"%s names %s %s, which is not declared", title(at.list, from), kinds[to], quoted(name))
 }
 
 // routeSelectors refuses selectors that are not declared or select workers of
@@ -74,7 +74,8 @@
 			v.reference(at, route, listSelectors, declared, name)
 			if declared[name] && serviceOf[name] != route.Service {
 				v.add(at, "name a selector of the route's own service",
-					"route %q of service %q names selector %q of service %q", route.Name, route.Service, name, serviceOf[name])
+					"%s of service %s names selector %s of service %s",
+					title(listRoutes, route), quoted(route.Service), quoted(name), quoted(serviceOf[name]))
 			}
 		}
 	}
@@ -96,7 +97,7 @@
 			}
 			if found && held != route.Name {
 				v.add(at, "give them different hosts, prefixes or methods",
-					"routes %q and %q match the same requests", held, route.Name)
+					"routes %s and %s match the same requests", quoted(held), quoted(route.Name))
 				break
 			}
 		}
--- a/internal/declaration/validate.go
+++ b/internal/declaration/validate.go
@@ -16,6 +16,9 @@
 	maxSecrets   = 1_000
 )
 
+// maxFindings bounds the memory that a document full of faults can claim.
+const maxFindings = 1_000
+
 // Validate returns what is wrong with a document, sorted, nil for a sound one.
 // The verdict depends on the document alone: it is the same on every node.
 func Validate(document *Document) []Finding {
@@ -37,7 +40,12 @@
 	findings []Finding
 }
 
+// add notes a finding, and drops it when there are maxFindings already: the
+// document is refused all the same.
 func (v *validation) add(at place, remedy, format string, args ...any) {
+	if len(v.findings) >= maxFindings {
+		return
+	}
 	v.findings = append(v.findings, Finding{What: fmt.Sprintf(format, args...), Remedy: remedy, place: at})
 }
 
@@ -62,7 +70,7 @@
 		v.add(place{}, fmt.Sprintf("declare at least one under %s", of), "the document has no %s", of)
 	}
 	if length > most {
-		v.add(place{}, "split the mesh or drop what is not used", "the document has %d %s, the bound is %d", length, of, most)
+		v.add(place{}, remedyTooLong, "the document has %d %s, the bound is %d", length, of, most)
 	}
 }
 
@@ -80,11 +88,14 @@
 func validateItems[T named](v *validation, of list, items []T) {
 	for index, item := range items {
 		for _, fault := range fieldFaults(item) {
-			v.add(place{list: of, index: index}, fault.remedy, "%s %q: %s", kinds[of], item.name(), fault.what)
+			v.add(place{list: of, index: index}, fault.remedy, "%s: %s", title(of, item), fault.what)
 		}
 	}
 }
 
+// title names an item in messages.
+func title(of list, item named) string { return kinds[of] + " " + quoted(item.name()) }
+
 // named is any declared item.
 type named interface{ name() string }
 
--- a/internal/snapshot/match.go
+++ b/internal/snapshot/match.go
@@ -11,10 +11,11 @@
 // not /apix.
 //
 // The host may carry a port and is compared without regard to case. The path is
-// the decoded one (url.URL.Path). A path with . or .. segments matches nothing:
-// a worker might take it for another route's, with other rules on repeating.
+// the decoded one (url.URL.Path). A path with empty, . or .. segments within
+// matches nothing: a worker might take it for another route's, with other rules
+// on repeating.
 func (v *View) Match(host, path, method string) *Route {
-	if hasDotSegment(path) {
+	if ambiguous(path) {
 		return nil
 	}
 	name := hostName(host)
@@ -53,7 +54,11 @@
 	return strings.TrimSuffix(host, ".")
 }
 
-func hasDotSegment(path string) bool {
+// ambiguous reports whether others might take the path for another one.
+func ambiguous(path string) bool {
+	if strings.Contains(path, "//") {
+		return true
+	}
 	if !strings.Contains(path, "/.") {
 		return false
 	}
--- a/internal/snapshot/resolve.go
+++ b/internal/snapshot/resolve.go
@@ -122,6 +122,24 @@
 	return open
 }
 
+// NextResolve returns the first moment after a given one at which Resolve with
+// that overlap may give other routes for the same endpoints: a boundary, or the
+// begin or end of the overlap round it. It is the zero time when NextBoundary
+// is.
+func (c *Compiled) NextResolve(after time.Time, overlap time.Duration) time.Time {
+	var next time.Time
+	for _, shift := range []time.Duration{-overlap, 0, overlap} {
+		boundary := c.NextBoundary(after.Add(shift))
+		if boundary.IsZero() {
+			continue
+		}
+		if moment := boundary.Add(-shift); next.IsZero() || moment.Before(next) {
+			next = moment
+		}
+	}
+	return next
+}
+
 // NextBoundary returns the first moment after a given one at which a window
 // opens or closes, the zero time if none does within sixteen days: long enough
 // for a weekly window that one change of daylight saving time swallows.
