--- a/lab/experiment/actions.go
+++ b/lab/experiment/actions.go
@@ -193,11 +193,11 @@
 
 func cutZone(cut bool) action {
 	return func(_ context.Context, r *run, step Step) error {
-		for _, zone := range r.mesh.Plan.Zones {
-			if zone.Name != step.Zone {
-				r.mesh.Links.Cut(step.Zone, zone.Name, cut)
-			}
+		known := slices.ContainsFunc(r.mesh.Plan.Zones, func(zone declaration.Zone) bool { return zone.Name == step.Zone })
+		if !known {
+			return fault.New(fault.Settings, "name a zone of the plan", "unknown zone %q", step.Zone)
 		}
+		r.mesh.CutZone(step.Zone, step.Platform, cut)
 		return nil
 	}
 }
--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -87,6 +87,7 @@
 		targets = append(targets, load.Target{Name: edge.Name, Address: edge.Public})
 	}
 	r.generator = load.NewGenerator(load.NewCaller(r.mesh.ClientAddress()), targets, r.spec.Name)
+	r.mesh.Source.ResetCounts()
 	r.began = time.Now()
 	r.startBytes = r.readControlBytes()
 	r.generator.Start(r.spec.Load)
--- a/lab/experiment/spec.go
+++ b/lab/experiment/spec.go
@@ -70,21 +70,22 @@
 
 // Step is one step. Which fields count depends on the action.
 type Step struct {
-	Action  Action                        `yaml:"action" validate:"required"`
-	Labels  map[string]declaration.Labels `yaml:"labels"`  // publish: by worker
-	Windows map[string]WindowState        `yaml:"windows"` // publish: by selector
-	Secrets map[string]string             `yaml:"secrets"` // publish: by route, the secret that it needs from now on
-	Nodes   Selection                     `yaml:"nodes"`
-	Zone    string                        `yaml:"zone"`    // cut, heal
-	Mode    string                        `yaml:"mode"`    // source, fault
-	Secret  string                        `yaml:"secret"`  // secret
-	Value   string                        `yaml:"value"`   // secret
-	Workers []string                      `yaml:"workers"` // fault, expect-workers, expect-no-runs
-	Class   string                        `yaml:"class"`   // expect-workers, expect-answered
-	Share   float64                       `yaml:"share"`   // loss
-	AtLeast int                           `yaml:"atLeast"` // expect-answered
-	Within  time.Duration                 `yaml:"within"`  // bound of waiting
-	For     time.Duration                 `yaml:"for"`     // time that passes
+	Action   Action                        `yaml:"action" validate:"required"`
+	Labels   map[string]declaration.Labels `yaml:"labels"`  // publish: by worker
+	Windows  map[string]WindowState        `yaml:"windows"` // publish: by selector
+	Secrets  map[string]string             `yaml:"secrets"` // publish: by route, the secret that it needs from now on
+	Nodes    Selection                     `yaml:"nodes"`
+	Zone     string                        `yaml:"zone"`     // cut, heal
+	Platform bool                          `yaml:"platform"` // cut, heal: from the platform too
+	Mode     string                        `yaml:"mode"`     // source, fault
+	Secret   string                        `yaml:"secret"`   // secret
+	Value    string                        `yaml:"value"`    // secret
+	Workers  []string                      `yaml:"workers"`  // fault, expect-workers, expect-no-runs
+	Class    string                        `yaml:"class"`    // expect-workers, expect-answered
+	Share    float64                       `yaml:"share"`    // loss
+	AtLeast  int                           `yaml:"atLeast"`  // expect-answered
+	Within   time.Duration                 `yaml:"within"`   // bound of waiting
+	For      time.Duration                 `yaml:"for"`      // time that passes
 }
 
 // WindowState says whether a selector's window is open at the moment.
--- a/lab/link/stream.go
+++ b/lab/link/stream.go
@@ -66,7 +66,7 @@
 	if !n.pass(ctx, pair, time.Now()) {
 		return
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: source.AsSlice()}} // the receiver sees the true sender
 	far, err := dialer.DialContext(ctx, "tcp", real)
 	if err != nil {
 		_ = near.SetLinger(0) // the caller sees a reset, as from a host without that listener
--- a/lab/load/audit.go
+++ b/lab/load/audit.go
@@ -11,7 +11,7 @@
 type Audit struct {
 	Wrong         []string // answers passed on as whole that were not, or belonged to another
 	RanThoughNot  []string // attempts said to be not run that ran
-	RanTwice      []string // keys that ran more than once
+	RanTwice      []string // keys, or attempts that may not be repeated, that ran more than once
 	AnsweredNever []string // attempts answered that no journal knows
 }
 
@@ -55,6 +55,9 @@
 
 func (a *Audit) judge(attempt Attempt, ranAttempt, ranAtAll int) {
 	name := fmt.Sprintf("%s attempt %d through %s", attempt.Nonce, attempt.Number, attempt.Edge)
+	if attempt.Once && ranAttempt > 1 {
+		a.RanTwice = append(a.RanTwice, fmt.Sprintf("%s ran %d times", name, ranAttempt))
+	}
 	switch {
 	case attempt.Ending == EndingWrong:
 		a.Wrong = append(a.Wrong, name+": "+attempt.Cause)
--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -66,6 +66,7 @@
 		Nonce:  submission.Nonce,
 		Number: submission.Number,
 		Key:    submission.Key,
+		Once:   class.Once || class.Keyed,
 		Path:   class.Path,
 		Edge:   submission.Target.Name,
 		Start:  submission.Start,
--- a/lab/load/class.go
+++ b/lab/load/class.go
@@ -19,6 +19,7 @@
 	DeadlineMS    int               `yaml:"deadlineMs" validate:"min=0"`
 	Calls         string            `yaml:"calls"`                        // paths of nested calls, comma-separated
 	Keyed         bool              `yaml:"keyed"`                        // may run once: carries an Idempotency-Key
+	Once          bool              `yaml:"once"`                         // each attempt may run once: the route is not repeatable
 	Resubmissions int               `yaml:"resubmissions"`                // times that a caller asks again, each through the next edge
 	Headers       map[string]string `yaml:"headers" validate:"omitempty"` // sent along
 }
--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -90,19 +90,22 @@
 		{Nonce: "b", Number: 2, Path: "/p", Ending: EndingAnswered},
 		{Nonce: "c", Number: 1, Path: "/p", Ending: EndingAnswered},
 		{Nonce: "d", Number: 1, Path: "/p", Ending: EndingWrong},
+		{Nonce: "f", Number: 1, Path: "/p", Ending: EndingUnknown, Once: true},
 	}
 	runs := []worker.Run{
 		{Nonce: "a", Attempt: "1", Path: "/p"},
 		{Nonce: "b", Attempt: "2", Path: "/p", IdempotencyKey: "k"},
 		{Nonce: "b", Attempt: "2", Path: "/nested"},
 		{Nonce: "e", Attempt: "1", Path: "/p", IdempotencyKey: "k"},
+		{Nonce: "f", Attempt: "1", Path: "/p"},
+		{Nonce: "f", Attempt: "1", Path: "/p"},
 	}
 	audit := Compare(attempts, runs)
 	must.SliceLen(t, 1, audit.RanThoughNot)
 	must.StrContains(t, audit.RanThoughNot[0], "a attempt 1")
-	must.SliceLen(t, 1, audit.RanTwice)
+	must.SliceLen(t, 2, audit.RanTwice)
 	must.SliceLen(t, 1, audit.AnsweredNever)
 	must.StrContains(t, audit.AnsweredNever[0], "c attempt 1")
 	must.SliceLen(t, 1, audit.Wrong)
-	must.SliceLen(t, 4, audit.Violations())
+	must.SliceLen(t, 5, audit.Violations())
 }
--- a/lab/load/result.go
+++ b/lab/load/result.go
@@ -32,6 +32,7 @@
 	Nonce   string        `json:"nonce"`
 	Number  int           `json:"attempt"` // from 1
 	Key     string        `json:"key,omitempty"`
+	Once    bool          `json:"once,omitempty"` // may run at most once
 	Path    string        `json:"path"`
 	Edge    string        `json:"edge"`
 	Start   time.Time     `json:"start"` // intended
--- a/lab/mesh/layout.go
+++ b/lab/mesh/layout.go
@@ -23,6 +23,7 @@
 	advertisedOffset = 100 // added to the second octet of the address that a node advertises
 	clientsOctet     = 200 // third octet of the callers' addresses
 	clientsZone      = "clients"
+	platformZone     = "platform"
 	platformHost     = 254 // last octet of the platform's stand-ins, in the third octet 0
 )
 
@@ -36,8 +37,13 @@
 	return fmt.Sprintf("127.%d.%d.%d:%d", l.octet+offset, zone, host, port)
 }
 
-func (l layout) source() string   { return l.address(0, 0, platformHost, portSource) }
-func (l layout) machines() string { return l.address(0, 0, platformHost, portMachines) }
+// platform returns the address of a stand-in of the platform.
+func (l layout) platform(port int) string { return l.address(0, 0, platformHost, port) }
+
+// platformAt returns the address at which nodes reach it through a link.
+func (l layout) platformAt(port int) string {
+	return l.address(advertisedOffset, 0, platformHost, port)
+}
 
 // clientAddress is where callers dial from.
 func (l layout) clientAddress() netip.Addr {
--- a/lab/mesh/mesh.go
+++ b/lab/mesh/mesh.go
@@ -107,10 +107,10 @@
 	if _, err := m.Source.Publish(m.Plan.Document()); err != nil {
 		return err
 	}
-	if err := m.serve(m.layout.source(), m.Source); err != nil {
+	if err := m.serve(m.layout.platform(portSource), m.Source); err != nil {
 		return err
 	}
-	return m.serve(m.layout.machines(), m.Machines)
+	return m.serve(m.layout.platform(portMachines), m.Machines)
 }
 
 func machineOf(node *PlannedNode, state machines.State) machines.Machine {
@@ -145,6 +145,11 @@
 		m.Links.Set(link.Pair{From: zone, To: clientsZone}, toClients)
 		m.Links.Set(link.Pair{From: clientsZone, To: zone}, toClients)
 	}
+	for _, port := range []int{portSource, portMachines} {
+		if err := m.Links.Streams(m.layout.platformAt(port), m.layout.platform(port), platformZone); err != nil {
+			return err
+		}
+	}
 	for _, node := range planned {
 		if err := m.linkNode(node); err != nil {
 			return err
@@ -238,6 +243,19 @@
 	return edges
 }
 
+// CutZone cuts a zone off from all other zones and, if so asked, from the
+// platform, or heals it. Callers still reach the zone.
+func (m *Mesh) CutZone(zone string, platformToo, cut bool) {
+	for _, other := range m.layout.zones {
+		if other != zone {
+			m.Links.Cut(zone, other, cut)
+		}
+	}
+	if platformToo {
+		m.Links.Cut(zone, platformZone, cut)
+	}
+}
+
 // ClientAddress is the address from which callers dial, so that links know
 // them as callers.
 func (m *Mesh) ClientAddress() netip.Addr { return m.layout.clientAddress() }
--- a/lab/mesh/settings.go
+++ b/lab/mesh/settings.go
@@ -14,6 +14,7 @@
 	Name      string          `yaml:"name"`
 	Zone      string          `yaml:"zone"`
 	Region    string          `yaml:"region"`
+	Service   string          `yaml:"service,omitempty"`
 	Profile   string          `yaml:"profile"`
 	Worker    *workerSettings `yaml:"worker,omitempty"`
 	Listen    listenSettings  `yaml:"listen"`
@@ -50,10 +51,11 @@
 		Name:      node.Name,
 		Zone:      node.Zone,
 		Region:    node.Region,
+		Service:   node.Service,
 		Profile:   profile,
 		Listen:    listenSettings{Peer: node.Peer, Inbound: node.Inbound, Outbound: node.Outbound, Admin: node.Admin},
 		Advertise: listenSettings{Peer: node.PeerAt, Inbound: node.InboundAt},
-		Source:    sourceSettings{Configuration: "http://" + addresses.source(), Machines: "http://" + addresses.machines()},
+		Source:    sourceSettings{Configuration: "http://" + addresses.platformAt(portSource), Machines: "http://" + addresses.platformAt(portMachines)},
 		Security:  security{Plain: true},
 	}
 	if node.Worker != nil {
