--- a/internal/membership/register.go
+++ b/internal/membership/register.go
@@ -18,6 +18,9 @@
 	// startSkew bounds how far Start may lie ahead of the receiver's clock, for
 	// the same reason.
 	startSkew = 24 * time.Hour
+	// startSpread bounds the random part of a Start that outdoes a foreign one, in
+	// milliseconds.
+	startSpread = 1000
 	// fieldLimit bounds each text of a register, in bytes.
 	fieldLimit = 128
 )
@@ -79,6 +82,7 @@
 // withIdentity fills a compact register with the constant part of a held one.
 func withIdentity(update, held wire.Member) wire.Member {
 	result := held
+	result.Start = update.Start
 	result.Incarnation = update.Incarnation
 	result.Status = update.Status
 	result.Endpoint = update.Endpoint
--- a/internal/membership/update.go
+++ b/internal/membership/update.go
@@ -64,29 +64,29 @@
 	return int(math.Ceil(m.config.Retransmit*math.Log2(size+1))) + 1
 }
 
-// refute raises the node's own register above what a peer says of it, where
-// that would otherwise win. Besides accusations this covers words left over
-// from a former process of the same name whose clock was ahead, and forged ones.
+// refute answers what a peer says of this node where that would win over its
+// own register. An accusation is refuted by a greater incarnation. Words that
+// this process never said, left over from a former process whose clock was
+// ahead, or forged, are outdone by a greater Start, under which nothing else has
+// been said: the part at random keeps two such restarts in a row apart.
 func (m *Machine) refute(update wire.Member) {
 	self := m.Self()
 	if isCompact(update) {
-		if update.Start > self.Start {
-			return // can't win anywhere without its constant part; the full one will come
-		}
 		update = withIdentity(update, self)
 	}
-	if merge(self, update) == self {
+	foreign := update.Start > self.Start
+	if update.Start == self.Start {
+		foreign = update.Incarnation > self.Incarnation || laterEndpoint(self, update) != self
+	}
+	switch {
+	case foreign:
+		self.Start = update.Start + 1 + m.config.Random.Int64N(startSpread)
+		self.Incarnation = 0
+	case merge(self, update) != self:
+		self.Incarnation++
+	default:
 		return
 	}
-	self.Start = max(self.Start, update.Start)
-	self.Incarnation = max(self.Incarnation, update.Incarnation) + 1
-	if update.Start == self.Start && update.Sequence >= self.Sequence {
-		self.Sequence = update.Sequence + 1
-	}
-	if self.Incarnation > counterLimit || self.Sequence > counterLimit {
-		self.Start++
-		self.Incarnation, self.Sequence = 0, 0
-	}
 	m.change(self)
 }
 
