Wire choice, retries, admission and claims into the handlers

Change: the outbound handler tries endpoints within the budgets of the call tree and of the node; the inbound handler admits, claims and runs. A failure below which a call has failed for good is marked, so that only the level nearest to it retries. Metrics by route, outcome and cause.

--- a/internal/traffic/answer.go
+++ b/internal/traffic/answer.go
@@ -17,6 +17,7 @@
 	response *http.Response
 	whole    []byte // the body when it is small and of known length
 	isWhole  bool
+	replayed bool // whether it was kept from an earlier run
 }
 
 // receive takes an answer in. A small one is read whole, so that a short one
@@ -56,6 +57,9 @@
 		delete(header, "Content-Length")
 	}
 	x.setOutcome(header, outcome.Answered)
+	if a.replayed {
+		set(header, replayedHeader, "1")
+	}
 	x.writer.WriteHeader(a.response.StatusCode)
 	ended := result{outcome: outcome.Answered, status: a.response.StatusCode, cause: causeNone, sent: true}
 	if a.isWhole {
--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -2,12 +2,33 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
+	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 )
 
+// readBody opens the request's body.
+func readBody(limits *Limits) filter {
+	return func(next stage) stage {
+		return func(x *exchange) result {
+			opened, err := openBody(x, limits)
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				return reject(http.StatusRequestTimeout, causeMalformed, "send the body faster")
+			}
+			if err != nil {
+				return reject(http.StatusBadRequest, causeMalformed, "send the whole body")
+			}
+			x.body = opened
+			defer x.body.end()
+			return next(x)
+		}
+	}
+}
+
 // body is a request's body. A small one is held whole and can be sent again;
 // any other streams and can be sent again only while nothing of it was read.
 type body struct {
@@ -17,16 +38,17 @@
 	present bool
 }
 
-// open prepares a request's body. The error is the caller's: the body broke.
-func openBody(writer http.ResponseWriter, request *http.Request, limits *Limits) (body, error) {
+// openBody prepares a request's body. The error is the caller's: the body broke.
+func openBody(x *exchange, limits *Limits) (body, error) {
+	request := x.request
 	if request.Body == nil || request.Body == http.NoBody || request.ContentLength == 0 {
 		return body{}, nil
 	}
 	// Without full duplex the server reads on in the body before it lets a
 	// final answer out, and so holds it back.
-	controller := http.NewResponseController(writer)
+	controller := http.NewResponseController(x.writer)
 	_ = controller.EnableFullDuplex() // not offered by all writers: then answers wait for the body
-	stream := &streamedBody{source: request.Body, controller: controller, timeout: limits.BodyTimeout}
+	stream := &streamedBody{source: request.Body, controller: controller, timeout: limits.BodyTimeout, deadline: x.deadline}
 	if request.ContentLength < 0 || request.ContentLength > limits.SmallBody {
 		return body{present: true, length: request.ContentLength, stream: stream}, nil
 	}
@@ -55,24 +77,42 @@
 // replayable reports whether the body can be sent again.
 func (b *body) replayable() bool { return b.stream == nil || !b.stream.touched.Load() }
 
+// end stops reading from the caller's connection, which may go on to carry
+// another request.
+func (b *body) end() {
+	if b.stream != nil {
+		b.stream.end()
+	}
+}
+
 // streamedBody reads from the caller as fast as the other side takes it. Its
 // Close does nothing, so that a body that was not read can go to another node.
 type streamedBody struct {
 	source     io.Reader
 	controller *http.ResponseController
-	timeout    time.Duration
+	timeout    time.Duration // for each read
+	deadline   time.Time     // for all reads
 	touched    atomic.Bool
 	broken     atomic.Bool
+
+	mutex sync.Mutex
+	ended bool
 }
 
-// Read implements io.Reader. Each read has the whole timeout.
+// Read implements io.Reader.
 func (s *streamedBody) Read(buffer []byte) (int, error) {
 	s.touched.Store(true)
-	_ = s.controller.SetReadDeadline(time.Now().Add(s.timeout)) // not offered by all writers
+	until := time.Now().Add(s.timeout)
+	if s.deadline.Before(until) {
+		until = s.deadline
+	}
+	if !s.readUntil(until) {
+		return 0, http.ErrBodyReadAfterClose
+	}
 	count, err := s.source.Read(buffer)
 	if err != nil {
 		// The server watches the connection for the caller's leaving from now on.
-		_ = s.controller.SetReadDeadline(time.Time{})
+		s.readUntil(time.Time{})
 	}
 	if err != nil && err != io.EOF {
 		s.broken.Store(true)
@@ -80,5 +120,21 @@
 	return count, err
 }
 
+// readUntil sets the connection's read deadline, false when the request has ended.
+func (s *streamedBody) readUntil(deadline time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.ended {
+		_ = s.controller.SetReadDeadline(deadline) // not offered by all writers
+	}
+	return !s.ended
+}
+
+func (s *streamedBody) end() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.ended = true
+}
+
 // Close implements io.Closer.
 func (s *streamedBody) Close() error { return nil }
--- /dev/null
+++ b/internal/traffic/choose.go
@@ -0,0 +1,137 @@
+package traffic
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"sliphead/internal/outcome"
+	"sliphead/internal/snapshot"
+	"sliphead/internal/traffic/balance"
+)
+
+// chooser lets request goroutines share a balancer.
+type chooser struct {
+	mutex    sync.Mutex
+	balancer *balance.Balancer
+}
+
+func (c *chooser) pick(x *exchange, tried []int) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.balancer.Pick(time.Now(), x.route.Endpoints, tried)
+}
+
+func (c *chooser) ended(x *exchange, endpoint snapshot.Endpoint, seen balance.Observation) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.balancer.Ended(time.Now(), x.route.Name, endpoint, seen)
+}
+
+// choose tries endpoints until one answers or no further try is allowed.
+func (out *Outbound) choose(x *exchange) result {
+	out.retries.deposit()
+	last := refuse(causeEndpoints, time.Second, "send it again later, no worker takes this route now")
+	mayHaveRun := false
+	var tried []int
+	for {
+		index := out.chooser.pick(x, tried)
+		if index < 0 {
+			break
+		}
+		got, failure := out.try(x, x.route.Endpoints[index])
+		if failure == nil {
+			return got.pass(x)
+		}
+		last = *failure
+		mayHaveRun = mayHaveRun || failure.outcome == outcome.Unknown
+		if !worthRetrying(x, failure) || len(tried)+1 == len(x.route.Endpoints) || !out.spendRetry(x) {
+			break
+		}
+		tried = append(tried, index)
+	}
+	out.config.Calls.fail(x.id)
+	return asOne(last, mayHaveRun)
+}
+
+// asOne is the ending of a request whose last try ended as given: if an
+// earlier try may have run, it is not told as not run.
+func asOne(last result, mayHaveRun bool) result {
+	if mayHaveRun && last.outcome == outcome.NotRun {
+		return unknown(http.StatusBadGateway, last.cause, "an earlier try may have run, check before sending it again")
+	}
+	return last
+}
+
+// try sends the request to one endpoint.
+func (out *Outbound) try(x *exchange, endpoint snapshot.Endpoint) (*answer, *result) {
+	attempt := out.newID()
+	header := make(http.Header, len(x.request.Header)+6)
+	copyEndToEnd(header, x.request.Header)
+	x.setContext(header, x.millisecondsLeft())
+	set(header, outcome.Route, x.route.Name)
+	set(header, attemptHeader, attempt)
+	seen := balance.Observation{}
+	began := time.Now()
+	check := func(response *http.Response) *result {
+		if foreign := checkNode(x, attempt, response); foreign != nil {
+			return foreign
+		}
+		seen.Load, seen.Loaded = parseLoad(get(response.Header, outcome.Load))
+		if x.body.stream == nil {
+			seen.Latency = time.Since(began)
+		}
+		return refusedByNode(response)
+	}
+	got, failure := send(x, hop{transport: out.transport, address: endpoint.Address, header: header, expect: true}, check)
+	if failure != nil {
+		seen.Latency = 0
+		seen.Failed = blames(failure, seen)
+	} else {
+		got.replayed = hasHeader(got.response.Header, replayedHeader)
+	}
+	out.chooser.ended(x, endpoint, seen)
+	return got, failure
+}
+
+// blames reports whether a failure speaks against the endpoint. A refusal by a
+// worker's node that is busy does not: its load says enough.
+func blames(failure *result, seen balance.Observation) bool {
+	switch failure.cause {
+	case causeCallerGone:
+		return false
+	case causeRefused:
+		return failure.status >= http.StatusInternalServerError && seen.Load.Busy < seen.Load.Slots
+	default:
+		return true
+	}
+}
+
+// checkNode refuses an answer that belongs to another try.
+func checkNode(x *exchange, attempt string, response *http.Response) *result {
+	if get(response.Header, attemptHeader) == attempt && get(response.Header, outcome.RequestID) == x.id {
+		return nil
+	}
+	foreign := unknown(http.StatusBadGateway, causeForeign, "check whether it ran, the answer was for another request")
+	return &foreign
+}
+
+// parseLoad reads "busy/slots/queued".
+func parseLoad(text string) (balance.Load, bool) {
+	busy, rest, _ := strings.Cut(text, "/")
+	slots, queued, found := strings.Cut(rest, "/")
+	var load balance.Load
+	var err error
+	if load.Busy, err = strconv.Atoi(busy); err != nil || !found {
+		return balance.Load{}, false
+	}
+	if load.Slots, err = strconv.Atoi(slots); err != nil {
+		return balance.Load{}, false
+	}
+	if load.Queued, err = strconv.Atoi(queued); err != nil {
+		return balance.Load{}, false
+	}
+	return load, true
+}
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -27,6 +27,7 @@
 
 	smallAnswer int64         // answers up to this many bytes are read whole
 	load        func() string // the local worker's load; nil at outbound
+	granted     chan struct{} // closed when the wait for a slot is decided
 }
 
 // result is how a request ended. A result that was not passed on yet becomes
@@ -37,9 +38,10 @@
 	cause      cause
 	remedy     string
 	retryAfter time.Duration
-	sent       bool // whether the answer's header was passed on
-	cut        bool // whether the answer has to be cut because it is not whole
-	final      bool // whether a level below has already spent its retries
+	sent       bool    // whether the answer's header was passed on
+	cut        bool    // whether the answer has to be cut because it is not whole
+	final      bool    // whether a level below has already spent its retries
+	answer     *answer // a whole answer that is still to be passed on
 }
 
 // cause is the bounded label under which endings are counted.
--- a/internal/traffic/forward.go
+++ b/internal/traffic/forward.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"time"
 
 	"sliphead/internal/outcome"
@@ -85,7 +84,7 @@
 	callerGone := x.request.Context().Err() != nil || x.body.stream != nil && x.body.stream.broken.Load()
 	switch {
 	case callerGone && left:
-		return unknown(http.StatusBadGateway, causeCallerGone, "the caller's connection ended, send the request again if it may be repeated")
+		return unknown(http.StatusBadGateway, causeCallerGone, "the caller's connection or body broke off, check whether it ran before sending it again")
 	case callerGone:
 		return reject(http.StatusBadRequest, causeCallerGone, "keep the connection open until the answer has come")
 	case deadlinePassed && left:
@@ -102,9 +101,6 @@
 // hasHeader is here so that a header given empty still counts as given.
 func hasHeader(header http.Header, name string) bool { return len(header[name]) > 0 }
 
-// pathOf returns the path that routes match against.
-func pathOf(u *url.URL) string { return u.Path }
-
 // refusedByNode reads a refusal from the answer of another node, nil if it is none.
 func refusedByNode(response *http.Response) *result {
 	told := outcome.Outcome(get(response.Header, outcome.Header))
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -3,26 +3,32 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
+	"sync/atomic"
 	"time"
 
 	"sliphead/internal/outcome"
+	"sliphead/internal/snapshot"
 )
 
 // Inbound takes requests from other nodes to the local worker.
 type Inbound struct {
-	config    Config
-	gate      *gate
-	transport *http.Transport
-	handle    stage
+	config   Config
+	gate     *gate
+	admitter *admitter
+	worker   *workerLink
+	metrics  *metrics
+	seen     atomic.Pointer[snapshot.View] // the view that slots and connections were taken from
+	handle   stage
 }
 
 // NewInbound returns the handler of the inbound listener.
 func NewInbound(config Config) *Inbound {
 	config = config.withDefaults()
 	in := &Inbound{config: config, gate: newGate()}
-	in.transport = newTransport(config.Dial, config.Limits.Connections, config.Limits.Connections)
-	in.handle = pipe(in.forward, in.classify, limitDepth(config.Limits.MaxDepth), limitTime, readBody(&in.config.Limits))
+	in.admitter = newAdmitter(config.Limits)
+	in.worker = newWorkerLink(config)
+	in.metrics = newMetrics(config, "inbound", gauges{inFlight: in.gate.count, queued: in.admitter.waiting})
+	in.handle = pipe(in.forward, in.classify, limitDepth(config.Limits.MaxDepth), limitTime, readBody(&in.config.Limits), in.admitter.admit, in.claim)
 	return in
 }
 
@@ -38,30 +44,31 @@
 		budget:      number(request.Header, outcome.RetryBudget, 0),
 		depth:       number(request.Header, outcome.Depth, 0),
 		smallAnswer: in.config.Limits.SmallAnswer,
-		load:        in.load,
+		load:        in.admitter.load,
 	}
 	if !in.gate.enter() {
-		conclude(x, refuse(causeDraining, time.Second, "send it again, another worker will take it"))
+		in.metrics.conclude(x, refuse(causeDraining, time.Second, "send it again, another worker will take it"))
 		return
 	}
 	defer in.gate.leave()
-	conclude(x, in.handle(x))
+	in.metrics.conclude(x, in.handle(x))
 }
 
 // Drain refuses new requests as not run from now on.
 func (in *Inbound) Drain() { in.gate.drain() }
 
+// Busy returns the number of requests that hold a slot of the worker.
+func (in *Inbound) Busy() int { return in.admitter.busy() }
+
+// Queued returns the number of requests that wait for a slot.
+func (in *Inbound) Queued() int { return in.admitter.waiting() }
+
 // InFlight returns the number of requests that have not ended.
 func (in *Inbound) InFlight() int { return in.gate.count() }
 
 // Wait returns when the handler drains and all requests have ended.
 func (in *Inbound) Wait(ctx context.Context) error { return in.gate.wait(ctx) }
 
-// load tells busy, slots and queued requests to callers' nodes.
-func (in *Inbound) load() string {
-	return strconv.Itoa(in.gate.count()) + "/" + strconv.Itoa(in.config.Limits.Slots) + "/0"
-}
-
 // classify finds the route that the caller's node chose and checks that the
 // local worker takes it.
 func (in *Inbound) classify(next stage) stage {
@@ -69,6 +76,9 @@
 		if fix := malformed(x.request); fix != "" {
 			return reject(http.StatusBadRequest, causeMalformed, fix)
 		}
+		if !validID(x.id) || !validID(x.attempt) {
+			return reject(http.StatusBadRequest, causeMalformed, "send requests through a node's outbound listener")
+		}
 		view, current := in.config.Holder.Current(x.started)
 		if !current {
 			return refuse(causeLease, time.Second, "send it again, this node has no confirmed configuration")
@@ -79,6 +89,7 @@
 		}
 		x.view = view
 		x.route = route
+		in.adjust(view)
 		return next(x)
 	}
 }
@@ -92,10 +103,16 @@
 	if x.route.Credential != "" {
 		set(header, "Authorization", "Bearer "+x.route.Credential)
 	}
-	got, failure := send(x, hop{transport: in.transport, address: in.config.WorkerAddress, header: header}, x.checkWorker)
+	in.config.Calls.begin(x.id)
+	got, failure := send(x, hop{transport: in.worker.transport(), address: in.config.WorkerAddress, header: header}, x.checkWorker)
+	callFailed := in.config.Calls.end(x.id)
 	if failure != nil {
+		failure.final = callFailed
 		return *failure
 	}
+	if got.isWhole {
+		return result{outcome: outcome.Answered, status: got.response.StatusCode, cause: causeNone, answer: got}
+	}
 	return got.pass(x)
 }
 
@@ -117,17 +134,3 @@
 	}
 	return nil
 }
-
-// readBody opens the request's body.
-func readBody(limits *Limits) filter {
-	return func(next stage) stage {
-		return func(x *exchange) result {
-			opened, err := openBody(x.writer, x.request, limits)
-			if err != nil {
-				return reject(http.StatusBadRequest, causeMalformed, "send the whole body")
-			}
-			x.body = opened
-			return next(x)
-		}
-	}
-}
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sliphead/internal/outcome"
+	"sliphead/internal/traffic/balance"
 )
 
 // Outbound takes requests from callers or from the local worker and chooses an
@@ -17,6 +18,9 @@
 	gate      *gate
 	random    *rand.Rand
 	transport *http.Transport
+	chooser   *chooser
+	retries   *retryBucket
+	metrics   *metrics
 	handle    stage
 }
 
@@ -25,6 +29,9 @@
 	config = config.withDefaults()
 	out := &Outbound{config: config, gate: newGate(), random: rand.New(config.Random)}
 	out.transport = newTransport(config.Dial, 0, config.Limits.IdlePerNode)
+	out.chooser = &chooser{balancer: balance.New(balance.DefaultSettings(config.Zone, config.Region), rand.New(config.Random))}
+	out.retries = newRetryBucket(config.Limits)
+	out.metrics = newMetrics(config, "outbound", gauges{inFlight: out.gate.count})
 	out.handle = pipe(out.choose, out.classify, limitDepth(config.Limits.MaxDepth), limitTime, readBody(&out.config.Limits))
 	return out
 }
@@ -33,11 +40,11 @@
 func (out *Outbound) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	x := out.begin(writer, request)
 	if !out.gate.enter() {
-		conclude(x, refuse(causeDraining, time.Second, "send it again through another node"))
+		out.metrics.conclude(x, refuse(causeDraining, time.Second, "send it again through another node"))
 		return
 	}
 	defer out.gate.leave()
-	conclude(x, out.handle(x))
+	out.metrics.conclude(x, out.handle(x))
 }
 
 // begin reads the request's context. An edge believes none of it but the id.
@@ -90,42 +97,10 @@
 			return refuse(causeLease, time.Second, "send it again, this node has no confirmed configuration")
 		}
 		x.view = view
-		x.route = match(view, hostOf(x.request), pathOf(x.request.URL), x.request.Method)
+		x.route = match(view, hostOf(x.request), x.request.URL.Path, x.request.Method)
 		if x.route == nil {
 			return reject(http.StatusNotFound, causeRoute, "check host, path and method, no route is declared for them")
 		}
 		return next(x)
 	}
 }
-
-// choose tries one endpoint.
-func (out *Outbound) choose(x *exchange) result {
-	if len(x.route.Endpoints) == 0 {
-		return refuse(causeEndpoints, time.Second, "send it again later, no worker takes this route now")
-	}
-	endpoint := x.route.Endpoints[out.random.IntN(len(x.route.Endpoints))]
-	header := make(http.Header, len(x.request.Header)+5)
-	copyEndToEnd(header, x.request.Header)
-	x.setContext(header, x.millisecondsLeft())
-	set(header, outcome.Route, x.route.Name)
-	attempt := out.newID()
-	set(header, attemptHeader, attempt)
-	to := hop{transport: out.transport, address: endpoint.Address, header: header, expect: true}
-	got, failure := send(x, to, x.checkNode(attempt))
-	if failure != nil {
-		return *failure
-	}
-	return got.pass(x)
-}
-
-// checkNode refuses an answer that belongs to another try and reads another
-// node's refusal.
-func (x *exchange) checkNode(attempt string) func(*http.Response) *result {
-	return func(response *http.Response) *result {
-		if get(response.Header, attemptHeader) != attempt || get(response.Header, outcome.RequestID) != x.id {
-			foreign := unknown(http.StatusBadGateway, causeForeign, "check whether it ran, the answer was for another request")
-			return &foreign
-		}
-		return refusedByNode(response)
-	}
-}
--- a/internal/traffic/outcome.go
+++ b/internal/traffic/outcome.go
@@ -30,6 +30,10 @@
 	if ended.sent {
 		return
 	}
+	if ended.answer != nil {
+		ended.answer.pass(x)
+		return
+	}
 	header := x.writer.Header()
 	x.setOutcome(header, ended.outcome)
 	set(header, outcome.Remedy, ended.remedy)
--- /dev/null
+++ b/internal/traffic/retry.go
@@ -0,0 +1,61 @@
+package traffic
+
+import (
+	"net/http"
+	"sync"
+
+	"sliphead/internal/outcome"
+)
+
+// oneRetry is the cost of a retry, in thousandths.
+const oneRetry = 1000
+
+// retryBucket bounds the retries of a node to a share of its requests.
+type retryBucket struct {
+	mutex  sync.Mutex
+	tokens float64
+	ratio  float64
+	burst  float64
+}
+
+func newRetryBucket(limits Limits) *retryBucket {
+	return &retryBucket{tokens: limits.RetryBurst, ratio: limits.RetryRatio, burst: limits.RetryBurst}
+}
+
+// deposit counts a request.
+func (b *retryBucket) deposit() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.tokens = min(b.burst, b.tokens+b.ratio)
+}
+
+// take reports whether a retry is allowed and counts it.
+func (b *retryBucket) take() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// worthRetrying reports whether a failed try may be followed by another: the
+// request did not run or may run twice, nobody below has spent retries on it,
+// and its body can be sent again.
+func worthRetrying(x *exchange, failure *result) bool {
+	mayRunAgain := failure.outcome == outcome.NotRun || x.route.Repeatable
+	temporary := failure.status >= http.StatusInternalServerError && failure.status != http.StatusLoopDetected
+	return mayRunAgain && temporary && !failure.final &&
+		failure.cause != causeCallerGone && x.context.Err() == nil && x.body.replayable()
+}
+
+// spendRetry takes a retry from the budgets of the call tree and of the node.
+func (out *Outbound) spendRetry(x *exchange) bool {
+	if x.budget < oneRetry || !out.retries.take() {
+		return false
+	}
+	x.budget -= oneRetry
+	out.metrics.retries.Inc()
+	return true
+}
