Run hollow fleets in one process and measure them

Change: lab/fleet starts nodes without request listeners over loopback sockets with delays by zone; phases start, idle, changes, restarts, zone cut, half killed; one result line.

--- a/cmd/sliphead-lab/main.go
+++ b/cmd/sliphead-lab/main.go
@@ -18,6 +18,7 @@
 type commands struct {
 	Demo   demoCommand   `cmd:"" help:"Run both users' meshes small, end to end, and end by itself."`
 	Run    runCommand    `cmd:"" help:"Run an experiment file."`
+	Fleet  fleetCommand  `cmd:"" help:"Run many hollow nodes in one process and measure them."`
 	Report reportCommand `cmd:"" help:"Draw the plots of a run's report."`
 	Worker workerCommand `cmd:"" help:"Run one stand-in worker until a signal ends it."`
 	Source sourceCommand `cmd:"" help:"Run a stand-in configuration service until a signal ends it."`
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -94,7 +94,7 @@
 func (p *publisher) publishNow(wallClock, now time.Time) {
 	p.dirty = false
 	p.lastPublish = now
-	p.nextBoundary = p.compiled.NextBoundary(wallClock)
+	p.nextBoundary = p.compiled.NextResolve(wallClock, p.config.Overlap)
 	p.config.Holder.Store(p.compiled.Resolve(snapshot.ResolveInput{
 		At:          wallClock,
 		Overlap:     p.config.Overlap,
--- a/internal/node/configure.go
+++ b/internal/node/configure.go
@@ -20,13 +20,14 @@
 // transportConfig wires the peer transport to the control loop.
 func (n *Node) transportConfig() transport.Config {
 	return transport.Config{
-		Bind:     n.settings.Listen.Peer,
-		Self:     func() wire.Member { return n.self },
-		Network:  n.options.Network,
-		Security: transport.Security(n.settings.Security),
-		Deliver:  func(received transport.Received) { n.loop.Deliver(received) },
-		Logger:   n.options.Logger,
-		Random:   newRandom(),
+		Bind:        n.settings.Listen.Peer,
+		Self:        func() wire.Member { return n.self },
+		Network:     n.options.Network,
+		Security:    transport.Security(n.settings.Security),
+		Compression: n.options.Compression,
+		Deliver:     func(received transport.Received) { n.loop.Deliver(received) },
+		Logger:      n.options.Logger,
+		Random:      newRandom(),
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,11 @@
 	Logger   log.Interface
 	Registry *prometheus.Registry
 	Hollow   bool // leaves the request and admin listeners out
+	// Compression is the coding of outgoing streams, "" for the default.
+	Compression transport.Compression
+	// History is how many former versions are kept for deltas, below zero for
+	// the default.
+	History int
 }
 
 // Node is one process of the system.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -19,6 +19,9 @@
 	Transport            transport.Counters `json:"transport"`
 }
 
+// Counters returns the transport's running totals.
+func (n *Node) Counters() transport.Counters { return n.transport.Counters() }
+
 // Status gathers the state of all parts.
 func (n *Node) Status(ctx context.Context) Status {
 	ready, reason := n.ready()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -134,6 +134,14 @@
 	gossipForBytes       = 500 * time.Millisecond
 )
 
+// GossipInterval returns the time between two rounds of gossip.
+func (p Profile) GossipInterval() time.Duration {
+	if p == ProfileBytes {
+		return gossipForBytes
+	}
+	return gossipForConvergence
+}
+
 // Default returns the settings of a node before its file is read. Names,
 // addresses, the source and security have no default.
 func Default() *Settings {
@@ -164,10 +172,7 @@
 		s.Advertise.Inbound = s.Listen.Inbound
 	}
 	if s.Membership.GossipInterval.Duration == 0 {
-		s.Membership.GossipInterval.Duration = gossipForConvergence
-		if s.Profile == ProfileBytes {
-			s.Membership.GossipInterval.Duration = gossipForBytes
-		}
+		s.Membership.GossipInterval.Duration = s.Profile.GossipInterval()
 	}
 	if s.Worker == nil {
 		return
--- a/internal/transport/counters.go
+++ b/internal/transport/counters.go
@@ -80,3 +80,6 @@
 	c.totals.streamBytesSent.Add(uint64(count))
 	return count, err
 }
+
+// Bytes returns what was sent, by stream and datagram.
+func (c Counters) Bytes() uint64 { return c.StreamBytesSent + c.DatagramBytesSent }
