Refuse bad peers, bound long lines together and pick the stream's coding

Cause: peers may send garbage, endless lines, bombs or messages in another's name, and 256 streams with lines of 8 MiB each would take far more than a node's 32 MB.

Each refusal has a cause, logged once a minute for each cause and peer. Long lines of all streams share a budget (16 MiB). A host name as peer address is refused, so that a made-up register starts no look-up. The coding byte goes out with the first batch.

--- a/internal/transport/config.go
+++ b/internal/transport/config.go
@@ -49,6 +49,7 @@
 	StreamsPerSecond  float64       // rate at which streams are admitted
 	StreamBurst       int           // streams admitted at once before the rate counts
 	MaxLineBytes      int           // one message on a stream
+	LongLineBytes     int           // long lines of all streams together while they are read
 	MessagesPerSecond float64       // from one stream
 	MessageBurst      int           // messages of one stream at once before the rate counts
 	QueueMessages     int           // waiting for one peer
@@ -67,6 +68,7 @@
 	setDefault(&l.StreamsPerSecond, 50)
 	setDefault(&l.StreamBurst, 100)
 	setDefault(&l.MaxLineBytes, wire.MaxLineBytes)
+	setDefault(&l.LongLineBytes, 2*wire.MaxLineBytes)
 	setDefault(&l.MessagesPerSecond, 5000)
 	setDefault(&l.MessageBurst, 10000)
 	setDefault(&l.QueueMessages, 256)
--- a/internal/transport/credentials.go
+++ b/internal/transport/credentials.go
@@ -55,10 +55,11 @@
 		"security.plain is set and keys are named")
 }
 
-// client proves a dialled stream in both directions.
-func (c *credentials) client(ctx context.Context, conn net.Conn) (net.Conn, error) {
+// client proves a dialled stream in both directions and returns the names that
+// the listener's certificate proves, nil in plain mode.
+func (c *credentials) client(ctx context.Context, conn net.Conn) (net.Conn, []string, error) {
 	if c == nil {
-		return conn, nil
+		return conn, nil, nil
 	}
 	config := c.config()
 	// The dialer knows an address, not a name: the chain is verified by
@@ -67,9 +68,9 @@
 	config.VerifyConnection = func(state tls.ConnectionState) error { return c.verify(state, x509.ExtKeyUsageServerAuth) }
 	secured := tls.Client(conn, config)
 	if err := secured.HandshakeContext(ctx); err != nil {
-		return nil, refusedPeer(err)
+		return nil, nil, refusedPeer(err)
 	}
-	return secured, nil
+	return secured, provenNames(secured.ConnectionState().PeerCertificates[0]), nil
 }
 
 // server proves an accepted stream in both directions and returns the names
@@ -126,6 +127,6 @@
 
 // refusedPeer types an error of the handshake.
 func refusedPeer(err error) error {
-	return fault.Wrap(err, fault.Peer, "check both sides' certificates and authorities, and that security.plain is set on neither or both",
-		"the peer was not authenticated")
+	return refused(causeAuthentication, fault.Wrap(err, fault.Peer,
+		"check both sides' certificates and authorities, and that security.plain is set on neither or both", "the peer was not authenticated"))
 }
--- a/internal/transport/datagram.go
+++ b/internal/transport/datagram.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 
 	"golang.org/x/time/rate"
 
@@ -32,9 +33,9 @@
 	if packets == nil {
 		return nil
 	}
-	target, err := net.ResolveUDPAddr("udp", address)
+	target, err := netip.ParseAddrPort(address)
 	if err != nil {
-		return err
+		return fault.Wrap(err, fault.Peer, "advertise an IP and a port", "the peer address %q is wrong", address)
 	}
 	line, err := wire.Encode(envelope)
 	if err != nil {
@@ -45,7 +46,7 @@
 		return fault.New(fault.Internal, "report this defect: the sender must bound its updates",
 			"a %s datagram has %d bytes, more than %d", envelope.Kind(), len(sealed), wire.MaxDatagramBytes)
 	}
-	count, err := packets.WriteTo(sealed, target)
+	count, err := packets.WriteTo(sealed, net.UDPAddrFromAddrPort(target))
 	if err != nil {
 		return err
 	}
@@ -92,10 +93,10 @@
 // takeDatagram checks and delivers one datagram.
 func (t *Transport) takeDatagram(datagram []byte, remote net.Addr, limiter *rate.Limiter) error {
 	if !limiter.Allow() {
-		return fault.New(fault.Peer, "find out who floods the peer address", "more than %d datagrams a second", datagramsPerSecond)
+		return refused(causeRate, fault.New(fault.Peer, "find out who floods the peer address", "more than %d datagrams a second", datagramsPerSecond))
 	}
 	if len(datagram) > wire.MaxDatagramBytes {
-		return fault.New(fault.Peer, garbageRemedy, "a datagram has more than %d bytes", wire.MaxDatagramBytes)
+		return refused(causeTooLong, fault.New(fault.Peer, garbageRemedy, "a datagram has more than %d bytes", wire.MaxDatagramBytes))
 	}
 	line, err := t.credentials.unseal(datagram)
 	if err != nil {
@@ -103,10 +104,10 @@
 	}
 	envelope, err := wire.Decode(line)
 	if err != nil {
-		return err
+		return refused(causeGarbage, err)
 	}
 	if envelope.Ping == nil && envelope.PingReq == nil && envelope.Ack == nil && envelope.Gossip == nil {
-		return fault.New(fault.Peer, garbageRemedy, "a %s message came by datagram", envelope.Kind())
+		return refused(causeGarbage, fault.New(fault.Peer, garbageRemedy, "a %s message came by datagram", envelope.Kind()))
 	}
 	t.deliver(Received{Envelope: envelope, Remote: remote.String(), Bytes: len(datagram), Datagram: true})
 	return nil
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -20,7 +20,8 @@
 	maxRefusals    = 32       // refusals answered at once; beyond that streams are just closed
 	refusalBytes   = 64 << 10 // read from a refused dialer so that it sees the answer
 	acceptPause    = 20 * time.Millisecond
-	idleFactor     = 2 // a listener waits this many idle timeouts for the next line
+	tlsAlert       = "remote error" // the operation that crypto/tls names when the peer refused
+	idleFactor     = 2              // a listener waits this many idle timeouts for the next line
 )
 
 // inboundStream is an open stream from a peer.
@@ -102,9 +103,6 @@
 	if _, err := conn.Write(line); err != nil {
 		return
 	}
-	if closer, ok := conn.(interface{ CloseWrite() error }); ok {
-		closer.CloseWrite()
-	}
 	io.CopyN(io.Discard, conn, refusalBytes)
 }
 
@@ -131,7 +129,7 @@
 		}
 	}
 	var network *net.OpError
-	return errors.As(err, &network)
+	return errors.As(err, &network) && network.Op != tlsAlert
 }
 
 // readStream checks who is there and delivers message after message.
@@ -142,10 +140,11 @@
 	if err != nil {
 		return err
 	}
-	lines, err := newLineReader(conn, limits.MaxLineBytes, raw.received.Load)
+	lines, err := newLineReader(conn, limits.MaxLineBytes, &t.longLines, raw.received.Load)
 	if err != nil {
 		return err
 	}
+	defer lines.release()
 	name, err := t.readHello(lines, raw, proven)
 	if err != nil {
 		return err
@@ -171,14 +170,13 @@
 	}
 	envelope, err := wire.Decode(line)
 	if err != nil {
-		return "", err
+		return "", refused(causeGarbage, err)
 	}
 	if envelope.Hello == nil || envelope.Hello.Member.Name != envelope.From {
-		return "", fault.New(fault.Peer, garbageRemedy, "a stream from %q starts with no hello of its own", envelope.From)
+		return "", refused(causeForeign, fault.New(fault.Peer, garbageRemedy, "a stream from %q starts with no hello of its own", envelope.From))
 	}
-	if proven != nil && !slices.Contains(proven, envelope.From) {
-		return "", fault.New(fault.Peer, "give the node a certificate whose DNS name is its own name",
-			"a peer says that it is %q and its certificate says %q", envelope.From, proven)
+	if err := checkProven(envelope.From, proven); err != nil {
+		return "", err
 	}
 	t.deliver(Received{Envelope: envelope, Remote: raw.RemoteAddr().String(), Bytes: len(line)})
 	return envelope.From, nil
@@ -191,23 +189,33 @@
 		return err
 	}
 	if !messages.Allow() {
-		return fault.New(fault.Peer, "find out why the peer sends so much; it may come back",
-			"%q sends more than %v messages a second", name, t.config.Limits.MessagesPerSecond)
+		return refused(causeRate, fault.New(fault.Peer, "find out why the peer sends so much; it may come back",
+			"%q sends more than %v messages a second", name, t.config.Limits.MessagesPerSecond))
 	}
 	envelope, err := wire.Decode(line)
 	if err != nil {
-		return err
+		return refused(causeGarbage, err)
 	}
 	if envelope.From != name {
-		return fault.New(fault.Peer, garbageRemedy, "a stream of %q carries a message in the name of %q", name, envelope.From)
+		return refused(causeForeign, fault.New(fault.Peer, garbageRemedy, "a stream of %q carries a message in the name of %q", name, envelope.From))
 	}
 	if envelope.Hello != nil || envelope.Busy != nil {
-		return fault.New(fault.Peer, garbageRemedy, "a stream of %q carries a %s message where none belongs", name, envelope.Kind())
+		return refused(causeGarbage, fault.New(fault.Peer, garbageRemedy, "a stream of %q carries a %s message where none belongs", name, envelope.Kind()))
 	}
 	t.deliver(Received{Envelope: envelope, Remote: raw.RemoteAddr().String(), Bytes: len(line)})
 	return nil
 }
 
+// checkProven refuses a name that the certificate does not prove. In plain mode
+// proven is nil and any name goes.
+func checkProven(name string, proven []string) error {
+	if proven == nil || slices.Contains(proven, name) {
+		return nil
+	}
+	return refused(causeAuthentication, fault.New(fault.Peer, "give the node a certificate whose DNS name is its own name",
+		"a peer says that it is %q and its certificate says %q", name, proven))
+}
+
 // register notes an open stream. A peer that opens more than a few loses its
 // oldest: it has most likely forgotten it.
 func (t *Transport) register(name string, stream *inboundStream) {
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -1,10 +1,12 @@
 package transport
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
 	"net"
+	"net/netip"
 	"time"
 
 	"sliphead/internal/fault"
@@ -15,7 +17,8 @@
 	tries        = 3               // failed tries in a row after which a queue is given up
 	stableAfter  = 2 * time.Second // a stream that lasted this long ends a row of failures
 	maxBusyWait  = time.Minute     // the longest wait that a Busy can ask for
-	maxBusyBytes = 64 << 10        // the longest Busy line
+	maxBusyBytes = keepBytes       // the longest Busy line
+	answerBytes  = 512             // a dialer's read buffer
 )
 
 const unreachableRemedy = "check that the peer runs and that the network lets its peer address through; tries go on by themselves"
@@ -140,7 +143,7 @@
 // session opens a stream and writes the queue until the stream has been idle
 // for long, and then returns nil, or until it fails.
 func (l *link) session(ctx context.Context) error {
-	conn, err := l.transport.dial(ctx, l.address)
+	conn, proven, err := l.transport.dial(ctx, l.address)
 	if err != nil {
 		return fault.Wrap(err, fault.Peer, unreachableRemedy, "open a stream to %s", l.address)
 	}
@@ -153,7 +156,7 @@
 	answered := make(chan struct{})
 	go func() {
 		defer close(answered)
-		ended <- l.transport.readAnswer(conn)
+		ended <- l.transport.readAnswer(conn, proven)
 		conn.Close()
 	}()
 	err = l.write(ctx, conn, ended)
@@ -167,13 +170,8 @@
 	if err == nil {
 		return nil
 	}
-	var busy *busyError
-	select {
-	case answer := <-ended:
-		if errors.As(answer, &busy) {
-			return answer
-		}
-	default:
+	if answer := <-ended; !errors.Is(answer, net.ErrClosed) {
+		return answer
 	}
 	return err
 }
@@ -187,10 +185,6 @@
 	if err != nil {
 		return err
 	}
-	conn.SetWriteDeadline(time.Now().Add(limits.WriteTimeout))
-	if _, err := conn.Write([]byte{lines.coding()}); err != nil {
-		return err
-	}
 	batch := append([][]byte{hello}, l.take()...)
 	idle := time.NewTimer(limits.IdleTimeout)
 	defer idle.Stop()
@@ -222,21 +216,26 @@
 	}
 }
 
-// dial connects, and under TLS proves both sides.
-func (t *Transport) dial(ctx context.Context, address string) (net.Conn, error) {
+// dial connects, and under TLS proves both sides. It returns the names that the
+// listener's certificate proves. Host names are refused: a register made up by
+// a peer must not start look-ups.
+func (t *Transport) dial(ctx context.Context, address string) (net.Conn, []string, error) {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return nil, nil, fault.Wrap(err, fault.Peer, "advertise an IP and a port", "the peer address %q is wrong", address)
+	}
 	ctx, cancel := context.WithTimeout(ctx, t.config.Limits.HandshakeTimeout)
 	defer cancel()
 	raw, err := t.config.Network.Dial(ctx, t.localIP, address)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	conn, err := t.credentials.client(ctx, &countedConn{Conn: raw, totals: &t.totals})
+	conn, proven, err := t.credentials.client(ctx, &countedConn{Conn: raw, totals: &t.totals})
 	if err != nil {
 		raw.Close()
-		return nil, err
+		return nil, nil, err
 	}
 	t.totals.streamsOpened.Add(1)
-	return conn, nil
+	return conn, proven, nil
 }
 
 // busyError is a listener's refusal with the wait that it asked for.
@@ -249,9 +248,8 @@
 
 // readAnswer reads until the listener closes the stream. A listener sends
 // nothing but, at most, one Busy in plain JSON.
-func (t *Transport) readAnswer(conn net.Conn) error {
-	answer := &lineReader{maximum: maxBusyBytes}
-	answer.buffered = newSmallReader(conn)
+func (t *Transport) readAnswer(conn net.Conn, proven []string) error {
+	answer := &lineReader{buffered: bufio.NewReaderSize(conn, answerBytes), maximum: maxBusyBytes}
 	line, err := answer.next()
 	if err != nil {
 		if errors.Is(err, io.EOF) {
@@ -264,7 +262,10 @@
 		return err
 	}
 	if envelope.Busy == nil {
-		return fault.New(fault.Peer, garbageRemedy, "a listener sent a %s message, which only a dialer may", envelope.Kind())
+		return refused(causeGarbage, fault.New(fault.Peer, garbageRemedy, "a listener sent a %s message, which only a dialer may", envelope.Kind()))
+	}
+	if err := checkProven(envelope.From, proven); err != nil {
+		return err
 	}
 	t.totals.streamsBusy.Add(1)
 	wait := min(max(time.Duration(envelope.Busy.RetryAfterMS)*time.Millisecond, 0), maxBusyWait)
--- a/internal/transport/reload.go
+++ b/internal/transport/reload.go
@@ -183,7 +183,7 @@
 			}
 		}
 	}
-	return nil, fault.New(fault.Peer, "check that all nodes hold the same security.datagramKeyFile", "a datagram is not authentic")
+	return nil, refused(causeAuthentication, fault.New(fault.Peer, "check that all nodes hold the same security.datagramKeyFile", "a datagram is not authentic"))
 }
 
 // tagOf returns the truncated HMAC-SHA256 of a line.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -27,6 +27,7 @@
 	complaints  *complaints
 	admission   *rate.Limiter
 	jitter      jitter
+	longLines   budget
 
 	bound     chan struct{} // closed once both listeners are open
 	address   string        // set before bound is closed
@@ -52,6 +53,7 @@
 		complaints: newComplaints(config.Logger),
 		admission:  rate.NewLimiter(rate.Limit(config.Limits.StreamsPerSecond), config.Limits.StreamBurst),
 		jitter:     jitter{random: config.Random},
+		longLines:  budget{most: int64(config.Limits.LongLineBytes)},
 		bound:      make(chan struct{}),
 		links:      make(map[string]*link),
 		inbound:    make(map[string][]*inboundStream),
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -1,8 +1,10 @@
 package transport
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -75,6 +77,24 @@
 	}
 }
 
+// logged is a log that can be read while it is written.
+type logged struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+func (l *logged) Write(line []byte) (int, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.text.Write(line)
+}
+
+func (l *logged) count(part string) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return strings.Count(l.text.String(), part)
+}
+
 func staged(from string, revision uint64) wire.Envelope {
 	return wire.Envelope{From: from, Staged: &wire.Staged{Version: version.Version{Revision: revision}}}
 }
