Read the source on duty only, with backoff, and log each cause once

A source that waits is asked again 50 ms after news, one that answers at once that there is none each second. A refused document is told once and keeps its ETag; a missing secret is asked again after 1 to 3 s.

--- a/internal/source/reader.go
+++ b/internal/source/reader.go
@@ -28,7 +28,7 @@
 	Parse         func([]byte) (*declaration.Document, error) // declaration.Parse
 	Emit          func(Result)                                // called from Run's goroutine; must not block long
 	LongPoll      time.Duration                               // 0 asks each Interval
-	Interval      time.Duration                               // least time between two questions; default 1 s
+	Interval      time.Duration                               // between questions to a source that does not wait; default 1 s
 	SecretRetry   time.Duration                               // middle of the wait for a missing secret; default 2 s
 	BackoffBase   time.Duration                               // default 200 ms
 	BackoffMax    time.Duration                               // default 10 s
@@ -36,12 +36,16 @@
 	Random        *rand.Rand // jitter; used by Run's goroutine only
 
 	failures int
-	last     string // cause logged last
+	logged   map[string]string // last cause logged, by event and subject
 	etag     string
 	current  Result
 	reads    atomic.Uint64
 }
 
+// minInterval is the least time between two questions, whatever the source
+// answers.
+const minInterval = 50 * time.Millisecond
+
 // Reads returns how many questions were asked of the source, secrets included.
 func (r *Reader) Reads() uint64 { return r.reads.Load() }
 
@@ -78,6 +82,7 @@
 	if r.Logger == nil {
 		r.Logger = logging.Discard()
 	}
+	r.logged = make(map[string]string)
 }
 
 // serve reads until the duty changes or ctx ends. It starts without an ETag,
@@ -109,23 +114,32 @@
 	r.etag, r.current = "", Result{}
 	for ctx.Err() == nil {
 		started := time.Now()
-		err := r.once(ctx)
+		news, err := r.once(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		wait := r.Interval - time.Since(started)
-		if err != nil {
-			r.report(err)
-			wait = max(wait, r.backoff(err))
-		} else {
-			r.recovered()
-		}
-		sleep(ctx, wait)
+		sleep(ctx, r.pause(news, err, time.Since(started)))
+	}
+}
+
+// pause returns the wait before the next question. After news the next may
+// come soon; a source that answers at once that there is none does not poll
+// long, and is asked at the interval.
+func (r *Reader) pause(news bool, err error, took time.Duration) time.Duration {
+	if err != nil {
+		r.report(err)
+		return max(minInterval, r.backoff(err))
 	}
+	r.recovered()
+	if news {
+		return minInterval
+	}
+	return max(minInterval, r.Interval-took)
 }
 
-// once asks for the document, or while secrets are missing for these.
-func (r *Reader) once(ctx context.Context) error {
+// once asks for the document, and while secrets are missing for these. It
+// reports whether the document was new.
+func (r *Reader) once(ctx context.Context) (news bool, err error) {
 	wait := r.LongPoll
 	missing := r.missing()
 	if len(missing) > 0 {
@@ -134,32 +148,34 @@
 	r.reads.Add(1)
 	document, err := r.Configuration.Fetch(ctx, r.etag, wait)
 	if err != nil {
-		return err
+		return false, err
 	}
-	if document != nil {
-		return r.take(ctx, document)
+	if document != nil && (document.ETag == "" || document.ETag != r.etag) {
+		r.take(ctx, document)
+		return true, nil
 	}
 	if len(missing) > 0 && r.askSecrets(ctx, missing) {
 		r.Emit(r.copy())
 	}
-	return nil
+	return false, nil
 }
 
 // take parses a new document, asks for its secrets and emits both. A document
 // that is refused keeps its ETag, so that it is not read again and again.
-func (r *Reader) take(ctx context.Context, document *Document) error {
+func (r *Reader) take(ctx context.Context, document *Document) {
 	parsed, err := r.Parse(document.Raw)
 	r.etag = document.ETag
 	if err != nil {
+		r.logOnce("source.documentRefused", "", err, logging.Fields{"revision": document.Revision})
 		r.Emit(Result{Revision: document.Revision, Err: err})
-		return err
+		return
 	}
+	r.settled("source.documentRefused", "")
 	r.current = Result{Document: parsed, Revision: document.Revision, Secrets: make(map[string]string, len(parsed.Secrets))}
 	r.askSecrets(ctx, r.missing())
 	if ctx.Err() == nil {
 		r.Emit(r.copy())
 	}
-	return nil
 }
 
 // missing returns the names of the secrets declared and not held.
@@ -186,9 +202,10 @@
 			return came
 		}
 		if err != nil {
-			logging.Problem(r.Logger, "source.secretMissing", err, logging.Fields{"secret": name})
+			r.logOnce("source.secretMissing", name, err, logging.Fields{"secret": name})
 			continue
 		}
+		r.settled("source.secretMissing", name)
 		r.current.Secrets[name] = value
 		came = true
 	}
@@ -208,21 +225,30 @@
 // report logs a failure once per cause and emits it.
 func (r *Reader) report(err error) {
 	r.failures++
-	if cause := err.Error(); cause != r.last {
-		r.last = cause
-		logging.Problem(r.Logger, "source.failed", err, logging.Fields{"kind": fault.KindOf(err)})
-	}
-	if fault.KindOf(err) == fault.Source {
-		r.Emit(Result{Err: err})
+	r.logOnce("source.failed", "", err, logging.Fields{"kind": fault.KindOf(err)})
+	r.Emit(Result{Err: err})
+}
+
+// logOnce logs a problem unless it is the one logged last for that subject.
+func (r *Reader) logOnce(event, subject string, err error, fields logging.Fields) {
+	key, text := event+" "+subject, err.Error()
+	if r.logged[key] == text {
+		return
 	}
+	r.logged[key] = text
+	logging.Problem(r.Logger, event, err, fields)
 }
 
+// settled forgets a problem, so that its next occurrence is logged.
+func (r *Reader) settled(event, subject string) { delete(r.logged, event+" "+subject) }
+
 // recovered ends a row of failures.
 func (r *Reader) recovered() {
 	if r.failures > 0 {
 		logging.Event(r.Logger, "source.recovered", logging.Fields{"failures": r.failures})
 	}
-	r.failures, r.last = 0, ""
+	r.failures = 0
+	r.settled("source.failed", "")
 }
 
 // backoff returns the wait after a failure: full jitter over a bound that
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -5,6 +5,7 @@
 package source
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -12,7 +13,9 @@
 	"io"
 	"mime"
 	"net/http"
+	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -22,6 +25,7 @@
 const (
 	maxBodyBytes   = 8 << 20  // of one answer
 	maxSecretBytes = 64 << 10 // of one secret's answer
+	defaultTimeout = 5 * time.Second
 	nodeHeader     = "Sliphead-Node"
 )
 
@@ -51,20 +55,30 @@
 func (c *Configuration) Fetch(ctx context.Context, held string, wait time.Duration) (*Document, error) {
 	query := url.Values{}
 	if held != "" && wait > 0 {
-		query.Set("wait", strconv.Itoa(int(wait/time.Second)))
+		query.Set("wait", strconv.Itoa(int((wait+time.Second-1)/time.Second)))
 	}
 	answer, err := get(ctx, c.request("/v1/configuration", query, held, wait, maxBodyBytes))
 	if err != nil || answer.notModified {
 		return nil, err
 	}
+	document, err := decodeConfiguration(answer.body)
+	if err != nil {
+		return nil, err
+	}
+	document.ETag = answer.etag
+	return document, nil
+}
+
+// decodeConfiguration reads the body of an answer.
+func decodeConfiguration(text []byte) (*Document, error) {
 	var body configurationBody
-	if err := json.Unmarshal(answer.body, &body); err != nil {
+	if err := json.Unmarshal(text, &body); err != nil {
 		return nil, fault.Wrap(err, fault.Source, answerRemedy, "the configuration service answered half a document or no JSON")
 	}
 	if body.Revision == nil || len(body.Document) == 0 || body.Document[0] != '{' {
 		return nil, fault.New(fault.Source, answerRemedy, "the configuration service answered without revision or document")
 	}
-	return &Document{Revision: *body.Revision, Raw: body.Document, ETag: answer.etag}, nil
+	return &Document{Revision: *body.Revision, Raw: body.Document}, nil
 }
 
 // Secret asks for the value of one secret.
@@ -73,20 +87,30 @@
 	if err != nil {
 		return "", err
 	}
+	value, held := decodeSecret(answer.body)
+	if !held {
+		return "", fault.New(fault.Source, answerRemedy, "the configuration service answered no value for secret %q", name)
+	}
+	return value, nil
+}
+
+// decodeSecret reads the body of an answer. What is wrong with it is not told,
+// as it may hold the secret.
+func decodeSecret(text []byte) (value string, held bool) {
 	var body struct {
 		Value *string `json:"value"`
 	}
-	if err := json.Unmarshal(answer.body, &body); err != nil || body.Value == nil {
-		return "", fault.New(fault.Source, answerRemedy, "the configuration service answered no value for secret %q", name)
+	if err := json.Unmarshal(text, &body); err != nil || body.Value == nil {
+		return "", false
 	}
-	return *body.Value, nil
+	return *body.Value, true
 }
 
 // request describes one question to the configuration service.
 func (c *Configuration) request(path string, query url.Values, held string, wait time.Duration, most int64) question {
 	return question{
 		client: c.Client, base: c.Base, path: path, query: query, node: c.Node,
-		etag: held, timeout: c.Timeout + wait, most: most,
+		etag: held, timeout: cmp.Or(c.Timeout, defaultTimeout) + wait, most: most,
 	}
 }
 
@@ -117,27 +141,33 @@
 	Client  *http.Client
 }
 
-// Fetch asks for the list. Entries without name or peer address are left out.
+// Fetch asks for the list. Entries without name, with a peer address that is no
+// IP and port, or in an unknown state are left out.
 func (m *Machines) Fetch(ctx context.Context) ([]Machine, error) {
 	answer, err := get(ctx, question{
-		client: m.Client, base: m.Base, path: "/v1/machines", node: m.Node, timeout: m.Timeout, most: maxBodyBytes,
+		client: m.Client, base: m.Base, path: "/v1/machines", node: m.Node, timeout: cmp.Or(m.Timeout, defaultTimeout), most: maxBodyBytes,
 	})
 	if err != nil {
 		return nil, err
 	}
+	return decodeMachines(answer.body)
+}
+
+// decodeMachines reads the body of an answer.
+func decodeMachines(text []byte) ([]Machine, error) {
 	var body struct {
 		Machines *[]Machine `json:"machines"`
 	}
-	if err := json.Unmarshal(answer.body, &body); err != nil || body.Machines == nil {
+	if err := json.Unmarshal(text, &body); err != nil || body.Machines == nil {
 		return nil, fault.New(fault.Source, answerRemedy, "the machine list answered half a list or no JSON")
 	}
-	machines := make([]Machine, 0, len(*body.Machines))
-	for _, machine := range *body.Machines {
-		if machine.Name != "" && machine.Peer != "" {
-			machines = append(machines, machine)
-		}
-	}
-	return machines, nil
+	return slices.DeleteFunc(*body.Machines, func(machine Machine) bool { return !machine.sound() }), nil
+}
+
+// sound reports whether the entry can be used.
+func (m Machine) sound() bool {
+	_, err := netip.ParseAddrPort(m.Peer)
+	return err == nil && m.Name != "" && (m.State == MachineLive || m.State == MachineLeaving)
 }
 
 const (
@@ -262,10 +292,21 @@
 
 // statusError types an answer that is neither 200 nor 304.
 func statusError(path string, response *http.Response) error {
-	seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
-	if err != nil || seconds <= 0 {
+	wait := min(retryAfter(response.Header.Get("Retry-After")), maxRetryAfter)
+	if wait <= 0 {
 		return fault.New(fault.Source, reachRemedy, "%s answered status %d", path, response.StatusCode)
 	}
-	wait := min(time.Duration(seconds)*time.Second, maxRetryAfter)
 	return fault.Wrap(&busyError{wait: wait}, fault.Source, reachRemedy, "%s answered status %d", path, response.StatusCode)
 }
+
+// retryAfter reads the header of that name, in seconds or as a date (RFC 9110
+// section 10.2.3).
+func retryAfter(value string) time.Duration {
+	if seconds, err := strconv.Atoi(value); err == nil {
+		return time.Duration(min(seconds, int(maxRetryAfter/time.Second))) * time.Second
+	}
+	if date, err := http.ParseTime(value); err == nil {
+		return time.Until(date)
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/source/source_test.go
@@ -0,0 +1,306 @@
+package source
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	"sliphead/internal/declaration"
+	"sliphead/internal/fault"
+	"sliphead/internal/logging"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// trip is a round trip without sockets, for virtual time.
+type trip func(*http.Request) (*http.Response, error)
+
+func (f trip) RoundTrip(request *http.Request) (*http.Response, error) { return f(request) }
+
+// reply returns an answer of the service.
+func reply(status int, body string, headers ...string) *http.Response {
+	header := http.Header{"Content-Type": {"application/json"}}
+	for index := 0; index < len(headers); index += 2 {
+		header.Set(headers[index], headers[index+1])
+	}
+	return &http.Response{StatusCode: status, Header: header, Body: io.NopCloser(strings.NewReader(body))}
+}
+
+func document(revision int, secrets string) string {
+	return fmt.Sprintf(`{"revision":%d,"document":{"secrets":[%s]}}`, revision, secrets)
+}
+
+func TestFetchOverHTTP(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		must.Eq(t, "alpha", request.Header.Get("Sliphead-Node"))
+		writer.Header().Set("Content-Type", "application/json; charset=utf-8")
+		writer.Header().Set("ETag", `"7"`)
+		switch {
+		case request.URL.Path == "/v1/machines":
+			io.WriteString(writer, `{"machines":[{"name":"a","peer":"127.0.0.1:7000","state":"leaving"},{"name":"b","peer":"b:7000","state":"live"},{"peer":"127.0.0.1:7000","state":"live"},{"name":"c","peer":"127.0.0.1:7000","state":"lost"}]}`)
+		case request.URL.EscapedPath() == "/v1/secrets/till%2Fkey":
+			io.WriteString(writer, `{"value":"x"}`)
+		case request.Header.Get("If-None-Match") == `"7"`:
+			must.Eq(t, "20", request.URL.Query().Get("wait"))
+			writer.WriteHeader(http.StatusNotModified)
+		default:
+			io.WriteString(writer, document(7, ""))
+		}
+	}))
+	defer server.Close()
+	configuration := &Configuration{Base: server.URL, Node: "alpha", Client: server.Client()}
+	first, err := configuration.Fetch(t.Context(), "", time.Second)
+	must.NoError(t, err)
+	must.Eq(t, 7, first.Revision)
+	must.Eq(t, `{"secrets":[]}`, string(first.Raw))
+	again, err := configuration.Fetch(t.Context(), first.ETag, 20*time.Second)
+	must.NoError(t, err)
+	must.Nil(t, again)
+	value, err := configuration.Secret(t.Context(), "till/key")
+	must.NoError(t, err)
+	must.Eq(t, "x", value)
+	machines, err := (&Machines{Base: server.URL, Node: "alpha", Client: server.Client()}).Fetch(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, []Machine{{Name: "a", Peer: "127.0.0.1:7000", State: MachineLeaving}}, machines)
+}
+
+func TestWrongAnswersAreRefused(t *testing.T) {
+	for name, answer := range map[string]*http.Response{
+		"status 500":     reply(500, document(1, "")),
+		"status 204":     reply(204, ""),
+		"redirect":       reply(302, document(1, ""), "Location", "http://127.0.0.1:1/"),
+		"HTML":           reply(200, "<html>down</html>", "Content-Type", "text/html"),
+		"HTML as JSON":   reply(200, "<html>down</html>"),
+		"no type":        reply(200, document(1, ""), "Content-Type", ""),
+		"half":           reply(200, `{"revision":1,"document":{"secrets":[`),
+		"no revision":    reply(200, `{"document":{}}`),
+		"below zero":     reply(200, `{"revision":-1,"document":{}}`),
+		"no document":    reply(200, `{"revision":1}`),
+		"null document":  reply(200, `{"revision":1,"document":null}`),
+		"list":           reply(200, `[]`),
+		"too long":       reply(200, `{"revision":1,"document":{"a":"`+strings.Repeat("a", maxBodyBytes)+`"}}`),
+		"304 for no tag": reply(304, ""),
+	} {
+		client := &http.Client{Transport: trip(func(*http.Request) (*http.Response, error) { return answer, nil })}
+		_, err := (&Configuration{Base: "http://source", Client: client}).Fetch(t.Context(), "", 0)
+		must.Eq(t, fault.Source, fault.KindOf(err), must.Sprint(name))
+	}
+	broken := &http.Client{Transport: trip(func(*http.Request) (*http.Response, error) { return nil, errors.New("refused") })}
+	_, err := (&Machines{Base: "http://source", Client: broken}).Fetch(t.Context())
+	must.Eq(t, fault.Source, fault.KindOf(err))
+}
+
+func TestRetryAfterIsReadAndBounded(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"7": 7 * time.Second, "999999999999": maxRetryAfter, "-1": 0, "soon": 0, "Thu, 01 Jan 1970 00:00:00 GMT": 0,
+	} {
+		must.Eq(t, want, RetryAfter(statusError("/", reply(429, "", "Retry-After", value))))
+	}
+}
+
+// bench runs a reader in virtual time against a scripted service.
+type bench struct {
+	reader  *Reader
+	results []Result
+	log     bytes.Buffer
+	duty    chan bool
+	stop    func()
+}
+
+func startReader(t *testing.T, answer trip) *bench {
+	t.Helper()
+	b := &bench{duty: make(chan bool)}
+	b.reader = &Reader{
+		Configuration: &Configuration{Base: "http://source", Client: &http.Client{Transport: answer}},
+		Parse: func(raw []byte) (*declaration.Document, error) {
+			parsed := &declaration.Document{}
+			if err := json.Unmarshal(raw, parsed); err != nil {
+				return nil, fault.Wrap(err, fault.Declaration, "correct it", "wrong")
+			}
+			return parsed, nil
+		},
+		Emit:     func(result Result) { b.results = append(b.results, result) },
+		LongPoll: 20 * time.Second,
+		Logger:   logging.New(&b.log, log.InfoLevel),
+		Random:   rand.New(rand.NewPCG(1, 1)),
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		b.reader.Run(ctx, b.duty)
+	}()
+	b.stop = func() {
+		cancel()
+		<-ended
+	}
+	return b
+}
+
+// await answers not modified once the poll's wait is over.
+func await(request *http.Request) (*http.Response, error) {
+	wait, _ := time.ParseDuration(request.URL.Query().Get("wait") + "s")
+	select {
+	case <-time.After(wait):
+		return reply(304, ""), nil
+	case <-request.Context().Done():
+		return nil, request.Context().Err()
+	}
+}
+
+// pass lets virtual time go by and what it brings happen.
+func pass(duration time.Duration) {
+	time.Sleep(duration)
+	synctest.Wait()
+}
+
+func TestReaderAsksOnlyOnDuty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := startReader(t, func(request *http.Request) (*http.Response, error) {
+			if request.Header.Get("If-None-Match") == "" {
+				return reply(200, document(1, ""), "ETag", "1"), nil
+			}
+			return await(request)
+		})
+		pass(time.Hour)
+		must.Eq(t, 0, b.reader.Reads())
+		b.duty <- true
+		pass(time.Minute)
+		must.SliceLen(t, 1, b.results)
+		must.Eq(t, 4, b.reader.Reads())
+		b.duty <- false
+		pass(time.Hour)
+		must.Eq(t, 4, b.reader.Reads())
+		b.duty <- true
+		b.duty <- true
+		synctest.Wait()
+		must.Eq(t, 5, b.reader.Reads())
+		must.SliceLen(t, 2, b.results)
+		b.stop()
+	})
+}
+
+func TestFailuresBackOffAndAreLoggedOncePerCause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var status atomic.Int64
+		status.Store(500)
+		b := startReader(t, func(request *http.Request) (*http.Response, error) {
+			if status.Load() == 200 {
+				return reply(200, document(3, ""), "ETag", "3"), nil
+			}
+			return reply(int(status.Load()), "", "Retry-After", map[int64]string{429: "60"}[status.Load()]), nil
+		})
+		b.duty <- true
+		pass(10 * time.Minute)
+		must.Between(t, 60, b.reader.Reads(), 300)
+		must.Eq(t, 1, strings.Count(b.log.String(), "event=source.failed"))
+		status.Store(429)
+		pass(10 * time.Second)
+		before := b.reader.Reads()
+		pass(time.Hour)
+		must.Between(t, 50, b.reader.Reads()-before, 60)
+		must.Eq(t, 2, strings.Count(b.log.String(), "event=source.failed"))
+		status.Store(200)
+		pass(2 * time.Minute)
+		must.Eq(t, 1, strings.Count(b.log.String(), "event=source.recovered"))
+		must.Eq(t, 3, b.results[len(b.results)-1].Revision)
+		b.stop()
+	})
+}
+
+func TestRefusedDocumentIsToldOnceAndTheNextServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var good atomic.Bool
+		b := startReader(t, func(request *http.Request) (*http.Response, error) {
+			switch {
+			case good.Load() && request.Header.Get("If-None-Match") == "4":
+				return reply(200, document(5, ""), "ETag", "5"), nil
+			case request.Header.Get("If-None-Match") == "":
+				return reply(200, `{"revision":4,"document":{"secrets":7}}`, "ETag", "4"), nil
+			}
+			return await(request)
+		})
+		b.duty <- true
+		pass(time.Hour)
+		must.SliceLen(t, 1, b.results)
+		must.Eq(t, fault.Declaration, fault.KindOf(b.results[0].Err))
+		must.Eq(t, 4, b.results[0].Revision)
+		must.Eq(t, 1, strings.Count(b.log.String(), "\n"))
+		good.Store(true)
+		pass(time.Minute)
+		must.SliceLen(t, 2, b.results)
+		must.Eq(t, 5, b.results[1].Revision)
+		b.stop()
+	})
+}
+
+func TestMissingSecretIsAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ready atomic.Bool
+		var asked atomic.Int64
+		b := startReader(t, func(request *http.Request) (*http.Response, error) {
+			switch request.URL.Path {
+			case "/v1/secrets/till":
+				return reply(200, `{"value":"t"}`), nil
+			case "/v1/secrets/press":
+				asked.Add(1)
+				if ready.Load() {
+					return reply(200, `{"value":"p"}`), nil
+				}
+				return reply(404, ""), nil
+			}
+			if request.Header.Get("If-None-Match") == "" {
+				return reply(200, document(6, `{"name":"till"},{"name":"press"}`), "ETag", "6"), nil
+			}
+			return await(request)
+		})
+		b.duty <- true
+		pass(time.Minute)
+		must.Eq(t, map[string]string{"till": "t"}, b.results[0].Secrets)
+		must.SliceLen(t, 1, b.results)
+		must.Between(t, 15, asked.Load(), 60)
+		must.Eq(t, 1, strings.Count(b.log.String(), "event=source.secretMissing"))
+		ready.Store(true)
+		pass(10 * time.Second)
+		must.SliceLen(t, 2, b.results)
+		must.Eq(t, map[string]string{"till": "t", "press": "p"}, b.results[1].Secrets)
+		before := asked.Load()
+		pass(time.Hour)
+		must.Eq(t, before, asked.Load())
+		b.stop()
+	})
+}
+
+func FuzzAnswers(f *testing.F) {
+	for _, seed := range []string{document(1, ""), `{"machines":[{"name":"a","peer":"127.0.0.1:1","state":"live"}]}`, `{"value":"x"}`, `{"revision":1e99}`, `[`, `null`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if read, err := decodeConfiguration(text); err == nil {
+			must.True(t, json.Valid(read.Raw))
+		} else {
+			must.Eq(t, fault.Source, fault.KindOf(err))
+		}
+		if machines, err := decodeMachines(text); err == nil {
+			for _, machine := range machines {
+				must.True(t, machine.sound())
+			}
+		}
+		decodeSecret(text)
+	})
+}
