--- a/internal/claim/coordinator.go
+++ b/internal/claim/coordinator.go
@@ -80,7 +80,8 @@
 // mayCoordinate reports whether this node knows every configuration that still
 // counts: it does once its own replica has recovered.
 func (m *Machine) mayCoordinate(held *service, key string, now time.Time) bool {
-	return !now.Before(m.config.Since) && held.isReady(slotOf(key)) && len(held.priors) <= maxPriors
+	open := !m.replaced && !now.Before(m.config.Since)
+	return open && held.isReady(slotOf(key)) && len(held.priors) <= maxPriors
 }
 
 // ask starts a phase at all replicas.
--- a/internal/claim/group.go
+++ b/internal/claim/group.go
@@ -63,17 +63,27 @@
 	groups  [slotCount]group
 }
 
-// newConfiguration computes the groups of all slots. The order of the workers
-// does not matter.
-func newConfiguration(service string, workers []Worker, size int) *configuration {
+// sortWorkers returns the workers by name, each once.
+func sortWorkers(workers []Worker) []Worker {
 	sorted := slices.Clone(workers)
 	slices.SortFunc(sorted, func(a, b Worker) int { return cmp.Compare(a.Name, b.Name) })
-	sorted = slices.CompactFunc(sorted, func(a, b Worker) bool { return a.Name == b.Name })
+	return slices.CompactFunc(sorted, func(a, b Worker) bool { return a.Name == b.Name })
+}
+
+// digestOf returns the digest of sorted workers.
+func digestOf(sorted []Worker) string {
 	digest := xxhash.New()
 	for _, worker := range sorted {
 		fmt.Fprintf(digest, "%q %q\n", worker.Name, worker.Zone)
 	}
-	made := &configuration{digest: fmt.Sprintf("%016x", digest.Sum64()), workers: sorted}
+	return fmt.Sprintf("%016x", digest.Sum64())
+}
+
+// newConfiguration computes the groups of all slots. The order of the workers
+// does not matter.
+func newConfiguration(service string, workers []Worker, size int) *configuration {
+	sorted := sortWorkers(workers)
+	made := &configuration{digest: digestOf(sorted), workers: sorted}
 	for slot := range made.groups {
 		made.groups[slot] = chooseGroup(service, slot, sorted, size)
 	}
--- a/internal/claim/machine.go
+++ b/internal/claim/machine.go
@@ -22,6 +22,8 @@
 	notices     map[uint64]*notice  // finishes and releases not yet noted by all
 	number      uint64
 	nextSweep   time.Time
+	last        time.Time // of the last step
+	replaced    bool      // another node is said to be beside the worker
 }
 
 // NewMachine returns the machine of a process that starts now, with no memory.
@@ -29,6 +31,7 @@
 	return &Machine{
 		config:      config.withDefaults(),
 		started:     now,
+		last:        now,
 		incarnation: uint64(now.UnixNano()),
 		services:    make(map[string]*service),
 		attempts:    make(map[string]*attempt),
@@ -41,6 +44,10 @@
 // Step takes one event at a time that never goes back, and returns what is to
 // be done, in order.
 func (m *Machine) Step(event Event, now time.Time) []Effect {
+	if now.Sub(m.last) >= m.config.hold() {
+		m.forget(now)
+	}
+	m.last = now
 	switch event := event.(type) {
 	case Tick:
 		return m.tick(now)
@@ -60,6 +67,18 @@
 	return nil
 }
 
+// forget makes the machine a new process of its worker: after a pause in which
+// every record's life has ended, or once it is named again after another node
+// stood beside the worker. It has to recover like one that has started.
+func (m *Machine) forget(now time.Time) {
+	m.started = now
+	m.incarnation = max(m.incarnation+1, uint64(now.UnixNano()))
+	for _, held := range m.services {
+		held.able, held.announced = 0, 0
+		held.recovery.restart()
+	}
+}
+
 func (m *Machine) nextNumber() uint64 {
 	m.number++
 	return m.number
@@ -96,7 +115,9 @@
 			effects = append(effects, Log{Name: LogChanged, Service: name, Count: len(held.priors)})
 		}
 	}
+	m.noteReplaced(event.Nodes[m.config.Worker], now)
 	for _, held := range m.services {
+		held.live = event.Nodes
 		for worker, node := range event.Nodes {
 			held.nodes[worker] = node
 		}
@@ -105,6 +126,17 @@
 	return effects
 }
 
+// noteReplaced takes in which node is said to be beside the own worker.
+func (m *Machine) noteReplaced(node string, now time.Time) {
+	if node == "" {
+		return
+	}
+	if m.replaced && node == m.config.Node {
+		m.forget(now)
+	}
+	m.replaced = node != m.config.Node
+}
+
 func declares(workers []Worker, name string) bool {
 	for _, worker := range workers {
 		if worker.Name == name {
--- a/internal/claim/recovery.go
+++ b/internal/claim/recovery.go
@@ -164,6 +164,7 @@
 func (m *Machine) mergeCopy(held *service, parts map[int]wire.ClaimCopy, now time.Time) {
 	whole := parts[0]
 	held.learnKnown(whole.Known)
+	held.learnKnown(map[string]uint64{whole.Worker: whole.Incarnation})
 	left := held.learnPriors(whole, m.config.GroupSize, now)
 	for _, part := range parts {
 		for _, copied := range part.Records {
@@ -226,7 +227,19 @@
 	for _, one := range held.groups(slot, now, m.config.hold()) {
 		sources := one.count(func(worker string) bool { return m.isSource(held, worker, slot, aged) })
 		needed := one.sourcesNeeded(m.config.Worker)
-		if sources < needed || (needed == 0 && !aged) {
+		if sources < needed || (needed == 0 && !aged) || (aged && !m.heardLive(held, one, slot)) {
+			return false
+		}
+	}
+	return true
+}
+
+// heardLive reports whether all replicas of the group that are said to be live
+// have given a copy. Age alone says nothing of processes that were replaced,
+// and others that forgot as well may not know of them.
+func (m *Machine) heardLive(held *service, one group, slot int) bool {
+	for _, worker := range one {
+		if held.live[worker] != "" && worker != m.config.Worker && !m.isSource(held, worker, slot, true) {
 			return false
 		}
 	}
--- a/internal/claim/replica.go
+++ b/internal/claim/replica.go
@@ -35,7 +35,7 @@
 // workers. A request from before a change of them must not be voted for: the
 // majorities that it counts are no longer the ones that later claims ask.
 func (m *Machine) mayVote(held *service, request wire.ClaimRequest, now time.Time) bool {
-	if now.Before(m.config.Since) || !held.sameGroups(request.Group, request.Version) {
+	if m.replaced || now.Before(m.config.Since) || !held.sameGroups(request.Group, request.Version) {
 		return false
 	}
 	slot := slotOf(request.Key)
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -43,6 +43,7 @@
 	oldest  version.Version   // the earliest version known to have had current in force
 	priors  []*prior          // oldest first
 	nodes   map[string]string // node by worker, also of workers no longer declared
+	live    map[string]string // node by worker, those said to be live now
 	table   *table
 
 	able      uint64 // bit set of slots in which this replica knows all its votes
@@ -145,6 +146,20 @@
 	slices.SortStableFunc(s.priors, func(a, b *prior) int { return a.oldest.Compare(b.oldest) })
 }
 
+// configuration returns the configuration of the workers, made if not known.
+func (s *service) configuration(workers []Worker, size int) *configuration {
+	digest := digestOf(sortWorkers(workers))
+	if digest == s.current.digest {
+		return s.current
+	}
+	for _, earlier := range s.priors {
+		if earlier.digest == digest {
+			return earlier.configuration
+		}
+	}
+	return newConfiguration(s.name, workers, size)
+}
+
 // learnPriors takes in earlier configurations that another replica knows. It
 // returns since when that replica has left each, by digest.
 func (s *service) learnPriors(reply wire.ClaimCopy, size int, now time.Time) map[string]time.Time {
@@ -154,7 +169,7 @@
 		for _, worker := range list {
 			workers = append(workers, Worker(worker))
 		}
-		learned := newConfiguration(s.name, workers, size)
+		learned := s.configuration(workers, size)
 		if index < len(reply.PriorsLeftMS) && reply.PriorsLeftMS[index] >= 0 {
 			left[learned.digest] = now.Add(-time.Duration(reply.PriorsLeftMS[index]) * time.Millisecond)
 		}
--- a/internal/claim/sim_test.go
+++ b/internal/claim/sim_test.go
@@ -30,6 +30,9 @@
 	at                time.Time
 }
 
+// attemptName is an attempt's holder and the node that coordinates it.
+type attemptName struct{ name, node string }
+
 const simService = "orders"
 
 // sim is a fleet of machines on a lossy network with a journal of runs.
@@ -47,6 +50,7 @@
 	decided   map[string]Decision
 	undone    map[string]bool // holders that were released, cancelled or refused
 	claims    map[string]Claim
+	holders   []attemptName // in the order of their start
 	logs      map[LogName]int
 	messages  int
 	limited   func(run) bool // whether to run; false releases
@@ -151,6 +155,7 @@
 	holder := fmt.Sprintf("%s/%d", p.node, s.submitted)
 	claim := Claim{Service: simService, Key: key, Body: body, Holder: holder, Deadline: s.now.Add(s.config.MaxClaim)}
 	s.claims[holder] = claim
+	s.holders = append(s.holders, attemptName{holder, p.node})
 	s.step(p, claim)
 	return holder
 }
