--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -12,33 +13,37 @@
 	settleLimit   = 5 * time.Minute
 )
 
-// settled returns a fleet that agrees and has nothing left to tell.
-func settled(b *testing.B, profile Profile) *fleet {
-	f := newFleet(b, benchmarkSize, 1)
-	f.profile = profile
+// settledFleet returns a fleet in which all know all for long.
+func settledFleet(b *testing.B, size int, profile Profile) *fleet {
+	f := newFleet(b, size, 1)
+	f.setProfile(profile)
+	var members []wire.Member
 	for _, n := range f.nodes {
-		n.machine.config.GossipInterval = DefaultConfig(profile).GossipInterval
+		members = append(members, n.machine.Self())
+	}
+	for _, n := range f.nodes {
+		n.machine.Step(Received{Message: wire.Envelope{From: "test", Sync: &wire.Sync{Members: members}}}, f.now)
+		n.machine.rumors = newRumors()
 	}
-	took := f.until(settleLimit, "agreed", f.agreed)
-	b.ReportMetric(took.Seconds(), "s/start")
-	f.until(settleLimit, "quiet", f.quiet)
 	f.run(settledAfter)
 	return f
 }
 
-func (f *fleet) quiet() bool {
+func (f *fleet) setProfile(profile Profile) {
+	f.profile = profile
 	for _, n := range f.nodes {
-		if n.running && n.machine.rumors.len() > 0 {
-			return false
-		}
+		n.machine.config.GossipInterval = DefaultConfig(profile).GossipInterval
 	}
-	return true
 }
 
-// measured reports the bytes sent per running node and second while run runs.
-func (f *fleet) measured(b *testing.B, name string, run func()) {
+func (f *fleet) quiet() bool {
+	return !slices.ContainsFunc(f.nodes, func(n *node) bool { return n.running && n.machine.rumors.len() > 0 })
+}
+
+// measured reports the bytes sent per running node, per second or in all.
+func (f *fleet) measured(b *testing.B, run func()) {
 	begin := f.now
-	f.bytes, f.measure = 0, true
+	f.datagramBytes, f.streamBytes, f.measure = 0, 0, true
 	run()
 	f.measure = false
 	running := 0
@@ -47,50 +52,85 @@
 			running++
 		}
 	}
-	b.ReportMetric(float64(f.bytes)/float64(running)/f.now.Sub(begin).Seconds(), "B/node/s-"+name)
+	seconds := f.now.Sub(begin).Seconds()
+	b.ReportMetric(float64(f.datagramBytes)/float64(running)/seconds, "datagramB/node/s")
+	b.ReportMetric(float64(f.streamBytes)/float64(running)/seconds, "streamB/node/s")
+	b.ReportMetric(seconds, "s")
+	b.ReportMetric(float64(f.deaths), "false-deaths")
 }
 
-func BenchmarkFleet(b *testing.B) {
-	for _, profile := range []Profile{ProfileConvergence, ProfileBytes} {
-		b.Run(string(profile), func(b *testing.B) { benchmarkFleet(b, profile) })
+func (f *fleet) killHalf() {
+	for index := 0; index < len(f.nodes); index += 2 {
+		f.kill(f.nodes[index])
 	}
 }
 
-func benchmarkFleet(b *testing.B, profile Profile) {
-	f := settled(b, profile)
-	f.measured(b, "idle", func() { f.run(20 * time.Second) })
+// churn changes one endpoint a second in the whole fleet.
+func (f *fleet) churn(seconds int) {
+	for index := range seconds {
+		state := []wire.EndpointState{wire.EndpointStarting, wire.EndpointReady}[index%2]
+		f.setEndpoint(f.nodes[index/2], state)
+		f.run(time.Second)
+	}
+}
 
-	f.measured(b, "change", func() {
+// scenarios give the time that each takes and what it sends in that time.
+var scenarios = []struct {
+	name    string
+	prepare func(f *fleet)
+	run     func(f *fleet)
+}{
+	{"idle", nil, func(f *fleet) { f.run(20 * time.Second) }},
+	{"churn", nil, func(f *fleet) { f.churn(30) }},
+	{"loss5", func(f *fleet) { f.loss = 0.05 }, func(f *fleet) { f.run(20 * time.Second) }},
+	{"change", nil, func(f *fleet) {
 		f.setEndpoint(f.nodes[17], wire.EndpointDraining)
-		took := f.until(settleLimit, "agreed", f.agreed)
-		b.ReportMetric(took.Seconds(), "s/change")
-		f.run(20*time.Second - took)
-	})
-	f.measured(b, "churn", func() { // one change a second in the fleet
-		for index := range 60 {
-			state := []wire.EndpointState{wire.EndpointStarting, wire.EndpointReady}[index%2]
-			f.setEndpoint(f.nodes[100+index/2], state)
-			f.run(time.Second)
+		f.until(settleLimit, "agreed", f.agreed)
+	}},
+	{"death", nil, func(f *fleet) {
+		f.kill(f.nodes[42])
+		f.until(settleLimit, "agreed", f.agreed)
+	}},
+	{"half", nil, func(f *fleet) {
+		f.killHalf()
+		f.until(settleLimit, "agreed", f.agreed)
+	}},
+	{"return", func(f *fleet) {
+		f.killHalf()
+		f.until(settleLimit, "agreed", f.agreed)
+	}, func(f *fleet) {
+		for index := 0; index < len(f.nodes); index += 2 {
+			f.boot(f.nodes[index], 0)
 		}
-	})
-	f.until(settleLimit, "agreed", f.agreed)
-	f.kill(f.nodes[42])
-	took := f.until(settleLimit, "agreed on one death", f.agreed)
-	b.ReportMetric(took.Seconds(), "s/death")
-	f.until(settleLimit, "quiet", f.quiet)
-	f.measured(b, "half", func() {
-		for index := 0; index < benchmarkSize; index += 2 {
-			f.kill(f.nodes[index])
+		f.until(settleLimit, "agreed", f.agreed)
+	}},
+	{"heal", func(f *fleet) {
+		for index := range f.nodes {
+			f.side[index] = index % 2
+		}
+		f.run(2 * time.Minute)
+		f.deaths = 0
+	}, func(f *fleet) {
+		clear(f.side)
+		f.until(settleLimit, "agreed", f.agreed)
+	}},
+}
+
+func BenchmarkFleet(b *testing.B) {
+	for _, profile := range []Profile{ProfileConvergence, ProfileBytes} {
+		for _, scenario := range scenarios {
+			b.Run(string(profile)+"/"+scenario.name, func(b *testing.B) {
+				f := settledFleet(b, benchmarkSize, profile)
+				if scenario.prepare != nil {
+					scenario.prepare(f)
+				}
+				f.measured(b, func() { scenario.run(f) })
+			})
 		}
-		took := f.until(settleLimit, "agreed on half", f.agreed)
-		b.ReportMetric(took.Seconds(), "s/half")
-	})
-	for index := 0; index < benchmarkSize; index += 2 {
-		f.boot(f.nodes[index], 0)
 	}
-	f.measured(b, "return", func() {
-		took := f.until(settleLimit, "agreed on the return", f.agreed)
-		b.ReportMetric(took.Seconds(), "s/return")
-	})
-	b.ReportMetric(float64(f.deaths), "false-deaths")
+}
+
+func BenchmarkStart(b *testing.B) {
+	f := newFleet(b, benchmarkSize, 1)
+	f.measured(b, func() { f.until(settleLimit, "agreed", f.agreed) })
 }
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -68,8 +68,8 @@
 		GossipFanout:      3,
 		MaxUpdates:        16,
 		Retransmit:        1,
-		RepairAfter:       3 * time.Second,
-		RepairInterval:    10 * time.Second,
+		RepairAfter:       2 * time.Second,
+		RepairInterval:    3 * time.Second,
 		ReconnectInterval: 2 * time.Second,
 		TombstoneLife:     2 * time.Hour,
 	}
@@ -89,6 +89,10 @@
 	joinBackoffLimit   = 10 * time.Second // last bound
 	repairObservations = 3                // peers that must differ before a repair
 	settledAfter       = 30 * time.Second // a register held so long is told without its constant part
+	backlog            = 64               // registers to tell that count as very many
+	backlogTellings    = 5                // how often each is told then
+	littleTellings     = 2                // how often what is no news is told
+	hearsayLimit       = 8                // deaths told by stream that are probed at once
 	memberLimit        = 8192             // registers held, against a peer that invents names
 	stallFactor        = 2                // a gap between ticks of this many probe timeouts is a pause
 )
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -31,11 +31,12 @@
 	duplicate float64
 	delay     time.Duration // greatest delay of a message
 	side      map[int]int   // of a partition, by index of the node
-	bytes     int           // sent, when measured
 	measure   bool
 	deaths    int // live members declared dead
-	changed   func(observer *node, change Changed)
-	words     map[word]wire.EndpointState // what owners said
+
+	datagramBytes, streamBytes int // sent, when measured
+	changed                    func(observer *node, change Changed)
+	words                      map[word]wire.EndpointState // what owners said
 }
 
 // word names one thing that an owner said of its endpoint.
@@ -240,9 +241,11 @@
 	if f.measure {
 		text, err := json.Marshal(outgoing.Message)
 		must.NoError(f.t, err)
-		f.bytes += len(text) + 1
-		if outgoing.Datagram && len(text) >= datagramLimit {
-			f.t.Fatalf("datagram of %d bytes", len(text))
+		if outgoing.Datagram {
+			must.Less(f.t, datagramLimit, len(text))
+			f.datagramBytes += len(text)
+		} else {
+			f.streamBytes += len(text) + 1
 		}
 	}
 	copies := 1
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -28,7 +28,7 @@
 
 func (m *Machine) applyAll(updates []wire.Member) {
 	for _, update := range updates {
-		m.apply(update)
+		m.apply(update, spreadWidely)
 	}
 }
 
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -51,7 +51,7 @@
 	m.join.next = now
 	m.repair.agreed = now
 	m.contact.next = now.Add(m.jittered(config.ReconnectInterval))
-	m.rumors.add(self.Name)
+	m.rumors.add(self.Name, 0)
 	return m
 }
 
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -165,16 +165,19 @@
 	}
 }
 
-// randomPeers returns up to count distinct live peers but the one given.
+// randomPeers returns up to count distinct live peers but the one given. Ones
+// not suspect are preferred: while many fail, half of what is sent would be lost.
 func (m *Machine) randomPeers(count int, but string) []string {
+	const rounds = 4
 	var chosen []string
-	attempts := 3 * count
-	for range attempts {
+	for attempt := range rounds * count {
 		if len(chosen) == count || len(m.table.peers) == 0 {
 			break
 		}
 		name := m.table.peers[m.config.Random.IntN(len(m.table.peers))]
-		if name != but && !slices.Contains(chosen, name) {
+		_, suspect := m.table.suspects[name]
+		early := attempt < (rounds-1)*count
+		if name != but && !(suspect && early) && !slices.Contains(chosen, name) {
 			chosen = append(chosen, name)
 		}
 	}
@@ -214,7 +217,7 @@
 
 func (m *Machine) receivePingReq(from string, request wire.PingReq) {
 	m.applyAll(request.Updates)
-	m.apply(request.Target)
+	m.apply(request.Target, spreadWidely)
 	target, known := m.table.member(request.Target.Name)
 	if !known || len(m.probes.relays) >= relayLimit || target.Name == m.config.Self.Name {
 		return
--- a/internal/membership/rumor.go
+++ b/internal/membership/rumor.go
@@ -24,9 +24,10 @@
 
 func (r *rumors) len() int { return len(r.current) }
 
-// add starts telling the member's register anew.
-func (r *rumors) add(name string) {
-	r.place(name, 0)
+// add starts telling the member's register anew, as if it had been told so
+// often already.
+func (r *rumors) add(name string, told int) {
+	r.place(name, told)
 }
 
 func (r *rumors) place(name string, told int) {
--- a/internal/membership/size.go
+++ b/internal/membership/size.go
@@ -4,8 +4,8 @@
 
 // Upper bounds of the encoded size, in bytes, without the texts.
 const (
-	memberOverhead   = 190 // names of the fields, three numbers
-	compactOverhead  = 130
+	memberOverhead   = 135 // names of the fields
+	compactOverhead  = 75
 	envelopeOverhead = 90 // envelope, kind and number
 	digestsOverhead  = 190
 	escapedLength    = 6 // of one character written as \u003c
@@ -28,13 +28,25 @@
 	return size
 }
 
+// numberSize returns the number of digits.
+func numberSize(number uint64) int {
+	const base = 10
+	size := 1
+	for number >= base {
+		number /= base
+		size++
+	}
+	return size
+}
+
 // memberSize returns an upper bound of the encoded size of a register.
 func memberSize(member wire.Member) int {
+	size := textSize(member.Name) + len(member.Status) + len(member.Endpoint)
+	size += numberSize(uint64(member.Start)) + numberSize(member.Incarnation) + numberSize(member.Sequence)
 	if isCompact(member) {
-		return compactOverhead + textSize(member.Name) + len(member.Status) + len(member.Endpoint)
+		return compactOverhead + size
 	}
-	size := memberOverhead + len(member.Status) + len(member.Endpoint)
-	size += textSize(member.Name) + textSize(member.Zone) + textSize(member.Region)
+	size += memberOverhead + textSize(member.Zone) + textSize(member.Region)
 	size += textSize(member.Service) + textSize(member.Worker)
 	return size + textSize(member.Peer) + textSize(member.Inbound)
 }
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -53,12 +53,19 @@
 		return
 	}
 	m.repair.differing++
-	lasting := m.now.Sub(m.repair.agreed) >= m.config.RepairAfter
-	if lasting && m.repair.differing >= repairObservations && !m.now.Before(m.repair.next) {
+	if m.repairDue() {
 		m.startRepair(from)
 	}
 }
 
+// repairDue reports whether this node's view has differed from its peers' for
+// long, though there is little left that gossip would mend.
+func (m *Machine) repairDue() bool {
+	lasting := m.now.Sub(m.repair.agreed) >= m.config.RepairAfter
+	return lasting && m.repair.differing >= repairObservations &&
+		m.rumors.len() <= backlog && !m.now.Before(m.repair.next)
+}
+
 // startRepair sends the peer the hashes of this node's buckets. It answers with
 // the registers of those that differ, and gets back what is newer here. A whole
 // exchange would take the size of the fleet; this takes that of the difference.
@@ -97,7 +104,11 @@
 	if compare && !sync.Reply {
 		newer = missingFrom(sync.Members, m.table.inBuckets(marked))
 	}
-	m.applyTable(sync.Members)
+	spread := spreadLittle
+	if !m.join.joined && !sync.Reply {
+		spread = spreadNot
+	}
+	m.applyTable(sync.Members, spread)
 	address := m.addressOf(from, sync.Members)
 	switch {
 	case sync.Reply && compare:
@@ -145,13 +156,34 @@
 // applyTable joins the registers of a whole view. A member dead there but live
 // here becomes a suspect only: after a partition each side holds the other's
 // members for dead, and taking that over would empty both sides' views until
-// every member had refuted.
-func (m *Machine) applyTable(members []wire.Member) {
+// every member had refuted. A few such are probed at once and get a short wait:
+// their time for a refutation has passed elsewhere.
+func (m *Machine) applyTable(members []wire.Member, spread spread) {
+	var accused []string
 	for _, member := range members {
-		held, ok := m.table.records[member.Name]
-		if ok && member.Status == wire.StatusDead && held.died.IsZero() {
+		if member.Status == wire.StatusDead && m.table.isLive(member.Name) {
 			member.Status = wire.StatusSuspect
+			accused = append(accused, member.Name)
 		}
-		m.apply(member)
+		m.apply(member, spread)
+	}
+	if len(accused) > hearsayLimit {
+		return
+	}
+	for _, name := range accused {
+		m.verify(name)
+	}
+}
+
+// verify probes a suspect and ends its wait just after the probe would fail.
+func (m *Machine) verify(name string) {
+	held, ok := m.table.suspects[name]
+	if !ok || m.probes.isWaitingFor(name) {
+		return
+	}
+	m.startProbe(name)
+	end := m.now.Add(4 * m.config.ProbeTimeout)
+	if end.Before(held.suspected) {
+		held.suspected = end
 	}
 }
--- a/internal/membership/update.go
+++ b/internal/membership/update.go
@@ -7,8 +7,17 @@
 	"sliphead/internal/wire"
 )
 
+// spread is how far a changed register is to be told from here.
+type spread int
+
+const (
+	spreadWidely spread = iota // news
+	spreadLittle               // what most others know or will find out themselves
+	spreadNot                  // what the others told
+)
+
 // apply joins a register received into the table.
-func (m *Machine) apply(update wire.Member) {
+func (m *Machine) apply(update wire.Member, spread spread) {
 	if !plausible(update, m.now) {
 		return
 	}
@@ -18,12 +27,12 @@
 	}
 	held, ok := m.table.records[update.Name]
 	if !ok {
-		m.admit(update)
+		m.admit(update, spread)
 		return
 	}
 	merged := merge(held.member, update)
 	if merged != held.member {
-		m.change(merged)
+		m.change(merged, spread)
 		return
 	}
 	if sameWord(merged, update) {
@@ -36,17 +45,17 @@
 
 // admit takes in a member not known. A dead one is not remembered: that would
 // hand tombstones from node to node for ever.
-func (m *Machine) admit(update wire.Member) {
+func (m *Machine) admit(update wire.Member, spread spread) {
 	if update.Status == wire.StatusDead || isCompact(update) || len(m.table.records) >= memberLimit {
 		return
 	}
-	m.change(update)
+	m.change(update, spread)
 	m.probes.insert(update.Name, m.config.Random)
 }
 
 // change stores a register, tells the owner of the machine and queues it for
 // gossip.
-func (m *Machine) change(member wire.Member) {
+func (m *Machine) change(member wire.Member, spread spread) {
 	before, _ := m.table.member(member.Name)
 	wasLive := m.table.isLive(member.Name)
 	held := m.table.put(member, m.now)
@@ -54,14 +63,25 @@
 	if !wasLive && m.table.isLive(member.Name) && before.Name != "" {
 		m.probes.insert(member.Name, m.config.Random)
 	}
-	m.rumors.add(member.Name)
+	switch spread {
+	case spreadWidely:
+		m.rumors.add(member.Name, 0)
+	case spreadLittle:
+		m.rumors.add(member.Name, max(0, m.tellings()-littleTellings))
+	}
 	m.effects = append(m.effects, Changed{Member: member, Before: before})
 }
 
-// tellings returns how often each node tells a register: λ·log2(n).
+// tellings returns how often each node tells a register: λ·log2(n). While very
+// many change it is less, and the few that are missed are left to repair, which
+// then takes fewer bytes.
 func (m *Machine) tellings() int {
 	size := float64(m.table.size())
-	return int(math.Ceil(m.config.Retransmit*math.Log2(size+1))) + 1
+	limit := int(math.Ceil(m.config.Retransmit*math.Log2(size+1))) + 1
+	if m.rumors.len() > backlog {
+		return min(limit, backlogTellings)
+	}
+	return limit
 }
 
 // refute answers what a peer says of this node where that would win over its
@@ -87,7 +107,7 @@
 	default:
 		return
 	}
-	m.change(self)
+	m.change(self, spreadWidely)
 }
 
 func (m *Machine) setEndpoint(state wire.EndpointState) {
@@ -97,7 +117,7 @@
 	}
 	self.Endpoint = state
 	self.Sequence++
-	m.change(self)
+	m.change(self, spreadWidely)
 }
 
 func (m *Machine) leave() {
@@ -107,7 +127,7 @@
 	}
 	self.Status = wire.StatusLeaving
 	self.Incarnation++
-	m.change(self)
+	m.change(self, spreadWidely)
 }
 
 // watchSuspicion starts or ends the wait for a refutation as the register says.
@@ -156,7 +176,7 @@
 		}
 		member := held.member
 		member.Status = wire.StatusDead
-		m.change(member)
+		m.change(member, spreadLittle) // each peer's own wait ends too
 	}
 }
 
@@ -173,7 +193,7 @@
 	if held.member.Status == wire.StatusAlive {
 		member := held.member
 		member.Status = wire.StatusSuspect
-		m.change(member)
+		m.change(member, spreadWidely)
 		m.number++
 		m.ping(name, m.number) // tells it, so that it can refute
 	}
