--- a/lab/experiment/selection.go
+++ b/lab/experiment/selection.go
@@ -58,7 +58,7 @@
 		return node.Worker != nil
 	case kindReader:
 		status, err := node.Status()
-		return err == nil && status.Reader
+		return err == nil && status.Distribution.Reader
 	case kindRunning:
 		return node.Running()
 	case kindEnded:
--- a/lab/mesh/node.go
+++ b/lab/mesh/node.go
@@ -31,8 +31,10 @@
 		Revision uint64 `json:"revision"`
 		Digest   string `json:"digest"`
 	} `json:"version"`
+	Distribution struct {
+		Reader bool `json:"reader"`
+	} `json:"distribution"`
 	Ready                bool  `json:"ready"`
-	Reader               bool  `json:"reader"`
 	ControlBytesSent     int64 `json:"controlBytesSent"`
 	ControlBytesReceived int64 `json:"controlBytesReceived"`
 }
--- a/lab/mesh/settings.go
+++ b/lab/mesh/settings.go
@@ -75,7 +75,6 @@
 		Claims:    claimSettings{Since: since, ClockSkew: clockSkew.String()},
 	}
 	if node.Worker != nil {
-		settings.Service = node.Worker.Worker.Service
 		settings.Worker = &workerSettings{Name: node.Worker.Name, Address: node.Worker.Address, HealthPath: "/health"}
 	}
 	data, err := yaml.Marshal(settings)
--- a/lab/worker/run.go
+++ b/lab/worker/run.go
@@ -35,7 +35,16 @@
 	})
 }
 
+// echoed are the headers by which a node matches an answer to its request. A
+// refusal without them does not count as not run.
+var echoed = []string{outcome.RequestID, "Sliphead-Attempt"}
+
 func (w *Worker) serveRequest(writer http.ResponseWriter, request *http.Request) {
+	for _, name := range echoed {
+		if value := request.Header.Get(name); value != "" {
+			writer.Header().Set(name, value)
+		}
+	}
 	if !w.authorized(request) {
 		w.refuse(writer, http.StatusUnauthorized, "present the route's credential")
 		return
