--- a/internal/declaration/timezone.go
+++ b/internal/declaration/timezone.go
@@ -60,8 +60,8 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "build again from a clean checkout", "decode time zone %q", name)
 	}
-	locations.Store(name, location)
-	return location, nil
+	kept, _ := locations.LoadOrStore(name, location) // one pointer a name, so that schedules compare
+	return kept.(*time.Location), nil
 }
 
 func readAll(file *zip.File) ([]byte, error) {
--- a/internal/snapshot/match.go
+++ b/internal/snapshot/match.go
@@ -18,17 +18,17 @@
 	if ambiguous(path) {
 		return nil
 	}
-	name := hostName(host)
-	if route := v.match(path, method, func(r *Route) bool { return r.Host != "" && strings.EqualFold(r.Host, name) }); route != nil {
+	if route := v.match(hostName(host), path, method); route != nil {
 		return route
 	}
-	return v.match(path, method, func(r *Route) bool { return r.Host == "" })
+	return v.match("", path, method)
 }
 
-// match returns the first route in the order of the view.
-func (v *View) match(path, method string, ofHost func(*Route) bool) *Route {
+// match returns the first route of that host in the order of the view. The
+// empty host stands for routes for any host.
+func (v *View) match(host, path, method string) *Route {
 	for _, route := range v.Routes {
-		if ofHost(route) && prefixMatches(route.PathPrefix, path) && methodMatches(route.Methods, method) {
+		if strings.EqualFold(route.Host, host) && prefixMatches(route.PathPrefix, path) && methodMatches(route.Methods, method) {
 			return route
 		}
 	}
--- a/internal/snapshot/resolve.go
+++ b/internal/snapshot/resolve.go
@@ -75,38 +75,49 @@
 }
 
 // liveByWorker returns the endpoints of each declared worker, by the worker's
-// index, with what is declared of the worker. Others are dropped.
+// index, with what is declared of the worker. Others are dropped. It counts
+// before it places, since sorting them all would cost most of a resolution.
 func (c *Compiled) liveByWorker(endpoints []Endpoint) [][]Endpoint {
-	sorted := slices.Clone(endpoints)
-	slices.SortFunc(sorted, compareEndpoints)
-	live := make([][]Endpoint, len(c.workers))
-	for start := 0; start < len(sorted); {
-		end := start + 1
-		for end < len(sorted) && sorted[end].Worker == sorted[start].Worker {
-			end++
+	indices := make([]int, len(endpoints))
+	counts := make([]int, len(c.workers))
+	total := 0
+	for position := range endpoints {
+		index, declared := c.workerIndex[endpoints[position].Worker]
+		if !declared {
+			indices[position] = noWorker
+			continue
 		}
-		if index, declared := c.workerIndex[sorted[start].Worker]; declared {
-			live[index] = filled(sorted[start:end:end], c.workers[index])
+		indices[position] = index
+		counts[index]++
+		total++
+	}
+	live := divide(make([]Endpoint, total), counts)
+	for position, index := range indices {
+		if index != noWorker {
+			live[index] = append(live[index], filled(endpoints[position], &c.workers[index]))
 		}
-		start = end
+	}
+	for _, group := range live {
+		slices.SortFunc(group, func(a, b Endpoint) int { return strings.Compare(a.Node, b.Node) })
 	}
 	return live
 }
 
-// filled writes the worker's declared capacity into its endpoints.
-func filled(endpoints []Endpoint, worker declaration.Worker) []Endpoint {
-	for index := range endpoints {
-		endpoints[index].Slots = worker.Slots
-		endpoints[index].Connections = worker.Connections
+// divide cuts the storage into empty slices with the capacities given.
+func divide(storage []Endpoint, capacities []int) [][]Endpoint {
+	parts := make([][]Endpoint, len(capacities))
+	for index, capacity := range capacities {
+		parts[index] = storage[:0:capacity]
+		storage = storage[capacity:]
 	}
-	return endpoints
+	return parts
 }
 
-func compareEndpoints(a, b Endpoint) int {
-	if order := strings.Compare(a.Worker, b.Worker); order != 0 {
-		return order
-	}
-	return strings.Compare(a.Node, b.Node)
+// filled returns the endpoint with the worker's declared capacity.
+func filled(endpoint Endpoint, worker *declaration.Worker) Endpoint {
+	endpoint.Slots = worker.Slots
+	endpoint.Connections = worker.Connections
+	return endpoint
 }
 
 // openGates evaluates each gate at a moment.
