--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -36,15 +36,11 @@
 // setActive compiles a set that comes into force. The set before stays when the
 // new one can't be compiled.
 func (p *publisher) setActive(set *snapshot.Set) error {
-	document, err := set.Document()
-	if err != nil {
-		return err
-	}
 	compiled, err := snapshot.Compile(set)
 	if err != nil {
 		return err
 	}
-	p.document = document
+	p.document = set.Document()
 	p.compiled = compiled
 	p.version = set.Version()
 	p.dirty = true
--- a/internal/declaration/validate.go
+++ b/internal/declaration/validate.go
@@ -28,12 +28,36 @@
 		return check.sorted()
 	}
 	check.fields()
-	check.duplicates()
-	check.references()
-	check.ambiguities()
+	check.relations()
 	return check.sorted()
 }
 
+// ValidateRelations is Validate for a document whose items are each known to be
+// sound by ValidItem: it looks only at how they relate.
+func ValidateRelations(document *Document) []Finding {
+	check := &validation{document: document}
+	check.counts()
+	if len(check.findings) == 0 {
+		check.relations()
+	}
+	return check.sorted()
+}
+
+// Item is one declared item.
+type Item interface {
+	Zone | Service | Worker | Selector | Route | Secret
+}
+
+// ValidItem reports whether an item keeps the rules on single items.
+func ValidItem[T Item](item T) bool { return len(fieldFaults(item)) == 0 }
+
+// relations applies the rules on how items relate.
+func (v *validation) relations() {
+	v.duplicates()
+	v.references()
+	v.ambiguities()
+}
+
 // validation gathers findings on one document.
 type validation struct {
 	document *Document
--- a/internal/node/configure.go
+++ b/internal/node/configure.go
@@ -7,7 +7,6 @@
 
 	"sliphead/internal/claim"
 	"sliphead/internal/control"
-	"sliphead/internal/declaration"
 	"sliphead/internal/distribution"
 	"sliphead/internal/fault"
 	"sliphead/internal/logging"
@@ -99,11 +98,7 @@
 // validate is the deterministic check that every node makes of a version. It
 // does not ask for secrets' values, which may come later.
 func validate(set *snapshot.Set) error {
-	document, err := set.Document()
-	if err != nil {
-		return err
-	}
-	findings := declaration.Validate(document)
+	findings := set.Validate()
 	if len(findings) == 0 {
 		return nil
 	}
--- /dev/null
+++ b/internal/snapshot/entry.go
@@ -0,0 +1,95 @@
+package snapshot
+
+import (
+	"encoding/json"
+	"slices"
+
+	"sliphead/internal/declaration"
+	"sliphead/internal/fault"
+)
+
+// entry is a resource with what its body says. Entries are immutable and shared
+// by the sets of successive versions.
+type entry struct {
+	Resource
+	value any  // pointer to the declared item; nil for a secret and while the body is missing
+	sound bool // whether the item keeps the rules on single items
+}
+
+// newEntry checks a resource against its digest and decodes it.
+func newEntry(resource Resource) (entry, error) {
+	made := entry{Resource: resource}
+	if resource.Kind == KindSecret {
+		secret := declaration.Secret{Name: resource.Name, Digest: resource.Digest}
+		made.value, made.sound = &secret, declaration.ValidItem(secret)
+	}
+	if resource.Body == nil {
+		return made, nil
+	}
+	if !bodyMatches(resource, resource.Body) {
+		return entry{}, fault.New(fault.Peer, "pull from another peer", "body of %s does not match its digest", resource.Key)
+	}
+	var err error
+	switch resource.Kind {
+	case KindSecret:
+	case KindZone:
+		made.value, made.sound, err = decode[declaration.Zone](resource)
+	case KindService:
+		made.value, made.sound, err = decode[declaration.Service](resource)
+	case KindWorker:
+		made.value, made.sound, err = decode[declaration.Worker](resource)
+	case KindSelector:
+		made.value, made.sound, err = decode[declaration.Selector](resource)
+	case KindRoute:
+		made.value, made.sound, err = decode[declaration.Route](resource)
+	default:
+		err = fault.New(fault.Peer, "run the same release on all nodes", "unknown kind of resource %q", resource.Kind)
+	}
+	return made, err
+}
+
+// newEntries makes sorted entries of resources.
+func newEntries(resources []Resource) ([]entry, error) {
+	entries := make([]entry, 0, len(resources))
+	for _, resource := range resources {
+		made, err := newEntry(resource)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, made)
+	}
+	slices.SortFunc(entries, func(a, b entry) int { return a.Key.compare(b.Key) })
+	return entries, nil
+}
+
+// decode reads a body and applies the rules on single items.
+func decode[T declaration.Item](resource Resource) (value any, sound bool, err error) {
+	var item T
+	if err := json.Unmarshal(resource.Body, &item); err != nil {
+		return nil, false, fault.Wrap(err, fault.Peer, "pull from another peer", "decode %s", resource.Key)
+	}
+	return &item, declaration.ValidItem(item), nil
+}
+
+// addTo puts the declared item back into a document.
+func (e entry) addTo(document *declaration.Document) {
+	switch item := e.value.(type) {
+	case *declaration.Zone:
+		document.Zones = append(document.Zones, *item)
+	case *declaration.Service:
+		document.Services = append(document.Services, *item)
+	case *declaration.Worker:
+		document.Workers = append(document.Workers, *item)
+	case *declaration.Selector:
+		document.Selectors = append(document.Selectors, *item)
+	case *declaration.Route:
+		document.Routes = append(document.Routes, *item)
+	case *declaration.Secret:
+		document.Secrets = append(document.Secrets, *item)
+	}
+}
+
+// search finds a key in sorted entries.
+func search(entries []entry, key Key) (index int, found bool) {
+	return slices.BinarySearchFunc(entries, key, func(held entry, wanted Key) int { return held.Key.compare(wanted) })
+}
--- a/internal/snapshot/resolve_compile.go
+++ b/internal/snapshot/resolve_compile.go
@@ -84,10 +84,7 @@
 		return nil, fault.New(fault.Unready, "wait for them, or check that the source serves them",
 			"version %s lacks %d resources, first %s", set.Version(), len(missing), missing[0])
 	}
-	document, err := set.Document()
-	if err != nil {
-		return nil, err
-	}
+	document := set.Document()
 	compiler := newCompiler(set, document)
 	for _, route := range document.Routes {
 		if err := compiler.addRoute(route); err != nil {
--- a/internal/snapshot/resource.go
+++ b/internal/snapshot/resource.go
@@ -87,37 +87,3 @@
 	}
 	return resources
 }
-
-// addTo puts one resource back into a document.
-func addTo(document *declaration.Document, resource Resource) error {
-	if resource.Kind == KindSecret {
-		document.Secrets = append(document.Secrets, declaration.Secret{Name: resource.Name, Digest: resource.Digest})
-		return nil
-	}
-	if resource.Body == nil {
-		return nil
-	}
-	switch resource.Kind {
-	case KindZone:
-		return appendDecoded(&document.Zones, resource)
-	case KindService:
-		return appendDecoded(&document.Services, resource)
-	case KindWorker:
-		return appendDecoded(&document.Workers, resource)
-	case KindSelector:
-		return appendDecoded(&document.Selectors, resource)
-	case KindRoute:
-		return appendDecoded(&document.Routes, resource)
-	default:
-		return fault.New(fault.Peer, "run the same release on all nodes", "unknown kind of resource %q", resource.Kind)
-	}
-}
-
-func appendDecoded[T any](list *[]T, resource Resource) error {
-	var value T
-	if err := json.Unmarshal(resource.Body, &value); err != nil {
-		return fault.Wrap(err, fault.Peer, "pull from another peer", "decode %s", resource.Key)
-	}
-	*list = append(*list, value)
-	return nil
-}
--- a/internal/snapshot/set.go
+++ b/internal/snapshot/set.go
@@ -18,8 +18,8 @@
 // Set is one configuration version: every resource that it names, with the
 // bodies held so far. It is immutable and safe for any number of readers.
 type Set struct {
-	version   version.Version
-	resources []Resource // sorted by key
+	version version.Version
+	entries []entry // sorted by key
 }
 
 // Empty returns the set of a node that holds nothing.
@@ -32,16 +32,19 @@
 	if err != nil {
 		return nil, err
 	}
-	set := newSet(document.Epoch, revision, resources)
+	entries, err := newEntries(resources)
+	if err != nil {
+		return nil, err
+	}
+	set := newSet(document.Epoch, revision, entries)
 	return set.WithBodies(secretResources(document, secrets)), nil
 }
 
-// newSet sorts the resources and derives the version's digest from them.
-func newSet(epoch, revision uint64, resources []Resource) *Set {
-	slices.SortFunc(resources, compareResources)
+// newSet derives the version's digest from sorted entries.
+func newSet(epoch, revision uint64, entries []entry) *Set {
 	return &Set{
-		version:   version.Version{Epoch: epoch, Revision: revision, Digest: digestOf(resources)},
-		resources: resources,
+		version: version.Version{Epoch: epoch, Revision: revision, Digest: digestOf(entries)},
+		entries: entries,
 	}
 }
 
@@ -49,14 +52,14 @@
 func (s *Set) Version() version.Version { return s.version }
 
 // Len returns the number of resources named, held or not.
-func (s *Set) Len() int { return len(s.resources) }
+func (s *Set) Len() int { return len(s.entries) }
 
 // Missing returns the keys of the resources whose bodies are not held, sorted.
 func (s *Set) Missing() []Key {
 	var missing []Key
-	for _, resource := range s.resources {
-		if resource.Body == nil {
-			missing = append(missing, resource.Key)
+	for _, held := range s.entries {
+		if held.Body == nil {
+			missing = append(missing, held.Key)
 		}
 	}
 	return missing
@@ -64,44 +67,48 @@
 
 // Complete reports whether all bodies are held.
 func (s *Set) Complete() bool {
-	return !slices.ContainsFunc(s.resources, func(r Resource) bool { return r.Body == nil })
+	return !slices.ContainsFunc(s.entries, func(held entry) bool { return held.Body == nil })
 }
 
 // Lookup returns a resource by key. Its body is nil while it is missing.
 func (s *Set) Lookup(key Key) (Resource, bool) {
-	index, found := slices.BinarySearchFunc(s.resources, key, func(r Resource, k Key) int { return r.Key.compare(k) })
+	index, found := search(s.entries, key)
 	if !found {
 		return Resource{}, false
 	}
-	return s.resources[index], true
+	return s.entries[index].Resource, true
 }
 
 // WithBodies returns a set in which missing bodies are filled from resources.
 // Resources that the set does not name, or whose bodies do not match the
 // named digest, are passed over.
 func (s *Set) WithBodies(resources []Resource) *Set {
-	filled := slices.Clone(s.resources)
+	filled := slices.Clone(s.entries)
 	for _, resource := range resources {
-		index, found := slices.BinarySearchFunc(filled, resource.Key, func(r Resource, k Key) int { return r.Key.compare(k) })
-		if found && filled[index].Body == nil && bodyMatches(filled[index], resource.Body) {
-			filled[index].Body = resource.Body
+		index, found := search(filled, resource.Key)
+		if !found || filled[index].Body != nil || !bodyMatches(filled[index].Resource, resource.Body) {
+			continue
+		}
+		resource.Digest = filled[index].Digest
+		if fresh, err := newEntry(resource); err == nil {
+			filled[index] = fresh
 		}
 	}
-	return &Set{version: s.version, resources: filled}
+	return &Set{version: s.version, entries: filled}
 }
 
 // Diff returns the delta that leads from one set to another.
 func Diff(from, to *Set) Delta {
 	delta := Delta{From: from.version, To: to.version}
-	for _, resource := range to.resources {
-		held, found := from.Lookup(resource.Key)
-		if !found || held.Digest != resource.Digest || held.Body == nil {
-			delta.Put = append(delta.Put, resource)
+	for _, wanted := range to.entries {
+		held, found := from.Lookup(wanted.Key)
+		if !found || held.Digest != wanted.Digest || held.Body == nil {
+			delta.Put = append(delta.Put, wanted.Resource)
 		}
 	}
-	for _, resource := range from.resources {
-		if _, found := to.Lookup(resource.Key); !found {
-			delta.Remove = append(delta.Remove, resource.Key)
+	for _, held := range from.entries {
+		if _, found := to.Lookup(held.Key); !found {
+			delta.Remove = append(delta.Remove, held.Key)
 		}
 	}
 	return delta
@@ -114,24 +121,25 @@
 	if delta.From != s.version {
 		return nil, fault.New(fault.Peer, "pull with the version held", "delta starts at %s, held is %s", delta.From, s.version)
 	}
-	byKey := make(map[Key]Resource, len(s.resources)+len(delta.Put))
-	for _, resource := range s.resources {
-		byKey[resource.Key] = resource
-	}
+	entries := slices.Clone(s.entries)
 	for _, key := range delta.Remove {
-		delete(byKey, key)
+		if index, found := search(entries, key); found {
+			entries = slices.Delete(entries, index, index+1)
+		}
 	}
 	for _, resource := range delta.Put {
-		if resource.Body != nil && !bodyMatches(resource, resource.Body) {
-			return nil, fault.New(fault.Peer, "pull from another peer", "body of %s does not match its digest", resource.Key)
+		put, err := newEntry(resource)
+		if err != nil {
+			return nil, err
 		}
-		byKey[resource.Key] = resource
-	}
-	resources := make([]Resource, 0, len(byKey))
-	for _, resource := range byKey {
-		resources = append(resources, resource)
+		index, found := search(entries, resource.Key)
+		if found {
+			entries[index] = put
+			continue
+		}
+		entries = slices.Insert(entries, index, put)
 	}
-	set := newSet(delta.To.Epoch, delta.To.Revision, resources)
+	set := newSet(delta.To.Epoch, delta.To.Revision, entries)
 	if set.version != delta.To {
 		return nil, fault.New(fault.Peer, "pull from another peer", "content has version %s, announced was %s", set.version, delta.To)
 	}
@@ -139,14 +147,23 @@
 }
 
 // Document puts the declarations together again. Missing bodies are left out.
-func (s *Set) Document() (*declaration.Document, error) {
+// Maps and slices within are shared with the set and must not be changed.
+func (s *Set) Document() *declaration.Document {
 	document := &declaration.Document{Epoch: s.version.Epoch}
-	for _, resource := range s.resources {
-		if err := addTo(document, resource); err != nil {
-			return nil, err
-		}
+	for _, held := range s.entries {
+		held.addTo(document)
+	}
+	return document
+}
+
+// Validate returns what is wrong with the declarations, as declaration.Validate
+// does. Rules on single items were applied when their bodies came, so that a
+// small change to a large set costs little.
+func (s *Set) Validate() []declaration.Finding {
+	if slices.ContainsFunc(s.entries, func(held entry) bool { return !held.sound }) {
+		return declaration.Validate(s.Document())
 	}
-	return document, nil
+	return declaration.ValidateRelations(s.Document())
 }
 
 // SecretValue returns the value of a secret, and false while it is not held.
@@ -186,10 +203,17 @@
 
 // digestOf hashes the sorted keys and digests. Bodies do not count: a set has
 // its version before the secrets' values have come.
-func digestOf(resources []Resource) string {
+func digestOf(entries []entry) string {
 	hash := sha256.New()
-	for _, resource := range resources {
-		hash.Write([]byte(string(resource.Kind) + "\x00" + resource.Name + "\x00" + resource.Digest + "\n"))
+	var line []byte
+	for _, held := range entries {
+		line = append(line[:0], held.Kind...)
+		line = append(line, 0)
+		line = append(line, held.Name...)
+		line = append(line, 0)
+		line = append(line, held.Digest...)
+		line = append(line, '\n')
+		hash.Write(line)
 	}
 	const digestBytes = 16
 	return hex.EncodeToString(hash.Sum(nil)[:digestBytes])
@@ -200,8 +224,6 @@
 	return hex.EncodeToString(sum[:])
 }
 
-func compareResources(a, b Resource) int { return a.Key.compare(b.Key) }
-
 func (k Key) compare(other Key) int {
 	return cmp.Or(cmp.Compare(k.Kind, other.Kind), cmp.Compare(k.Name, other.Name))
 }
--- a/internal/snapshot/set_test.go
+++ b/internal/snapshot/set_test.go
@@ -76,3 +76,35 @@
 	_, err = Empty().Apply(forged)
 	must.ErrorContains(t, err, "does not match its digest")
 }
+
+func TestValidateOfASetAgreesWithThatOfItsDocument(t *testing.T) {
+	sound := documentFor(t, "till")
+	unsound := documentFor(t)
+	unsound.Workers[0].Name = "No Name"
+	dangling := documentFor(t)
+	dangling.Workers[0].Zone = "elsewhere"
+	repeated := documentFor(t)
+	repeated.Zones = nil
+
+	for _, document := range []*declaration.Document{sound, unsound, dangling, repeated} {
+		set, err := Build(document, 1, nil)
+		must.NoError(t, err)
+		must.Eq(t, texts(declaration.Validate(set.Document())), texts(set.Validate()))
+	}
+}
+
+func TestApplyRefusesABodyThatDoesNotDecode(t *testing.T) {
+	body := json.RawMessage(`{"name":7}`)
+	resource := Resource{Key: Key{Kind: KindWorker, Name: "worker"}, Digest: hashHex(body), Body: body}
+	to := newSet(1, 1, []entry{{Resource: resource}}).Version()
+	_, err := Empty().Apply(Delta{To: to, Put: []Resource{resource}})
+	must.ErrorContains(t, err, "decode worker/worker")
+}
+
+func texts(findings []declaration.Finding) []string {
+	var all []string
+	for _, finding := range findings {
+		all = append(all, finding.What+" "+finding.Remedy)
+	}
+	return all
+}
