--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -124,7 +124,9 @@
 	}
 	select {
 	case decided := <-decision:
-		return decided
+		if decided.Verdict != VerdictRun || ctx.Err() == nil {
+			return decided
+		}
 	case <-ctx.Done():
 	case <-k.ended:
 	}
--- a/internal/claim/recovery.go
+++ b/internal/claim/recovery.go
@@ -63,6 +63,7 @@
 		Number: held.recovery.number, Service: held.name, Worker: m.config.Worker, Incarnation: m.incarnation,
 		Group: held.current.digest, Version: m.version, Slots: ^held.able,
 	}
+	held.exportPriors(&request, m.config.Worker, now)
 	var effects []Effect
 	for _, worker := range held.workers() {
 		if worker == m.config.Worker {
@@ -82,6 +83,7 @@
 		return nil
 	}
 	held.learnKnown(map[string]uint64{request.Worker: request.Incarnation})
+	held.learnPriors(request, m.config.GroupSize, now)
 	reply := wire.ClaimCopy{
 		Number: request.Number, Service: held.name, Reply: true, Worker: m.config.Worker, Incarnation: m.incarnation,
 		Able: held.able == allSlots, Group: held.current.digest, Version: m.version,
--- a/internal/claim/service.go
+++ b/internal/claim/service.go
@@ -162,19 +162,19 @@
 
 // learnPriors takes in earlier configurations that another replica knows. It
 // returns since when that replica has left each, by digest.
-func (s *service) learnPriors(reply wire.ClaimCopy, size int, now time.Time) map[string]time.Time {
+func (s *service) learnPriors(copied wire.ClaimCopy, size int, now time.Time) map[string]time.Time {
 	left := make(map[string]time.Time)
-	for index, list := range reply.Priors {
+	for index, list := range copied.Priors {
 		workers := make([]Worker, 0, len(list))
 		for _, worker := range list {
 			workers = append(workers, Worker(worker))
 		}
 		learned := s.configuration(workers, size)
-		if index < len(reply.PriorsLeftMS) && reply.PriorsLeftMS[index] >= 0 {
-			left[learned.digest] = now.Add(-time.Duration(reply.PriorsLeftMS[index]) * time.Millisecond)
+		if index < len(copied.PriorsLeftMS) && copied.PriorsLeftMS[index] >= 0 {
+			left[learned.digest] = now.Add(-time.Duration(copied.PriorsLeftMS[index]) * time.Millisecond)
 		}
-		if learned.digest != s.current.digest && index < len(reply.PriorsFirst) {
-			s.addPrior(learned, reply.PriorsFirst[index])
+		if learned.digest != s.current.digest && index < len(copied.PriorsFirst) {
+			s.addPrior(learned, copied.PriorsFirst[index])
 		}
 	}
 	return left
