--- a/internal/claim/config.go
+++ b/internal/claim/config.go
@@ -14,7 +14,7 @@
 	DefaultGroupSize    = 5
 	DefaultAnswerBytes  = 16 << 10
 	DefaultAnswerBudget = 4 << 20
-	DefaultMaxKeys      = 1 << 16
+	DefaultMaxKeys      = 1 << 14
 	DefaultMaxAttempts  = 1 << 12
 )
 
--- a/internal/claim/keeper_test.go
+++ b/internal/claim/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sync"
 	"testing"
@@ -93,6 +94,7 @@
 	for _, p := range s.processes {
 		p.machine.config.MaxKeys = 1 << 30
 	}
+	bytes := claimBytes(s)
 	s.messages = 0
 	b.ReportAllocs()
 	number := 0
@@ -104,5 +106,24 @@
 		s.step(s.processes[number%len(s.processes)], Finish{Service: simService, Key: key, Holder: holder})
 		s.settle()
 	}
+	b.ReportMetric(float64(bytes), "wire-bytes/op")
 	b.ReportMetric(float64(s.messages)/float64(number), "messages/op")
 }
+
+// claimBytes returns the bytes of all messages of one claim and its finish, as
+// JSON lines.
+func claimBytes(s *sim) int {
+	total := 0
+	flush := func() {
+		for len(s.network) > 0 {
+			line, _ := json.Marshal(s.network[0].message)
+			total += len(line) + 1
+			s.deliver(0, false)
+		}
+	}
+	holder := s.submit(s.processes[0], "order-of-a-usual-length", "0123456789abcdef")
+	flush()
+	s.step(s.processes[0], Finish{Service: simService, Key: "order-of-a-usual-length", Holder: holder})
+	flush()
+	return total
+}
--- a/internal/claim/machine.go
+++ b/internal/claim/machine.go
@@ -72,7 +72,12 @@
 // stood beside the worker. It has to recover like one that has started.
 func (m *Machine) forget(now time.Time) {
 	m.started = now
-	m.incarnation = max(m.incarnation+1, uint64(now.UnixNano()))
+	m.recoverAs(max(m.incarnation+1, uint64(now.UnixNano())))
+}
+
+// recoverAs starts recovery in all slots under another incarnation.
+func (m *Machine) recoverAs(incarnation uint64) {
+	m.incarnation = incarnation
 	for _, held := range m.services {
 		held.able, held.announced = 0, 0
 		held.recovery.restart()
--- a/internal/claim/machine_test.go
+++ b/internal/claim/machine_test.go
@@ -234,3 +234,66 @@
 	must.Eq(t, 0, kept.answerBytes)
 	must.MapEmpty(t, kept.records)
 }
+
+// deliverBetween hands over what is under way from one node to another.
+func deliverBetween(s *sim, from, to *process) {
+	for index := len(s.network) - 1; index >= 0; index-- {
+		if s.network[index].from == from.node && s.network[index].to == to.node {
+			s.deliver(index, false)
+		}
+	}
+}
+
+// A replica votes, restarts and recovers from others that have not yet heard
+// of the claim. Its old vote must not make up a majority with theirs.
+func TestVoteOfReplacedProcessDoesNotCount(t *testing.T) {
+	s := warmSim(workersOf(5, 1, 3))
+	group := replicasOf(s, "order")
+	s.submit(group[0], "order", "body")
+	deliverBetween(s, group[0], group[1])
+	deliverBetween(s, group[1], group[0])
+	s.kill(group[1])
+	restarted := s.start(group[1].worker, 1)
+	for _, source := range group[2:] {
+		deliverBetween(s, restarted, source)
+		deliverBetween(s, source, restarted)
+	}
+	deliverBetween(s, group[0], group[2])
+	deliverBetween(s, group[2], group[0])
+	rival := s.submit(group[3], "order", "body")
+	for _, voter := range []*process{restarted, group[4]} {
+		deliverBetween(s, group[3], voter)
+		deliverBetween(s, voter, group[3])
+	}
+	must.Eq(t, VerdictRun, s.decided[rival].Verdict)
+	must.Eq(t, 1, s.runs("order"))
+}
+
+// The same key with another request is told apart while it may be running.
+func TestMismatchIsRefused(t *testing.T) {
+	s := warmSim(workersOf(5, 1, 3))
+	must.Eq(t, VerdictRun, claimAt(s, s.processes[0], "order"))
+	holder := s.submit(s.processes[1], "order", "another body")
+	s.pass(time.Second)
+	must.Eq(t, VerdictMismatch, s.decided[holder].Verdict)
+}
+
+// A process that was paused for longer than records live starts over, and one
+// beside whose worker another node stands takes no part.
+func TestPausedAndReplacedProcessesDoNotVote(t *testing.T) {
+	s := warmSim(workersOf(5, 1, 3))
+	paused := s.latest("w01")
+	held := paused.machine.services[simService]
+	must.Eq(t, allSlots, held.ready())
+	paused.frozen = true
+	s.pass(s.config.hold())
+	s.step(paused, Tick{})
+	must.Eq(t, 0, held.ready())
+	paused.frozen = false
+	s.pass(time.Second)
+	must.Eq(t, allSlots, held.ready())
+
+	s.start("w01", 1)
+	must.Eq(t, VerdictNoQuorum, claimAt(s, paused, "order"))
+	must.Eq(t, VerdictRun, claimAt(s, s.latest("w01"), "order"))
+}
--- a/internal/claim/recovery.go
+++ b/internal/claim/recovery.go
@@ -10,7 +10,9 @@
 
 // Bounds of copying.
 const (
-	copyRetryFactor = 4   // unanswered copies are asked for again after so many Config.Retry
+	firstCopyFactor = 4   // copies are asked for again after so many Config.Retry at first
+	lastCopyFactor  = 100 // and after so many at last; the time doubles
+	settleShare     = 16  // asks in the life of a record while only earlier configurations are to be settled
 	copyPartRecords = 256 // records in one message
 )
 
@@ -19,7 +21,8 @@
 // earlier process may have been part of lacks one of them.
 type recovery struct {
 	number  uint64                              // of the copies asked for last
-	nextAsk time.Time                           // when to ask again
+	asked   time.Time                           // when they were asked for last
+	pause   time.Duration                       // until they are asked for again
 	urgent  bool                                // ask although all slots are recovered: others know more configurations
 	sources map[string]source                   // by worker, those whose copy has come whole
 	parts   map[answerID]map[int]wire.ClaimCopy // parts of the copies under way
@@ -44,19 +47,19 @@
 func (r *recovery) restart() {
 	r.sources = make(map[string]source)
 	r.parts = make(map[answerID]map[int]wire.ClaimCopy)
-	r.nextAsk = time.Time{}
+	r.asked, r.pause = time.Time{}, 0
 }
 
 // askCopies asks all others for the slots in which this replica may not vote.
 // With all slots recovered it still asks, for no slots, while earlier
 // configurations count: the answers tell who has left them.
 func (m *Machine) askCopies(held *service, now time.Time) []Effect {
-	needed := held.recovery.urgent || held.ready() != allSlots || len(held.priors) > 0
-	if !needed || now.Before(held.recovery.nextAsk) {
+	if !m.isCopyDue(held, now) {
 		return nil
 	}
 	held.recovery.urgent = false
-	held.recovery.nextAsk = now.Add(copyRetryFactor * m.config.Retry)
+	held.recovery.asked = now
+	held.recovery.pause = min(max(2*held.recovery.pause, firstCopyFactor*m.config.Retry), lastCopyFactor*m.config.Retry)
 	held.recovery.number = m.nextNumber()
 	held.recovery.parts = make(map[answerID]map[int]wire.ClaimCopy)
 	request := wire.ClaimCopy{
@@ -74,6 +77,19 @@
 	return effects
 }
 
+// isCopyDue reports whether to ask for copies now.
+func (m *Machine) isCopyDue(held *service, now time.Time) bool {
+	since := now.Sub(held.recovery.asked)
+	switch {
+	case held.recovery.urgent:
+		return since >= firstCopyFactor*m.config.Retry
+	case held.ready() != allSlots:
+		return since >= held.recovery.pause
+	default:
+		return len(held.priors) > 0 && since >= m.config.hold()/settleShare
+	}
+}
+
 // giveCopy answers another replica that recovers. Noting the asker's
 // incarnation before its answer leaves is what makes votes of the asker's
 // earlier process count no longer beside later votes of this replica.
@@ -153,11 +169,7 @@
 	if known[m.config.Worker] <= m.incarnation {
 		return nil
 	}
-	m.incarnation = known[m.config.Worker] + 1
-	for _, other := range m.services {
-		other.able, other.announced = 0, 0
-		other.recovery.restart()
-	}
+	m.recoverAs(known[m.config.Worker] + 1)
 	return []Effect{Log{Name: LogReplaced, Service: held.name, Count: 1}}
 }
 
