--- a/internal/claim/recovery.go
+++ b/internal/claim/recovery.go
@@ -10,7 +10,9 @@
 
 // Bounds of copying.
 const (
-	copyRetryFactor = 4   // unanswered copies are asked for again after so many Config.Retry
+	firstCopyFactor = 4   // copies are asked for again after so many Config.Retry at first
+	lastCopyFactor  = 100 // and after so many at last; the time doubles
+	settleShare     = 16  // asks in the life of a record while only earlier configurations are to be settled
 	copyPartRecords = 256 // records in one message
 )
 
@@ -19,7 +21,8 @@
 // earlier process may have been part of lacks one of them.
 type recovery struct {
 	number  uint64                              // of the copies asked for last
-	nextAsk time.Time                           // when to ask again
+	asked   time.Time                           // when they were asked for last
+	pause   time.Duration                       // until they are asked for again
 	urgent  bool                                // ask although all slots are recovered: others know more configurations
 	sources map[string]source                   // by worker, those whose copy has come whole
 	parts   map[answerID]map[int]wire.ClaimCopy // parts of the copies under way
@@ -44,25 +47,26 @@
 func (r *recovery) restart() {
 	r.sources = make(map[string]source)
 	r.parts = make(map[answerID]map[int]wire.ClaimCopy)
-	r.nextAsk = time.Time{}
+	r.asked, r.pause = time.Time{}, 0
 }
 
 // askCopies asks all others for the slots in which this replica may not vote.
 // With all slots recovered it still asks, for no slots, while earlier
 // configurations count: the answers tell who has left them.
 func (m *Machine) askCopies(held *service, now time.Time) []Effect {
-	needed := held.recovery.urgent || held.ready() != allSlots || len(held.priors) > 0
-	if !needed || now.Before(held.recovery.nextAsk) {
+	if !m.isCopyDue(held, now) {
 		return nil
 	}
 	held.recovery.urgent = false
-	held.recovery.nextAsk = now.Add(copyRetryFactor * m.config.Retry)
+	held.recovery.asked = now
+	held.recovery.pause = min(max(2*held.recovery.pause, firstCopyFactor*m.config.Retry), lastCopyFactor*m.config.Retry)
 	held.recovery.number = m.nextNumber()
 	held.recovery.parts = make(map[answerID]map[int]wire.ClaimCopy)
 	request := wire.ClaimCopy{
 		Number: held.recovery.number, Service: held.name, Worker: m.config.Worker, Incarnation: m.incarnation,
 		Group: held.current.digest, Version: m.version, Slots: ^held.able,
 	}
+	held.exportPriors(&request, m.config.Worker, now)
 	var effects []Effect
 	for _, worker := range held.workers() {
 		if worker == m.config.Worker {
@@ -73,6 +77,19 @@
 	return effects
 }
 
+// isCopyDue reports whether to ask for copies now.
+func (m *Machine) isCopyDue(held *service, now time.Time) bool {
+	since := now.Sub(held.recovery.asked)
+	switch {
+	case held.recovery.urgent:
+		return since >= firstCopyFactor*m.config.Retry
+	case held.ready() != allSlots:
+		return since >= held.recovery.pause
+	default:
+		return len(held.priors) > 0 && since >= m.config.hold()/settleShare
+	}
+}
+
 // giveCopy answers another replica that recovers. Noting the asker's
 // incarnation before its answer leaves is what makes votes of the asker's
 // earlier process count no longer beside later votes of this replica.
@@ -82,6 +99,7 @@
 		return nil
 	}
 	held.learnKnown(map[string]uint64{request.Worker: request.Incarnation})
+	held.learnPriors(request, m.config.GroupSize, now)
 	reply := wire.ClaimCopy{
 		Number: request.Number, Service: held.name, Reply: true, Worker: m.config.Worker, Incarnation: m.incarnation,
 		Able: held.able == allSlots, Group: held.current.digest, Version: m.version,
@@ -151,11 +169,7 @@
 	if known[m.config.Worker] <= m.incarnation {
 		return nil
 	}
-	m.incarnation = known[m.config.Worker] + 1
-	for _, other := range m.services {
-		other.able, other.announced = 0, 0
-		other.recovery.restart()
-	}
+	m.recoverAs(known[m.config.Worker] + 1)
 	return []Effect{Log{Name: LogReplaced, Service: held.name, Count: 1}}
 }
 
@@ -190,12 +204,12 @@
 	if held.ready() == allSlots {
 		return
 	}
-	aged := m.startedBeforeFirstVote() || (!m.config.CopyOnly && now.Sub(m.started) >= m.config.hold())
+	aged := m.isAged(now)
 	for slot := range slotCount {
 		if !held.isAble(slot) && m.recovered(held, slot, aged, now) {
 			held.able |= 1 << slot
 		}
-		if m.isAnnounced(held, held.current.groups[slot]) {
+		if m.isAnnounced(held, held.current.groups[slot], aged) {
 			held.announced |= 1 << slot
 		}
 	}
@@ -204,16 +218,18 @@
 // isAnnounced reports whether so many of the group know this process that no
 // majority can take an earlier process of the same worker, paused and woken,
 // for it.
-func (m *Machine) isAnnounced(held *service, one group) bool {
+func (m *Machine) isAnnounced(held *service, one group, aged bool) bool {
 	told := one.count(func(worker string) bool {
 		given, have := held.recovery.sources[worker]
 		return have && given.incarnation >= held.known[worker] && worker != m.config.Worker
 	})
-	return told >= one.sourcesNeeded(m.config.Worker)
+	return told >= one.sourcesNeeded(m.config.Worker, aged)
 }
 
-func (m *Machine) startedBeforeFirstVote() bool {
-	return !m.config.Since.IsZero() && !m.started.Add(m.config.ClockSkew).After(m.config.Since)
+// isAged reports whether no vote of an earlier process can matter any more.
+func (m *Machine) isAged(now time.Time) bool {
+	beforeFirstVote := !m.config.Since.IsZero() && !m.started.Add(m.config.ClockSkew).After(m.config.Since)
+	return beforeFirstVote || (!m.config.CopyOnly && now.Sub(m.started) >= m.config.hold())
 }
 
 // recovered reports whether the sources cover every group of the slot. The
@@ -226,8 +242,8 @@
 	}
 	for _, one := range held.groups(slot, now, m.config.hold()) {
 		sources := one.count(func(worker string) bool { return m.isSource(held, worker, slot, aged) })
-		needed := one.sourcesNeeded(m.config.Worker)
-		if sources < needed || (needed == 0 && !aged) || (aged && !m.heardLive(held, one, slot)) {
+		needed := one.sourcesNeeded(m.config.Worker, aged)
+		if sources < needed || (aged && !m.heardLive(held, one, slot)) {
 			return false
 		}
 	}
@@ -264,6 +280,5 @@
 		left, known := held.recovery.sources[worker].left[oldest.digest]
 		return known && now.Sub(left) < m.config.hold() && m.isSource(held, worker, slot, false)
 	})
-	needed := one.sourcesNeeded(m.config.Worker)
-	return needed > 0 && sources >= needed
+	return sources >= one.sourcesNeeded(m.config.Worker, false)
 }
