--- a/lab/experiment/actions.go
+++ b/lab/experiment/actions.go
@@ -40,6 +40,8 @@
 		ActionHeal:          cutZone(false),
 		ActionLoss:          setLoss,
 		ActionFault:         setFault,
+		ActionRate:          setRate,
+		ActionMeasure:       measure,
 		ActionWait:          wait,
 		ActionWaitFirst:     waitFirst,
 		ActionWaitInForce:   waitInForce,
--- a/lab/experiment/outcome.go
+++ b/lab/experiment/outcome.go
@@ -26,6 +26,7 @@
 	Violations []string
 	Samples    []Sample
 	Attempts   []load.Attempt
+	Phases     []PhaseFigures
 	Nodes      int
 	Bytes      int64         // control bytes sent and received by all nodes
 	Duration   time.Duration // over which the bytes were counted
@@ -98,7 +99,12 @@
 	for _, breach := range r.mesh.Record.Breaches() {
 		r.violate("%s", breach)
 	}
+	result.Phases = figuresOf(r.phases, result.Attempts)
+	for _, figures := range result.Phases {
+		r.logger.WithFields(figures.Fields()).Info("")
+	}
 	r.check(result)
+	r.checkPhases(result.Phases)
 	result.Violations = r.violations
 	return result, nil
 }
@@ -163,6 +169,7 @@
 		merged.Violations = append(merged.Violations, each.Violations...)
 		merged.Samples = append(merged.Samples, each.Samples...)
 		merged.Attempts = append(merged.Attempts, each.Attempts...)
+		merged.Phases = append(merged.Phases, each.Phases...)
 		merged.Nodes += each.Nodes
 		merged.Bytes += each.Bytes
 		merged.Duration = max(merged.Duration, each.Duration)
--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -33,6 +33,7 @@
 	selected   []*mesh.Node // by the step before
 	samples    []Sample
 	violations []string
+	phases     []Phase
 	began      time.Time
 	startBytes map[string]controlBytes
 }
@@ -48,6 +49,7 @@
 // Run runs an experiment on a plan. It ends everything that it started, also
 // on an error.
 func Run(ctx context.Context, spec *Spec, plan *mesh.Plan, options Options) (*Outcome, error) {
+	options.Mesh.WithoutLinks = spec.WithoutLinks
 	started, err := mesh.Start(plan, options.Mesh)
 	if err != nil {
 		return nil, err
@@ -87,12 +89,25 @@
 		targets = append(targets, load.Target{Name: edge.Name, Address: edge.Public})
 	}
 	r.generator = load.NewGenerator(load.NewCaller(r.mesh.ClientAddress()), targets, r.spec.Name)
+	r.generator.Direct = r.directTargets()
 	r.mesh.Source.ResetCounts()
 	r.began = time.Now()
 	r.startBytes = r.readControlBytes()
 	r.generator.Start(r.spec.Load)
 }
 
+// directTargets returns the workers by service, for classes that call them
+// without any node.
+func (r *run) directTargets() map[string][]load.Target {
+	targets := map[string][]load.Target{}
+	for _, worker := range r.mesh.Workers {
+		service := worker.PlannedWorker.Service.Name
+		target := load.Target{Name: worker.Name, Address: worker.Address, Credential: worker.Credential(), Direct: true}
+		targets[service] = append(targets[service], target)
+	}
+	return targets
+}
+
 // steps carries out all steps. A step that does not hold is a violation; only
 // a step that cannot be carried out is an error.
 func (r *run) steps(ctx context.Context) error {
--- a/lab/experiment/spec.go
+++ b/lab/experiment/spec.go
@@ -16,13 +16,16 @@
 
 // Spec is an experiment, as a file in experiments/ holds it.
 type Spec struct {
-	Name   string       `yaml:"name" validate:"required"`
-	About  string       `yaml:"about"`                    // what the experiment shows
-	Mesh   string       `yaml:"mesh" validate:"required"` // plan file, relative to the experiment file
-	Scale  mesh.Scale   `yaml:"scale"`
-	Load   []load.Class `yaml:"load" validate:"dive"`
-	Steps  []Step       `yaml:"steps" validate:"required,dive"`
-	Checks Checks       `yaml:"checks"`
+	Name  string     `yaml:"name" validate:"required"`
+	About string     `yaml:"about"`                    // what the experiment shows
+	Mesh  string     `yaml:"mesh" validate:"required"` // plan file, relative to the experiment file
+	Scale mesh.Scale `yaml:"scale"`
+	// WithoutLinks joins all by loopback alone, without delays: for figures of
+	// the nodes' own share of latency.
+	WithoutLinks bool         `yaml:"withoutLinks"`
+	Load         []load.Class `yaml:"load" validate:"dive"`
+	Steps        []Step       `yaml:"steps" validate:"required,dive"`
+	Checks       Checks       `yaml:"checks"`
 }
 
 // Checks are bounds on the figures; zero means no bound. That answers are
@@ -34,6 +37,16 @@
 	FailedShare map[string]float64 `yaml:"failedShare"`
 	// LatencyP99MS bounds the latency of answered attempts, by class.
 	LatencyP99MS map[string]float64 `yaml:"latencyP99Ms"`
+	Phases       []PhaseCheck       `yaml:"phases" validate:"dive"`
+}
+
+// PhaseCheck bounds the goodput of a measured phase from below: by a share of
+// the phase's own offered rate, or of the goodput of another phase.
+type PhaseCheck struct {
+	Phase string  `yaml:"phase" validate:"required"`
+	Class string  `yaml:"class"` // none: all classes together
+	Of    string  `yaml:"of"`    // the other phase; none: the offered rate
+	Share float64 `yaml:"share" validate:"gt=0"`
 }
 
 // Action is what a step does.
@@ -56,6 +69,8 @@
 	ActionHeal       Action = "heal"        // end a cut
 	ActionLoss       Action = "loss"        // lose a share of datagrams between all zones
 	ActionFault      Action = "fault"       // let workers misbehave; none: healthy
+	ActionRate       Action = "rate"        // multiply the rate of a class, or of all
+	ActionMeasure    Action = "measure"     // measure a named phase of the load
 
 	ActionWait          Action = "wait"            // let time pass
 	ActionWaitFirst     Action = "wait-first"      // until the newest revision is in force on some node
@@ -83,6 +98,8 @@
 	Workers  []string                      `yaml:"workers"`  // fault, expect-workers, expect-no-runs
 	Class    string                        `yaml:"class"`    // expect-workers, expect-answered
 	Share    float64                       `yaml:"share"`    // loss
+	Factor   float64                       `yaml:"factor"`   // rate
+	Name     string                        `yaml:"name"`     // measure
 	AtLeast  int                           `yaml:"atLeast"`  // expect-answered
 	Within   time.Duration                 `yaml:"within"`   // bound of waiting
 	For      time.Duration                 `yaml:"for"`      // time that passes
--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -19,6 +19,9 @@
 type Target struct {
 	Name    string
 	Address string // host:port
+	// Direct says that the target is a worker; it asks for the credential.
+	Direct     bool
+	Credential string
 }
 
 // Caller submits requests and verifies their answers.
@@ -73,10 +76,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, submission.Start.Add(class.deadline()))
 	defer cancel()
-	content := []byte(echo.Filler("body-"+submission.Nonce, class.BodyBytes))
-	response, err := c.send(ctx, submission, content)
+	response, err := c.send(ctx, submission)
 	if err == nil {
-		judge(&attempt, response, submission.expectation(content))
+		judge(&attempt, response, submission)
 	} else {
 		attempt.Ending = EndingFailed
 		attempt.Cause = err.Error()
@@ -85,7 +87,8 @@
 	return attempt
 }
 
-func (s Submission) expectation(content []byte) echo.Expectation {
+func (s Submission) expectation() echo.Expectation {
+	content := s.content()
 	return echo.Expectation{
 		Nonce:       s.Nonce,
 		Path:        s.Class.Path,
@@ -95,8 +98,14 @@
 	}
 }
 
-func (c *Caller) send(ctx context.Context, submission Submission, content []byte) (*http.Response, error) {
+// content is the request's body.
+func (s Submission) content() []byte {
+	return []byte(echo.Filler("body-"+s.Nonce, s.Class.BodyBytes))
+}
+
+func (c *Caller) send(ctx context.Context, submission Submission) (*http.Response, error) {
 	class := submission.Class
+	content := submission.content()
 	body := bodyOf(content, time.Duration(class.BodyMillis)*time.Millisecond)
 	request, err := http.NewRequestWithContext(ctx, class.Method, "http://"+submission.Target.Address+class.Path, body)
 	if err != nil {
@@ -124,6 +133,9 @@
 	if submission.Key != "" {
 		header.Set(outcome.IdempotencyKey, submission.Key)
 	}
+	if submission.Target.Credential != "" {
+		header.Set("Authorization", "Bearer "+submission.Target.Credential)
+	}
 	for name, value := range class.Headers {
 		header.Set(name, value)
 	}
@@ -161,11 +173,15 @@
 }
 
 // judge reads the response and decides how the attempt ended.
-func judge(attempt *Attempt, response *http.Response, expected echo.Expectation) {
+func judge(attempt *Attempt, response *http.Response, submission Submission) {
 	defer response.Body.Close()
 	attempt.Status = response.StatusCode
 	body, err := io.ReadAll(response.Body)
-	switch outcome.Outcome(response.Header.Get(outcome.Header)) {
+	told := outcome.Outcome(response.Header.Get(outcome.Header))
+	if told == "" && submission.Target.Direct {
+		told = outcome.Answered // a worker says only what it did not run
+	}
+	switch told {
 	case outcome.NotRun:
 		attempt.Ending = EndingNotRun
 		attempt.Cause = response.Header.Get(outcome.Remedy)
@@ -173,7 +189,7 @@
 		attempt.Ending = EndingUnknown
 		attempt.Cause = response.Header.Get(outcome.Remedy)
 	case outcome.Answered:
-		judgeAnswer(attempt, body, err, expected)
+		judgeAnswer(attempt, body, err, submission.expectation())
 	default:
 		attempt.Ending = EndingFailed
 		attempt.Cause = fmt.Sprintf("status %d without an outcome", response.StatusCode)
--- a/lab/load/class.go
+++ b/lab/load/class.go
@@ -18,6 +18,7 @@
 	RunMillis     float64           `yaml:"runMillis" validate:"min=0"` // time that the worker runs; its own setting when 0
 	DeadlineMS    int               `yaml:"deadlineMs" validate:"min=0"`
 	Calls         string            `yaml:"calls"`                        // paths of nested calls, comma-separated
+	Direct        string            `yaml:"direct"`                       // service whose workers are called without any node, to compare with
 	Keyed         bool              `yaml:"keyed"`                        // may run once: carries an Idempotency-Key
 	Once          bool              `yaml:"once"`                         // each attempt may run once: the route is not repeatable
 	Resubmissions int               `yaml:"resubmissions"`                // times that a caller asks again, each through the next edge
--- a/lab/load/generator.go
+++ b/lab/load/generator.go
@@ -12,9 +12,11 @@
 type Generator struct {
 	Caller  *Caller
 	Targets []Target
+	Direct  map[string][]Target // workers by service, for classes that call them directly
 	Result  *Result
 
-	prefix   string // of nonces, so that two generators never share one
+	factors  sync.Map // float64 by class name
+	prefix   string   // of nonces, so that two generators never share one
 	number   atomic.Int64
 	inFlight atomic.Int64
 	cancel   context.CancelFunc
@@ -32,6 +34,33 @@
 	return &Generator{Caller: caller, Targets: targets, Result: newResult(), prefix: prefix}
 }
 
+// SetFactor multiplies the rate of a class, or of all classes when it is "",
+// from now on.
+func (g *Generator) SetFactor(class string, factor float64) {
+	if class == "" {
+		g.factors.Clear()
+	}
+	g.factors.Store(class, factor)
+}
+
+// factor returns the present multiplier of a class's rate.
+func (g *Generator) factor(class string) float64 {
+	for _, name := range []string{class, ""} {
+		if factor, found := g.factors.Load(name); found {
+			return factor.(float64)
+		}
+	}
+	return 1
+}
+
+// targets returns where requests of a class go.
+func (g *Generator) targets(class Class) []Target {
+	if class.Direct != "" {
+		return g.Direct[class.Direct]
+	}
+	return g.Targets
+}
+
 // Start begins all classes. Stop ends them.
 func (g *Generator) Start(classes []Class) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -60,7 +89,7 @@
 			return
 		}
 		g.begin(ctx, class, intended)
-		intended = intended.Add(class.interval())
+		intended = intended.Add(time.Duration(float64(class.interval()) / g.factor(class.Name)))
 		timer.Reset(time.Until(intended))
 	}
 }
@@ -91,7 +120,8 @@
 // answered. Each attempt goes to the next edge.
 func (g *Generator) submit(running context.Context, submission Submission, number int64) {
 	for {
-		submission.Target = g.Targets[(number+int64(submission.Number)-1)%int64(len(g.Targets))]
+		targets := g.targets(submission.Class)
+		submission.Target = targets[(number+int64(submission.Number)-1)%int64(len(targets))]
 		attempt := g.Caller.Submit(context.Background(), submission)
 		g.Result.add(attempt)
 		final := attempt.Ending == EndingAnswered || attempt.Ending == EndingWrong
--- a/lab/mesh/layout.go
+++ b/lab/mesh/layout.go
@@ -31,6 +31,15 @@
 type layout struct {
 	octet int
 	zones []string // the third octet is the index, from 1
+	plain bool     // no links: nodes advertise their real addresses
+}
+
+// advertised is added to the second octet of an address that is advertised.
+func (l layout) advertised() int {
+	if l.plain {
+		return 0
+	}
+	return advertisedOffset
 }
 
 func (l layout) address(offset, zone, host, port int) string {
@@ -42,7 +51,7 @@
 
 // platformAt returns the address at which nodes reach it through a link.
 func (l layout) platformAt(port int) string {
-	return l.address(advertisedOffset, 0, platformHost, port)
+	return l.address(l.advertised(), 0, platformHost, port)
 }
 
 // clientAddress is where callers dial from.
@@ -157,9 +166,9 @@
 		Inbound:   at(0, portInbound),
 		Outbound:  at(0, portOutbound),
 		Admin:     at(0, portAdmin),
-		PeerAt:    at(advertisedOffset, portPeer),
-		InboundAt: at(advertisedOffset, portInbound),
-		Public:    at(advertisedOffset, portOutbound),
+		PeerAt:    at(addresses.advertised(), portPeer),
+		InboundAt: at(addresses.advertised(), portInbound),
+		Public:    at(addresses.advertised(), portOutbound),
 	}
 }
 
--- a/lab/mesh/mesh.go
+++ b/lab/mesh/mesh.go
@@ -25,7 +25,10 @@
 	Directory  string // for settings files and logs; created if missing
 	Octet      int    // second octet of the loopback addresses, 1 to 127; 0 takes a free one
 	Scale      Scale
-	Seed       uint64 // decides which datagrams are lost
+	// WithoutLinks lets nodes reach each other by loopback alone: no delays,
+	// loss or cuts.
+	WithoutLinks bool
+	Seed         uint64 // decides which datagrams are lost
 }
 
 // Mesh is a running mesh.
@@ -60,7 +63,7 @@
 		Machines: machines.New(time.Duration(plan.MachineListLagMS)*time.Millisecond, time.Now),
 		Record:   newRecord(),
 		options:  options,
-		layout:   layout{octet: octet, zones: zoneNames(plan)},
+		layout:   layout{octet: octet, zones: zoneNames(plan), plain: options.WithoutLinks},
 		reserved: reserved,
 		launcher: newLauncher(),
 	}
@@ -139,6 +142,9 @@
 func (m *Mesh) startLinks(planned []*PlannedNode) error {
 	standard := link.Conditions{Delay: milliseconds(m.Plan.DelayBetweenZonesMS)}
 	m.Links = link.New(m.layout.zoneOf, standard, m.options.Seed)
+	if m.options.WithoutLinks {
+		return nil
+	}
 	for _, zone := range m.layout.zones {
 		m.Links.Set(link.Pair{From: zone, To: zone}, link.Conditions{})
 		toClients := link.Conditions{Delay: milliseconds(m.Plan.DelayToClientsMS)}
--- a/lab/mesh/worker.go
+++ b/lab/mesh/worker.go
@@ -49,12 +49,17 @@
 		"--run-time", milliseconds(service.RunTimeMS).String(),
 		"--health-lag", milliseconds(service.HealthLagMS).String(),
 	}
-	if service.Secret != "" {
-		arguments = append(arguments, "--credential", w.mesh.Plan.Secrets[service.Secret])
+	if credential := w.Credential(); credential != "" {
+		arguments = append(arguments, "--credential", credential)
 	}
 	return arguments
 }
 
+// Credential returns what the worker asks callers to present, "" for nothing.
+func (w *Worker) Credential() string {
+	return w.mesh.Plan.Secrets[w.PlannedWorker.Service.Secret]
+}
+
 // listenBound is the longest that a worker may take to listen.
 const listenBound = 10 * time.Second
 
--- a/lab/report/lines.go
+++ b/lab/report/lines.go
@@ -20,10 +20,11 @@
 
 // Line is one line of a report. Exactly one of the pointers is set.
 type Line struct {
-	Result    log.Fields         `json:"result,omitempty"` // the figures of the result line
-	Violation string             `json:"violation,omitempty"`
-	Sample    *experiment.Sample `json:"sample,omitempty"`
-	Attempt   *load.Attempt      `json:"attempt,omitempty"`
+	Result    log.Fields               `json:"result,omitempty"` // the figures of the result line
+	Violation string                   `json:"violation,omitempty"`
+	Sample    *experiment.Sample       `json:"sample,omitempty"`
+	Attempt   *load.Attempt            `json:"attempt,omitempty"`
+	Phase     *experiment.PhaseFigures `json:"phase,omitempty"`
 }
 
 // Write writes the report of an outcome into a directory.
@@ -59,6 +60,9 @@
 	for index := range outcome.Attempts {
 		lines = append(lines, Line{Attempt: &outcome.Attempts[index]})
 	}
+	for index := range outcome.Phases {
+		lines = append(lines, Line{Phase: &outcome.Phases[index]})
+	}
 	return lines
 }
 
