--- a/cmd/sliphead-lab/experiments.go
+++ b/cmd/sliphead-lab/experiments.go
@@ -137,11 +137,12 @@
 // reportCommand draws plots.
 type reportCommand struct {
 	Directory string `arg:"" help:"Directory given to run as --out." type:"existingdir"`
+	Format    string `help:"Format of the plots." enum:"svg,png" default:"svg"`
 }
 
 // Run implements the command.
 func (c *reportCommand) Run(logger log.Interface) error {
-	written, err := report.Draw(c.Directory)
+	written, err := report.Draw(c.Directory, c.Format)
 	for _, path := range written {
 		logger.WithFields(log.Fields{"event": "report.plot", "file": path}).Info("")
 	}
--- a/lab/report/plots.go
+++ b/lab/report/plots.go
@@ -18,6 +18,9 @@
 const (
 	plotWidth  = 18 * vg.Centimeter
 	plotHeight = 11 * vg.Centimeter
+
+	legendMargin = 4 * vg.Millimeter
+	legendShare  = 0.3 // height below zero kept free for the legend
 )
 
 // series is a named line of a plot.
@@ -26,9 +29,9 @@
 	points plotter.XYs
 }
 
-// Draw draws the plots of a directory's report as SVG files and returns their
-// paths.
-func Draw(directory string) ([]string, error) {
+// Draw draws the plots of a directory's report and returns the files' paths.
+// The format is svg or png.
+func Draw(directory, format string) ([]string, error) {
 	lines, err := Read(directory)
 	if err != nil {
 		return nil, err
@@ -37,16 +40,16 @@
 		file, title, x, y string
 		series            []series
 	}{
-		{"convergence.svg", "Convergence of changes", "time since publication, ms", "share of nodes with the version in force", convergenceSeries(lines)},
-		{"latency.svg", "Latency of answered requests, from the intended start", "latency, ms", "share of requests", latencySeries(lines)},
-		{"endings.svg", "How requests ended", "time since the first request, s", "requests per second", endingSeries(lines)},
+		{"convergence", "Convergence of changes", "time since publication, ms", "share of nodes with the version in force", convergenceSeries(lines)},
+		{"latency", "Latency of answered requests, from the intended start", "latency, ms", "share of requests", latencySeries(lines)},
+		{"endings", "How requests ended", "time since the first request, s", "requests per second", endingSeries(lines)},
 	}
 	var written []string
 	for _, figure := range figures {
 		if len(figure.series) == 0 {
 			continue
 		}
-		path := filepath.Join(directory, figure.file)
+		path := filepath.Join(directory, figure.file+"."+format)
 		if err := draw(path, figure.title, figure.x, figure.y, figure.series); err != nil {
 			return written, err
 		}
@@ -61,7 +64,8 @@
 	figure.X.Label.Text = x
 	figure.Y.Label.Text = y
 	figure.X.Min, figure.Y.Min = 0, 0
-	figure.Legend.Top = false
+	figure.Legend.XOffs = -legendMargin
+	figure.Legend.YOffs = legendMargin
 	figure.Add(plotter.NewGrid())
 	for index, each := range all {
 		line, err := plotter.NewLine(each.points)
@@ -74,6 +78,7 @@
 		figure.Add(line)
 		figure.Legend.Add(each.name, line)
 	}
+	figure.Y.Min = -legendShare * figure.Y.Max
 	err := figure.Save(plotWidth, plotHeight, path)
 	return fault.Wrap(err, fault.Settings, "choose a directory that can be written", "write %s", path)
 }
@@ -114,7 +119,7 @@
 
 func endingSeries(lines []Line) []series {
 	first, last := span(lines)
-	seconds := int(last.Sub(first)/time.Second) + 1
+	seconds := max(1, int(last.Sub(first)/time.Second)) // whole seconds only
 	perSecond := map[string][]float64{}
 	for _, line := range lines {
 		if line.Attempt == nil {
@@ -124,7 +129,9 @@
 		if perSecond[name] == nil {
 			perSecond[name] = make([]float64, seconds)
 		}
-		perSecond[name][int(line.Attempt.Start.Sub(first)/time.Second)]++
+		if second := int(line.Attempt.Start.Sub(first) / time.Second); second < seconds {
+			perSecond[name][second]++
+		}
 	}
 	var all []series
 	for _, name := range sortedKeys(perSecond) {
--- a/lab/report/report_test.go
+++ b/lab/report/report_test.go
@@ -27,7 +27,7 @@
 	must.SliceLen(t, 202, lines)
 	must.Eq(t, "fail", lines[0].Result["verdict"])
 
-	written, err := Draw(directory)
+	written, err := Draw(directory, "svg")
 	must.NoError(t, err)
 	must.SliceLen(t, 3, written)
 	for _, path := range written {
