Simulate whole loops and keepers on a network in virtual time

The fleet runs real control loops and claim keepers in a synctest bubble. Each event has a moment of its own, so that runs are repeatable: the same faults twice give the same trace. Nine nodes converge on each of three versions.

--- /dev/null
+++ b/internal/control/simulation/simulation_test.go
@@ -0,0 +1,95 @@
+package simulation
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed and count of the generated runs.
+func TestMain(m *testing.M) {
+	flags := map[string]string{
+		"rapid.seed": "46", "rapid.checks": "20", "rapid.steps": "25",
+		"rapid.nofailfile": "true", "rapid.shrinktime": "20s",
+	}
+	for name, value := range flags {
+		if err := flag.Set(name, value); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// TestFleetConverges starts a fleet of whole loops and changes its declarations.
+func TestFleetConverges(t *testing.T) {
+	simulate(t, func(f *fleet) {
+		f.setUp(t, 1, 9, 3)
+		f.startAll()
+		for revision := range uint64(3) {
+			e := f.write(0, revision+1, "", true)
+			f.publish(e, f.nodes...)
+			took, done := f.until(10*time.Second, func() bool { return f.agreed(e.whole.Version()) })
+			must.True(t, done, must.Sprint(f.describe()))
+			t.Logf("revision %d: all current after %s", revision+1, took)
+		}
+		must.LessEq(t, 6, f.readers())
+	})
+}
+
+// TestRunsAreDeterministic runs the same faults twice.
+func TestRunsAreDeterministic(t *testing.T) {
+	var traces []uint64
+	for range 2 {
+		simulate(t, func(f *fleet) {
+			f.setUp(t, 7, 8, 2)
+			f.faults = linkFaults{loss: 0.1, twice: 0.1, crossed: 0.1, delay: 20 * time.Millisecond}
+			f.startAll()
+			f.publish(f.write(0, 1, "", true), f.nodes...)
+			f.run(6 * time.Second)
+			f.nodes[0].freeze()
+			f.nodes[1].kill()
+			f.publish(f.write(0, 2, "", true), f.nodes...)
+			f.run(5 * time.Second)
+			f.nodes[0].resume()
+			f.nodes[1].start(time.Second)
+			f.run(5 * time.Second)
+			traces = append(traces, f.trace)
+			t.Logf("%v", f.counts)
+		})
+	}
+	must.Eq(t, traces[0], traces[1])
+}
+
+// TestFleetUnderFaults drives whole nodes through drawn faults. The oracle looks
+// on at each step; at the end all live nodes must agree.
+func TestFleetUnderFaults(t *testing.T) {
+	rapid.Check(t, func(drawn *rapid.T) {
+		simulate(t, func(f *fleet) {
+			seed := rapid.Uint64Range(0, 1<<30).Draw(drawn, "seed")
+			f.setUp(drawn, seed, rapid.IntRange(3, 12).Draw(drawn, "nodes"), rapid.IntRange(1, 3).Draw(drawn, "zones"))
+			p := &faultPlan{fleet: f}
+			if rapid.Bool().Draw(drawn, "seeds") {
+				for _, n := range f.nodes {
+					n.seeds = []string{f.nodes[0].address(), f.nodes[1].address()}
+				}
+			}
+			f.startAll()
+			drawn.Repeat(map[string]func(*rapid.T){
+				"change": p.change, "race": p.race, "equivocate": p.equivocate, "restore": p.restore,
+				"staleSource": p.staleSource, "sourceOutage": p.sourceOutage, "secretLate": p.secretLate,
+				"kill": p.kill, "killReaders": p.killReaders, "restart": p.restart, "herd": p.herd,
+				"freeze": p.freeze, "resume": p.resume, "drain": p.drain,
+				"cut": p.cut, "heal": p.heal, "degrade": p.degrade, "relist": p.relist,
+				"pass": p.pass, "passAgain": p.pass, "passOnceMore": p.pass, "passStill": p.pass,
+			})
+			p.checkAgreement(drawn)
+		})
+	})
+	t.Logf("longest time until agreement: %s without source, %s with it", longest.without, longest.with)
+}
