--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -65,7 +65,10 @@
 	encoded      encodedPush
 	peerVersions map[string]version.Version // by live member, as it last said
 	lastSeen     time.Time                  // when the loop last handled anything
-	fresh        bool
+	confirmation confirmation
+	caughtUp     bool // by distribution
+	fresh        bool // whether the node may serve
+	draining     bool // a planned stop has begun
 	leaving      bool
 }
 
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -15,6 +15,7 @@
 	sourceFailed   struct{ err error }
 	machinesRead   struct{ machines []membership.ListedMachine }
 	endpointChange struct{ state wire.EndpointState }
+	drainRequest   struct{}
 	leaveRequest   struct{ done chan struct{} }
 	statusRequest  struct{ reply chan Status }
 )
@@ -39,6 +40,13 @@
 	l.submit(ctx, endpointChange{state: state})
 }
 
+// Drain tells the fleet, before a planned stop, that the local worker takes no
+// new requests. From then on SetEndpoint has no effect: the worker may still
+// look ready.
+func (l *Loop) Drain(ctx context.Context) {
+	l.submit(ctx, drainRequest{})
+}
+
 // Leave announces to the fleet that this node is going. It returns when the
 // announcement has been handed to the transport.
 func (l *Loop) Leave(ctx context.Context) {
--- a/internal/control/handle.go
+++ b/internal/control/handle.go
@@ -17,6 +17,7 @@
 	case tick:
 		l.stepMembership(membership.Tick{}, now)
 		l.stepDistribution(distribution.Tick{}, now)
+		l.confirmInTime(now)
 	case transport.Received:
 		l.route(event.Envelope, now)
 	case sourceRead:
@@ -26,7 +27,9 @@
 	case machinesRead:
 		l.stepMembership(membership.MachineList{Machines: event.machines}, now)
 	case endpointChange:
-		l.stepMembership(membership.SetEndpoint{State: event.state}, now)
+		l.setEndpoint(event.state, now)
+	case drainRequest:
+		l.drain(now)
 	case leaveRequest:
 		l.leaving = true
 		l.stepMembership(membership.Leave{}, now)
@@ -38,6 +41,20 @@
 	l.publish(now)
 }
 
+// setEndpoint tells the fleet what the local worker's state is, unless a planned
+// stop has begun: what is seen of the worker can't undo that.
+func (l *Loop) setEndpoint(state wire.EndpointState, now time.Time) {
+	if !l.draining {
+		l.stepMembership(membership.SetEndpoint{State: state}, now)
+	}
+}
+
+// drain announces that the local worker takes no new requests.
+func (l *Loop) drain(now time.Time) {
+	l.draining = true
+	l.stepMembership(membership.SetEndpoint{State: wire.EndpointDraining}, now)
+}
+
 // noticePause detects that the process was stopped for longer than its lease:
 // whatever it believes may be long past, so it holds no duty and no lease
 // until a peer has confirmed its state.
@@ -48,7 +65,8 @@
 		return
 	}
 	logging.Event(l.config.Logger, "node.paused", logging.Fields{"gap_ms": gap.Milliseconds()})
-	l.fresh = false
+	l.confirmation.begin(now)
+	l.updateReadiness(now)
 	l.stepMembership(membership.Resumed{}, now)
 	l.stepDistribution(distribution.Resumed{}, now)
 }
@@ -65,6 +83,7 @@
 	switch {
 	case message.Ping != nil, message.PingReq != nil, message.Ack != nil, message.Gossip != nil, message.Sync != nil:
 		l.stepMembership(membership.Received{Message: message}, now)
+		l.confirm(message, now)
 	case message.Push != nil, message.Pull != nil, message.Staged != nil, message.Accepted != nil, message.Resource != nil:
 		l.stepDistribution(distribution.Received{Message: message}, now)
 	case message.ClaimRequest != nil, message.ClaimReply != nil, message.ClaimCopy != nil:
@@ -78,6 +97,7 @@
 	for _, effect := range l.membership.Step(event, now) {
 		switch effect := effect.(type) {
 		case membership.Send:
+			l.confirmation.sent(effect.Message.Ping)
 			l.transmit(effect.Outgoing, nil)
 		case membership.Changed:
 			changed = true
@@ -144,9 +164,11 @@
 		case distribution.DigestsChanged:
 			l.stepMembership(membership.SetDigests{Active: effect.Active, Staged: effect.Staged}, now)
 		case distribution.Fresh:
-			l.becomeFresh(now)
+			l.caughtUp = true
+			l.updateReadiness(now)
 		case distribution.Stale:
-			l.fresh = false
+			l.caughtUp = false
+			l.updateReadiness(now)
 		case distribution.Log:
 			l.logDistribution(effect)
 		}
@@ -169,13 +191,19 @@
 	l.publisher.publishNow(l.wallClock(now), now)
 }
 
-// becomeFresh makes the node ready to serve.
-func (l *Loop) becomeFresh(now time.Time) {
-	if l.fresh {
+// updateReadiness decides whether the node may serve: it has caught up and,
+// after a pause, a peer has confirmed its state.
+func (l *Loop) updateReadiness(now time.Time) {
+	ready := l.caughtUp && !l.confirmation.pending
+	if ready == l.fresh {
+		return
+	}
+	l.fresh = ready
+	if !ready {
 		return
 	}
-	l.fresh = true
 	logging.Event(l.config.Logger, "node.ready", logging.Fields{"version": l.distribution.Active().Version().String()})
+	l.publisher.publishReady(l.wallClock(now), now)
 	l.renewLease(now)
 }
 
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -84,6 +84,13 @@
 	p.publishNow(wallClock, now)
 }
 
+// publishReady publishes what has changed before traffic may use the view.
+func (p *publisher) publishReady(wallClock, now time.Time) {
+	if p.compiled != nil && (p.dirty || p.boundaryPassed(wallClock)) {
+		p.publishNow(wallClock, now)
+	}
+}
+
 // boundaryPassed reports whether a schedule has opened or closed since the last
 // view. A zero boundary means that none is near.
 func (p *publisher) boundaryPassed(wallClock time.Time) bool {
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -7,7 +7,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"sliphead/internal/logging"
-	"sliphead/internal/wire"
 )
 
 // leaveSpread is how long a leaving node goes on gossiping, so that its peers
@@ -24,7 +23,7 @@
 func (n *Node) stop(ctx context.Context) {
 	began := time.Now()
 	logging.Event(n.options.Logger, "node.draining", logging.Fields{"in_flight": n.requests.inFlight()})
-	n.loop.SetEndpoint(ctx, wire.EndpointDraining)
+	n.loop.Drain(ctx)
 	n.requests.drain()
 	bounded, cancel := context.WithTimeout(ctx, n.settings.Drain.Timeout.Duration)
 	defer cancel()
