Bound connecting and writing; share header values

Cause: a node that swallows packets held a request until its deadline, and a caller that does not read held a slot for ever. HTTP/1.0 callers cannot see a cut. Header values cost one allocation each. Change: ConnectTimeout per dial, a write deadline per request, 400 for HTTP/1.0, header values in one array, buffers of 8 KiB, 32 idle connections per node.

--- a/internal/traffic/answer.go
+++ b/internal/traffic/answer.go
@@ -35,7 +35,7 @@
 	_, err := io.ReadFull(response.Body, whole)
 	_ = response.Body.Close()
 	if err != nil {
-		failure := roundTripFailure(x, true, err)
+		failure := roundTripFailure(x, true)
 		return nil, &failure
 	}
 	return &answer{response: response, whole: whole, isWhole: true}, nil
@@ -53,12 +53,13 @@
 	defer func() { _ = a.response.Body.Close() }()
 	header := x.writer.Header()
 	copyEndToEnd(header, a.response.Header)
+	fields := newFields(header)
 	if x.request.Method != http.MethodHead && a.response.ContentLength < 0 {
 		delete(header, "Content-Length")
 	}
-	x.setOutcome(header, outcome.Answered)
+	x.setOutcome(fields, outcome.Answered)
 	if a.replayed {
-		set(header, replayedHeader, "1")
+		fields.set(replayedHeader, "1")
 	}
 	x.writer.WriteHeader(a.response.StatusCode)
 	ended := result{outcome: outcome.Answered, status: a.response.StatusCode, cause: causeNone, sent: true}
--- /dev/null
+++ b/internal/traffic/bench_test.go
@@ -0,0 +1,53 @@
+package traffic
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/shoenig/test/must"
+)
+
+// benchWorker answers a catalogue lookup with a kilobyte.
+func benchWorker(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header()["Content-Type"] = []string{"application/json"}
+	_, _ = io.WriteString(w, benchAnswer)
+}
+
+var benchAnswer = strings.Repeat("price=125;", 100)
+
+// measure sends requests one after the other and reports their latency.
+func measure(b *testing.B, method, target, body string) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	histogram := hdrhistogram.New(1, int64(time.Minute), 3)
+	b.ReportAllocs()
+	for b.Loop() {
+		began := time.Now()
+		request, _ := http.NewRequest(method, target, strings.NewReader(body))
+		response, err := transport.RoundTrip(request)
+		must.NoError(b, err)
+		must.Eq(b, http.StatusOK, response.StatusCode)
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		_ = histogram.RecordValue(int64(time.Since(began)))
+	}
+	b.ReportMetric(float64(histogram.ValueAtQuantile(50))/1e3, "p50-µs")
+	b.ReportMetric(float64(histogram.ValueAtQuantile(99))/1e3, "p99-µs")
+}
+
+func BenchmarkDirect(b *testing.B) {
+	m := newMesh(b, benchWorker, nil)
+	b.Run("get", func(b *testing.B) { measure(b, "GET", m.worker.URL+"/lookup", "") })
+	b.Run("post", func(b *testing.B) { measure(b, "POST", m.worker.URL+"/lookup", benchAnswer) })
+}
+
+func BenchmarkTwoHops(b *testing.B) {
+	m := newMesh(b, benchWorker, nil)
+	b.Run("get", func(b *testing.B) { measure(b, "GET", m.outbound.URL+"/lookup", "") })
+	b.Run("post", func(b *testing.B) { measure(b, "POST", m.outbound.URL+"/lookup", benchAnswer) })
+}
--- a/internal/traffic/choose.go
+++ b/internal/traffic/choose.go
@@ -69,9 +69,10 @@
 	attempt := out.newID()
 	header := make(http.Header, len(x.request.Header)+6)
 	copyEndToEnd(header, x.request.Header)
-	x.setContext(header, x.millisecondsLeft())
-	set(header, outcome.Route, x.route.Name)
-	set(header, attemptHeader, attempt)
+	internal := newFields(header)
+	x.setContext(internal, x.millisecondsLeft())
+	internal.set(outcome.Route, x.route.Name)
+	internal.set(attemptHeader, attempt)
 	seen := balance.Observation{}
 	began := time.Now()
 	check := func(response *http.Response) *result {
--- a/internal/traffic/classify.go
+++ b/internal/traffic/classify.go
@@ -55,6 +55,8 @@
 // malformed names what keeps a request from being forwarded, "" if nothing does.
 func malformed(request *http.Request) string {
 	switch {
+	case !request.ProtoAtLeast(1, 1):
+		return "send the request by HTTP/1.1, in HTTP/1.0 a cut answer looks whole"
 	case request.Method == http.MethodConnect:
 		return "CONNECT is not offered, send the request itself"
 	case !strings.HasPrefix(request.URL.Path, "/"):
--- a/internal/traffic/conn.go
+++ b/internal/traffic/conn.go
@@ -6,6 +6,7 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"sliphead/internal/fault"
 )
@@ -61,9 +62,12 @@
 	return c.written
 }
 
-// sealedDial wraps the connections of a dialer.
-func sealedDial(dial DialFunc) DialFunc {
+// sealedDial wraps the connections of a dialer and bounds the time to open one,
+// so that time is left to try another node.
+func sealedDial(dial DialFunc, timeout time.Duration) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
--- a/internal/traffic/deadline.go
+++ b/internal/traffic/deadline.go
@@ -24,6 +24,7 @@
 		limited, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 		defer cancel()
 		x.context = limited
+		x.limitWriting(x.deadline)
 		return next(x)
 	}
 }
--- a/internal/traffic/forward.go
+++ b/internal/traffic/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"net/http/httptrace"
 	"time"
@@ -20,19 +19,20 @@
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	return &http.Transport{
-		DialContext:           sealedDial(dial),
+		DialContext:           dial,
 		DisableCompression:    true,
 		MaxConnsPerHost:       connections,
 		MaxIdleConnsPerHost:   idle,
 		IdleConnTimeout:       defaultIdleTimeout / 2,
 		ExpectContinueTimeout: expectWait,
 		Protocols:             protocols,
-		WriteBufferSize:       copyBufferSize,
-		ReadBufferSize:        readBufferSize,
+		WriteBufferSize:       bufferSize,
+		ReadBufferSize:        bufferSize,
 	}
 }
 
-const readBufferSize = 8 << 10
+// bufferSize is the size of each of a connection's two buffers.
+const bufferSize = 8 << 10
 
 // hop is where a request goes next.
 type hop struct {
@@ -48,7 +48,7 @@
 	request := outgoing(httptrace.WithClientTrace(x.context, &watch.trace), x, to)
 	response, err := to.transport.RoundTrip(request)
 	if err != nil {
-		failure := roundTripFailure(x, watch.left(), err)
+		failure := roundTripFailure(x, watch.left())
 		return nil, &failure
 	}
 	failure := check(response)
@@ -79,7 +79,7 @@
 		ContentLength: x.body.length,
 	}
 	if to.expect && x.body.stream != nil {
-		set(to.header, "Expect", "100-continue")
+		to.header["Expect"] = []string{"100-continue"}
 	}
 	return request.WithContext(ctx)
 }
@@ -91,8 +91,8 @@
 }
 
 // roundTripFailure tells what a failed try came to.
-func roundTripFailure(x *exchange, left bool, err error) result {
-	deadlinePassed := errors.Is(err, context.DeadlineExceeded) || x.context.Err() != nil && !time.Now().Before(x.deadline)
+func roundTripFailure(x *exchange, left bool) result {
+	deadlinePassed := x.context.Err() != nil && !time.Now().Before(x.deadline)
 	callerGone := x.request.Context().Err() != nil || x.body.stream != nil && x.body.stream.broken.Load()
 	switch {
 	case callerGone && left:
--- a/internal/traffic/header.go
+++ b/internal/traffic/header.go
@@ -49,15 +49,32 @@
 }
 
 // setContext writes the request's context for the next hop.
-func (x *exchange) setContext(header http.Header, millisecondsLeft int64) {
-	set(header, outcome.RequestID, x.id)
-	set(header, outcome.Deadline, strconv.FormatInt(millisecondsLeft, 10))
-	set(header, outcome.RetryBudget, strconv.Itoa(x.budget))
-	set(header, outcome.Depth, strconv.Itoa(x.depth))
+func (x *exchange) setContext(to *fields, millisecondsLeft int64) {
+	to.set(outcome.RequestID, x.id)
+	to.set(outcome.Deadline, strconv.FormatInt(millisecondsLeft, 10))
+	to.set(outcome.RetryBudget, strconv.Itoa(x.budget))
+	to.set(outcome.Depth, strconv.Itoa(x.depth))
+}
+
+// fields sets headers of one value each. The values share an array, so that
+// not each costs an allocation.
+type fields struct {
+	header http.Header
+	values []string
+}
+
+const usualFields = 8
+
+func newFields(header http.Header) *fields {
+	return &fields{header: header, values: make([]string, 0, usualFields)}
 }
 
 // set stores a value under a name that is already in canonical form.
-func set(header http.Header, name, value string) { header[name] = []string{value} }
+func (f *fields) set(name, value string) {
+	f.values = append(f.values, value)
+	last := len(f.values)
+	f.header[name] = f.values[last-1 : last : last]
+}
 
 // get reads a value under a name that is already in canonical form.
 func get(header http.Header, name string) string {
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -98,10 +98,11 @@
 func (in *Inbound) forward(x *exchange) result {
 	header := make(http.Header, len(x.request.Header)+1)
 	copyEndToEnd(header, x.request.Header)
-	x.setContext(header, x.millisecondsLeft())
-	set(header, attemptHeader, x.attempt)
+	internal := newFields(header)
+	x.setContext(internal, x.millisecondsLeft())
+	internal.set(attemptHeader, x.attempt)
 	if x.route.Credential != "" {
-		set(header, "Authorization", "Bearer "+x.route.Credential)
+		internal.set("Authorization", "Bearer "+x.route.Credential)
 	}
 	in.config.Calls.begin(x.id)
 	to := hop{transport: in.worker.transport(), address: in.config.WorkerAddress, header: header}
--- a/internal/traffic/outcome.go
+++ b/internal/traffic/outcome.go
@@ -10,17 +10,17 @@
 )
 
 // setOutcome writes the headers that every answer carries.
-func (x *exchange) setOutcome(header http.Header, told outcome.Outcome) {
-	set(header, outcome.Header, string(told))
-	set(header, outcome.RequestID, x.id)
+func (x *exchange) setOutcome(to *fields, told outcome.Outcome) {
+	to.set(outcome.Header, string(told))
+	to.set(outcome.RequestID, x.id)
 	if x.attempt != "" {
-		set(header, attemptHeader, x.attempt)
+		to.set(attemptHeader, x.attempt)
 	}
 	if x.unread() {
-		set(header, "Connection", "close")
+		to.set("Connection", "close")
 	}
 	if x.load != nil {
-		set(header, outcome.Load, x.load())
+		to.set(outcome.Load, x.load())
 	}
 }
 
@@ -37,24 +37,35 @@
 		ended.answer.pass(x)
 		return
 	}
-	header := x.writer.Header()
+	x.limitWriting(time.Now())
+	header := newFields(x.writer.Header())
 	x.setOutcome(header, ended.outcome)
-	set(header, outcome.Remedy, ended.remedy)
-	set(header, "Content-Type", "text/plain; charset=utf-8")
+	header.set(outcome.Remedy, ended.remedy)
+	header.set("Content-Type", "text/plain; charset=utf-8")
 	if ended.retryAfter > 0 {
-		set(header, "Retry-After", seconds(ended.retryAfter))
+		header.set("Retry-After", seconds(ended.retryAfter))
 	}
 	if ended.final && x.attempt != "" {
-		set(header, finalHeader, "1")
+		header.set(finalHeader, "1")
 	}
 	text := string(ended.outcome) + ": " + ended.remedy + "\n"
-	set(header, "Content-Length", strconv.Itoa(len(text)))
+	header.set("Content-Length", strconv.Itoa(len(text)))
 	x.writer.WriteHeader(ended.status)
 	if x.request.Method != http.MethodHead {
 		_, _ = x.writer.Write([]byte(text)) // an error means that the caller has gone
 	}
 }
 
+// writeGrace is how long an answer may take to be written after its deadline.
+const writeGrace = 5 * time.Second
+
+// limitWriting ends writes to a caller that does not read. Each request sets
+// its own limit: the server does not take back the one before.
+func (x *exchange) limitWriting(deadline time.Time) {
+	controller := http.NewResponseController(x.writer)
+	_ = controller.SetWriteDeadline(deadline.Add(writeGrace)) // not offered by all writers
+}
+
 // seconds rounds up to whole seconds, at least one.
 func seconds(wait time.Duration) string {
 	return strconv.Itoa(max(1, int(math.Ceil(wait.Seconds()))))
--- a/internal/traffic/strict.go
+++ b/internal/traffic/strict.go
@@ -142,10 +142,10 @@
 			handler.ServeHTTP(writer, request)
 			return
 		}
-		header := writer.Header()
-		set(header, "Connection", "close")
-		set(header, outcome.Header, string(outcome.NotRun))
-		set(header, outcome.Remedy, "end lines with CR LF and send either Content-Length or Transfer-Encoding")
+		header := newFields(writer.Header())
+		header.set("Connection", "close")
+		header.set(outcome.Header, string(outcome.NotRun))
+		header.set(outcome.Remedy, "end lines with CR LF and send either Content-Length or Transfer-Encoding")
 		writer.WriteHeader(http.StatusBadRequest)
 	})
 }
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -71,9 +71,10 @@
 	RetryBurst     float64       // retries that may be saved up
 	RetryBudget    int           // retries of one call tree, in thousandths
 	IdlePerNode    int           // idle connections kept to each node
+	ConnectTimeout time.Duration // to open a connection
 	HeaderTimeout  time.Duration // to read a request's header
 	IdleTimeout    time.Duration // between requests on a connection
-	BodyTimeout    time.Duration // between two reads of a streamed request body
+	BodyTimeout    time.Duration // between two reads of a request body
 	MaxHeaderBytes int
 }
 
@@ -88,7 +89,8 @@
 	defaultRetryRatio     = 0.1
 	defaultRetryBurst     = 10
 	defaultRetryBudget    = 2000
-	defaultIdlePerNode    = 64
+	defaultIdlePerNode    = 32
+	defaultConnectTimeout = time.Second
 	defaultHeaderTimeout  = 5 * time.Second
 	defaultIdleTimeout    = 2 * time.Minute
 	defaultBodyTimeout    = 30 * time.Second
@@ -108,6 +110,7 @@
 	setDefault(&l.RetryBurst, defaultRetryBurst)
 	setDefault(&l.RetryBudget, defaultRetryBudget)
 	setDefault(&l.IdlePerNode, defaultIdlePerNode)
+	setDefault(&l.ConnectTimeout, defaultConnectTimeout)
 	setDefault(&l.HeaderTimeout, defaultHeaderTimeout)
 	setDefault(&l.IdleTimeout, defaultIdleTimeout)
 	setDefault(&l.BodyTimeout, defaultBodyTimeout)
@@ -134,6 +137,7 @@
 	if c.Random == nil {
 		c.Random = rand.NewPCG(uint64(time.Now().UnixNano()), 0)
 	}
+	c.Dial = sealedDial(c.Dial, c.Limits.ConnectTimeout)
 	c.Random = &lockedSource{source: c.Random}
 	if c.Calls == nil {
 		c.Calls = NewCalls()
