--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -29,7 +29,7 @@
 func (a *admitter) admit(next stage) stage {
 	return func(x *exchange) result {
 		mine := a.arrive(x)
-		if mine.Verdict == admission.Queued {
+		if x.granted != nil {
 			a.wait(x, mine)
 		}
 		if mine.Verdict == admission.Refused {
