Count a streamed answer as in flight until its end

Cause: an endpoint's requests in flight fell when the answer's header came, so one that streams long answers looked idle; a cut answer did not count against it. Change: the balancer hears of a try after the answer was passed on.

--- a/internal/traffic/choose.go
+++ b/internal/traffic/choose.go
@@ -41,10 +41,15 @@
 		if index < 0 {
 			break
 		}
-		got, failure := out.try(x, x.route.Endpoints[index])
+		endpoint := x.route.Endpoints[index]
+		got, seen, failure := out.try(x, endpoint)
 		if failure == nil {
-			return got.pass(x)
+			ended := got.pass(x)
+			seen.Failed = ended.cut && x.request.Context().Err() == nil
+			out.chooser.ended(x, endpoint, seen)
+			return ended
 		}
+		out.chooser.ended(x, endpoint, seen)
 		last = *failure
 		mayHaveRun = mayHaveRun || failure.outcome == outcome.Unknown
 		if !worthRetrying(x, failure) || len(tried)+1 == len(x.route.Endpoints) || !out.spendRetry(x) {
@@ -64,8 +69,9 @@
 	return last
 }
 
-// try sends the request to one endpoint.
-func (out *Outbound) try(x *exchange, endpoint snapshot.Endpoint) (*answer, *result) {
+// try sends the request to one endpoint. It returns the answer, what was seen
+// of the endpoint, and how the try failed.
+func (out *Outbound) try(x *exchange, endpoint snapshot.Endpoint) (*answer, balance.Observation, *result) {
 	attempt := out.newID()
 	header := make(http.Header, len(x.request.Header)+6)
 	copyEndToEnd(header, x.request.Header)
@@ -92,8 +98,7 @@
 	} else {
 		got.replayed = hasHeader(got.response.Header, replayedHeader)
 	}
-	out.chooser.ended(x, endpoint, seen)
-	return got, failure
+	return got, seen, failure
 }
 
 // blames reports whether a failure speaks against the endpoint. A refusal by a
