--- a/internal/traffic/classify.go
+++ b/internal/traffic/classify.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"sliphead/internal/outcome"
 	"sliphead/internal/snapshot"
 )
 
@@ -54,14 +55,16 @@
 // malformed names what keeps a request from being forwarded, "" if nothing does.
 func malformed(request *http.Request) string {
 	switch {
+	case !request.ProtoAtLeast(1, 1):
+		return "send the request by HTTP/1.1, in HTTP/1.0 a cut answer looks whole"
 	case request.Method == http.MethodConnect:
 		return "CONNECT is not offered, send the request itself"
 	case !strings.HasPrefix(request.URL.Path, "/"):
 		return "send a path that starts with a slash"
 	case slices.Contains(strings.Split(request.URL.Path, "/"), ".."):
 		return "send a path without .. segments"
-	case len(request.TransferEncoding) > 0 && hasHeader(request.Header, "Content-Length"):
-		return "send either Content-Length or chunks"
+	case hasHeader(request.Header, outcome.IdempotencyKey) && !validKey(request.Header[outcome.IdempotencyKey]):
+		return "send one Idempotency-Key of 1 to 255 visible ASCII characters"
 	default:
 		return ""
 	}
--- a/internal/traffic/forward.go
+++ b/internal/traffic/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"net/http/httptrace"
 	"time"
@@ -20,19 +19,20 @@
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	return &http.Transport{
-		DialContext:           sealedDial(dial),
+		DialContext:           dial,
 		DisableCompression:    true,
 		MaxConnsPerHost:       connections,
 		MaxIdleConnsPerHost:   idle,
 		IdleConnTimeout:       defaultIdleTimeout / 2,
 		ExpectContinueTimeout: expectWait,
 		Protocols:             protocols,
-		WriteBufferSize:       copyBufferSize,
-		ReadBufferSize:        readBufferSize,
+		WriteBufferSize:       bufferSize,
+		ReadBufferSize:        bufferSize,
 	}
 }
 
-const readBufferSize = 8 << 10
+// bufferSize is the size of each of a connection's two buffers.
+const bufferSize = 8 << 10
 
 // hop is where a request goes next.
 type hop struct {
@@ -48,10 +48,14 @@
 	request := outgoing(httptrace.WithClientTrace(x.context, &watch.trace), x, to)
 	response, err := to.transport.RoundTrip(request)
 	if err != nil {
-		failure := roundTripFailure(x, watch.left(), err)
+		failure := roundTripFailure(x, watch.left())
 		return nil, &failure
 	}
-	if failure := check(response); failure != nil {
+	failure := check(response)
+	if failure == nil && watch.stale() {
+		failure = foreign()
+	}
+	if failure != nil {
 		_ = response.Body.Close()
 		return nil, failure
 	}
@@ -68,19 +72,27 @@
 		Method:        x.request.Method,
 		URL:           &target,
 		Host:          x.request.Host,
+		ProtoMajor:    1, // the transport waits for 100 Continue only when it knows the version
+		ProtoMinor:    1,
 		Header:        to.header,
 		Body:          x.body.reader(),
 		ContentLength: x.body.length,
 	}
 	if to.expect && x.body.stream != nil {
-		set(to.header, "Expect", "100-continue")
+		to.header["Expect"] = []string{"100-continue"}
 	}
 	return request.WithContext(ctx)
 }
 
+// foreign is the failure of a try whose answer belongs to another request.
+func foreign() *result {
+	failure := unknown(http.StatusBadGateway, causeForeign, "check whether it ran, the answer that came was for another request")
+	return &failure
+}
+
 // roundTripFailure tells what a failed try came to.
-func roundTripFailure(x *exchange, left bool, err error) result {
-	deadlinePassed := errors.Is(err, context.DeadlineExceeded) || x.context.Err() != nil && !time.Now().Before(x.deadline)
+func roundTripFailure(x *exchange, left bool) result {
+	deadlinePassed := x.context.Err() != nil && !time.Now().Before(x.deadline)
 	callerGone := x.request.Context().Err() != nil || x.body.stream != nil && x.body.stream.broken.Load()
 	switch {
 	case callerGone && left:
