--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"sliphead/internal/fault"
 )
 
 const edge = `name: edge-1
@@ -61,3 +66,76 @@
 		must.Eq(t, read, again)
 	}
 }
+
+// Each wrong file is refused with its line and a remedy.
+func TestWrongSettingsAreRefusedWithLineAndRemedy(t *testing.T) {
+	for name, wrong := range map[string]struct{ text, from, to, place, remedy string }{
+		"unknown key":         {edge, "zone: edappally", "zone: edappally\nzones: 3", "node.yaml:3", "correct the line"},
+		"unknown inner key":   {edge, "plain: true", "plain: true, cipher: none", "node.yaml:6", "correct the line"},
+		"key twice":           {edge, "zone: edappally", "zone: edappally\nzone: vyttila", "node.yaml:3", "correct the line"},
+		"wrong type":          {edge, "plain: true", "plain: often", "node.yaml:6", "correct the line"},
+		"no YAML":             {edge, "name: edge-1", "name: [", "node.yaml:", "correct the line"},
+		"two documents":       {edge, "security: {plain: true}", "security: {plain: true}\n---\nname: other", "node.yaml", "one document"},
+		"no name":             {edge, "name: edge-1\n", "", "node.yaml", "set name"},
+		"name for no DNS":     {edge, "name: edge-1", "name: edge 1", "node.yaml:1", "letters"},
+		"no unit":             {beside, "lease: 2s", "lease: 2", "node.yaml:12", "unit"},
+		"wrong unit":          {beside, "probeInterval: 1s", "probeInterval: 1sec", "node.yaml:13", "unit"},
+		"duration as list":    {beside, "probeInterval: 1s", "probeInterval: [1s]", "node.yaml:13", "unit"},
+		"below the least":     {beside, "healthInterval: 2s", "healthInterval: 500ms", "node.yaml:6", "at least 1s"},
+		"below zero":          {beside, "scheduleOverlap: 10s", "scheduleOverlap: -10s", "node.yaml:12", "at least 0s"},
+		"beyond the most":     {beside, "holders: 3", "holders: 300", "node.yaml:12", "at most 15"},
+		"host name":           {edge, `admin: "127.0.0.1:7003"`, `admin: "localhost:7003"`, "node.yaml:4", "IP and a port"},
+		"no port":             {edge, `admin: "127.0.0.1:7003"`, `admin: "127.0.0.1"`, "node.yaml:4", "IP and a port"},
+		"port too high":       {edge, `admin: "127.0.0.1:7003"`, `admin: "127.0.0.1:70003"`, "node.yaml:4", "IP and a port"},
+		"wildcard advertised": {edge, `peer: "127.0.0.1:7000"`, `peer: "0.0.0.0:7000"`, "node.yaml", "advertise"},
+		"seed":                {beside, `seeds: ["127.0.0.3:7000"]`, `seeds: ["127.0.0.3:7000", "peer"]`, "node.yaml:10", "IP and a port"},
+		"source no URL":       {edge, "http://127.0.0.1:9000", "127.0.0.1:9000", "node.yaml:5", "http://"},
+		"profile":             {beside, "profile: bytes", "profile: fast", "node.yaml:5", "convergence bytes"},
+		"service missing":     {beside, "service: storefront\n", "", "node.yaml", "set service"},
+		"worker no inbound":   {beside, `inbound: "127.0.0.1:7001", `, "", "node.yaml:7", "listen.inbound"},
+		"inbound no worker":   {edge, "outbound:", `inbound: "127.0.0.1:7001", outbound:`, "node.yaml:4", "listen.inbound"},
+		"no security":         {edge, "security: {plain: true}\n", "", "node.yaml", "plain: true"},
+		"plain and keys":      {edge, "plain: true", "plain: true, keyFile: a", "node.yaml:6", "security.plain"},
+		"one key missing":     {beside, ", datagramKeyFile: d", "", "node.yaml:11", "datagramKeyFile"},
+		"caller key alone":    {edge, "security:", "callers: {keyFile: a}\nsecurity:", "node.yaml:6", "set certificateFile"},
+	} {
+		must.StrContains(t, wrong.text, wrong.from, must.Sprint(name))
+		_, err := Parse("node.yaml", []byte(strings.Replace(wrong.text, wrong.from, wrong.to, 1)))
+		must.Eq(t, fault.Settings, fault.KindOf(err), must.Sprint(name))
+		must.StrHasPrefix(t, wrong.place, err.Error(), must.Sprint(name))
+		_, remedy, _ := strings.Cut(err.Error(), "(remedy: ")
+		must.StrContains(t, remedy, wrong.remedy, must.Sprint(name))
+	}
+}
+
+func TestWrongFilesAreRefused(t *testing.T) {
+	large := filepath.Join(t.TempDir(), "large")
+	must.NoError(t, os.WriteFile(large, bytes.Repeat([]byte("#"), maxFileBytes+1), 0o600))
+	for _, path := range []string{"nowhere", t.TempDir(), large} {
+		_, err := Load(path)
+		must.Eq(t, fault.Settings, fault.KindOf(err))
+		must.StrContains(t, err.Error(), path)
+	}
+	sound := filepath.Join(t.TempDir(), "node.yaml")
+	must.NoError(t, os.WriteFile(sound, []byte(edge), 0o600))
+	read, err := Load(sound)
+	must.NoError(t, err)
+	must.Eq(t, "edge-1", read.Name)
+}
+
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{edge, beside, "", "a: &a [*a]", "name: [", "---\n---\n", "worker: {healthInterval: {}}"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		read, err := Parse("node.yaml", text)
+		if err != nil {
+			must.Eq(t, fault.Settings, fault.KindOf(err))
+			return
+		}
+		var printed bytes.Buffer
+		must.NoError(t, read.Print(&printed))
+		_, err = Parse("printed.yaml", printed.Bytes())
+		must.NoError(t, err)
+	})
+}
