Tighten tests whose guards could be removed unseen

A trial run of removed guards showed five tests that passed without: coding byte, wait of a Busy, chain of a dialer's certificate, bound of an answer's body and of a settings file. Each now fails without its guard.

--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -110,7 +110,7 @@
 
 func TestWrongFilesAreRefused(t *testing.T) {
 	large := filepath.Join(t.TempDir(), "large")
-	must.NoError(t, os.WriteFile(large, bytes.Repeat([]byte("#"), maxFileBytes+1), 0o600))
+	must.NoError(t, os.WriteFile(large, append([]byte(edge+"#"), bytes.Repeat([]byte("#"), maxFileBytes)...), 0o600))
 	for _, path := range []string{"nowhere", t.TempDir(), large} {
 		_, err := Load(path)
 		must.Eq(t, fault.Settings, fault.KindOf(err))
--- a/internal/source/source_test.go
+++ b/internal/source/source_test.go
@@ -79,6 +79,17 @@
 	must.Eq(t, []Machine{{Name: "a", Peer: "127.0.0.1:7000", State: MachineLeaving}}, machines)
 }
 
+// endlessBody sends spaces, far more than the bound.
+type endlessBody struct{ read int }
+
+func (e *endlessBody) Read(buffer []byte) (int, error) {
+	if e.read > 8*maxBodyBytes {
+		return 0, io.EOF
+	}
+	e.read += copy(buffer, bytes.Repeat([]byte(" "), len(buffer)))
+	return len(buffer), nil
+}
+
 func TestWrongAnswersAreRefused(t *testing.T) {
 	for name, answer := range map[string]*http.Response{
 		"status 500":     reply(500, document(1, "")),
@@ -100,8 +111,17 @@
 		_, err := (&Configuration{Base: "http://source", Client: client}).Fetch(t.Context(), "", 0)
 		must.Eq(t, fault.Source, fault.KindOf(err), must.Sprint(name))
 	}
+	endless := &endlessBody{}
+	client := &http.Client{Transport: trip(func(*http.Request) (*http.Response, error) {
+		answer := reply(200, "")
+		answer.Body = io.NopCloser(endless)
+		return answer, nil
+	})}
+	_, err := (&Configuration{Base: "http://source", Client: client}).Fetch(t.Context(), "", 0)
+	must.Eq(t, fault.Source, fault.KindOf(err))
+	must.LessEq(t, 2*maxBodyBytes, endless.read)
 	broken := &http.Client{Transport: trip(func(*http.Request) (*http.Response, error) { return nil, errors.New("refused") })}
-	_, err := (&Machines{Base: "http://source", Client: broken}).Fetch(t.Context())
+	_, err = (&Machines{Base: "http://source", Client: broken}).Fetch(t.Context())
 	must.Eq(t, fault.Source, fault.KindOf(err))
 }
 
--- a/internal/transport/peer_test.go
+++ b/internal/transport/peer_test.go
@@ -44,7 +44,7 @@
 		sent      string
 		delivered int
 	}{
-		"no coding":           {causeGarbage, "GET / HTTP/1.1\r\n", 0},
+		"no coding":           {causeGarbage, "x" + hello + good, 0},
 		"no deflate":          {causeGarbage, "d\xff\xff\xff\xff\xff", 0},
 		"no JSON":             {causeGarbage, "p" + hello + "}\n", 1},
 		"no hello":            {causeForeign, "p" + good, 0},
@@ -121,13 +121,14 @@
 			first.Send(relay.Address(), staged("first", 1))
 			relay.next(t, "staged")
 			second := startNode(t, "second", nil)
-			for range 2 {
-				second.Send(relay.Address(), staged("second", 1))
-				second.until(t, func(counters Counters) bool { return counters.StreamsBusy == 1 })
-			}
+			second.Send(relay.Address(), staged("second", 1))
+			second.until(t, func(counters Counters) bool { return counters.StreamsBusy == 1 && counters.StreamsOut == 0 })
+			second.Send(relay.Address(), staged("second", 2))
 			busy := second.next(t, "busy").Envelope.Busy
 			must.Eq(t, "other", busy.Others[0].Name)
 			must.GreaterEq(t, (time.Hour / 2).Milliseconds(), busy.RetryAfterMS)
+			second.until(t, func(Counters) bool { return second.untilAllowed(relay.Address()) > 0 })
+			must.Greater(t, maxBusyWait/2, second.untilAllowed(relay.Address()))
 			must.Eq(t, 1, second.Counters().StreamsOpened)
 			must.Eq(t, 1, relay.Counters().StreamsRefused)
 			must.Eq(t, 2, relay.Counters().MessagesReceived)
--- a/internal/transport/security_test.go
+++ b/internal/transport/security_test.go
@@ -107,10 +107,12 @@
 }
 
 func TestUnprovenPeersAreRefused(t *testing.T) {
-	fleet, other := newAuthority(t), newAuthority(t)
+	fleet := newAuthority(t)
+	other := newAuthority(t).issue(t, "alpha", 1)
+	other.AuthorityFile = fleet.issue(t, "alpha", 1).AuthorityFile
 	for name, security := range map[string]Security{
 		"plain":           {Plain: true},
-		"other authority": other.issue(t, "alpha", 1),
+		"other authority": other,
 		"other name":      fleet.issue(t, "beta", 1),
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -18,6 +18,9 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
+// hang is how long a test waits for what must come, to end a run that hangs.
+const hang = 20 * time.Second
+
 // node is a transport that runs until the test ends.
 type node struct {
 	*Transport
@@ -62,8 +65,8 @@
 			if message.Envelope.Kind() == kind {
 				return message
 			}
-		case <-t.Context().Done():
-			t.Fatalf("no %s message came", kind)
+		case <-time.After(hang):
+			t.Fatalf("no %s message came, at %+v", kind, n.Counters())
 		}
 	}
 }
@@ -71,12 +74,21 @@
 // until waits for a condition on the counters.
 func (n *node) until(t *testing.T, condition func(Counters) bool) {
 	t.Helper()
-	for !condition(n.Counters()) {
-		must.NoError(t, t.Context().Err())
-		time.Sleep(time.Millisecond)
+	for started := time.Now(); !condition(n.Counters()); time.Sleep(time.Millisecond) {
+		if time.Since(started) > hang {
+			t.Fatalf("the condition does not come, at %+v", n.Counters())
+		}
 	}
 }
 
+// untilAllowed returns the wait before the next dial of a known address.
+func (n *node) untilAllowed(address string) time.Duration {
+	n.mutex.Lock()
+	peer := n.links[address]
+	n.mutex.Unlock()
+	return peer.untilAllowed()
+}
+
 // logged is a log that can be read while it is written.
 type logged struct {
 	mutex sync.Mutex
