--- a/internal/control/simulation/process_test.go
+++ b/internal/control/simulation/process_test.go
@@ -11,7 +11,6 @@
 
 	"sliphead/internal/claim"
 	"sliphead/internal/control"
-	"sliphead/internal/declaration"
 	"sliphead/internal/distribution"
 	"sliphead/internal/fault"
 	"sliphead/internal/membership"
@@ -143,11 +142,7 @@
 
 // validate is the check that each node makes of a version.
 func validate(set *snapshot.Set) error {
-	document, err := set.Document()
-	if err != nil {
-		return err
-	}
-	if findings := declaration.Validate(document); len(findings) > 0 {
+	if findings := set.Validate(); len(findings) > 0 {
 		return fault.New(fault.Declaration, findings[0].Remedy, "%s", findings[0].What)
 	}
 	return nil
