--- /dev/null
+++ b/internal/claim/race_test.go
@@ -0,0 +1,75 @@
+package claim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// exchange hands over what is under way between a process and others, there
+// and back.
+func exchange(s *sim, p *process, others ...*process) {
+	for _, other := range others {
+		deliverBetween(s, p, other)
+		deliverBetween(s, other, p)
+	}
+}
+
+// Two replicas stay behind with the old workers, whose majority has long left
+// them. A replica of both configurations must not vote for the old one.
+func TestSettledConfigurationGetsNoVotes(t *testing.T) {
+	s := warmSim(workersOf(5, 1, 3))
+	s.configs = append(s.configs, workersOf(7, 3, 3)) // w03 to w09
+	for _, worker := range s.configs[1] {
+		if p := s.latest(worker.Name); p != nil {
+			s.configure(p, 2)
+			continue
+		}
+		s.start(worker.Name, 2)
+	}
+	s.pass(s.config.hold() + 5*time.Second)
+	held := s.latest("w03").machine.services[simService]
+	must.SliceEmpty(t, held.priors)
+	key := ""
+	for number := 0; key == ""; number++ {
+		candidate := fmt.Sprintf("order-%d", number)
+		if held.current.groups[slotOf(candidate)].contains("w03") {
+			key = candidate
+		}
+	}
+	s.cut["w01"], s.cut["w02"], s.cut["w03"] = true, true, true
+	must.Eq(t, VerdictRun, claimAt(s, s.latest("w06"), key))
+	must.Eq(t, VerdictNoQuorum, claimAt(s, s.latest("w01"), key))
+	must.Eq(t, 1, s.runs(key))
+}
+
+// A coordinator holds promises of a majority and is about to ask for votes. One
+// that promised restarts: its next process must not vote in a lower ballot.
+func TestPromiseOutlivesRestart(t *testing.T) {
+	s := warmSim(workersOf(5, 1, 3))
+	group := replicasOf(s, "order")
+	first, second := group[0], group[4]
+	s.submit(second, "order", "body")
+	holder := s.submit(first, "order", "body")
+	exchange(s, first, second) // the votes are split
+	for first.machine.attempts[holder].phase != phasePromise {
+		s.network = nil
+		s.tick(20 * time.Millisecond)
+	}
+	exchange(s, first, group[1], group[2])
+	must.Eq(t, phasePrepare, first.machine.attempts[holder].phase)
+
+	s.kill(group[1])
+	restarted := s.start(group[1].worker, 1)
+	exchange(s, restarted, group[2], group[3], second)
+	must.Eq(t, allSlots, restarted.machine.services[simService].ready())
+	for range 5 {
+		s.tick(20 * time.Millisecond)
+		exchange(s, second, restarted, group[3])
+	}
+	exchange(s, first, restarted, group[2])
+	s.pass(s.config.MaxClaim + time.Second)
+	must.Eq(t, 1, s.runs("order"))
+}
