Keep distribution quiet and live when peers lose what they told of

Cause, from generated runs and from removing guards: (a) a late word of a peer's former process told of a version that was lost with it; words only ever rose, so a started node waited for it for ever; (b) a useless answer let the next pull go at once, so two nodes that refuse each other's versions exchanged pulls as fast as the network allowed; (c) forged words of accepted versions could push the real one out of a bounded list. Change: pulls of a node that catches up carry its number, and the numbered answer replaces the peer's word; a version that is wanted is asked for again when the pull for it has ended; each target is pulled once in its time, whatever the answer; a staged version keeps its own accepted mark. Ruled out: letting words expire by time, which at 850 nodes would drop words that are true (one peer's gossip comes every 85 s).

--- /dev/null
+++ b/internal/distribution/bench_test.go
@@ -0,0 +1,143 @@
+package distribution
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"sliphead/internal/version"
+	"sliphead/internal/wire"
+)
+
+// The simulated network of the target: two regions with five zones.
+const (
+	betweenRegions = 3 * time.Millisecond
+	benchZones     = 5
+	benchChanges   = 20
+)
+
+func regionOf(zone string) int {
+	if zone < "zone-3" {
+		return 0
+	}
+	return 1
+}
+
+func (f *fleet) targetDelay(from, to *simNode) time.Duration {
+	if from.member.Zone == to.member.Zone {
+		return 250 * time.Microsecond
+	}
+	if regionOf(from.member.Zone) != regionOf(to.member.Zone) {
+		return betweenRegions
+	}
+	return 500*time.Microsecond + time.Duration(f.random.Intn(1000))*time.Microsecond
+}
+
+// traffic counts what stream messages cost.
+type traffic struct {
+	bytes    int
+	messages map[string]int // sent by each node
+	encoded  map[any]int    // length by identity of the shared part
+}
+
+func (c *traffic) count(from, _ *simNode, message wire.Envelope) {
+	c.messages[from.member.Name]++
+	if message.Push == nil {
+		c.bytes += jsonLength(message)
+		return
+	}
+	length, known := c.encoded[message.Push]
+	if !known {
+		length = jsonLength(message)
+		c.encoded[message.Push] = length
+	}
+	c.bytes += length
+}
+
+func jsonLength(message wire.Envelope) int {
+	line, _ := json.Marshal(message)
+	return len(line) + 1
+}
+
+// BenchmarkFleet changes one worker's labels in a set of as many workers as
+// nodes. Time of convergence is virtual and leaves out encoding and sockets.
+func BenchmarkFleet(b *testing.B) {
+	for _, nodes := range []int{24, 100, 400, 850} {
+		b.Run(fmt.Sprint("nodes=", nodes), func(b *testing.B) {
+			for b.Loop() {
+				benchmarkChanges(b, nodes)
+			}
+		})
+	}
+}
+
+func benchmarkChanges(b *testing.B, nodes int) {
+	f := newFleet(b, 1, nodes, benchZones)
+	f.delay = f.targetDelay
+	f.startAll()
+	f.publish(edition{revision: 1, workers: nodes}.set(b))
+	must.True(b, f.until(f.now.Add(20*time.Second), func() bool { return f.agreeNow() }))
+	f.run(time.Second)
+
+	var times []time.Duration
+	var busy, idling time.Duration
+	cost := &traffic{messages: map[string]int{}, encoded: map[any]int{}}
+	f.onDeliver = cost.count
+	for change := range benchChanges {
+		idle := f.cpu()
+		f.run(time.Second)
+		idle = f.cpu() - idle
+		idling += idle
+		began, before := f.now, f.cpu()
+		next := edition{revision: uint64(change + 2), workers: nodes}.set(b)
+		f.onActive = func(_ *simNode, v version.Version) { times = append(times, f.now.Sub(began)) }
+		f.step(f.byName[f.nodes[0].machine.view.leader()], SourceRead{Set: next})
+		f.run(time.Second)
+		busy += f.cpu() - before - idle
+		must.True(b, f.agreeNow())
+	}
+	slices.Sort(times)
+	most, root := 0, f.nodes[0].machine.view.leader()
+	for _, sent := range cost.messages {
+		most = max(most, sent)
+	}
+	b.ReportMetric(float64(times[len(times)/2].Microseconds())/1000, "p50-ms")
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds())/1000, "p99-ms")
+	b.ReportMetric(float64(times[len(times)-1].Microseconds())/1000, "max-ms")
+	b.ReportMetric(float64(cost.bytes)/float64(nodes*benchChanges), "bytes/node/change")
+	b.ReportMetric(float64(cost.messages[root])/benchChanges, "root-messages/change")
+	b.ReportMetric(float64(most)/benchChanges, "most-messages/change")
+	b.ReportMetric(float64(idling.Nanoseconds())/float64(nodes*benchChanges), "idle-ns/node/s")
+	b.ReportMetric(float64(busy.Nanoseconds())/float64(nodes*benchChanges), "cpu-ns/node/change")
+}
+
+// BenchmarkMembersChange takes one member away and gives it back, and derives
+// duties and this node's part of the tree anew.
+func BenchmarkMembersChange(b *testing.B) {
+	members := membersIn(850, benchZones)
+	fewer := slices.Delete(slices.Clone(members), 400, 401)
+	machine := single(time.Unix(1, 0))
+	for b.Loop() {
+		machine.Step(Members{Live: fewer}, machine.now)
+		machine.view.childrenFor(machine.view.leader())
+		machine.Step(Members{Live: members}, machine.now)
+		machine.view.childrenFor(machine.view.leader())
+	}
+}
+
+// cpu returns the time spent in steps, by the wall clock.
+func (f *fleet) cpu() time.Duration {
+	var total time.Duration
+	for _, node := range f.nodes {
+		total += node.cpu
+	}
+	return total
+}
+
+func (f *fleet) agreeNow() bool {
+	return f.nodes[0].fresh && f.agree(f.nodes[0].active)
+}
--- a/internal/distribution/catchup.go
+++ b/internal/distribution/catchup.go
@@ -38,7 +38,7 @@
 	began   time.Time
 	reports map[string]report
 
-	number  uint64    // of the question asked after a pause
+	number  uint64    // of the question asked in this phase
 	askAt   time.Time // when it is asked again
 	attempt int
 
@@ -48,8 +48,9 @@
 	equivocation version.Version // last logged
 }
 
-func (c *catchUp) begin(next phase, now time.Time) {
+func (c *catchUp) begin(next phase, now time.Time, number uint64) {
 	c.phase = next
+	c.number = number | 1 // 0 is no number
 	c.began = now
 	c.askAt = now
 	c.attempt = 0
@@ -57,14 +58,18 @@
 	c.sourceRead = false
 }
 
-// note keeps a peer's word. Peers that are not live by the view don't count.
-func (c *catchUp) note(view *view, from string, active version.Version) {
+// note keeps a peer's word. A word from gossip only raises it, since words may
+// be reordered. The answer to a question replaces it. Peers that are not live
+// by the view don't count.
+func (c *catchUp) note(view *view, from string, active version.Version, answer bool) {
 	member := view.member(from)
 	if c.phase == phaseCaughtUp || member == nil || from == view.self {
 		return
 	}
-	known := c.reports[from]
-	c.reports[from] = report{active: version.Max(known.active, active), start: member.Start}
+	if !answer {
+		active = version.Max(active, c.reports[from].active)
+	}
+	c.reports[from] = report{active: active, start: member.Start}
 }
 
 // forgetAbsent drops the words of members that have left or restarted.
@@ -76,13 +81,16 @@
 	}
 }
 
-// goal returns the newest version in force by the peers' words.
-func (c *catchUp) goal() version.Version {
-	var goal version.Version
-	for _, known := range c.reports {
-		goal = version.Max(goal, known.active)
+// goal returns the newest version in force by the peers' words, and one of the
+// peers that told of it.
+func (c *catchUp) goal() (goal version.Version, peer string) {
+	for name, known := range c.reports {
+		order := known.active.Compare(goal)
+		if order > 0 || (order == 0 && name < peer) {
+			goal, peer = known.active, name
+		}
 	}
-	return goal
+	return goal, peer
 }
 
 // heardEveryZone reports whether in each zone some members with a version in
@@ -130,12 +138,11 @@
 	m.flight = nil
 	clear(m.notices)
 	m.repair = repair{}
+	next := phaseResumed
 	if m.catchUp.phase == phaseStarting {
-		m.catchUp.begin(phaseStarting, m.now)
-		return
+		next = phaseStarting
 	}
-	m.catchUp.begin(phaseResumed, m.now)
-	m.catchUp.number = m.config.Random.Uint64() | 1
+	m.catchUp.begin(next, m.now, m.config.Random.Uint64())
 }
 
 // advanceCatchUp ends the phase once enough peers gave word and the newest
@@ -144,10 +151,8 @@
 	if m.catchUp.phase == phaseCaughtUp {
 		return
 	}
-	if m.catchUp.phase == phaseResumed {
-		m.askForConfirmation()
-	}
-	if !m.heardEnough() || m.catchUp.goal().After(m.newestAccepted()) {
+	m.askPeers()
+	if goal, _ := m.catchUp.goal(); !m.heardEnough() || goal.After(m.newestAccepted()) {
 		return
 	}
 	if len(m.catchUp.reports) == 0 {
@@ -182,14 +187,28 @@
 	return m.active.Version()
 }
 
-// askForConfirmation asks some peers for their version in force. The number
-// tells answers from messages that were sent before or during the pause.
-func (m *Machine) askForConfirmation() {
+// askPeers asks for versions in force: after a pause some random peers, and the
+// peer that told of a version which is not held and is not being pulled, since
+// that peer may have lost it with its memory. The number tells answers from
+// messages that were sent before.
+func (m *Machine) askPeers() {
 	if m.now.Before(m.catchUp.askAt) {
 		return
 	}
+	goal, peer := m.catchUp.goal()
+	switch {
+	case goal.After(m.newestAccepted()) && m.repair.target.IsZero():
+		m.want(goal, peer, 0)
+	case m.catchUp.phase == phaseResumed && len(m.catchUp.reports) == 0:
+		m.askRandomPeers()
+	default:
+		return
+	}
 	m.catchUp.askAt = m.now.Add(m.backoff(m.catchUp.attempt))
 	m.catchUp.attempt++
+}
+
+func (m *Machine) askRandomPeers() {
 	for _, peer := range m.randomPeers(confirmersAsked) {
 		m.send(peer, wire.Envelope{Pull: &wire.Pull{Have: m.have(), Number: m.catchUp.number}})
 	}
@@ -199,14 +218,14 @@
 // it may have been sent before.
 func (m *Machine) onReport(from string, active version.Version) {
 	if m.catchUp.phase == phaseStarting {
-		m.catchUp.note(m.view, from, active)
+		m.catchUp.note(m.view, from, active, false)
 	}
 }
 
-// onConfirmation keeps a peer's answer to the question asked after a pause.
+// onConfirmation keeps a peer's answer to the question asked in this phase.
 func (m *Machine) onConfirmation(from string, accepted *wire.Accepted) {
-	if m.catchUp.phase == phaseResumed && accepted.Number == m.catchUp.number {
-		m.catchUp.note(m.view, from, accepted.Version)
+	if accepted.Number == m.catchUp.number {
+		m.catchUp.note(m.view, from, accepted.Version, true)
 	}
 }
 
--- a/internal/distribution/event.go
+++ b/internal/distribution/event.go
@@ -13,7 +13,8 @@
 type Tick struct{}
 
 // Members gives the live members sorted by name, this node included. Leaving
-// members carry StatusLeaving and get no duties.
+// members carry StatusLeaving and get no duties. The slice is kept and must not
+// be changed afterwards.
 type Members struct{ Live []wire.Member }
 
 // SourceRead gives what this node, as a reader, has read from the source.
--- a/internal/distribution/holding.go
+++ b/internal/distribution/holding.go
@@ -16,6 +16,9 @@
 	whole time.Time // when it was held whole
 	told  time.Time // when the leader was last told of it
 	root  string    // root of the tree that brought it, "" when read or pulled
+	// accepted is kept here too, so that no word of versions that never come
+	// can push it out of the bounded list.
+	accepted bool
 }
 
 func (c *candidate) version() version.Version { return c.set.Version() }
@@ -89,13 +92,22 @@
 }
 
 // isAccepted reports whether the version is known to be accepted.
-func (h *holdings) isAccepted(v version.Version) bool { return slices.Contains(h.accepted, v) }
+func (h *holdings) isAccepted(v version.Version) bool {
+	if staged := h.stagedOf(v); staged != nil && staged.accepted {
+		return true
+	}
+	return slices.Contains(h.accepted, v)
+}
 
 // noteAccepted remembers an accepted version.
 func (h *holdings) noteAccepted(v version.Version) {
 	if !v.After(h.active.Version()) || h.isAccepted(v) {
 		return
 	}
+	if staged := h.stagedOf(v); staged != nil {
+		staged.accepted = true
+		return
+	}
 	h.accepted = insertNewest(h.accepted, v, maxKnownAccepted, func(v version.Version) version.Version { return v })
 }
 
--- a/internal/distribution/machine.go
+++ b/internal/distribution/machine.go
@@ -41,7 +41,7 @@
 		notices:  make(map[string]version.Version),
 		deltas:   newDeltaCache(),
 	}
-	m.catchUp.begin(phaseStarting, now)
+	m.catchUp.begin(phaseStarting, now, config.Random.Uint64())
 	return m
 }
 
--- a/internal/distribution/push.go
+++ b/internal/distribution/push.go
@@ -10,7 +10,6 @@
 // onPush takes a version sent down a tree or as a repair.
 func (m *Machine) onPush(from string, push *wire.Push) {
 	v := push.Delta.To
-	m.repair.answered(from)
 	if push.Root != "" && !m.active.Version().After(v) {
 		m.keepPush(from, push)
 	}
--- a/internal/distribution/repair.go
+++ b/internal/distribution/repair.go
@@ -9,20 +9,14 @@
 	"sliphead/internal/wire"
 )
 
-// repair is the one version that is to be pulled, and the one pull that is
-// outstanding.
+// repair is the one version that is to be pulled. One pull is outstanding at a
+// time: the next waits until the one before has had its time, whatever its
+// answer, so that two nodes that do not understand each other stay quiet.
 type repair struct {
 	target  version.Version
 	sources []string  // peers that hold the target and were not asked yet
 	due     time.Time // when the next pull may be sent
-	asked   string    // peer of the outstanding pull, "" for none
-}
-
-// answered ends the outstanding pull.
-func (r *repair) answered(from string) {
-	if r.asked == from {
-		r.asked = ""
-	}
+	pulled  bool      // whether a pull for the target was sent: the next waits for due
 }
 
 // want notes that a peer holds a version which this node lacks.
@@ -32,10 +26,9 @@
 	}
 	due := m.now.Add(m.jitteredOrNone(delay))
 	if v.After(m.repair.target) {
-		asked := m.repair.asked
-		m.repair = repair{target: v, due: due, asked: asked}
+		m.repair = repair{target: v, due: due}
 	}
-	if m.repair.asked == "" && due.Before(m.repair.due) {
+	if !m.repair.pulled && due.Before(m.repair.due) {
 		m.repair.due = due
 	}
 	if len(m.repair.sources) < maxSources && !slices.Contains(m.repair.sources, source) {
@@ -77,10 +70,15 @@
 		return
 	}
 	index := m.config.Random.Intn(len(m.repair.sources))
-	m.repair.asked = m.repair.sources[index]
+	asked := m.repair.sources[index]
 	m.repair.sources = slices.Delete(m.repair.sources, index, index+1)
 	m.repair.due = m.now.Add(m.jittered(m.config.RetryInterval))
-	m.send(m.repair.asked, wire.Envelope{Pull: &wire.Pull{Have: m.have()}})
+	m.repair.pulled = true
+	pull := &wire.Pull{Have: m.have()}
+	if m.catchUp.phase != phaseCaughtUp {
+		pull.Number = m.catchUp.number
+	}
+	m.send(asked, wire.Envelope{Pull: pull})
 }
 
 // have returns the version against which a peer can make a delta and after
--- a/internal/distribution/stage.go
+++ b/internal/distribution/stage.go
@@ -156,6 +156,7 @@
 // stage keeps a version that is whole, passes it on and tells its root.
 func (m *Machine) stage(whole *candidate) {
 	whole.whole = m.now
+	whole.accepted = m.isAccepted(whole.version())
 	m.staged = insertNewest(m.staged, whole, maxStaged+1, func(c *candidate) version.Version { return c.version() })
 	m.trimStaged()
 	if m.stagedOf(whole.version()) == nil {
