--- a/internal/distribution/bench_test.go
+++ b/internal/distribution/bench_test.go
@@ -115,17 +115,22 @@
 	b.ReportMetric(float64(busy.Nanoseconds())/float64(nodes*benchChanges), "cpu-ns/node/change")
 }
 
-// BenchmarkMembersChange takes one member away and gives it back, and derives
-// duties and this node's part of the tree anew.
+// BenchmarkMembersChange takes one member away or gives it back, and derives the
+// duties anew and, as before a push, this node's part of the tree.
 func BenchmarkMembersChange(b *testing.B) {
+	b.Run("duties", func(b *testing.B) { benchmarkMembersChange(b, func(*view) {}) })
+	b.Run("tree", func(b *testing.B) { benchmarkMembersChange(b, func(v *view) { v.childrenFor(v.leader()) }) })
+}
+
+func benchmarkMembersChange(b *testing.B, then func(*view)) {
 	members := membersIn(850, benchZones)
 	fewer := slices.Delete(slices.Clone(members), 400, 401)
 	machine := single(time.Unix(1, 0))
+	next, other := fewer, members
 	for b.Loop() {
-		machine.Step(Members{Live: fewer}, machine.now)
-		machine.view.childrenFor(machine.view.leader())
-		machine.Step(Members{Live: members}, machine.now)
-		machine.view.childrenFor(machine.view.leader())
+		machine.Step(Members{Live: next}, machine.now)
+		then(machine.view)
+		next, other = other, next
 	}
 }
 
--- a/internal/distribution/machine_test.go
+++ b/internal/distribution/machine_test.go
@@ -60,6 +60,9 @@
 func TestVersionGoesFromOneReaderToAll(t *testing.T) {
 	f := settled(t, 40, 4, edition{revision: 1})
 	before := f.logs[LogAccepted]
+	f.onDeliver = func(_, _ *simNode, message wire.Envelope) {
+		must.True(t, message.Push == nil || message.Push.Delta.From.Revision == 1, must.Sprint("whole set where a delta does"))
+	}
 	f.publish(edition{revision: 2}.set(t))
 	f.mustAgree(edition{revision: 2})
 	must.Eq(t, before+1, f.logs[LogAccepted])
@@ -200,6 +203,7 @@
 	effects = machine.Step(Received{wire.Envelope{From: "peer-a", Accepted: &wire.Accepted{Version: first.Version(), Number: question.Number}}}, now)
 	must.SliceContains(t, effects, Effect(Fresh{}))
 	must.True(t, machine.Status().Reader)
+	must.SliceContains(t, machine.Step(Resumed{}, now), Effect(Stale{}))
 }
 
 func TestPausedNodeIsNotFreshBeforeItHoldsWhatItMissed(t *testing.T) {
@@ -238,7 +242,9 @@
 	machine.Step(Members{Live: members}, f.now)
 	push := pushOf(snapshot.Empty(), edition{revision: 1}.set(t), root, root)
 	children := len(machine.view.childrenFor(root))
-	must.Len(t, children+1, sends(machine.Step(push, f.now))) // and the word to the root
+	sent := sends(machine.Step(push, f.now))
+	must.Len(t, children+1, sent) // and the word to the root
+	must.True(t, sent[1].Message.Push == push.Message.Push, must.Sprint("children do not share one encoding"))
 	must.Len(t, 1, sends(machine.Step(push, f.now)))
 }
 
--- a/internal/distribution/tree.go
+++ b/internal/distribution/tree.go
@@ -120,9 +120,9 @@
 		return order
 	}
 	order = make([]ranked, 0, v.zones[zone])
-	for i := range v.members {
-		if v.members[i].Zone == zone {
-			order = append(order, rank(&v.members[i]))
+	for _, member := range v.ranks {
+		if member.zone == zone {
+			order = append(order, member)
 		}
 	}
 	slices.SortFunc(order, compareRanked)
@@ -133,8 +133,7 @@
 // otherHeads returns the first member of each other zone, by name of the zone.
 func (v *view) otherHeads(own string) []string {
 	best := make(map[string]ranked, len(v.zones))
-	for i := range v.members {
-		member := rank(&v.members[i])
+	for _, member := range v.ranks {
 		head, known := best[member.zone]
 		if !known || compareRanked(member, head) < 0 {
 			best[member.zone] = member
--- a/internal/distribution/view.go
+++ b/internal/distribution/view.go
@@ -39,6 +39,7 @@
 type view struct {
 	self     string
 	members  []wire.Member  // sorted by name, self included
+	ranks    []ranked       // of the members, in the same order
 	zones    map[string]int // members in each zone
 	eligible int            // members that are not leaving
 	readers  []ranked       // the first is the leader
@@ -56,15 +57,17 @@
 		fanout:   max(config.Fanout, 2),
 		children: make(map[string][]string),
 	}
+	v.ranks = make([]ranked, len(v.members))
 	best := make(map[string][]ranked)
 	for i := range v.members {
-		member := &v.members[i]
-		v.zones[member.Zone]++
-		if member.Status == wire.StatusLeaving {
+		member := rank(&v.members[i])
+		v.ranks[i] = member
+		v.zones[member.zone]++
+		if member.leaving {
 			continue
 		}
 		v.eligible++
-		best[member.Zone] = insertBest(best[member.Zone], rank(member), config.ReadersPerZone)
+		best[member.zone] = insertBest(best[member.zone], member, config.ReadersPerZone)
 	}
 	v.readers = chooseReaders(best, config.MaxReaders)
 	return v
