--- a/lab/experiment/outcome.go
+++ b/lab/experiment/outcome.go
@@ -31,6 +31,8 @@
 	Bytes      int64         // control bytes sent and received by all nodes
 	Duration   time.Duration // over which the bytes were counted
 	Readers    int           // distinct readers at the source
+	Runs       int           // by all workers
+	RunsAsked  int           // that the attempts would have taken, each once at each level
 	Began      time.Time
 }
 
@@ -93,6 +95,8 @@
 		}
 		runs = append(runs, journal...)
 	}
+	result.Runs = len(runs)
+	result.RunsAsked = r.runsAsked(result.Attempts)
 	for _, violation := range load.Compare(result.Attempts, runs).Violations() {
 		r.violate("%s", violation)
 	}
@@ -109,6 +113,27 @@
 	return result, nil
 }
 
+// runsAsked counts the runs that attempts take when none is repeated.
+func (r *run) runsAsked(attempts []load.Attempt) int {
+	levels := map[string]int{}
+	for _, class := range r.spec.Load {
+		levels[class.Name] = class.Levels()
+	}
+	asked := 0
+	for _, attempt := range attempts {
+		asked += levels[attempt.Class]
+	}
+	return asked
+}
+
+// Amplification returns the runs made for each run asked for.
+func (o *Outcome) Amplification() float64 {
+	if o.RunsAsked == 0 {
+		return 0
+	}
+	return float64(o.Runs) / float64(o.RunsAsked)
+}
+
 // check compares the figures with the experiment's bounds.
 func (r *run) check(result *Outcome) {
 	bounds := r.spec.Checks
@@ -116,6 +141,9 @@
 	if bounds.ConvergenceP99MS > 0 && inMilliseconds(p99) > bounds.ConvergenceP99MS {
 		r.violate("convergence p99 is %.1f ms, bound %.1f ms", inMilliseconds(p99), bounds.ConvergenceP99MS)
 	}
+	if amplification := result.Amplification(); bounds.Amplification > 0 && amplification > bounds.Amplification {
+		r.violate("%d runs were made for %d asked for, %.3f times, bound %.3f", result.Runs, result.RunsAsked, amplification, bounds.Amplification)
+	}
 	for class, share := range bounds.FailedShare {
 		if failed := failedShare(result.Attempts, class); failed > share {
 			r.violate("share of class %s not answered is %.4f, bound %.4f", class, failed, share)
@@ -174,6 +202,8 @@
 		merged.Bytes += each.Bytes
 		merged.Duration = max(merged.Duration, each.Duration)
 		merged.Readers += each.Readers
+		merged.Runs += each.Runs
+		merged.RunsAsked += each.RunsAsked
 		if merged.Began.IsZero() || each.Began.Before(merged.Began) {
 			merged.Began = each.Began
 		}
@@ -191,6 +221,7 @@
 		"nodes":                             o.Nodes,
 		"readers":                           o.Readers,
 		"requests":                          len(o.Attempts),
+		"amplification":                     o.Amplification(),
 		"convergence_p50_ms":                inMilliseconds(ConvergenceQuantile(o.Samples, 50)),
 		"convergence_p99_ms":                inMilliseconds(ConvergenceQuantile(o.Samples, 99)),
 		"control_bytes_per_node_per_second": o.bytesPerNodeSecond(),
--- a/lab/experiment/spec.go
+++ b/lab/experiment/spec.go
@@ -33,6 +33,7 @@
 // once and that no node went back to an older version is always checked.
 type Checks struct {
 	ConvergenceP99MS float64 `yaml:"convergenceP99Ms"`
+	Amplification    float64 `yaml:"amplification"` // runs for each run asked for
 	// FailedShare bounds the share of attempts that were not answered, by class.
 	FailedShare map[string]float64 `yaml:"failedShare"`
 	// LatencyP99MS bounds the latency of answered attempts, by class.
--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -196,6 +196,9 @@
 	}
 }
 
+// shownBytes is how much of a worker's error is kept as the cause.
+const shownBytes = 200
+
 func judgeAnswer(attempt *Attempt, body []byte, readError error, expected echo.Expectation) {
 	switch {
 	case readError != nil: // the caller can see that the answer was cut
@@ -204,7 +207,7 @@
 		return
 	case attempt.Status != http.StatusOK: // the worker's own error, passed on
 		attempt.Ending = EndingFailed
-		attempt.Cause = "answered with an error status by the worker"
+		attempt.Cause = "error status by the worker: " + string(body[:min(len(body), shownBytes)])
 		return
 	}
 	answer, err := expected.Verify(body)
--- a/lab/load/class.go
+++ b/lab/load/class.go
@@ -3,7 +3,10 @@
 // start, so that a stall of the system is not omitted from the figures.
 package load
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Class is one kind of request.
 type Class struct {
@@ -35,6 +38,14 @@
 	return time.Duration(c.DeadlineMS) * time.Millisecond
 }
 
+// Levels returns the depth of the class's call tree, 1 without nested calls.
+func (c Class) Levels() int {
+	if c.Calls == "" {
+		return 1
+	}
+	return strings.Count(c.Calls, ",") + 2
+}
+
 // interval is the time between two intended starts.
 func (c Class) interval() time.Duration {
 	return time.Duration(float64(time.Second) / c.RatePerSecond)
--- a/lab/worker/run.go
+++ b/lab/worker/run.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -204,7 +205,7 @@
 		return "", err
 	}
 	if response.StatusCode != http.StatusOK {
-		return "", errNested(response.StatusCode)
+		return "", errNested(response, body)
 	}
 	expectation := echo.Expectation{
 		Nonce:      call.Header.Get(echo.HeaderNonce),
@@ -215,6 +216,15 @@
 	return answer.Worker, err
 }
 
-func errNested(status int) error {
-	return fault.New(fault.Worker, "see the nested call's own log line", "nested call ended with status %d", status)
+// nestedMark begins the text of a nested call's error, which the levels above
+// pass on unchanged.
+const nestedMark = "nested call to "
+
+func errNested(response *http.Response, body []byte) error {
+	if index := bytes.Index(body, []byte(nestedMark)); index >= 0 {
+		return fault.New(fault.Worker, "see the nested call's own log line", "%s", bytes.TrimSpace(body[index:]))
+	}
+	header := response.Header
+	return fault.New(fault.Worker, "see the nested call's own log line", "%s%s ended with status %d, outcome %q, %q",
+		nestedMark, response.Request.URL.Path, response.StatusCode, header.Get(outcome.Header), header.Get(outcome.Remedy))
 }
