--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -20,7 +20,6 @@
 	case message.Gossip != nil:
 		m.applyAll(message.Gossip.Updates)
 		m.noteDigests(from, message.Gossip.Digests)
-		m.answerAccused(from)
 	case message.Sync != nil:
 		m.receiveSync(from, *message.Sync)
 	}
@@ -92,19 +91,6 @@
 	return member.Status == wire.StatusSuspect || member.Status == wire.StatusDead
 }
 
-// answerAccused tells a sender thought suspect or dead of it, so that it can
-// refute; at most once a probe interval.
-func (m *Machine) answerAccused(from string) {
-	held, ok := m.table.records[from]
-	if !ok || !isAccused(held.member) || m.now.Sub(held.answered) < m.config.ProbeInterval {
-		return
-	}
-	held.answered = m.now
-	m.send(from, held.member.Peer, true, wire.Envelope{
-		Gossip: &wire.Gossip{Digests: m.ownDigests(), Updates: []wire.Member{held.member, m.Self()}},
-	})
-}
-
 // packet gathers registers up to the size of a datagram.
 type packet struct {
 	members []wire.Member
--- a/internal/membership/register.go
+++ b/internal/membership/register.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,12 +10,9 @@
 )
 
 const (
-	// counterLimit bounds Incarnation and Sequence. Honest nodes raise them one
-	// by one and can't come near it; a greater value is damaged or forged, and
-	// accepting it would leave its owner no value to refute with.
-	counterLimit = math.MaxUint32
-	// startSkew bounds how far Start may lie ahead of the receiver's clock, for
-	// the same reason.
+	// startSkew bounds how far Start may lie ahead of the receiver's clock. What
+	// a peer forges of a member, however high its incarnation or sequence, the
+	// member outdoes by a greater Start; so only Start must not reach its end.
 	startSkew = 24 * time.Hour
 	// startSpread bounds the random part of a Start that outdoes a foreign one, in
 	// milliseconds.
@@ -62,9 +58,6 @@
 			return false
 		}
 	}
-	if member.Incarnation > counterLimit || member.Sequence > counterLimit {
-		return false
-	}
 	return member.Start >= 0 && member.Start <= now.Add(startSkew).UnixMilli()
 }
 
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -20,7 +20,6 @@
 	learned   time.Time // when this Start was first seen
 	suspected time.Time // end of the wait for a refutation, zero if none runs
 	died      time.Time // when it was declared dead, zero if not
-	answered  time.Time // when it was last told that it is thought suspect or dead
 	peerIndex int       // in table.peers, -1 if absent
 }
 
--- a/internal/membership/update.go
+++ b/internal/membership/update.go
@@ -190,6 +190,7 @@
 	}
 	if held.member.Status == wire.StatusLeaving {
 		m.awaitRefutation(held) // its own word outranks the accusation, which stays here
+		m.startProbe(name)      // until the wait ends
 		return
 	}
 	if held.member.Status == wire.StatusAlive {
