--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -19,7 +19,7 @@
 		m.receiveAck(from, *message.Ack)
 	case message.Gossip != nil:
 		m.applyAll(message.Gossip.Updates)
-		m.noteDigests(from, message.Gossip.Digests)
+		m.compareView(from, message.Gossip.Digests.View)
 	case message.Sync != nil:
 		m.receiveSync(from, *message.Sync)
 	}
@@ -38,7 +38,7 @@
 	}
 	m.nextGossip = m.now.Add(m.config.GossipInterval)
 	for _, name := range m.randomPeers(m.config.GossipFanout, "") {
-		digests := m.ownDigests()
+		digests := wire.Digests{View: m.table.view} // the rest would be most of the datagram
 		updates := m.updatesFor(name, digests, false)
 		if len(updates) == 0 {
 			return
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -86,8 +86,8 @@
 func (m *Machine) Lookup(name string) (wire.Member, bool) { return m.table.member(name) }
 
 // Live returns the members that are alive, suspect or leaving, self included,
-// sorted by name. The slice is valid until the next Step and must not be
-// changed.
+// sorted by name. The machine never changes a slice that it has returned, and
+// callers must not either, so it may be kept and shared.
 func (m *Machine) Live() []wire.Member { return m.table.sorted() }
 
 // ViewHash returns a hash over the registers of all live members. It does not
--- a/internal/membership/size.go
+++ b/internal/membership/size.go
@@ -1,14 +1,18 @@
 package membership
 
-import "sliphead/internal/wire"
+import (
+	"sliphead/internal/version"
+	"sliphead/internal/wire"
+)
 
 // Upper bounds of the encoded size, in bytes, without the texts.
 const (
 	memberOverhead   = 135 // names of the fields
 	compactOverhead  = 75
-	envelopeOverhead = 90 // envelope, kind and number
-	digestsOverhead  = 190
-	escapedLength    = 6 // of one character written as \u003c
+	envelopeOverhead = 70 // envelope, kind and number
+	digestsOverhead  = 60 // view and clock
+	versionOverhead  = 90 // two numbers of full length
+	escapedLength    = 6  // of one character written as \u003c
 )
 
 // textSize returns the most bytes that the text takes in JSON.
@@ -54,6 +58,11 @@
 // baseSize returns an upper bound of the encoded size of a message without
 // registers.
 func baseSize(from string, digests wire.Digests) int {
-	size := envelopeOverhead + digestsOverhead + textSize(from)
-	return size + textSize(digests.Active.Digest) + textSize(digests.Staged.Digest)
+	size := envelopeOverhead + digestsOverhead + 2*textSize(from)
+	for _, held := range [...]version.Version{digests.Active, digests.Staged} {
+		if !held.IsZero() {
+			size += versionOverhead + textSize(held.Digest)
+		}
+	}
+	return size
 }
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -42,13 +42,18 @@
 	m.join.next = m.now.Add(bound/4 + m.jittered(bound))
 }
 
-// noteDigests passes a peer's digests on and compares its view with ours.
+// noteDigests passes a peer's digests on.
 func (m *Machine) noteDigests(from string, digests wire.Digests) {
 	if digests.Staged.IsZero() {
 		digests.Staged = digests.Active
 	}
 	m.effects = append(m.effects, PeerDigests{From: from, Digests: digests})
-	if digests.View == m.table.view {
+	m.compareView(from, digests.View)
+}
+
+// compareView notices that a peer's view differs from ours, and for how long.
+func (m *Machine) compareView(from string, view uint64) {
+	if view == m.table.view {
 		m.repair.agreed, m.repair.differing = m.now, 0
 		return
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -83,11 +83,11 @@
 	Sequence    uint64        `json:"seq,omitempty"`
 }
 
-// Digests are what every gossip message says of its sender's state. Whoever is
-// behind pulls.
+// Digests are what probes and their answers say of their sender's state. Whoever
+// is behind pulls. A zero Staged stands for the Active version.
 type Digests struct {
-	Active version.Version `json:"active"`          // version in force
-	Staged version.Version `json:"staged"`          // newest version held whole, in force or not
+	Active version.Version `json:"active,omitzero"` // version in force
+	Staged version.Version `json:"staged,omitzero"` // newest version held whole, in force or not
 	View   uint64          `json:"view,omitempty"`  // hash of the member registers
 	Clock  int64           `json:"clock,omitempty"` // wall clock, Unix milliseconds
 }
@@ -114,7 +114,8 @@
 	Updates []Member `json:"u,omitempty"`
 }
 
-// Gossip spreads changed registers between probes.
+// Gossip spreads changed registers between probes. Its Digests hold the View
+// only.
 type Gossip struct {
 	Digests Digests  `json:"d"`
 	Updates []Member `json:"u,omitempty"`
