--- a/internal/control/simulation/process_test.go
+++ b/internal/control/simulation/process_test.go
@@ -170,6 +170,9 @@
 func (p *process) now() time.Time {
 	p.node.fleet.mutex.Lock()
 	gate, read := p.gate, p.clock()
+	if gate != nil && p.clockRead {
+		p.paused = time.Now() // it ran until here
+	}
 	p.node.fleet.mutex.Unlock()
 	if gate != nil {
 		<-gate
