Drop messages that waited too long for their stream

Cause: a dialer told to stay away, or one in backoff, kept its queue and sent it up to a minute late. A claim that old could be granted to an attempt that had long given up. Lines older than 5 s (Limits.QueueAge) are dropped and counted; repair heals the rest.

--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -74,7 +74,7 @@
 			return fault.New(fault.Settings, inner.Remedy, "%s:%d: %s", path, typed.line, inner.What)
 		}
 	}
-	const remedy = "correct the line; docs list every key with its type"
+	const remedy = "correct the line; sliphead node --print-settings lists the keys"
 	var located yaml.Error
 	if errors.As(err, &located) && located.GetToken() != nil {
 		return fault.New(fault.Settings, remedy, "%s:%d: %s", path, located.GetToken().Position.Line, located.GetMessage())
--- a/internal/transport/config.go
+++ b/internal/transport/config.go
@@ -54,6 +54,7 @@
 	MessageBurst      int           // messages of one stream at once before the rate counts
 	QueueMessages     int           // waiting for one peer
 	QueueBytes        int           // waiting for one peer; one message is let in whatever its size
+	QueueAge          time.Duration // a message that waited longer is dropped: late ones do more harm than lost ones
 	IdleTimeout       time.Duration // an outgoing stream without messages is closed
 	HandshakeTimeout  time.Duration // dial, TLS and Hello
 	WriteTimeout      time.Duration // one batch of messages
@@ -73,6 +74,7 @@
 	setDefault(&l.MessageBurst, 10000)
 	setDefault(&l.QueueMessages, 256)
 	setDefault(&l.QueueBytes, 4<<20)
+	setDefault(&l.QueueAge, 5*time.Second)
 	setDefault(&l.IdleTimeout, 30*time.Second)
 	setDefault(&l.HandshakeTimeout, 5*time.Second)
 	setDefault(&l.WriteTimeout, 10*time.Second)
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -29,7 +29,7 @@
 type link struct {
 	transport *Transport
 	address   string
-	queue     [][]byte
+	queue     []queued
 	bytes     int
 	running   bool
 	wake      chan struct{} // tells the goroutine that the queue has grown
@@ -37,6 +37,12 @@
 	notBefore time.Time     // no dial before this time
 }
 
+// queued is a line that waits to be sent.
+type queued struct {
+	line  []byte
+	since time.Time
+}
+
 // newLink returns a link without a stream.
 func newLink(transport *Transport, address string) *link {
 	return &link{transport: transport, address: address, wake: make(chan struct{}, 1)}
@@ -46,13 +52,10 @@
 // makes sure that a goroutine sends it.
 func (l *link) queueLocked(line []byte) {
 	limits := &l.transport.config.Limits
-	l.queue = append(l.queue, line)
+	l.queue = append(l.queue, queued{line: line, since: time.Now()})
 	l.bytes += len(line)
 	for len(l.queue) > 1 && (len(l.queue) > limits.QueueMessages || l.bytes > limits.QueueBytes) {
-		l.bytes -= len(l.queue[0])
-		l.queue[0] = nil
-		l.queue = l.queue[1:]
-		l.transport.totals.dropped.Add(1)
+		l.dropOldestLocked()
 	}
 	if !l.running {
 		l.running = l.transport.startLocked(l.run)
@@ -67,6 +70,22 @@
 	}
 }
 
+// dropOldestLocked drops one line.
+func (l *link) dropOldestLocked() {
+	l.bytes -= len(l.queue[0].line)
+	l.queue[0] = queued{}
+	l.queue = l.queue[1:]
+	l.transport.totals.dropped.Add(1)
+}
+
+// expireLocked drops the lines that waited too long.
+func (l *link) expireLocked() {
+	oldest := time.Now().Add(-l.transport.config.Limits.QueueAge)
+	for len(l.queue) > 0 && l.queue[0].since.Before(oldest) {
+		l.dropOldestLocked()
+	}
+}
+
 // discardLocked drops the queue.
 func (l *link) discardLocked() {
 	l.transport.totals.dropped.Add(uint64(len(l.queue)))
@@ -77,7 +96,11 @@
 func (l *link) take() [][]byte {
 	l.transport.mutex.Lock()
 	defer l.transport.mutex.Unlock()
-	lines := l.queue
+	l.expireLocked()
+	lines := make([][]byte, 0, len(l.queue))
+	for _, waiting := range l.queue {
+		lines = append(lines, waiting.line)
+	}
 	l.queue, l.bytes = nil, 0
 	return lines
 }
@@ -115,6 +138,7 @@
 	if err != nil {
 		l.failedLocked(err)
 	}
+	l.expireLocked()
 	if len(l.queue) > 0 {
 		return false
 	}
--- a/internal/transport/peer_test.go
+++ b/internal/transport/peer_test.go
@@ -159,6 +159,14 @@
 	must.Eq(t, 91, alpha.Counters().Dropped)
 }
 
+func TestMessagesThatWaitedTooLongAreDropped(t *testing.T) {
+	alpha := startNode(t, "alpha", func(config *Config) { config.Limits.QueueAge = time.Nanosecond })
+	beta := startNode(t, "beta", nil)
+	alpha.Send(beta.Address(), staged("alpha", 1))
+	beta.next(t, "hello")
+	alpha.until(t, func(counters Counters) bool { return counters.Dropped == 1 && counters.MessagesSent == 1 })
+}
+
 func TestUnreachablePeerIsGivenUpAndLoggedOnce(t *testing.T) {
 	events := &logged{}
 	alpha := startNode(t, "alpha", func(config *Config) {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -66,7 +66,7 @@
 }
 
 // Run opens the listeners and serves until ctx ends or a listener fails. It
-// returns after all goroutines have ended.
+// returns after all goroutines have ended, and may be called once.
 func (t *Transport) Run(ctx context.Context) error {
 	listener, packets, err := t.listen(ctx)
 	if err != nil {
