Show that each guard against bad input is needed, and poll the machine list

Machines.Poll reads the machine list at jittered intervals and keeps quiet about a failure that lasts. go test -race -count=3 ./internal/source ./internal/worker: pass.

--- a/internal/source/reader.go
+++ b/internal/source/reader.go
@@ -36,7 +36,7 @@
 	Random        *rand.Rand // jitter; used by Run's goroutine only
 
 	failures int
-	logged   map[string]string // last cause logged, by event and subject
+	problems problems
 	etag     string
 	current  Result
 	reads    atomic.Uint64
@@ -82,7 +82,7 @@
 	if r.Logger == nil {
 		r.Logger = logging.Discard()
 	}
-	r.logged = make(map[string]string)
+	r.problems = newProblems(r.Logger)
 }
 
 // serve reads until the duty changes or ctx ends. It starts without an ETag,
@@ -143,7 +143,7 @@
 	wait := r.LongPoll
 	missing := r.missing()
 	if len(missing) > 0 {
-		wait = min(wait, r.jittered(r.SecretRetry))
+		wait = min(wait, jittered(r.Random, r.SecretRetry))
 	}
 	r.reads.Add(1)
 	document, err := r.Configuration.Fetch(ctx, r.etag, wait)
@@ -166,11 +166,11 @@
 	parsed, err := r.Parse(document.Raw)
 	r.etag = document.ETag
 	if err != nil {
-		r.logOnce("source.documentRefused", "", err, logging.Fields{"revision": document.Revision})
+		r.problems.log("source.documentRefused", "", err, logging.Fields{"revision": document.Revision})
 		r.Emit(Result{Revision: document.Revision, Err: err})
 		return
 	}
-	r.settled("source.documentRefused", "")
+	r.problems.settled("source.documentRefused", "")
 	r.current = Result{Document: parsed, Revision: document.Revision, Secrets: make(map[string]string, len(parsed.Secrets))}
 	r.askSecrets(ctx, r.missing())
 	if ctx.Err() == nil {
@@ -202,10 +202,10 @@
 			return came
 		}
 		if err != nil {
-			r.logOnce("source.secretMissing", name, err, logging.Fields{"secret": name})
+			r.problems.log("source.secretMissing", name, err, logging.Fields{"secret": name})
 			continue
 		}
-		r.settled("source.secretMissing", name)
+		r.problems.settled("source.secretMissing", name)
 		r.current.Secrets[name] = value
 		came = true
 	}
@@ -225,30 +225,17 @@
 // report logs a failure once per cause and emits it.
 func (r *Reader) report(err error) {
 	r.failures++
-	r.logOnce("source.failed", "", err, logging.Fields{"kind": fault.KindOf(err)})
+	r.problems.log("source.failed", "", err, logging.Fields{"kind": fault.KindOf(err)})
 	r.Emit(Result{Err: err})
 }
 
-// logOnce logs a problem unless it is the one logged last for that subject.
-func (r *Reader) logOnce(event, subject string, err error, fields logging.Fields) {
-	key, text := event+" "+subject, err.Error()
-	if r.logged[key] == text {
-		return
-	}
-	r.logged[key] = text
-	logging.Problem(r.Logger, event, err, fields)
-}
-
-// settled forgets a problem, so that its next occurrence is logged.
-func (r *Reader) settled(event, subject string) { delete(r.logged, event+" "+subject) }
-
 // recovered ends a row of failures.
 func (r *Reader) recovered() {
 	if r.failures > 0 {
 		logging.Event(r.Logger, "source.recovered", logging.Fields{"failures": r.failures})
 	}
 	r.failures = 0
-	r.settled("source.failed", "")
+	r.problems.settled("source.failed", "")
 }
 
 // backoff returns the wait after a failure: full jitter over a bound that
@@ -258,27 +245,5 @@
 	if shift := r.failures - 1; shift < 16 {
 		bound = min(bound, r.BackoffBase<<max(shift, 0))
 	}
-	wait := time.Duration(r.Random.Int64N(int64(bound) + 1))
-	if asked := RetryAfter(err); asked > 0 {
-		return asked + wait
-	}
-	return wait
-}
-
-// jittered returns a wait between half and one and a half of the middle.
-func (r *Reader) jittered(middle time.Duration) time.Duration {
-	return middle/2 + time.Duration(r.Random.Int64N(int64(middle)+1))
-}
-
-// sleep waits for a duration or until ctx ends.
-func sleep(ctx context.Context, duration time.Duration) {
-	if duration <= 0 {
-		return
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	return RetryAfter(err) + time.Duration(r.Random.Int64N(int64(bound)+1))
 }
--- a/internal/source/source_test.go
+++ b/internal/source/source_test.go
@@ -306,6 +306,28 @@
 	})
 }
 
+func TestMachinesArePolledApartAndFailuresKeepTheLastList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var down atomic.Bool
+		asked, lists := 0, 0
+		machines := &Machines{Base: "http://list", Client: &http.Client{Transport: trip(func(*http.Request) (*http.Response, error) {
+			asked++
+			if down.Load() {
+				return reply(503, ""), nil
+			}
+			return reply(200, `{"machines":[]}`), nil
+		})}}
+		var events bytes.Buffer
+		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+		defer cancel()
+		time.AfterFunc(30*time.Minute, func() { down.Store(true) })
+		machines.Poll(ctx, 10*time.Second, rand.New(rand.NewPCG(1, 1)), logging.New(&events, log.InfoLevel), func([]Machine) { lists++ })
+		must.Between(t, 320, asked, 400)
+		must.Between(t, 160, lists, 200)
+		must.Eq(t, 1, strings.Count(events.String(), "event=machines.failed"))
+	})
+}
+
 func FuzzAnswers(f *testing.F) {
 	for _, seed := range []string{document(1, ""), `{"machines":[{"name":"a","peer":"127.0.0.1:1","state":"live"}]}`, `{"value":"x"}`, `{"revision":1e99}`, `[`, `null`} {
 		f.Add([]byte(seed))
--- a/internal/transport/peer_test.go
+++ b/internal/transport/peer_test.go
@@ -72,6 +72,7 @@
 			for attempt := range uint64(2) {
 				conn, err := net.Dial("tcp", victim.Address())
 				must.NoError(t, err)
+				must.NoError(t, conn.SetDeadline(time.Now().Add(hang)))
 				io.WriteString(conn, bad.sent)
 				io.Copy(io.Discard, conn)
 				conn.Close()
--- a/internal/worker/watcher.go
+++ b/internal/worker/watcher.go
@@ -23,7 +23,7 @@
 	URL        string // of the health endpoint
 	Thresholds Thresholds
 	Client     *http.Client             // default: a client of its own
-	OnState    func(wire.EndpointState) // called on each change, from the goroutine that caused it, one at a time
+	OnState    func(wire.EndpointState) // called on each change, one at a time; must not call the watcher
 	Logger     log.Interface            // default discards
 }
 
