--- a/cmd/sliphead-lab/fleet.go
+++ b/cmd/sliphead-lab/fleet.go
@@ -20,6 +20,7 @@
 	History     int    `help:"Former versions kept for deltas; 0 sends whole versions." default:"4"`
 	Changes     int    `help:"Configuration changes to measure." default:"20"`
 	Restarts    int    `help:"Nodes killed and started again one by one." default:"20"`
+	Baseline    string `help:"Run a baseline in place of our own distribution." enum:",poll,flood" default:""`
 	Faults      bool   `help:"Also kill half the nodes at once, and cut a zone off and heal it."`
 }
 
@@ -32,7 +33,7 @@
 		Compression: transport.Compression(c.Compression),
 		History:     c.History,
 	}
-	result, err := fleet.Run(ctx, options, fleet.Schedule{Changes: c.Changes, Restarts: c.Restarts, Faults: c.Faults})
+	result, err := c.run(ctx, options)
 	fields := log.Fields{"event": "experiment.result", "name": "fleet", "verdict": "pass"}
 	if result != nil {
 		for key, value := range result.Fields {
@@ -50,3 +51,11 @@
 	logger.WithFields(fields).Info("")
 	return nil
 }
+
+// run runs our own distribution or a baseline.
+func (c *fleetCommand) run(ctx context.Context, options fleet.Options) (*fleet.Result, error) {
+	if c.Baseline != "" {
+		return fleet.RunBaseline(ctx, fleet.Baseline(c.Baseline), options, c.Changes)
+	}
+	return fleet.Run(ctx, options, fleet.Schedule{Changes: c.Changes, Restarts: c.Restarts, Faults: c.Faults})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,8 +70,8 @@
 	n.keeper = claim.NewKeeper(n.claimConfig())
 	n.loop = control.New(n.controlConfig())
 	n.source = newSourceDuty(configured, n.loop, options.Logger)
-	n.requests = newRequests(n)
-	return n, nil
+	n.requests, err = newRequests(n)
+	return n, err
 }
 
 // selfMember is the register that this node writes about itself. Its start
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/netip"
@@ -23,18 +24,26 @@
 	inbound  *traffic.Inbound // nil at an edge
 	outbound *traffic.Outbound
 	watcher  *worker.Watcher // nil at an edge
+	security *tls.Config     // towards callers, nil for plain HTTP
 }
 
-func newRequests(n *Node) *requests {
+func newRequests(n *Node) (*requests, error) {
 	if n.options.Hollow {
-		return &requests{node: n}
+		return &requests{node: n}, nil
 	}
 	config := n.trafficConfig()
 	r := &requests{node: n, outbound: traffic.NewOutbound(config)}
 	if n.settings.Worker != nil {
 		r.inbound = traffic.NewInbound(config)
 	}
-	return r
+	if callers := n.settings.Callers; callers.CertificateFile != "" {
+		certificates, err := traffic.LoadCertificates(callers.CertificateFile, callers.KeyFile, n.options.Logger)
+		if err != nil {
+			return nil, err
+		}
+		r.security = certificates.TLS()
+	}
+	return r, nil
 }
 
 // trafficConfig wires the request path to the published views and the keeper.
@@ -86,12 +95,12 @@
 	}
 	listen := r.node.settings.Listen
 	limits := r.node.trafficConfig().Limits
-	r.serve(ctx, group, listen.Outbound, traffic.NewServer(r.outbound, limits))
-	r.serve(ctx, group, listen.Admin, &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: limits.HeaderTimeout})
+	r.serve(ctx, group, listen.Outbound, r.security, traffic.NewServer(r.outbound, limits))
+	r.serve(ctx, group, listen.Admin, nil, &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: limits.HeaderTimeout})
 	if r.inbound == nil {
 		return
 	}
-	r.serve(ctx, group, listen.Inbound, traffic.NewServer(r.inbound, limits))
+	r.serve(ctx, group, listen.Inbound, nil, traffic.NewServer(r.inbound, limits))
 	r.watcher = worker.NewWatcher(worker.Config{
 		Name:       r.node.self.Worker,
 		URL:        "http://" + r.node.settings.Worker.Address + r.node.settings.Worker.HealthPath,
@@ -105,17 +114,20 @@
 	})
 }
 
-// serve runs one listener. What is still open when ctx ends is cut: a planned
+// serve runs one listener, over TLS when security is set. What is still open when ctx ends is cut: a planned
 // stop has waited for it before.
-func (r *requests) serve(ctx context.Context, group *errgroup.Group, address string, server *http.Server) {
+func (r *requests) serve(ctx context.Context, group *errgroup.Group, address string, security *tls.Config, server *http.Server) {
 	group.Go(func() error {
-		listener, err := net.Listen("tcp", address)
+		plain, err := net.Listen("tcp", address)
 		if err != nil {
 			return fault.Wrap(err, fault.Settings, "free the address or change listen in the settings", "listen on %s", address)
 		}
+		if security != nil {
+			plain = tls.NewListener(plain, security)
+		}
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
-		if err := server.Serve(listener); ctx.Err() == nil {
+		if err := server.Serve(traffic.NewListener(plain)); ctx.Err() == nil {
 			return fault.Wrap(err, fault.Internal, "restart the node", "serve on %s", address)
 		}
 		return nil
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"sliphead/internal/logging"
 )
 
@@ -24,10 +22,9 @@
 	began := time.Now()
 	logging.Event(n.options.Logger, "node.draining", logging.Fields{"in_flight": n.requests.inFlight()})
 	n.loop.Drain(ctx)
-	n.requests.drain()
 	bounded, cancel := context.WithTimeout(ctx, n.settings.Drain.Timeout.Duration)
 	defer cancel()
-	n.requests.wait(bounded)
+	n.requests.drain(bounded)
 	n.loop.Leave(ctx)
 	select {
 	case <-time.After(leaveSpread):
@@ -39,13 +36,18 @@
 // InFlight counts the requests that run now.
 func (n *Node) InFlight() int { return n.requests.inFlight() }
 
-// drain refuses new requests from now on.
-func (r *requests) drain() {
+// drain refuses new requests and waits until those in flight have ended or ctx
+// ends. The inbound side goes first: until its last request has ended, the
+// worker may need the outbound side for calls of its own. The waits' only error
+// is the bound, and logFinished counts what it cut.
+func (r *requests) drain(ctx context.Context) {
 	if r.inbound != nil {
 		r.inbound.Drain()
+		_ = r.inbound.Wait(ctx)
 	}
 	if r.outbound != nil {
 		r.outbound.Drain()
+		_ = r.outbound.Wait(ctx)
 	}
 }
 
@@ -60,15 +62,3 @@
 	}
 	return count
 }
-
-// wait returns when nothing is in flight or ctx ends.
-func (r *requests) wait(ctx context.Context) {
-	var group errgroup.Group
-	if r.inbound != nil {
-		group.Go(func() error { return r.inbound.Wait(ctx) })
-	}
-	if r.outbound != nil {
-		group.Go(func() error { return r.outbound.Wait(ctx) })
-	}
-	_ = group.Wait() // the only error is the bound, and logFinished counts what it cut
-}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -26,6 +26,7 @@
 	Deadline       = "Sliphead-Deadline-Ms"  // milliseconds left for the request
 	RetryBudget    = "Sliphead-Retry-Budget" // retries left for the whole call tree, in thousandths
 	Route          = "Sliphead-Route"        // name of the route chosen by the caller's node
+	Attempt        = "Sliphead-Attempt"      // on requests to a worker: names this try; a worker's own refusal echoes it
 	Depth          = "Sliphead-Depth"        // level in the call tree, from 0
 	Load           = "Sliphead-Load"         // on answers: busy and queued requests of the worker's node, "busy/slots/queued"
 	IdempotencyKey = "Idempotency-Key"       // names a request that may run at most once
--- a/internal/traffic/header.go
+++ b/internal/traffic/header.go
@@ -15,7 +15,7 @@
 	// attemptHeader names one try of one request. The worker's node echoes it,
 	// so that the answer is matched to the try. A worker that refuses before
 	// running says so by 503, outcome not-run and this header echoed.
-	attemptHeader = "Sliphead-Attempt"
+	attemptHeader = outcome.Attempt
 	// finalHeader on a failure says that a level below spent its retries.
 	finalHeader = "Sliphead-Final"
 	// internalPrefix starts the names of all headers of sliphead.
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -101,7 +101,7 @@
 			return refuse(causeLease, time.Second, "send it again, this node has no confirmed configuration")
 		}
 		x.view = view
-		x.route = match(view, hostOf(x.request), x.request.URL.Path, x.request.Method)
+		x.route = view.Match(hostOf(x.request), x.request.URL.Path, x.request.Method)
 		if x.route == nil {
 			return reject(http.StatusNotFound, causeRoute, "check host, path and method, no route is declared for them")
 		}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -52,6 +52,20 @@
 // Start starts the platform and all nodes at once, the worst case for the
 // platform and for peers.
 func Start(ctx context.Context, options Options) (*Fleet, error) {
+	f, err := newFleet(ctx, options)
+	if err != nil {
+		return nil, err
+	}
+	for index := range options.Nodes {
+		if err := f.startNode(ctx, index); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// newFleet starts the platform of a fleet that has no nodes yet.
+func newFleet(ctx context.Context, options Options) (*Fleet, error) {
 	layout := &plan{nodes: options.Nodes, octet: options.Octet, since: time.Now().Add(startTime)}
 	f := &Fleet{
 		options:  options,
@@ -71,11 +85,6 @@
 			return nil, err
 		}
 	}
-	for index := range options.Nodes {
-		if err := f.startNode(ctx, index); err != nil {
-			return nil, err
-		}
-	}
 	return f, nil
 }
 
--- a/lab/fleet/run.go
+++ b/lab/fleet/run.go
@@ -110,7 +110,7 @@
 			return err
 		}
 		if err := f.await(ctx, agreementBound, fmt.Sprintf("revision %d in force everywhere", revision), func() bool {
-			return f.recorder.at(revision, f.liveNames()) == f.options.Nodes
+			return f.everywhere(revision)
 		}); err != nil {
 			return err
 		}
--- a/lab/worker/health.go
+++ b/lab/worker/health.go
@@ -9,10 +9,11 @@
 
 // Health is the body of a health answer.
 type Health struct {
-	Ready    bool `json:"ready"`
-	Draining bool `json:"draining"`
-	Busy     int  `json:"busy"`  // slots in use
-	Slots    int  `json:"slots"` // slots in all
+	State    string `json:"state"` // starting, ready or draining
+	Ready    bool   `json:"ready"`
+	Draining bool   `json:"draining"`
+	Busy     int    `json:"busy"`  // slots in use
+	Slots    int    `json:"slots"` // slots in all
 }
 
 // reported is the health as it was reported from a moment on.
@@ -42,6 +43,18 @@
 	return l.recent[0].health
 }
 
+// state names the health in one word.
+func (h Health) state() string {
+	switch {
+	case h.Draining:
+		return "draining"
+	case !h.Ready:
+		return "starting"
+	default:
+		return "ready"
+	}
+}
+
 // serveHealth answers a probe. A probe takes a slot for the probe's cost.
 func (w *Worker) serveHealth(writer http.ResponseWriter, request *http.Request) {
 	w.payForProbe(request)
@@ -49,6 +62,7 @@
 	if w.fault.get() == FaultLie {
 		health = Health{Ready: true, Slots: w.settings.Slots}
 	}
+	health.State = health.state()
 	writer.Header().Set("Content-Type", "application/json")
 	if !health.Ready || health.Draining {
 		writer.WriteHeader(http.StatusServiceUnavailable)
--- a/lab/worker/run.go
+++ b/lab/worker/run.go
@@ -47,17 +47,17 @@
 		}
 	}
 	if !w.authorized(request) {
-		w.refuse(writer, http.StatusUnauthorized, "present the route's credential")
+		w.refuse(writer, request, http.StatusUnauthorized, "present the route's credential")
 		return
 	}
 	if w.sheds() {
-		w.refuse(writer, http.StatusServiceUnavailable, "ask another worker")
+		w.refuse(writer, request, http.StatusServiceUnavailable, "ask another worker")
 		return
 	}
 	ctx, cancel := withDeadline(request)
 	defer cancel()
 	if !w.takeSlot(ctx) {
-		w.refuse(writer, http.StatusServiceUnavailable, "all slots are busy; ask another worker")
+		w.refuse(writer, request, http.StatusServiceUnavailable, "all slots are busy; ask another worker")
 		return
 	}
 	defer func() { <-w.slots }()
@@ -74,9 +74,10 @@
 }
 
 // refuse answers a request that was not run.
-func (w *Worker) refuse(writer http.ResponseWriter, status int, remedy string) {
+func (w *Worker) refuse(writer http.ResponseWriter, request *http.Request, status int, remedy string) {
 	w.shed.Add(1)
 	writer.Header().Set(outcome.Header, string(outcome.NotRun))
+	writer.Header().Set(outcome.Attempt, request.Header.Get(outcome.Attempt))
 	writer.Header().Set("Retry-After", "1")
 	http.Error(writer, remedy, status)
 }
