Show a node's status while its source fails

Cause: distribution.Status held the source's failure as an error, which JSON writes as {} and cannot read back: sliphead status failed on each reader whose last read had failed ('cannot unmarshal object into Go struct field … SourceFail of type error'). After the source came back without a new document the failure stayed, so the command failed until the next change. One lasting failure was logged once for each jittered wait in its URL (56 lines in ten virtual minutes). Ruled out: a tolerant reader in the command; the text was lost before it. Change: the failure is text, and is shown at readers; a reader whose source answers again without news emits what it holds; errors leave the URL out. Conclusion: touches distribution.Status.SourceFail (error to string).

--- a/internal/command/status/status.go
+++ b/internal/command/status/status.go
@@ -2,6 +2,7 @@
 package status
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -66,6 +67,9 @@
 	fmt.Fprintf(output, "node       %s in zone %s\n", status.Name, status.Zone)
 	fmt.Fprintf(output, "ready      %t %s\n", status.Ready, status.Reason)
 	fmt.Fprintf(output, "version    %s in force, %s staged\n", status.Version, status.Distribution.Staged)
+	if failure := status.Distribution.SourceFail; status.Distribution.Reader && failure != "" {
+		fmt.Fprintf(output, "source     failed: %s\n", failure)
+	}
 	lowest, highest, behind := fleetVersions(status)
 	fmt.Fprintf(output, "fleet      %d members, versions %s to %s as last heard\n", len(status.Members), lowest, highest)
 	for _, name := range behind {
@@ -81,7 +85,7 @@
 	}
 	for _, member := range status.Members {
 		if member.Status != wire.StatusAlive || (member.Worker != "" && member.Endpoint != wire.EndpointReady) {
-			fmt.Fprintf(output, "member     %s is %s, worker %s\n", member.Name, member.Status, member.Endpoint)
+			fmt.Fprintf(output, "member     %s is %s, worker %s\n", member.Name, member.Status, cmp.Or(member.Endpoint, "none"))
 		}
 	}
 	return nil
--- a/internal/distribution/status.go
+++ b/internal/distribution/status.go
@@ -20,7 +20,7 @@
 	Children   []string        // in the first reader's tree
 	Fresh      bool            // whether this node may serve
 	Phase      string          // starting, resumed or caught-up
-	SourceFail error           // last failure of the source, nil after a read
+	SourceFail string          // last failure of the source, "" after a read
 }
 
 // Waiting is a body that has not come.
@@ -36,13 +36,15 @@
 // Status returns the state for operators.
 func (m *Machine) Status() Status {
 	status := Status{
-		Active:     m.active.Version(),
-		Staged:     m.newestWhole(),
-		Refused:    slices.Clone(m.refused),
-		Reader:     m.isReader(),
-		Fresh:      m.fresh,
-		Phase:      string(m.catchUp.phase),
-		SourceFail: m.catchUp.sourceErr,
+		Active:  m.active.Version(),
+		Staged:  m.newestWhole(),
+		Refused: slices.Clone(m.refused),
+		Reader:  m.isReader(),
+		Fresh:   m.fresh,
+		Phase:   string(m.catchUp.phase),
+	}
+	if m.catchUp.sourceErr != nil {
+		status.SourceFail = m.catchUp.sourceErr.Error()
 	}
 	for _, reader := range m.view.readers {
 		status.Readers = append(status.Readers, reader.name)
--- a/internal/source/reader.go
+++ b/internal/source/reader.go
@@ -39,6 +39,7 @@
 	problems problems
 	etag     string
 	current  Result
+	sound    bool // whether the document given last is the current one
 	reads    atomic.Uint64
 }
 
@@ -111,7 +112,7 @@
 
 // read asks again and again until ctx ends.
 func (r *Reader) read(ctx context.Context) {
-	r.etag, r.current = "", Result{}
+	r.etag, r.current, r.sound = "", Result{}, false
 	for ctx.Err() == nil {
 		started := time.Now()
 		news, err := r.once(ctx)
@@ -130,7 +131,7 @@
 		r.report(err)
 		return max(minInterval, r.backoff(err))
 	}
-	r.recovered()
+	r.recovered(news)
 	if news {
 		return minInterval
 	}
@@ -165,6 +166,7 @@
 func (r *Reader) take(ctx context.Context, document *Document) {
 	parsed, err := r.Parse(document.Raw)
 	r.etag = document.ETag
+	r.sound = err == nil
 	if err != nil {
 		r.problems.log("source.documentRefused", "", err, logging.Fields{"revision": document.Revision})
 		r.Emit(Result{Revision: document.Revision, Err: err})
@@ -229,13 +231,19 @@
 	r.Emit(Result{Err: err})
 }
 
-// recovered ends a row of failures.
-func (r *Reader) recovered() {
-	if r.failures > 0 {
-		logging.Event(r.Logger, "source.recovered", logging.Fields{"failures": r.failures})
+// recovered ends a row of failures. Without news the document held is emitted
+// again, unless the source has given one since that was refused: the receiver
+// must not take the source as failing for ever.
+func (r *Reader) recovered(news bool) {
+	if r.failures == 0 {
+		return
 	}
+	logging.Event(r.Logger, "source.recovered", logging.Fields{"failures": r.failures})
 	r.failures = 0
 	r.problems.settled("source.failed", "")
+	if !news && r.sound {
+		r.Emit(r.copy())
+	}
 }
 
 // backoff returns the wait after a failure: full jitter over a bound that
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -240,7 +240,7 @@
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return answer{}, fault.Wrap(err, fault.Source, reachRemedy, "%s did not answer", q.path)
+		return answer{}, fault.Wrap(withoutURL(err), fault.Source, reachRemedy, "%s did not answer", q.path)
 	}
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusNotModified && q.etag != "" {
@@ -252,6 +252,16 @@
 	return q.read(response)
 }
 
+// withoutURL drops the URL from an error of the client: it holds the jittered
+// wait, and one lasting failure would read like many.
+func withoutURL(err error) error {
+	var told *url.Error
+	if errors.As(err, &told) {
+		return told.Err
+	}
+	return err
+}
+
 // build returns the request.
 func (q question) build(ctx context.Context) (*http.Request, error) {
 	target := q.base + q.path
--- a/internal/source/source_test.go
+++ b/internal/source/source_test.go
@@ -346,3 +346,34 @@
 		decodeSecret(text)
 	})
 }
+
+// A source that answers again without news ends what was told of its failure,
+// and a failure that lasts is one line whatever the wait that was asked for.
+func TestRecoveryWithoutNewsIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var down atomic.Bool
+		b := startReader(t, func(request *http.Request) (*http.Response, error) {
+			switch {
+			case down.Load():
+				return nil, errors.New("connection refused")
+			case strings.Contains(request.URL.Path, "secrets"):
+				return reply(404, ""), nil
+			case request.Header.Get("If-None-Match") == "":
+				return reply(200, document(1, `{"name":"till"}`), "ETag", "1"), nil
+			}
+			return await(request)
+		})
+		b.duty <- true
+		pass(time.Minute)
+		must.SliceLen(t, 1, b.results)
+		down.Store(true)
+		pass(10 * time.Minute)
+		must.Eq(t, 1, strings.Count(b.log.String(), "event=source.failed"))
+		must.Error(t, b.results[len(b.results)-1].Err)
+		down.Store(false)
+		pass(time.Minute)
+		must.NoError(t, b.results[len(b.results)-1].Err)
+		must.Eq(t, 1, b.results[len(b.results)-1].Revision)
+		b.stop()
+	})
+}
