Give overtaking processes different incarnations; guard proofs of claims

Two live processes of one worker had both learned of a third and taken its incarnation plus one, so their votes counted as those of one process. Now each raises it by a stride made from its name and start.

--- a/internal/claim/config.go
+++ b/internal/claim/config.go
@@ -25,7 +25,8 @@
 
 	// KeyLife is for how long after its first submission a key is recognised.
 	// Callers must not send it again later. It is also for how long a replica
-	// that can't copy gives no vote.
+	// that can't copy gives no vote. It must be the same on all nodes, as must
+	// MaxClaim, Since and GroupSize.
 	KeyLife time.Duration
 	// MaxClaim bounds the time from Claim to its decision. It is added to the
 	// time for which records are held.
@@ -33,10 +34,10 @@
 	// Since is a point before which no replica votes, the zero time for none.
 	// A replica whose process started ClockSkew or more before it has lost
 	// nothing, so a first start need not wait for KeyLife.
-	Since time.Time
-	// CopyOnly keeps a replica that can't copy from voting also after KeyLife.
-	CopyOnly  bool
+	Since     time.Time
 	ClockSkew time.Duration // bound on the differences between the nodes' wall clocks
+	// CopyOnly keeps a replica that can't copy from voting also after KeyLife.
+	CopyOnly bool
 
 	Retry        time.Duration // time after which an unanswered message is sent again
 	GroupSize    int           // replicas of a key
--- a/internal/claim/machine.go
+++ b/internal/claim/machine.go
@@ -1,8 +1,10 @@
 package claim
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"sliphead/internal/version"
 	"sliphead/internal/wire"
 )
@@ -14,6 +16,7 @@
 	config      Config
 	started     time.Time
 	incarnation uint64 // of this process; greater than those of earlier ones
+	stride      uint64 // by which it is raised; two processes that overtake the same one differ in it
 	version     version.Version
 	services    map[string]*service
 	attempts    map[string]*attempt // under way, by holder
@@ -33,6 +36,7 @@
 		started:     now,
 		last:        now,
 		incarnation: uint64(now.UnixNano()),
+		stride:      strideOf(config.Node, now),
 		services:    make(map[string]*service),
 		attempts:    make(map[string]*attempt),
 		byNumber:    make(map[uint64]*attempt),
@@ -41,6 +45,13 @@
 	}
 }
 
+// strideOf returns a number that hardly any other process has, under a second
+// in nanoseconds.
+func strideOf(node string, started time.Time) uint64 {
+	const bits = 29
+	return 1 + xxhash.Sum64String(fmt.Sprintf("%s/%d", node, started.UnixNano()))>>(64-bits)
+}
+
 // Step takes one event at a time that never goes back, and returns what is to
 // be done, in order.
 func (m *Machine) Step(event Event, now time.Time) []Effect {
@@ -72,7 +83,7 @@
 // stood beside the worker. It has to recover like one that has started.
 func (m *Machine) forget(now time.Time) {
 	m.started = now
-	m.recoverAs(max(m.incarnation+1, uint64(now.UnixNano())))
+	m.recoverAs(max(m.incarnation+m.stride, uint64(now.UnixNano())))
 }
 
 // recoverAs starts recovery in all slots under another incarnation.
--- a/internal/claim/race_test.go
+++ b/internal/claim/race_test.go
@@ -8,6 +8,15 @@
 	"github.com/shoenig/test/must"
 )
 
+// deliverBetween hands over what is under way from one node to another.
+func deliverBetween(s *sim, from, to *process) {
+	for index := len(s.network) - 1; index >= 0; index-- {
+		if s.network[index].from == from.node && s.network[index].to == to.node {
+			s.deliver(index, false)
+		}
+	}
+}
+
 // exchange hands over what is under way between a process and others, there
 // and back.
 func exchange(s *sim, p *process, others ...*process) {
@@ -17,6 +26,23 @@
 	}
 }
 
+// A replica votes, restarts and recovers from others that have not yet heard
+// of the claim. Its old vote must not make up a majority with theirs.
+func TestVoteOfReplacedProcessDoesNotCount(t *testing.T) {
+	s := warmSim(workersOf(5, 1, 3))
+	group := replicasOf(s, "order")
+	s.submit(group[0], "order", "body")
+	exchange(s, group[0], group[1])
+	s.kill(group[1])
+	restarted := s.start(group[1].worker, 1)
+	exchange(s, restarted, group[2:]...)
+	exchange(s, group[0], group[2])
+	rival := s.submit(group[3], "order", "body")
+	exchange(s, group[3], restarted, group[4])
+	must.Eq(t, VerdictRun, s.decided[rival].Verdict)
+	must.Eq(t, 1, s.runs("order"))
+}
+
 // Two replicas stay behind with the old workers, whose majority has long left
 // them. A replica of both configurations must not vote for the old one.
 func TestSettledConfigurationGetsNoVotes(t *testing.T) {
--- a/internal/claim/recovery.go
+++ b/internal/claim/recovery.go
@@ -169,7 +169,7 @@
 	if known[m.config.Worker] <= m.incarnation {
 		return nil
 	}
-	m.recoverAs(known[m.config.Worker] + 1)
+	m.recoverAs(known[m.config.Worker] + m.stride)
 	return []Effect{Log{Name: LogReplaced, Service: held.name, Count: 1}}
 }
 
