Judge who answered only when every attempt of the window has ended

Cause: under the race detector on a busy machine a fault of the fake node went unseen once: the step counted only attempts that had ended by then, and those few had gone to the right worker. Ruled out: a longer window, which only makes it rarer. Change: the generator tells which intended attempts have not ended; the step waits for them, up to its bound. The fake node's workers take turns by path.

--- a/lab/experiment/expect.go
+++ b/lab/experiment/expect.go
@@ -113,17 +113,20 @@
 	return r.generator.Result.AnsweredBy(class, from, time.Now()), nil
 }
 
-// answersUntil lets the step's time pass, and then up to its bound until the
-// answers are enough. It returns which workers answered.
+// answersUntil lets the step's time pass, and then up to its bound until all
+// attempts intended to start in it have ended and the answers are enough. It
+// returns which workers answered.
 func (r *run) answersUntil(ctx context.Context, step Step, enough func(map[string]int) bool) (map[string]int, error) {
 	from := time.Now()
 	if err := pass(ctx, step.For); err != nil {
 		return nil, err
 	}
-	bound := time.Now().Add(step.bound())
+	to := time.Now()
+	bound := to.Add(step.bound())
 	for {
+		settled := r.generator.Result.Pending(step.Class, from, to) == 0
 		answered, err := r.answeredSince(step.Class, from)
-		if err != nil || enough(answered) || time.Now().After(bound) {
+		if err != nil || settled && enough(answered) || time.Now().After(bound) {
 			return answered, err
 		}
 		if err := pass(ctx, answersPoll); err != nil {
--- a/lab/experiment/main_test.go
+++ b/lab/experiment/main_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -69,7 +70,7 @@
 	source  string
 	workers map[string]string // address by worker name
 	current atomic.Pointer[declaration.Document]
-	next    atomic.Int64
+	turns   sync.Map // *atomic.Int64 by path: workers take turns
 }
 
 func runFakeNode(path string) {
@@ -145,7 +146,8 @@
 	}
 	body, _ := io.ReadAll(request.Body)
 	send := func() *http.Response {
-		name := workers[int(n.next.Add(1))%len(workers)]
+		turn, _ := n.turns.LoadOrStore(request.URL.Path, new(atomic.Int64))
+		name := workers[int(turn.(*atomic.Int64).Add(1))%len(workers)]
 		copied, _ := http.NewRequestWithContext(context.Background(), request.Method, "http://"+n.workers[name]+request.URL.Path, strings.NewReader(string(body)))
 		copied.Header = maps.Clone(request.Header)
 		copied.Header.Set("Authorization", "Bearer "+secret)
--- a/lab/load/generator.go
+++ b/lab/load/generator.go
@@ -110,6 +110,7 @@
 		g.Result.add(Attempt{Class: class.Name, Nonce: submission.Nonce, Start: intended, Ending: EndingUnsent})
 		return
 	}
+	g.Result.begin(class.Name, intended)
 	g.running.Go(func() {
 		defer g.inFlight.Add(-1)
 		g.submit(ctx, submission, number)
@@ -123,7 +124,7 @@
 		targets := g.targets(submission.Class)
 		submission.Target = targets[(number+int64(submission.Number)-1)%int64(len(targets))]
 		attempt := g.Caller.Submit(context.Background(), submission)
-		g.Result.add(attempt)
+		g.Result.finish(attempt)
 		final := attempt.Ending == EndingAnswered || attempt.Ending == EndingWrong
 		if final || submission.Number > submission.Class.Resubmissions || running.Err() != nil {
 			return
@@ -131,5 +132,6 @@
 		time.Sleep(resubmitPause)
 		submission.Number++
 		submission.Start = time.Now()
+		g.Result.begin(submission.Class.Name, submission.Start)
 	}
 }
--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -79,6 +79,7 @@
 		starts[attempt.Start] = true
 	}
 	must.MapLen(t, len(attempts), starts)
+	must.MapEmpty(t, generator.Result.pending)
 	must.Eq(t, len(attempts), generator.Result.Count("c", EndingAnswered))
 	must.SliceEmpty(t, Compare(attempts, back.Journal.Runs()).Violations())
 }
--- a/lab/load/result.go
+++ b/lab/load/result.go
@@ -55,10 +55,49 @@
 	mutex      sync.Mutex
 	attempts   []Attempt
 	histograms map[string]*hdrhistogram.Histogram // answered attempts, by class
+	pending    map[pendingAttempt]int             // attempts that have not ended
+}
+
+// pendingAttempt is what is known of an attempt before it ends.
+type pendingAttempt struct {
+	class string
+	start time.Time // intended
 }
 
 func newResult() *Result {
-	return &Result{histograms: map[string]*hdrhistogram.Histogram{}}
+	return &Result{histograms: map[string]*hdrhistogram.Histogram{}, pending: map[pendingAttempt]int{}}
+}
+
+// begin notes that an attempt is under way.
+func (r *Result) begin(class string, start time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.pending[pendingAttempt{class, start}]++
+}
+
+// Pending returns how many attempts of a class that were intended to start
+// within [from, to) have not ended.
+func (r *Result) Pending(class string, from, to time.Time) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	count := 0
+	for attempt, number := range r.pending {
+		if attempt.class == class && !attempt.start.Before(from) && attempt.start.Before(to) {
+			count += number
+		}
+	}
+	return count
+}
+
+// finish records how a begun attempt ended.
+func (r *Result) finish(attempt Attempt) {
+	r.add(attempt) // first, so that it is always in one of the two
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	key := pendingAttempt{attempt.Class, attempt.Start}
+	if r.pending[key]--; r.pending[key] == 0 {
+		delete(r.pending, key)
+	}
 }
 
 func (r *Result) add(attempt Attempt) {
