Read the model's constants at run time: two programs a specification

Cause: model/check compiled one verifier a run (36); a compilation takes 12 s with -O2 on the busy machine. Ruled out: -O1 (3 s a compilation, slower searches). Change: the constants come from the environment of the verifier. Three trials of the check itself fail as they must (rc 1): a mutant declared correct, another property expected, memory cut to 60 MB.

--- a/model/claim.pml
+++ b/model/claim.pml
@@ -8,7 +8,7 @@
  * times, or never; so messages may be late, repeated, lost or crossed. An
  * attempt that stops in some state is a coordinator that died or is paused.
  *
- * Constants that the verifier is compiled with: MUTANT (0 is the correct
+ * Constants, from the environment of the verifier: MUTANT (0 is the correct
  * specification), CRASHES (bound on restarts of replicas), MORTAL (set of the
  * replicas that may restart), ROUNDS (highest round of ballots), CHANGE (1 if
  * the group changes, 2 if also attempt 1 is under the first configuration and
@@ -409,13 +409,13 @@
 init {
   atomic {
     c_code {
-      mutant = MUTANT;
-      maxCrashes = CRASHES;
-      mortal = MORTAL;
-      maxRound = ROUNDS;
-      change = CHANGE > 0;
-      split = CHANGE > 1;
-      attempts = ATTEMPTS;
+      mutant = atoi(getenv("MUTANT"));
+      maxCrashes = atoi(getenv("CRASHES"));
+      mortal = atoi(getenv("MORTAL"));
+      maxRound = atoi(getenv("ROUNDS"));
+      change = atoi(getenv("CHANGE")) > 0;
+      split = atoi(getenv("CHANGE")) > 1;
+      attempts = atoi(getenv("ATTEMPTS"));
     };
     begin(0);
     begin(1);
--- a/model/distribution.pml
+++ b/model/distribution.pml
@@ -9,7 +9,7 @@
  * something are enabled, so every run is finite, and the state in which no
  * step is enabled is the one that repeated gossip ends in.
  *
- * Constants that the verifier is compiled with: MUTANT (0 is the correct
+ * Constants, from the environment of the verifier: MUTANT (0 is the correct
  * specification), QUORUM (K, holders for acceptance), START (version in force
  * everywhere at the start, 0 for a cold start), NEWEST (last version that the
  * source publishes), CRASHES and CUTS (bounds on faults).
@@ -319,15 +319,15 @@
 init {
   atomic {
     c_code {
-      mutant = MUTANT;
-      quorum = QUORUM;
-      newest = NEWEST;
-      maxCrashes = CRASHES;
-      mortal = MORTAL;
-      maxCuts = CUTS;
-      ending = ENDING;
-      now.published = START > 0 ? START : 1;
-      now.acceptedByQuorum = START;
+      mutant = atoi(getenv("MUTANT"));
+      quorum = atoi(getenv("QUORUM"));
+      newest = atoi(getenv("NEWEST"));
+      maxCrashes = atoi(getenv("CRASHES"));
+      mortal = atoi(getenv("MORTAL"));
+      maxCuts = atoi(getenv("CUTS"));
+      ending = atoi(getenv("ENDING"));
+      now.acceptedByQuorum = atoi(getenv("START"));
+      now.published = now.acceptedByQuorum > 0 ? now.acceptedByQuorum : 1;
     };
     begin(0, acceptedByQuorum);
     begin(1, acceptedByQuorum);
--- a/model/verifier/claim/pan.c
+++ b/model/verifier/claim/pan.c
@@ -904,7 +904,7 @@
 struct {
 	char *c; char *t;
 } code_lookup[] = {
-	{ "c_code1", "      mutant = MUTANT;\n      maxCrashes = CRASHES;\n      mortal = MORTAL;\n      maxRound = ROUNDS;\n      change = CHANGE > 0;\n      split = CHANGE > 1;\n      attempts = ATTEMPTS;\n    " },
+	{ "c_code1", "      mutant = atoi(getenv(\"MUTANT\"));\n      maxCrashes = atoi(getenv(\"CRASHES\"));\n      mortal = atoi(getenv(\"MORTAL\"));\n      maxRound = atoi(getenv(\"ROUNDS\"));\n      change = atoi(getenv(\"CHANGE\")) > 0;\n      split = atoi(getenv(\"CHANGE\")) > 1;\n      attempts = atoi(getenv(\"ATTEMPTS\"));\n    " },
 	{ (char *) 0, "" }
 };
 
--- a/model/verifier/claim/pan.m
+++ b/model/verifier/claim/pan.m
@@ -26,13 +26,13 @@
 		/* c_code1 */
 		{ 
 		sv_save();
-      mutant = MUTANT;
-      maxCrashes = CRASHES;
-      mortal = MORTAL;
-      maxRound = ROUNDS;
-      change = CHANGE > 0;
-      split = CHANGE > 1;
-      attempts = ATTEMPTS;
+      mutant = atoi(getenv("MUTANT"));
+      maxCrashes = atoi(getenv("CRASHES"));
+      mortal = atoi(getenv("MORTAL"));
+      maxRound = atoi(getenv("ROUNDS"));
+      change = atoi(getenv("CHANGE")) > 0;
+      split = atoi(getenv("CHANGE")) > 1;
+      attempts = atoi(getenv("ATTEMPTS"));
      }
 
 #if defined(C_States) && (HAS_TRACK==1)
--- a/model/verifier/distribution/pan.c
+++ b/model/verifier/distribution/pan.c
@@ -718,7 +718,7 @@
 struct {
 	char *c; char *t;
 } code_lookup[] = {
-	{ "c_code1", "      mutant = MUTANT;\n      quorum = QUORUM;\n      newest = NEWEST;\n      maxCrashes = CRASHES;\n      mortal = MORTAL;\n      maxCuts = CUTS;\n      ending = ENDING;\n      now.published = START > 0 ? START : 1;\n      now.acceptedByQuorum = START;\n    " },
+	{ "c_code1", "      mutant = atoi(getenv(\"MUTANT\"));\n      quorum = atoi(getenv(\"QUORUM\"));\n      newest = atoi(getenv(\"NEWEST\"));\n      maxCrashes = atoi(getenv(\"CRASHES\"));\n      mortal = atoi(getenv(\"MORTAL\"));\n      maxCuts = atoi(getenv(\"CUTS\"));\n      ending = atoi(getenv(\"ENDING\"));\n      now.acceptedByQuorum = atoi(getenv(\"START\"));\n      now.published = now.acceptedByQuorum > 0 ? now.acceptedByQuorum : 1;\n    " },
 	{ (char *) 0, "" }
 };
 
--- a/model/verifier/distribution/pan.m
+++ b/model/verifier/distribution/pan.m
@@ -79,15 +79,15 @@
 		/* c_code1 */
 		{ 
 		sv_save();
-      mutant = MUTANT;
-      quorum = QUORUM;
-      newest = NEWEST;
-      maxCrashes = CRASHES;
-      mortal = MORTAL;
-      maxCuts = CUTS;
-      ending = ENDING;
-      now.published = START > 0 ? START : 1;
-      now.acceptedByQuorum = START;
+      mutant = atoi(getenv("MUTANT"));
+      quorum = atoi(getenv("QUORUM"));
+      newest = atoi(getenv("NEWEST"));
+      maxCrashes = atoi(getenv("CRASHES"));
+      mortal = atoi(getenv("MORTAL"));
+      maxCuts = atoi(getenv("CUTS"));
+      ending = atoi(getenv("ENDING"));
+      now.acceptedByQuorum = atoi(getenv("START"));
+      now.published = now.acceptedByQuorum > 0 ? now.acceptedByQuorum : 1;
      }
 
 #if defined(C_States) && (HAS_TRACK==1)
