--- a/internal/command/explain/explain.go
+++ b/internal/command/explain/explain.go
@@ -38,21 +38,21 @@
 	}
 	at := cmp.Or(c.At, time.Now())
 	fmt.Fprintf(output, "route %s of service %s at %s\n", route.Name, route.Service, at.Format(time.RFC3339))
-	for _, judgement := range declaration.NewEvaluator(document).Explain(route, at) {
-		if c.Zone == "" || c.Zone == judgement.Worker.Zone {
-			write(output, judgement)
+	for _, selection := range declaration.NewEvaluator(document).Explain(route, at) {
+		if c.Zone == "" || c.Zone == selection.Worker.Zone {
+			write(output, selection)
 		}
 	}
 	return nil
 }
 
-func write(output io.Writer, judgement declaration.WorkerJudgement) {
+func write(output io.Writer, selection declaration.WorkerSelection) {
 	state := "not selected"
-	if judgement.Selected {
+	if selection.Selected {
 		state = "selected"
 	}
-	fmt.Fprintf(output, "%s in %s: %s\n", judgement.Worker.Name, judgement.Worker.Zone, state)
-	for _, each := range judgement.Selectors {
+	fmt.Fprintf(output, "%s in %s: %s\n", selection.Worker.Name, selection.Worker.Zone, state)
+	for _, each := range selection.Selectors {
 		if each.Selected {
 			fmt.Fprintf(output, "  %s: selects it\n", each.Selector)
 			continue
--- a/internal/declaration/evaluate.go
+++ b/internal/declaration/evaluate.go
@@ -68,44 +68,44 @@
 	return open
 }
 
-// Judgement says whether one selector selects one worker, and why.
-type Judgement struct {
+// Selection says whether one selector selects one worker, and why.
+type Selection struct {
 	Selector string
 	Selected bool
 	Reasons  []string // why not, in the order of the checks; empty when selected
 }
 
-// WorkerJudgement holds what each selector of a route makes of a worker.
-type WorkerJudgement struct {
+// WorkerSelection holds what each selector of a route makes of a worker.
+type WorkerSelection struct {
 	Worker    Worker
 	Selected  bool
-	Selectors []Judgement
+	Selectors []Selection
 }
 
-// Explain judges each worker of a route's service at a moment, sorted by name.
-func (e *Evaluator) Explain(route Route, at time.Time) []WorkerJudgement {
+// Explain evaluates each worker of a route's service at a moment, sorted by name.
+func (e *Evaluator) Explain(route Route, at time.Time) []WorkerSelection {
 	workers := e.byService[route.Service]
-	judged := make([]WorkerJudgement, 0, len(workers))
+	selections := make([]WorkerSelection, 0, len(workers))
 	for _, worker := range workers {
-		judgement := WorkerJudgement{Worker: worker}
+		selection := WorkerSelection{Worker: worker}
 		for _, name := range route.Selectors {
-			each := e.judge(e.selectors[name], worker, at)
-			judgement.Selected = judgement.Selected || each.Selected
-			judgement.Selectors = append(judgement.Selectors, each)
+			each := e.evaluate(e.selectors[name], worker, at)
+			selection.Selected = selection.Selected || each.Selected
+			selection.Selectors = append(selection.Selectors, each)
 		}
-		judged = append(judged, judgement)
+		selections = append(selections, selection)
 	}
-	return judged
+	return selections
 }
 
-func (e *Evaluator) judge(selector Selector, worker Worker, at time.Time) Judgement {
+func (e *Evaluator) evaluate(selector Selector, worker Worker, at time.Time) Selection {
 	zone := e.zones[worker.Zone]
 	reasons := missingLabels("worker", worker.Labels, selector.WorkerLabels)
 	reasons = append(reasons, missingLabels("zone", zone.Labels, selector.ZoneLabels)...)
 	if !selector.open(zone, at) {
 		reasons = append(reasons, closedReason(selector, zone, at))
 	}
-	return Judgement{Selector: selector.Name, Selected: len(reasons) == 0, Reasons: reasons}
+	return Selection{Selector: selector.Name, Selected: len(reasons) == 0, Reasons: reasons}
 }
 
 // missingLabels says which wanted labels are not held, sorted by key.
--- a/internal/declaration/timezone.go
+++ b/internal/declaration/timezone.go
@@ -14,7 +14,7 @@
 // zoneinfo is the IANA time zone database as the Go distribution packs it
 // (lib/time/zoneinfo.zip). It is embedded, and no other copy is ever read:
 // time.LoadLocation prefers the host's database, also when time/tzdata is
-// linked in, so two hosts could judge one version differently.
+// linked in, so two hosts could reach different verdicts on one version.
 //
 //go:embed zoneinfo.zip
 var zoneinfo []byte
