--- a/model/claim.pml
+++ b/model/claim.pml
@@ -12,13 +12,14 @@
  * specification), CRASHES (bound on restarts of replicas), MORTAL (set of the
  * replicas that may restart), ROUNDS (highest round of ballots), CHANGE (1 if
  * the group changes, 2 if also attempt 1 is under the first configuration and
- * attempt 2 under the second), ATTEMPTS.
+ * attempt 2 under the second), ATTEMPTS, WITNESS (0, or the number of a state
+ * that is then reported when it is reached).
  */
 
 #define REPLICAS 4
 #define HOLDERS 3  /* attempts, numbered from 1 */
 
-hidden byte mutant, maxCrashes, mortal, maxRound, change, split, attempts;
+hidden byte mutant, maxCrashes, mortal, maxRound, change, split, attempts, witness;
 
 #define RECOVERS      (mutant != 1) /* a restarted replica copies before it votes */
 #define MAJORITY      (mutant != 2) /* more than half of a group must vote */
@@ -35,7 +36,7 @@
 #define FENCED_RIVAL  (mutant != 13)/* a promise of a replaced process says nothing of rivals */
 
 /* Always false. A violated assertion is printed with the name in it. */
-hidden byte ran_twice, ran_after_refusal;
+hidden byte ran_twice, ran_after_refusal, witness_found;
 
 #define GROUP1 7  /* replicas 0, 1, 2 */
 #define GROUP2 14 /* replicas 1, 2, 3 */
@@ -356,7 +357,13 @@
   attempt[h].sought = attempt[h].sought | BIT(attempt[h].round)
 }
 
+/* States that a search must reach to be worth something. */
+#define WITNESS(h) ( witness == 1 && attempt[h].round > 0 \
+  || witness == 2 && settled && replica[3].holder == (h) \
+  || witness == 3 && replica[0].life > 1 && replica[0].holder == (h) )
+
 inline execute(h) {
+  assert(!WITNESS(h) || witness_found);
   assert(attempt[h].phase != REFUSED || ran_after_refusal);
   assert(runs == 0 || ran_twice);
   runs++;
@@ -416,6 +423,7 @@
       change = atoi(getenv("CHANGE")) > 0;
       split = atoi(getenv("CHANGE")) > 1;
       attempts = atoi(getenv("ATTEMPTS"));
+      witness = atoi(getenv("WITNESS"));
     };
     begin(0);
     begin(1);
--- a/model/distribution.pml
+++ b/model/distribution.pml
@@ -12,12 +12,15 @@
  * Constants, from the environment of the verifier: MUTANT (0 is the correct
  * specification), QUORUM (K, holders for acceptance), START (version in force
  * everywhere at the start, 0 for a cold start), NEWEST (last version that the
- * source publishes), CRASHES and CUTS (bounds on faults).
+ * source publishes), CRASHES and CUTS (bounds on faults), MORTAL (set of the
+ * nodes that may die), ENDING (0: faults go on; 1: they end; 2: they end and the
+ * state in which no step is enabled is checked), WITNESS (0, or the number of a
+ * state that is then reported when it is reached).
  */
 
 #define N 3 /* nodes */
 
-hidden byte mutant, quorum, newest, maxCrashes, mortal, maxCuts, ending;
+hidden byte mutant, quorum, newest, maxCrashes, mortal, maxCuts, ending, witness;
 
 #define MONOTONE      (mutant != 1) /* an older version than the one held is ignored */
 #define WHOLE         (mutant != 2) /* only a version held whole is activated */
@@ -32,7 +35,7 @@
 
 /* Always false. A violated assertion is printed with the name in it. */
 hidden byte staged_in_part, moved_back, activated_in_part, not_accepted,
-  too_few_holders, ready_behind, accepted_lost, not_converged;
+  too_few_holders, ready_behind, accepted_lost, not_converged, witness_found;
 
 typedef Node {
   bool up;              /* the process runs */
@@ -151,6 +154,7 @@
      :: else
      fi
   :: else ->
+     assert(!(witness == 2 && cut) || witness_found);
      if
      :: node[i].staged > acceptedByFewer -> acceptedByFewer = node[i].staged
      :: else
@@ -167,6 +171,7 @@
   && (CANDIDATE(i) <= node[i].accepted || !ACCEPTED_ONLY) )
 
 inline activate(i) {
+  assert(!(witness == 3 && node[i].inForce == 1 && CANDIDATE(i) == 3) || witness_found);
   /* No life of a process moves back. */
   assert(CANDIDATE(i) > node[i].inForce || moved_back);
   /* Activation is whole: services and secrets of one version. */
@@ -184,6 +189,7 @@
 #define NOT_BEHIND(i,j) (!REACHABLE(i,j) || node[i].inForce >= owed[i].by[j])
 
 inline become_ready(i) {
+  assert(!(witness == 1 && crashes == 2 && owed[i].by[2] == 2) || witness_found);
   /* A node that becomes ready is not behind any version that was in force at
    * its start on a peer that has lived since and is reachable now. */
   assert(NOT_BEHIND(i,0) && NOT_BEHIND(i,1) && NOT_BEHIND(i,2) || ready_behind);
@@ -326,6 +332,7 @@
       mortal = atoi(getenv("MORTAL"));
       maxCuts = atoi(getenv("CUTS"));
       ending = atoi(getenv("ENDING"));
+      witness = atoi(getenv("WITNESS"));
       now.acceptedByQuorum = atoi(getenv("START"));
       now.published = now.acceptedByQuorum > 0 ? now.acceptedByQuorum : 1;
     };
--- a/model/verifier/claim/pan.b
+++ b/model/verifier/claim/pan.b
@@ -285,17 +285,17 @@
 	case 33: // STATE 93
 		sv_restor();
 		goto R999;
-	case 34: // STATE 113
+	case 34: // STATE 114
 		sv_restor();
 		goto R999;
-	case 35: // STATE 130
+	case 35: // STATE 131
 		sv_restor();
 		goto R999;
-	case 36: // STATE 150
+	case 36: // STATE 152
 		sv_restor();
 		goto R999;
 
-	case 37: // STATE 154
+	case 37: // STATE 156
 		;
 		p_restor(II);
 		;
--- a/model/verifier/claim/pan.h
+++ b/model/verifier/claim/pan.h
@@ -102,7 +102,7 @@
 #ifndef NFAIR
 	#define NFAIR	2	/* must be >= 2 */
 #endif
-#define HAS_HIDDEN	9
+#define HAS_HIDDEN	11
 #if defined(BFS_PAR) || defined(BFS)
 	#error cannot use BFS on models with variables declared hidden
 #endif
@@ -137,19 +137,19 @@
 } S_F_MAP;
 
 #define _nstates3	144	/* :init: */
-#define minseq3	1028
-#define maxseq3	1170
+#define minseq3	1030
+#define maxseq3	1172
 #define _endstate3	143
 
 #define _nstates2	11	/* Configuration */
-#define minseq2	1018
-#define maxseq2	1027
+#define minseq2	1020
+#define maxseq2	1029
 #define _endstate2	10
 
-#define _nstates1	155	/* Coordinator */
+#define _nstates1	157	/* Coordinator */
 #define minseq1	864
-#define maxseq1	1017
-#define _endstate1	154
+#define maxseq1	1019
+#define _endstate1	156
 
 #define _nstates0	865	/* Node */
 #define minseq0	0
@@ -486,8 +486,10 @@
 /* hidden variable: */	uchar change;
 /* hidden variable: */	uchar split;
 /* hidden variable: */	uchar attempts;
+/* hidden variable: */	uchar witness;
 /* hidden variable: */	uchar ran_twice;
 /* hidden variable: */	uchar ran_after_refusal;
+/* hidden variable: */	uchar witness_found;
 #define FORWARD_MOVES	"pan.m"
 #define BACKWARD_MOVES	"pan.b"
 #define TRANSITIONS	"pan.t"
@@ -498,7 +500,7 @@
 #define _start4	0 /* np_ */
 #define _start3	142
 #define _start2	7
-#define _start1	151
+#define _start1	153
 #define _start0	861
 #ifdef NP
 	#define ACCEPT_LAB	1 /* at least 1 in np_ */
--- a/model/verifier/claim/pan.m
+++ b/model/verifier/claim/pan.m
@@ -20,7 +20,7 @@
 		_m = 3; goto P999;
 
 		 /* PROC :init: */
-	case 3: // STATE 1 - ../../claim.pml:411 - [{c_code1}] (0:0:0 - 1)
+	case 3: // STATE 1 - ../../claim.pml:418 - [{c_code1}] (0:0:0 - 1)
 		IfNotBlocked
 		reached[3][1] = 1;
 		/* c_code1 */
@@ -33,6 +33,7 @@
       change = atoi(getenv("CHANGE")) > 0;
       split = atoi(getenv("CHANGE")) > 1;
       attempts = atoi(getenv("ATTEMPTS"));
+      witness = atoi(getenv("WITNESS"));
      }
 
 #if defined(C_States) && (HAS_TRACK==1)
@@ -40,7 +41,7 @@
 #endif
 ;
 		_m = 3; goto P999; /* 0 */
-	case 4: // STATE 2 - ../../claim.pml:186 - [replica[0].able = 0] (0:18:11 - 1)
+	case 4: // STATE 2 - ../../claim.pml:187 - [replica[0].able = 0] (0:18:11 - 1)
 		IfNotBlocked
 		reached[3][2] = 1;
 		(trpt+1)->bup.ovals = grab_ints(11);
@@ -131,7 +132,7 @@
 #endif
 		;
 		_m = 3; goto P999; /* 10 */
-	case 5: // STATE 13 - ../../claim.pml:117 - [replica[0].source[0] = 0] (0:45:8 - 1)
+	case 5: // STATE 13 - ../../claim.pml:118 - [replica[0].source[0] = 0] (0:45:8 - 1)
 		IfNotBlocked
 		reached[3][13] = 1;
 		(trpt+1)->bup.ovals = grab_ints(8);
@@ -198,7 +199,7 @@
 #endif
 		;
 		_m = 3; goto P999; /* 7 */
-	case 6: // STATE 24 - ../../claim.pml:186 - [replica[1].able = 0] (0:40:11 - 1)
+	case 6: // STATE 24 - ../../claim.pml:187 - [replica[1].able = 0] (0:40:11 - 1)
 		IfNotBlocked
 		reached[3][24] = 1;
 		(trpt+1)->bup.ovals = grab_ints(11);
@@ -289,7 +290,7 @@
 #endif
 		;
 		_m = 3; goto P999; /* 10 */
-	case 7: // STATE 35 - ../../claim.pml:117 - [replica[1].source[0] = 0] (0:67:8 - 1)
+	case 7: // STATE 35 - ../../claim.pml:118 - [replica[1].source[0] = 0] (0:67:8 - 1)
 		IfNotBlocked
 		reached[3][35] = 1;
 		(trpt+1)->bup.ovals = grab_ints(8);
@@ -356,7 +357,7 @@
 #endif
 		;
 		_m = 3; goto P999; /* 7 */
-	case 8: // STATE 46 - ../../claim.pml:186 - [replica[2].able = 0] (0:62:11 - 1)
+	case 8: // STATE 46 - ../../claim.pml:187 - [replica[2].able = 0] (0:62:11 - 1)
 		IfNotBlocked
 		reached[3][46] = 1;
 		(trpt+1)->bup.ovals = grab_ints(11);
@@ -447,7 +448,7 @@
 #endif
 		;
 		_m = 3; goto P999; /* 10 */
-	case 9: // STATE 57 - ../../claim.pml:117 - [replica[2].source[0] = 0] (0:85:8 - 1)
+	case 9: // STATE 57 - ../../claim.pml:118 - [replica[2].source[0] = 0] (0:85:8 - 1)
 		IfNotBlocked
 		reached[3][57] = 1;
 		(trpt+1)->bup.ovals = grab_ints(8);
@@ -514,7 +515,7 @@
 #endif
 		;
 		_m = 3; goto P999; /* 7 */
-	case 10: // STATE 68 - ../../claim.pml:186 - [replica[3].able = 0] (0:84:11 - 1)
+	case 10: // STATE 68 - ../../claim.pml:187 - [replica[3].able = 0] (0:84:11 - 1)
 		IfNotBlocked
 		reached[3][68] = 1;
 		(trpt+1)->bup.ovals = grab_ints(11);
@@ -605,7 +606,7 @@
 #endif
 		;
 		_m = 3; goto P999; /* 10 */
-	case 11: // STATE 79 - ../../claim.pml:117 - [replica[3].source[0] = 0] (0:99:6 - 1)
+	case 11: // STATE 79 - ../../claim.pml:118 - [replica[3].source[0] = 0] (0:99:6 - 1)
 		IfNotBlocked
 		reached[3][79] = 1;
 		(trpt+1)->bup.ovals = grab_ints(6);
@@ -656,7 +657,7 @@
 #endif
 		;
 		_m = 3; goto P999; /* 5 */
-	case 12: // STATE 87 - ../../claim.pml:331 - [attempt[1].vote[0] = 0] (0:112:12 - 1)
+	case 12: // STATE 87 - ../../claim.pml:332 - [attempt[1].vote[0] = 0] (0:112:12 - 1)
 		IfNotBlocked
 		reached[3][87] = 1;
 		(trpt+1)->bup.ovals = grab_ints(12);
@@ -755,7 +756,7 @@
 #endif
 		;
 		_m = 3; goto P999; /* 11 */
-	case 13: // STATE 100 - ../../claim.pml:331 - [attempt[2].vote[0] = 0] (0:125:12 - 1)
+	case 13: // STATE 100 - ../../claim.pml:332 - [attempt[2].vote[0] = 0] (0:125:12 - 1)
 		IfNotBlocked
 		reached[3][100] = 1;
 		(trpt+1)->bup.ovals = grab_ints(12);
@@ -854,7 +855,7 @@
 #endif
 		;
 		_m = 3; goto P999; /* 11 */
-	case 14: // STATE 113 - ../../claim.pml:331 - [attempt[3].vote[0] = 0] (0:126:12 - 1)
+	case 14: // STATE 113 - ../../claim.pml:332 - [attempt[3].vote[0] = 0] (0:126:12 - 1)
 		IfNotBlocked
 		reached[3][113] = 1;
 		(trpt+1)->bup.ovals = grab_ints(12);
@@ -953,74 +954,74 @@
 #endif
 		;
 		_m = 3; goto P999; /* 11 */
-	case 15: // STATE 126 - ../../claim.pml:428 - [(run Node(0))] (0:0:0 - 1)
+	case 15: // STATE 126 - ../../claim.pml:436 - [(run Node(0))] (0:0:0 - 1)
 		IfNotBlocked
 		reached[3][126] = 1;
 		if (!(addproc(II, 1, 0, 0)))
 			continue;
 		_m = 3; goto P999; /* 0 */
-	case 16: // STATE 127 - ../../claim.pml:429 - [(run Node(1))] (0:0:0 - 1)
+	case 16: // STATE 127 - ../../claim.pml:437 - [(run Node(1))] (0:0:0 - 1)
 		IfNotBlocked
 		reached[3][127] = 1;
 		if (!(addproc(II, 1, 0, 1)))
 			continue;
 		_m = 3; goto P999; /* 0 */
-	case 17: // STATE 128 - ../../claim.pml:430 - [(run Node(2))] (0:0:0 - 1)
+	case 17: // STATE 128 - ../../claim.pml:438 - [(run Node(2))] (0:0:0 - 1)
 		IfNotBlocked
 		reached[3][128] = 1;
 		if (!(addproc(II, 1, 0, 2)))
 			continue;
 		_m = 3; goto P999; /* 0 */
-	case 18: // STATE 129 - ../../claim.pml:432 - [(change)] (0:0:0 - 1)
+	case 18: // STATE 129 - ../../claim.pml:440 - [(change)] (0:0:0 - 1)
 		IfNotBlocked
 		reached[3][129] = 1;
 		if (!(((int)change)))
 			continue;
 		_m = 3; goto P999; /* 0 */
-	case 19: // STATE 130 - ../../claim.pml:432 - [(run Node(3))] (0:0:0 - 1)
+	case 19: // STATE 130 - ../../claim.pml:440 - [(run Node(3))] (0:0:0 - 1)
 		IfNotBlocked
 		reached[3][130] = 1;
 		if (!(addproc(II, 1, 0, 3)))
 			continue;
 		_m = 3; goto P999; /* 0 */
-	case 20: // STATE 134 - ../../claim.pml:435 - [(run Coordinator(1))] (0:0:0 - 3)
+	case 20: // STATE 134 - ../../claim.pml:443 - [(run Coordinator(1))] (0:0:0 - 3)
 		IfNotBlocked
 		reached[3][134] = 1;
 		if (!(addproc(II, 1, 1, 1)))
 			continue;
 		_m = 3; goto P999; /* 0 */
-	case 21: // STATE 135 - ../../claim.pml:436 - [(run Coordinator(2))] (0:0:0 - 1)
+	case 21: // STATE 135 - ../../claim.pml:444 - [(run Coordinator(2))] (0:0:0 - 1)
 		IfNotBlocked
 		reached[3][135] = 1;
 		if (!(addproc(II, 1, 1, 2)))
 			continue;
 		_m = 3; goto P999; /* 0 */
-	case 22: // STATE 136 - ../../claim.pml:438 - [((attempts>2))] (0:0:0 - 1)
+	case 22: // STATE 136 - ../../claim.pml:446 - [((attempts>2))] (0:0:0 - 1)
 		IfNotBlocked
 		reached[3][136] = 1;
 		if (!((((int)attempts)>2)))
 			continue;
 		_m = 3; goto P999; /* 0 */
-	case 23: // STATE 137 - ../../claim.pml:438 - [(run Coordinator(3))] (0:0:0 - 1)
+	case 23: // STATE 137 - ../../claim.pml:446 - [(run Coordinator(3))] (0:0:0 - 1)
 		IfNotBlocked
 		reached[3][137] = 1;
 		if (!(addproc(II, 1, 1, 3)))
 			continue;
 		_m = 3; goto P999; /* 0 */
-	case 24: // STATE 141 - ../../claim.pml:441 - [(run Configuration())] (0:0:0 - 1)
+	case 24: // STATE 141 - ../../claim.pml:449 - [(run Configuration())] (0:0:0 - 1)
 		IfNotBlocked
 		reached[3][141] = 1;
 		if (!(addproc(II, 1, 2, 0)))
 			continue;
 		_m = 3; goto P999; /* 0 */
-	case 25: // STATE 143 - ../../claim.pml:443 - [-end-] (0:0:0 - 1)
+	case 25: // STATE 143 - ../../claim.pml:451 - [-end-] (0:0:0 - 1)
 		IfNotBlocked
 		reached[3][143] = 1;
 		if (!delproc(1, II)) continue;
 		_m = 3; goto P999; /* 0 */
 
 		 /* PROC Configuration */
-	case 26: // STATE 3 - ../../claim.pml:397 - [D_STEP397]
+	case 26: // STATE 3 - ../../claim.pml:404 - [D_STEP404]
 		if (!(boq == -1 && (((int)change)&& !(((int)now.published)))))
 			continue;
 
@@ -1031,24 +1032,24 @@
 		if (TstOnly) return 1;
 
 		sv_save();
-		S_1018_0: /* 2 */
+		S_1020_0: /* 2 */
 		if (!((((int)change)&& !(((int)now.published)))))
 			Uerror("block in d_step seq");
-S_1019_0: /* 2 */
+S_1021_0: /* 2 */
 		now.published = 1;
 #ifdef VAR_RANGES
 		logval("published", ((int)now.published));
 #endif
 		;
-		goto S_1025_0;
-S_1025_0: /* 1 */
+		goto S_1027_0;
+S_1027_0: /* 1 */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 27: // STATE 6 - ../../claim.pml:398 - [D_STEP398]
+	case 27: // STATE 6 - ../../claim.pml:405 - [D_STEP405]
 		if (!(boq == -1 && (((((((int)now.published)&& !(((int)now.settled)))&&(((((int)now.replica[0].latest)+((int)now.replica[1].latest))+((int)now.replica[2].latest))>=2))&&((((int)now.attempt[1].latest)||(((int)now.attempt[1].phase)==0))||(((int)now.attempt[1].phase)==5)))&&((((int)now.attempt[2].latest)||(((int)now.attempt[2].phase)==0))||(((int)now.attempt[2].phase)==5)))&&((((int)now.attempt[3].latest)||(((int)now.attempt[3].phase)==0))||(((int)now.attempt[3].phase)==5)))))
 			continue;
 
@@ -1059,30 +1060,30 @@
 		if (TstOnly) return 1;
 
 		sv_save();
-		S_1021_0: /* 2 */
+		S_1023_0: /* 2 */
 		if (!((((((((int)now.published)&& !(((int)now.settled)))&&(((((int)now.replica[0].latest)+((int)now.replica[1].latest))+((int)now.replica[2].latest))>=2))&&((((int)now.attempt[1].latest)||(((int)now.attempt[1].phase)==0))||(((int)now.attempt[1].phase)==5)))&&((((int)now.attempt[2].latest)||(((int)now.attempt[2].phase)==0))||(((int)now.attempt[2].phase)==5)))&&((((int)now.attempt[3].latest)||(((int)now.attempt[3].phase)==0))||(((int)now.attempt[3].phase)==5)))))
 			Uerror("block in d_step seq");
-S_1022_0: /* 2 */
+S_1024_0: /* 2 */
 		now.settled = 1;
 #ifdef VAR_RANGES
 		logval("settled", ((int)now.settled));
 #endif
 		;
-		goto S_1025_0; /* ';' */
+		goto S_1027_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 28: // STATE 10 - ../../claim.pml:400 - [-end-] (0:0:0 - 1)
+	case 28: // STATE 10 - ../../claim.pml:407 - [-end-] (0:0:0 - 1)
 		IfNotBlocked
 		reached[2][10] = 1;
 		if (!delproc(1, II)) continue;
 		_m = 3; goto P999; /* 0 */
 
 		 /* PROC Coordinator */
-	case 29: // STATE 19 - ../../claim.pml:378 - [D_STEP378]
+	case 29: // STATE 19 - ../../claim.pml:385 - [D_STEP385]
 		if (!(boq == -1 && ((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase)==0)&& !((((int)split)&&(((int)((P1 *)_this)->self)==2))))))
 			continue;
 
@@ -1189,15 +1190,15 @@
 		logval("attempt[Coordinator:self].prepared", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].prepared));
 #endif
 		;
-		goto S_1015_0;
-S_1015_0: /* 1 */
+		goto S_1017_0;
+S_1017_0: /* 1 */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 30: // STATE 39 - ../../claim.pml:379 - [D_STEP379]
+	case 30: // STATE 39 - ../../claim.pml:386 - [D_STEP386]
 		if (!(boq == -1 && (((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase)==0)&&((int)now.published))&& !((((int)split)&&(((int)((P1 *)_this)->self)==1))))))
 			continue;
 
@@ -1310,15 +1311,15 @@
 		logval("attempt[Coordinator:self].prepared", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].prepared));
 #endif
 		;
-		goto S_1015_0; /* ';' */
-		goto S_1015_0; /* ';' */
+		goto S_1017_0; /* ';' */
+		goto S_1017_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 31: // STATE 58 - ../../claim.pml:380 - [D_STEP380]
+	case 31: // STATE 58 - ../../claim.pml:387 - [D_STEP387]
 		if (!(boq == -1 && (((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase)==1)||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase)==2))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].round)<((int)maxRound)))))
 			continue;
 
@@ -1425,15 +1426,15 @@
 		logval("attempt[Coordinator:self].sought", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].sought));
 #endif
 		;
-		goto S_1015_0; /* ';' */
-		goto S_1015_0; /* ';' */
+		goto S_1017_0; /* ';' */
+		goto S_1017_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 32: // STATE 77 - ../../claim.pml:381 - [D_STEP381]
+	case 32: // STATE 77 - ../../claim.pml:388 - [D_STEP388]
 		if (!(boq == -1 && (((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase)==1)&&(( !(( !(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].latest))||( !(((int)now.settled))&&(((int)mutant)!=3))))||(((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[0])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[0])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[0]))|| !((((int)mutant)!=5))))+((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[1]))|| !((((int)mutant)!=5)))))+((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[2]))|| !((((int)mutant)!=5)))))>=( ((((int)mutant)!=2)) ? (2) : (1) )))&&( !(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].latest))||(((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[1]))|| !((((int)mutant)!=5))))+((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[2]))|| !((((int)mutant)!=5)))))+((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[3])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[3])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[3]))|| !((((int)mutant)!=5)))))>=( ((((int)mutant)!=2)) ? (2) : (1) )))))&& !(((((int)mutant)!=9)&&(((((((( !(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].latest))||( !(((int)now.settled))&&(((int)mutant)!=3)))&&((((((1!=((int)((P1 *)_this)->self))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[0])!=0))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[0])==1))+(((1!=((int)((P1 *)_this)->self))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[1])==1)))+(((1!=((int)((P1 *)_this)->self))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[2])==1)))>0))&&(((((1!=((int)((P1 *)_this)->self))&&( !((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[0])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[0])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[0]))|| !((((int)mutant)!=5))))||( !((((int)mutant)!=13))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[0])!=0))))||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[0])==1)))+((1!=((int)((P1 *)_this)->self))&&( !((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[1]))|| !((((int)mutant)!=5))))||( !((((int)mutant)!=13))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0))))||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[1])==1))))+((1!=((int)((P1 *)_this)->self))&&( !((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[2]))|| !((((int)mutant)!=5))))||( !((((int)mutant)!=13))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0))))||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[2])==1))))>=2))||((( !(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].latest))||( !(((int)now.settled))&&(((int)mutant)!=3)))&&((((((2!=((int)((P1 *)_this)->self))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[0])!=0))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[0])==2))+(((2!=((int)((P1 *)_this)->self))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[1])==2)))+(((2!=((int)((P1 *)_this)->self))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[2])==2)))>0))&&(((((2!=((int)((P1 *)_this)->self))&&( !((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[0])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[0])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[0]))|| !((((int)mutant)!=5))))||( !((((int)mutant)!=13))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[0])!=0))))||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[0])==2)))+((2!=((int)((P1 *)_this)->self))&&( !((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[1]))|| !((((int)mutant)!=5))))||( !((((int)mutant)!=13))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0))))||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[1])==2))))+((2!=((int)((P1 *)_this)->self))&&( !((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[2]))|| !((((int)mutant)!=5))))||( !((((int)mutant)!=13))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0))))||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[2])==2))))>=2)))||((( !(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].latest))||( !(((int)now.settled))&&(((int)mutant)!=3)))&&((((((3!=((int)((P1 *)_this)->self))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[0])!=0))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[0])==3))+(((3!=((int)((P1 *)_this)->self))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[1])==3)))+(((3!=((int)((P1 *)_this)->self))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[2])==3)))>0))&&(((((3!=((int)((P1 *)_this)->self))&&( !((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[0])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[0])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[0]))|| !((((int)mutant)!=5))))||( !((((int)mutant)!=13))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[0])!=0))))||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[0])==3)))+((3!=((int)((P1 *)_this)->self))&&( !((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[1]))|| !((((int)mutant)!=5))))||( !((((int)mutant)!=13))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0))))||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[1])==3))))+((3!=((int)((P1 *)_this)->self))&&( !((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[2]))|| !((((int)mutant)!=5))))||( !((((int)mutant)!=13))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0))))||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[2])==3))))>=2)))||((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].latest)&&((((((1!=((int)((P1 *)_this)->self))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[1])==1))+(((1!=((int)((P1 *)_this)->self))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[2])==1)))+(((1!=((int)((P1 *)_this)->self))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[3])!=0))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[3])==1)))>0))&&(((((1!=((int)((P1 *)_this)->self))&&( !((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[1]))|| !((((int)mutant)!=5))))||( !((((int)mutant)!=13))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0))))||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[1])==1)))+((1!=((int)((P1 *)_this)->self))&&( !((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[2]))|| !((((int)mutant)!=5))))||( !((((int)mutant)!=13))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0))))||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[2])==1))))+((1!=((int)((P1 *)_this)->self))&&( !((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[3])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[3])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[3]))|| !((((int)mutant)!=5))))||( !((((int)mutant)!=13))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[3])!=0))))||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[3])==1))))>=2)))||((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].latest)&&((((((2!=((int)((P1 *)_this)->self))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[1])==2))+(((2!=((int)((P1 *)_this)->self))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[2])==2)))+(((2!=((int)((P1 *)_this)->self))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[3])!=0))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[3])==2)))>0))&&(((((2!=((int)((P1 *)_this)->self))&&( !((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[1]))|| !((((int)mutant)!=5))))||( !((((int)mutant)!=13))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0))))||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[1])==2)))+((2!=((int)((P1 *)_this)->self))&&( !((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[2]))|| !((((int)mutant)!=5))))||( !((((int)mutant)!=13))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0))))||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[2])==2))))+((2!=((int)((P1 *)_this)->self))&&( !((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[3])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[3])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[3]))|| !((((int)mutant)!=5))))||( !((((int)mutant)!=13))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[3])!=0))))||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[3])==2))))>=2)))||((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].latest)&&((((((3!=((int)((P1 *)_this)->self))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[1])==3))+(((3!=((int)((P1 *)_this)->self))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[2])==3)))+(((3!=((int)((P1 *)_this)->self))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[3])!=0))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[3])==3)))>0))&&(((((3!=((int)((P1 *)_this)->self))&&( !((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[1]))|| !((((int)mutant)!=5))))||( !((((int)mutant)!=13))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0))))||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[1])==3)))+((3!=((int)((P1 *)_this)->self))&&( !((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[2]))|| !((((int)mutant)!=5))))||( !((((int)mutant)!=13))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0))))||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[2])==3))))+((3!=((int)((P1 *)_this)->self))&&( !((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[3])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[3])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[3]))|| !((((int)mutant)!=5))))||( !((((int)mutant)!=13))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[3])!=0))))||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[3])==3))))>=2))))))))
 			continue;
 
@@ -1540,15 +1541,15 @@
 		logval("attempt[Coordinator:self].prepared", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].prepared));
 #endif
 		;
-		goto S_1015_0; /* ';' */
-		goto S_1015_0; /* ';' */
+		goto S_1017_0; /* ';' */
+		goto S_1017_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 33: // STATE 93 - ../../claim.pml:382 - [D_STEP382]
+	case 33: // STATE 93 - ../../claim.pml:389 - [D_STEP389]
 		if (!(boq == -1 && ((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase)==2)&&(( !(( !(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].latest))||( !(((int)now.settled))&&(((int)mutant)!=3))))||(((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[0])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[0])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[0]))|| !((((int)mutant)!=5))))+((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[1]))|| !((((int)mutant)!=5)))))+((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[2]))|| !((((int)mutant)!=5)))))>=( ((((int)mutant)!=2)) ? (2) : (1) )))&&( !(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].latest))||(((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[1]))|| !((((int)mutant)!=5))))+((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[2]))|| !((((int)mutant)!=5)))))+((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[3])!=0)&&((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[3])>=((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[3]))|| !((((int)mutant)!=5)))))>=( ((((int)mutant)!=2)) ? (2) : (1) )))))))
 			continue;
 
@@ -1642,18 +1643,18 @@
 		logval("attempt[Coordinator:self].phase", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase));
 #endif
 		;
-		goto S_1015_0; /* ';' */
+		goto S_1017_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 34: // STATE 113 - ../../claim.pml:383 - [D_STEP383]
+	case 34: // STATE 114 - ../../claim.pml:390 - [D_STEP390]
 		if (!(boq == -1 && (((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase)==3)))
 			continue;
 
-		reached[1][113] = 1;
+		reached[1][114] = 1;
 		reached[1][t->st] = 1;
 		reached[1][tt] = 1;
 
@@ -1663,329 +1664,333 @@
 		S_957_0: /* 2 */
 		if (!((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase)==3)))
 			Uerror("block in d_step seq");
-S_975_0: /* 2 */
+S_976_0: /* 2 */
 S_958_0: /* 2 */
-		spin_assert(((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase)!=5)||((int)ran_after_refusal)), "((attempt[self].phase!=5)||ran_after_refusal)", II, tt, t);
+		spin_assert(( !(((((((int)witness)==1)&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].round)>0))||(((((int)witness)==2)&&((int)now.settled))&&(((int)now.replica[3].holder)==((int)((P1 *)_this)->self))))||(((((int)witness)==3)&&(((int)now.replica[0].life)>1))&&(((int)now.replica[0].holder)==((int)((P1 *)_this)->self)))))||((int)witness_found)), "( !(((((witness==1)&&(attempt[self].round>0))||(((witness==2)&&settled)&&(replica[3].holder==self)))||(((witness==3)&&(replica[0].life>1))&&(replica[0].holder==self))))||witness_found)", II, tt, t);
 S_959_0: /* 2 */
-		spin_assert(((((int)now.runs)==0)||((int)ran_twice)), "((runs==0)||ran_twice)", II, tt, t);
+		spin_assert(((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase)!=5)||((int)ran_after_refusal)), "((attempt[self].phase!=5)||ran_after_refusal)", II, tt, t);
 S_960_0: /* 2 */
+		spin_assert(((((int)now.runs)==0)||((int)ran_twice)), "((runs==0)||ran_twice)", II, tt, t);
+S_961_0: /* 2 */
 		now.runs = (((int)now.runs)+1);
 #ifdef VAR_RANGES
 		logval("runs", ((int)now.runs));
 #endif
 		;
-S_973_0: /* 2 */
-S_961_0: /* 2 */
+S_974_0: /* 2 */
+S_962_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].vote[0] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].vote[0]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[0]));
 #endif
 		;
-S_962_0: /* 2 */
+S_963_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].vote[1] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].vote[1]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1]));
 #endif
 		;
-S_963_0: /* 2 */
+S_964_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].vote[2] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].vote[2]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2]));
 #endif
 		;
-S_964_0: /* 2 */
+S_965_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].vote[3] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].vote[3]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[3]));
 #endif
 		;
-S_965_0: /* 2 */
+S_966_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].known[0] = 1;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].known[0]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[0]));
 #endif
 		;
-S_966_0: /* 2 */
+S_967_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].known[1] = 1;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].known[1]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[1]));
 #endif
 		;
-S_967_0: /* 2 */
+S_968_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].known[2] = 1;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].known[2]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[2]));
 #endif
 		;
-S_968_0: /* 2 */
+S_969_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].known[3] = 1;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].known[3]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[3]));
 #endif
 		;
-S_969_0: /* 2 */
+S_970_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].voted[0] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].voted[0]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[0]));
 #endif
 		;
-S_970_0: /* 2 */
+S_971_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].voted[1] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].voted[1]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[1]));
 #endif
 		;
-S_971_0: /* 2 */
+S_972_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].voted[2] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].voted[2]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[2]));
 #endif
 		;
-S_972_0: /* 2 */
+S_973_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].voted[3] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].voted[3]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[3]));
 #endif
 		;
-		goto S_974_0;
-S_974_0: /* 2 */
+		goto S_975_0;
+S_975_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].phase = 4;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].phase", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase));
 #endif
 		;
-		goto S_1015_0; /* ';' */
-		goto S_1015_0; /* ';' */
+		goto S_1017_0; /* ';' */
+		goto S_1017_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 35: // STATE 130 - ../../claim.pml:384 - [D_STEP384]
+	case 35: // STATE 131 - ../../claim.pml:391 - [D_STEP391]
 		if (!(boq == -1 && (((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase)==1)||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase)==2))||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase)==3))))
 			continue;
 
-		reached[1][130] = 1;
+		reached[1][131] = 1;
 		reached[1][t->st] = 1;
 		reached[1][tt] = 1;
 
 		if (TstOnly) return 1;
 
 		sv_save();
-		S_977_0: /* 2 */
+		S_978_0: /* 2 */
 		if (!((((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase)==1)||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase)==2))||(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase)==3))))
 			Uerror("block in d_step seq");
-S_992_0: /* 2 */
-S_990_0: /* 2 */
-S_978_0: /* 2 */
+S_993_0: /* 2 */
+S_991_0: /* 2 */
+S_979_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].vote[0] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].vote[0]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[0]));
 #endif
 		;
-S_979_0: /* 2 */
+S_980_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].vote[1] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].vote[1]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1]));
 #endif
 		;
-S_980_0: /* 2 */
+S_981_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].vote[2] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].vote[2]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2]));
 #endif
 		;
-S_981_0: /* 2 */
+S_982_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].vote[3] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].vote[3]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[3]));
 #endif
 		;
-S_982_0: /* 2 */
+S_983_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].known[0] = 1;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].known[0]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[0]));
 #endif
 		;
-S_983_0: /* 2 */
+S_984_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].known[1] = 1;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].known[1]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[1]));
 #endif
 		;
-S_984_0: /* 2 */
+S_985_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].known[2] = 1;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].known[2]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[2]));
 #endif
 		;
-S_985_0: /* 2 */
+S_986_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].known[3] = 1;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].known[3]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[3]));
 #endif
 		;
-S_986_0: /* 2 */
+S_987_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].voted[0] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].voted[0]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[0]));
 #endif
 		;
-S_987_0: /* 2 */
+S_988_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].voted[1] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].voted[1]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[1]));
 #endif
 		;
-S_988_0: /* 2 */
+S_989_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].voted[2] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].voted[2]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[2]));
 #endif
 		;
-S_989_0: /* 2 */
+S_990_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].voted[3] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].voted[3]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[3]));
 #endif
 		;
-		goto S_991_0;
-S_991_0: /* 2 */
+		goto S_992_0;
+S_992_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].phase = 5;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].phase", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase));
 #endif
 		;
-		goto S_1015_0; /* ';' */
-		goto S_1015_0; /* ';' */
+		goto S_1017_0; /* ';' */
+		goto S_1017_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 36: // STATE 150 - ../../claim.pml:385 - [D_STEP385]
+	case 36: // STATE 152 - ../../claim.pml:392 - [D_STEP392]
 		if (!(boq == -1 && ( !((((int)mutant)!=4))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase)==5))))
 			continue;
 
-		reached[1][150] = 1;
+		reached[1][152] = 1;
 		reached[1][t->st] = 1;
 		reached[1][tt] = 1;
 
 		if (TstOnly) return 1;
 
 		sv_save();
-		S_994_0: /* 2 */
+		S_995_0: /* 2 */
 		if (!(( !((((int)mutant)!=4))&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase)==5))))
 			Uerror("block in d_step seq");
-S_1012_0: /* 2 */
-S_995_0: /* 2 */
-		spin_assert(((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase)!=5)||((int)ran_after_refusal)), "((attempt[self].phase!=5)||ran_after_refusal)", II, tt, t);
+S_1014_0: /* 2 */
 S_996_0: /* 2 */
-		spin_assert(((((int)now.runs)==0)||((int)ran_twice)), "((runs==0)||ran_twice)", II, tt, t);
+		spin_assert(( !(((((((int)witness)==1)&&(((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].round)>0))||(((((int)witness)==2)&&((int)now.settled))&&(((int)now.replica[3].holder)==((int)((P1 *)_this)->self))))||(((((int)witness)==3)&&(((int)now.replica[0].life)>1))&&(((int)now.replica[0].holder)==((int)((P1 *)_this)->self)))))||((int)witness_found)), "( !(((((witness==1)&&(attempt[self].round>0))||(((witness==2)&&settled)&&(replica[3].holder==self)))||(((witness==3)&&(replica[0].life>1))&&(replica[0].holder==self))))||witness_found)", II, tt, t);
 S_997_0: /* 2 */
+		spin_assert(((((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase)!=5)||((int)ran_after_refusal)), "((attempt[self].phase!=5)||ran_after_refusal)", II, tt, t);
+S_998_0: /* 2 */
+		spin_assert(((((int)now.runs)==0)||((int)ran_twice)), "((runs==0)||ran_twice)", II, tt, t);
+S_999_0: /* 2 */
 		now.runs = (((int)now.runs)+1);
 #ifdef VAR_RANGES
 		logval("runs", ((int)now.runs));
 #endif
 		;
-S_1010_0: /* 2 */
-S_998_0: /* 2 */
+S_1012_0: /* 2 */
+S_1000_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].vote[0] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].vote[0]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[0]));
 #endif
 		;
-S_999_0: /* 2 */
+S_1001_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].vote[1] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].vote[1]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[1]));
 #endif
 		;
-S_1000_0: /* 2 */
+S_1002_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].vote[2] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].vote[2]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[2]));
 #endif
 		;
-S_1001_0: /* 2 */
+S_1003_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].vote[3] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].vote[3]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].vote[3]));
 #endif
 		;
-S_1002_0: /* 2 */
+S_1004_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].known[0] = 1;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].known[0]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[0]));
 #endif
 		;
-S_1003_0: /* 2 */
+S_1005_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].known[1] = 1;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].known[1]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[1]));
 #endif
 		;
-S_1004_0: /* 2 */
+S_1006_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].known[2] = 1;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].known[2]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[2]));
 #endif
 		;
-S_1005_0: /* 2 */
+S_1007_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].known[3] = 1;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].known[3]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].known[3]));
 #endif
 		;
-S_1006_0: /* 2 */
+S_1008_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].voted[0] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].voted[0]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[0]));
 #endif
 		;
-S_1007_0: /* 2 */
+S_1009_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].voted[1] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].voted[1]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[1]));
 #endif
 		;
-S_1008_0: /* 2 */
+S_1010_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].voted[2] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].voted[2]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[2]));
 #endif
 		;
-S_1009_0: /* 2 */
+S_1011_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].voted[3] = 0;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].voted[3]", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].voted[3]));
 #endif
 		;
-		goto S_1011_0;
-S_1011_0: /* 2 */
+		goto S_1013_0;
+S_1013_0: /* 2 */
 		now.attempt[ Index(((P1 *)_this)->self, 4) ].phase = 4;
 #ifdef VAR_RANGES
 		logval("attempt[Coordinator:self].phase", ((int)now.attempt[ Index(((int)((P1 *)_this)->self), 4) ].phase));
 #endif
 		;
-		goto S_1015_0; /* ';' */
-		goto S_1015_0; /* ';' */
+		goto S_1017_0; /* ';' */
+		goto S_1017_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 37: // STATE 154 - ../../claim.pml:387 - [-end-] (0:0:0 - 1)
+	case 37: // STATE 156 - ../../claim.pml:394 - [-end-] (0:0:0 - 1)
 		IfNotBlocked
-		reached[1][154] = 1;
+		reached[1][156] = 1;
 		if (!delproc(1, II)) continue;
 		_m = 3; goto P999; /* 0 */
 
 		 /* PROC Node */
-	case 38: // STATE 37 - ../../claim.pml:288 - [D_STEP288]
+	case 38: // STATE 37 - ../../claim.pml:289 - [D_STEP289]
 		if (!(boq == -1 && (((((((int)now.attempt[1].prepared)&(1<<0))&&((((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].able)&&((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].announced))&& !(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].unsure)))&&((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].latest)==((int)now.attempt[1].latest))|| !((((int)mutant)!=10))))&&((1<<((int)((P0 *)_this)->self))&( (((int)now.attempt[1].latest)) ? (( (((int)now.settled)) ? (14) : ((7|14)) )) : (7) ))))&& !(((((int)mutant)!=8)&&((0<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))||(((0==((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))&&(0!=0))&&(1<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].to)))))))&& !(((((0==0)&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=0))&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=1))&&(((int)mutant)!=12))))&&(((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=1)||(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].round)!=0))||(((((int)now.attempt[1].phase)==2)&&(((int)now.attempt[1].round)==0))&&(((int)now.attempt[1].vote[ Index(((int)((P0 *)_this)->self), 4) ])!=((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].life)))))))
 			continue;
 
@@ -2052,7 +2057,7 @@
 		/* else */;
 		goto S_011_0;
 S_010_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.0, near line 153)");
+		Uerror("blocking sel in d_step (nr.0, near line 154)");
 S_011_0: /* 2 */
 		goto S_018_0;
 S_018_0: /* 2 */
@@ -2072,7 +2077,7 @@
 		/* else */;
 		goto S_017_0;
 S_016_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.1, near line 153)");
+		Uerror("blocking sel in d_step (nr.1, near line 154)");
 S_017_0: /* 2 */
 		goto S_024_0;
 S_024_0: /* 2 */
@@ -2092,7 +2097,7 @@
 		/* else */;
 		goto S_023_0;
 S_022_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.2, near line 153)");
+		Uerror("blocking sel in d_step (nr.2, near line 154)");
 S_023_0: /* 2 */
 		goto S_030_0;
 S_030_0: /* 2 */
@@ -2112,7 +2117,7 @@
 		/* else */;
 		goto S_029_0;
 S_028_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.3, near line 153)");
+		Uerror("blocking sel in d_step (nr.3, near line 154)");
 S_029_0: /* 2 */
 		goto S_034_0;
 S_033_1: /* 3 */
@@ -2120,7 +2125,7 @@
 		/* else */;
 		goto S_034_0;
 S_033_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.4, near line 246)");
+		Uerror("blocking sel in d_step (nr.4, near line 247)");
 S_034_0: /* 2 */
 		goto S_861_0;
 S_861_0: /* 1 */
@@ -2130,7 +2135,7 @@
 #endif
 		_m = 3; goto P999;
 
-	case 39: // STATE 74 - ../../claim.pml:289 - [D_STEP289]
+	case 39: // STATE 74 - ../../claim.pml:290 - [D_STEP290]
 		if (!(boq == -1 && (((((((int)now.attempt[2].prepared)&(1<<0))&&((((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].able)&&((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].announced))&& !(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].unsure)))&&((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].latest)==((int)now.attempt[2].latest))|| !((((int)mutant)!=10))))&&((1<<((int)((P0 *)_this)->self))&( (((int)now.attempt[2].latest)) ? (( (((int)now.settled)) ? (14) : ((7|14)) )) : (7) ))))&& !(((((int)mutant)!=8)&&((0<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))||(((0==((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))&&(0!=0))&&(2<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].to)))))))&& !(((((0==0)&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=0))&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=2))&&(((int)mutant)!=12))))&&(((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=2)||(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].round)!=0))||(((((int)now.attempt[2].phase)==2)&&(((int)now.attempt[2].round)==0))&&(((int)now.attempt[2].vote[ Index(((int)((P0 *)_this)->self), 4) ])!=((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].life)))))))
 			continue;
 
@@ -2197,7 +2202,7 @@
 		/* else */;
 		goto S_048_0;
 S_047_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.5, near line 153)");
+		Uerror("blocking sel in d_step (nr.5, near line 154)");
 S_048_0: /* 2 */
 		goto S_055_0;
 S_055_0: /* 2 */
@@ -2217,7 +2222,7 @@
 		/* else */;
 		goto S_054_0;
 S_053_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.6, near line 153)");
+		Uerror("blocking sel in d_step (nr.6, near line 154)");
 S_054_0: /* 2 */
 		goto S_061_0;
 S_061_0: /* 2 */
@@ -2237,7 +2242,7 @@
 		/* else */;
 		goto S_060_0;
 S_059_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.7, near line 153)");
+		Uerror("blocking sel in d_step (nr.7, near line 154)");
 S_060_0: /* 2 */
 		goto S_067_0;
 S_067_0: /* 2 */
@@ -2257,7 +2262,7 @@
 		/* else */;
 		goto S_066_0;
 S_065_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.8, near line 153)");
+		Uerror("blocking sel in d_step (nr.8, near line 154)");
 S_066_0: /* 2 */
 		goto S_071_0;
 S_070_1: /* 3 */
@@ -2265,7 +2270,7 @@
 		/* else */;
 		goto S_071_0;
 S_070_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.9, near line 246)");
+		Uerror("blocking sel in d_step (nr.9, near line 247)");
 S_071_0: /* 2 */
 		goto S_861_0; /* '.' */
 		goto S_861_0; /* ';' */
@@ -2276,7 +2281,7 @@
 #endif
 		_m = 3; goto P999;
 
-	case 40: // STATE 111 - ../../claim.pml:290 - [D_STEP290]
+	case 40: // STATE 111 - ../../claim.pml:291 - [D_STEP291]
 		if (!(boq == -1 && (((((((int)now.attempt[3].prepared)&(1<<0))&&((((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].able)&&((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].announced))&& !(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].unsure)))&&((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].latest)==((int)now.attempt[3].latest))|| !((((int)mutant)!=10))))&&((1<<((int)((P0 *)_this)->self))&( (((int)now.attempt[3].latest)) ? (( (((int)now.settled)) ? (14) : ((7|14)) )) : (7) ))))&& !(((((int)mutant)!=8)&&((0<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))||(((0==((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))&&(0!=0))&&(3<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].to)))))))&& !(((((0==0)&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=0))&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=3))&&(((int)mutant)!=12))))&&(((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=3)||(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].round)!=0))||(((((int)now.attempt[3].phase)==2)&&(((int)now.attempt[3].round)==0))&&(((int)now.attempt[3].vote[ Index(((int)((P0 *)_this)->self), 4) ])!=((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].life)))))))
 			continue;
 
@@ -2343,7 +2348,7 @@
 		/* else */;
 		goto S_085_0;
 S_084_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.10, near line 153)");
+		Uerror("blocking sel in d_step (nr.10, near line 154)");
 S_085_0: /* 2 */
 		goto S_092_0;
 S_092_0: /* 2 */
@@ -2363,7 +2368,7 @@
 		/* else */;
 		goto S_091_0;
 S_090_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.11, near line 153)");
+		Uerror("blocking sel in d_step (nr.11, near line 154)");
 S_091_0: /* 2 */
 		goto S_098_0;
 S_098_0: /* 2 */
@@ -2383,7 +2388,7 @@
 		/* else */;
 		goto S_097_0;
 S_096_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.12, near line 153)");
+		Uerror("blocking sel in d_step (nr.12, near line 154)");
 S_097_0: /* 2 */
 		goto S_104_0;
 S_104_0: /* 2 */
@@ -2403,7 +2408,7 @@
 		/* else */;
 		goto S_103_0;
 S_102_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.13, near line 153)");
+		Uerror("blocking sel in d_step (nr.13, near line 154)");
 S_103_0: /* 2 */
 		goto S_108_0;
 S_107_1: /* 3 */
@@ -2411,7 +2416,7 @@
 		/* else */;
 		goto S_108_0;
 S_107_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.14, near line 246)");
+		Uerror("blocking sel in d_step (nr.14, near line 247)");
 S_108_0: /* 2 */
 		goto S_861_0; /* '.' */
 		goto S_861_0; /* ';' */
@@ -2422,7 +2427,7 @@
 #endif
 		_m = 3; goto P999;
 
-	case 41: // STATE 148 - ../../claim.pml:291 - [D_STEP291]
+	case 41: // STATE 148 - ../../claim.pml:292 - [D_STEP292]
 		if (!(boq == -1 && (((((((int)now.attempt[1].prepared)&(1<<1))&&((((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].able)&&((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].announced))&& !(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].unsure)))&&((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].latest)==((int)now.attempt[1].latest))|| !((((int)mutant)!=10))))&&((1<<((int)((P0 *)_this)->self))&( (((int)now.attempt[1].latest)) ? (( (((int)now.settled)) ? (14) : ((7|14)) )) : (7) ))))&& !(((((int)mutant)!=8)&&((1<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))||(((1==((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))&&(1!=0))&&(1<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].to)))))))&& !(((((1==0)&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=0))&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=1))&&(((int)mutant)!=12))))&&(((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=1)||(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].round)!=1))||(((((int)now.attempt[1].phase)==2)&&(((int)now.attempt[1].round)==1))&&(((int)now.attempt[1].vote[ Index(((int)((P0 *)_this)->self), 4) ])!=((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].life)))))))
 			continue;
 
@@ -2489,7 +2494,7 @@
 		/* else */;
 		goto S_122_0;
 S_121_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.15, near line 153)");
+		Uerror("blocking sel in d_step (nr.15, near line 154)");
 S_122_0: /* 2 */
 		goto S_129_0;
 S_129_0: /* 2 */
@@ -2509,7 +2514,7 @@
 		/* else */;
 		goto S_128_0;
 S_127_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.16, near line 153)");
+		Uerror("blocking sel in d_step (nr.16, near line 154)");
 S_128_0: /* 2 */
 		goto S_135_0;
 S_135_0: /* 2 */
@@ -2529,7 +2534,7 @@
 		/* else */;
 		goto S_134_0;
 S_133_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.17, near line 153)");
+		Uerror("blocking sel in d_step (nr.17, near line 154)");
 S_134_0: /* 2 */
 		goto S_141_0;
 S_141_0: /* 2 */
@@ -2549,7 +2554,7 @@
 		/* else */;
 		goto S_140_0;
 S_139_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.18, near line 153)");
+		Uerror("blocking sel in d_step (nr.18, near line 154)");
 S_140_0: /* 2 */
 		goto S_145_0;
 S_144_1: /* 3 */
@@ -2557,7 +2562,7 @@
 		/* else */;
 		goto S_145_0;
 S_144_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.19, near line 246)");
+		Uerror("blocking sel in d_step (nr.19, near line 247)");
 S_145_0: /* 2 */
 		goto S_861_0; /* '.' */
 		goto S_861_0; /* ';' */
@@ -2568,7 +2573,7 @@
 #endif
 		_m = 3; goto P999;
 
-	case 42: // STATE 185 - ../../claim.pml:292 - [D_STEP292]
+	case 42: // STATE 185 - ../../claim.pml:293 - [D_STEP293]
 		if (!(boq == -1 && (((((((int)now.attempt[2].prepared)&(1<<1))&&((((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].able)&&((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].announced))&& !(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].unsure)))&&((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].latest)==((int)now.attempt[2].latest))|| !((((int)mutant)!=10))))&&((1<<((int)((P0 *)_this)->self))&( (((int)now.attempt[2].latest)) ? (( (((int)now.settled)) ? (14) : ((7|14)) )) : (7) ))))&& !(((((int)mutant)!=8)&&((1<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))||(((1==((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))&&(1!=0))&&(2<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].to)))))))&& !(((((1==0)&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=0))&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=2))&&(((int)mutant)!=12))))&&(((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=2)||(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].round)!=1))||(((((int)now.attempt[2].phase)==2)&&(((int)now.attempt[2].round)==1))&&(((int)now.attempt[2].vote[ Index(((int)((P0 *)_this)->self), 4) ])!=((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].life)))))))
 			continue;
 
@@ -2635,7 +2640,7 @@
 		/* else */;
 		goto S_159_0;
 S_158_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.20, near line 153)");
+		Uerror("blocking sel in d_step (nr.20, near line 154)");
 S_159_0: /* 2 */
 		goto S_166_0;
 S_166_0: /* 2 */
@@ -2655,7 +2660,7 @@
 		/* else */;
 		goto S_165_0;
 S_164_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.21, near line 153)");
+		Uerror("blocking sel in d_step (nr.21, near line 154)");
 S_165_0: /* 2 */
 		goto S_172_0;
 S_172_0: /* 2 */
@@ -2675,7 +2680,7 @@
 		/* else */;
 		goto S_171_0;
 S_170_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.22, near line 153)");
+		Uerror("blocking sel in d_step (nr.22, near line 154)");
 S_171_0: /* 2 */
 		goto S_178_0;
 S_178_0: /* 2 */
@@ -2695,7 +2700,7 @@
 		/* else */;
 		goto S_177_0;
 S_176_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.23, near line 153)");
+		Uerror("blocking sel in d_step (nr.23, near line 154)");
 S_177_0: /* 2 */
 		goto S_182_0;
 S_181_1: /* 3 */
@@ -2703,7 +2708,7 @@
 		/* else */;
 		goto S_182_0;
 S_181_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.24, near line 246)");
+		Uerror("blocking sel in d_step (nr.24, near line 247)");
 S_182_0: /* 2 */
 		goto S_861_0; /* '.' */
 		goto S_861_0; /* ';' */
@@ -2714,7 +2719,7 @@
 #endif
 		_m = 3; goto P999;
 
-	case 43: // STATE 222 - ../../claim.pml:293 - [D_STEP293]
+	case 43: // STATE 222 - ../../claim.pml:294 - [D_STEP294]
 		if (!(boq == -1 && (((((((int)now.attempt[1].prepared)&(1<<2))&&((((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].able)&&((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].announced))&& !(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].unsure)))&&((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].latest)==((int)now.attempt[1].latest))|| !((((int)mutant)!=10))))&&((1<<((int)((P0 *)_this)->self))&( (((int)now.attempt[1].latest)) ? (( (((int)now.settled)) ? (14) : ((7|14)) )) : (7) ))))&& !(((((int)mutant)!=8)&&((2<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))||(((2==((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))&&(2!=0))&&(1<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].to)))))))&& !(((((2==0)&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=0))&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=1))&&(((int)mutant)!=12))))&&(((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=1)||(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].round)!=2))||(((((int)now.attempt[1].phase)==2)&&(((int)now.attempt[1].round)==2))&&(((int)now.attempt[1].vote[ Index(((int)((P0 *)_this)->self), 4) ])!=((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].life)))))))
 			continue;
 
@@ -2781,7 +2786,7 @@
 		/* else */;
 		goto S_196_0;
 S_195_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.25, near line 153)");
+		Uerror("blocking sel in d_step (nr.25, near line 154)");
 S_196_0: /* 2 */
 		goto S_203_0;
 S_203_0: /* 2 */
@@ -2801,7 +2806,7 @@
 		/* else */;
 		goto S_202_0;
 S_201_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.26, near line 153)");
+		Uerror("blocking sel in d_step (nr.26, near line 154)");
 S_202_0: /* 2 */
 		goto S_209_0;
 S_209_0: /* 2 */
@@ -2821,7 +2826,7 @@
 		/* else */;
 		goto S_208_0;
 S_207_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.27, near line 153)");
+		Uerror("blocking sel in d_step (nr.27, near line 154)");
 S_208_0: /* 2 */
 		goto S_215_0;
 S_215_0: /* 2 */
@@ -2841,7 +2846,7 @@
 		/* else */;
 		goto S_214_0;
 S_213_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.28, near line 153)");
+		Uerror("blocking sel in d_step (nr.28, near line 154)");
 S_214_0: /* 2 */
 		goto S_219_0;
 S_218_1: /* 3 */
@@ -2849,7 +2854,7 @@
 		/* else */;
 		goto S_219_0;
 S_218_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.29, near line 246)");
+		Uerror("blocking sel in d_step (nr.29, near line 247)");
 S_219_0: /* 2 */
 		goto S_861_0; /* '.' */
 		goto S_861_0; /* ';' */
@@ -2860,7 +2865,7 @@
 #endif
 		_m = 3; goto P999;
 
-	case 44: // STATE 259 - ../../claim.pml:294 - [D_STEP294]
+	case 44: // STATE 259 - ../../claim.pml:295 - [D_STEP295]
 		if (!(boq == -1 && (((((((int)now.attempt[2].prepared)&(1<<2))&&((((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].able)&&((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].announced))&& !(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].unsure)))&&((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].latest)==((int)now.attempt[2].latest))|| !((((int)mutant)!=10))))&&((1<<((int)((P0 *)_this)->self))&( (((int)now.attempt[2].latest)) ? (( (((int)now.settled)) ? (14) : ((7|14)) )) : (7) ))))&& !(((((int)mutant)!=8)&&((2<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))||(((2==((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))&&(2!=0))&&(2<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].to)))))))&& !(((((2==0)&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=0))&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=2))&&(((int)mutant)!=12))))&&(((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)!=2)||(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].round)!=2))||(((((int)now.attempt[2].phase)==2)&&(((int)now.attempt[2].round)==2))&&(((int)now.attempt[2].vote[ Index(((int)((P0 *)_this)->self), 4) ])!=((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].life)))))))
 			continue;
 
@@ -2927,7 +2932,7 @@
 		/* else */;
 		goto S_233_0;
 S_232_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.30, near line 153)");
+		Uerror("blocking sel in d_step (nr.30, near line 154)");
 S_233_0: /* 2 */
 		goto S_240_0;
 S_240_0: /* 2 */
@@ -2947,7 +2952,7 @@
 		/* else */;
 		goto S_239_0;
 S_238_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.31, near line 153)");
+		Uerror("blocking sel in d_step (nr.31, near line 154)");
 S_239_0: /* 2 */
 		goto S_246_0;
 S_246_0: /* 2 */
@@ -2967,7 +2972,7 @@
 		/* else */;
 		goto S_245_0;
 S_244_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.32, near line 153)");
+		Uerror("blocking sel in d_step (nr.32, near line 154)");
 S_245_0: /* 2 */
 		goto S_252_0;
 S_252_0: /* 2 */
@@ -2987,7 +2992,7 @@
 		/* else */;
 		goto S_251_0;
 S_250_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.33, near line 153)");
+		Uerror("blocking sel in d_step (nr.33, near line 154)");
 S_251_0: /* 2 */
 		goto S_256_0;
 S_255_1: /* 3 */
@@ -2995,7 +3000,7 @@
 		/* else */;
 		goto S_256_0;
 S_255_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.34, near line 246)");
+		Uerror("blocking sel in d_step (nr.34, near line 247)");
 S_256_0: /* 2 */
 		goto S_861_0; /* '.' */
 		goto S_861_0; /* ';' */
@@ -3006,7 +3011,7 @@
 #endif
 		_m = 3; goto P999;
 
-	case 45: // STATE 295 - ../../claim.pml:295 - [D_STEP295]
+	case 45: // STATE 295 - ../../claim.pml:296 - [D_STEP296]
 		if (!(boq == -1 && (((((1!=0)&&(((int)now.attempt[1].sought)&(1<<1)))&&((((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].able)&&((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].announced))&& !(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].unsure)))&&((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].latest)==((int)now.attempt[1].latest))|| !((((int)mutant)!=10))))&&((1<<((int)((P0 *)_this)->self))&( (((int)now.attempt[1].latest)) ? (( (((int)now.settled)) ? (14) : ((7|14)) )) : (7) ))))&& !(((((int)mutant)!=8)&&((1<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))||(((1==((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))&&(1!=0))&&(1<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].to)))))))&&(((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised)!=1)||(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].to)!=1))||(((((int)now.attempt[1].phase)==1)&&(((int)now.attempt[1].round)==1))&&(((int)now.attempt[1].vote[ Index(((int)((P0 *)_this)->self), 4) ])!=((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].life)))))))
 			continue;
 
@@ -3067,7 +3072,7 @@
 		/* else */;
 		goto S_269_0;
 S_268_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.35, near line 153)");
+		Uerror("blocking sel in d_step (nr.35, near line 154)");
 S_269_0: /* 2 */
 		goto S_276_0;
 S_276_0: /* 2 */
@@ -3087,7 +3092,7 @@
 		/* else */;
 		goto S_275_0;
 S_274_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.36, near line 153)");
+		Uerror("blocking sel in d_step (nr.36, near line 154)");
 S_275_0: /* 2 */
 		goto S_282_0;
 S_282_0: /* 2 */
@@ -3107,7 +3112,7 @@
 		/* else */;
 		goto S_281_0;
 S_280_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.37, near line 153)");
+		Uerror("blocking sel in d_step (nr.37, near line 154)");
 S_281_0: /* 2 */
 		goto S_288_0;
 S_288_0: /* 2 */
@@ -3127,7 +3132,7 @@
 		/* else */;
 		goto S_287_0;
 S_286_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.38, near line 153)");
+		Uerror("blocking sel in d_step (nr.38, near line 154)");
 S_287_0: /* 2 */
 		goto S_292_0;
 S_291_1: /* 3 */
@@ -3135,7 +3140,7 @@
 		/* else */;
 		goto S_292_0;
 S_291_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.39, near line 258)");
+		Uerror("blocking sel in d_step (nr.39, near line 259)");
 S_292_0: /* 2 */
 		goto S_861_0; /* '.' */
 		goto S_861_0; /* ';' */
@@ -3146,7 +3151,7 @@
 #endif
 		_m = 3; goto P999;
 
-	case 46: // STATE 331 - ../../claim.pml:296 - [D_STEP296]
+	case 46: // STATE 331 - ../../claim.pml:297 - [D_STEP297]
 		if (!(boq == -1 && (((((1!=0)&&(((int)now.attempt[2].sought)&(1<<1)))&&((((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].able)&&((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].announced))&& !(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].unsure)))&&((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].latest)==((int)now.attempt[2].latest))|| !((((int)mutant)!=10))))&&((1<<((int)((P0 *)_this)->self))&( (((int)now.attempt[2].latest)) ? (( (((int)now.settled)) ? (14) : ((7|14)) )) : (7) ))))&& !(((((int)mutant)!=8)&&((1<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))||(((1==((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))&&(1!=0))&&(2<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].to)))))))&&(((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised)!=1)||(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].to)!=2))||(((((int)now.attempt[2].phase)==1)&&(((int)now.attempt[2].round)==1))&&(((int)now.attempt[2].vote[ Index(((int)((P0 *)_this)->self), 4) ])!=((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].life)))))))
 			continue;
 
@@ -3207,7 +3212,7 @@
 		/* else */;
 		goto S_305_0;
 S_304_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.40, near line 153)");
+		Uerror("blocking sel in d_step (nr.40, near line 154)");
 S_305_0: /* 2 */
 		goto S_312_0;
 S_312_0: /* 2 */
@@ -3227,7 +3232,7 @@
 		/* else */;
 		goto S_311_0;
 S_310_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.41, near line 153)");
+		Uerror("blocking sel in d_step (nr.41, near line 154)");
 S_311_0: /* 2 */
 		goto S_318_0;
 S_318_0: /* 2 */
@@ -3247,7 +3252,7 @@
 		/* else */;
 		goto S_317_0;
 S_316_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.42, near line 153)");
+		Uerror("blocking sel in d_step (nr.42, near line 154)");
 S_317_0: /* 2 */
 		goto S_324_0;
 S_324_0: /* 2 */
@@ -3267,7 +3272,7 @@
 		/* else */;
 		goto S_323_0;
 S_322_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.43, near line 153)");
+		Uerror("blocking sel in d_step (nr.43, near line 154)");
 S_323_0: /* 2 */
 		goto S_328_0;
 S_327_1: /* 3 */
@@ -3275,7 +3280,7 @@
 		/* else */;
 		goto S_328_0;
 S_327_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.44, near line 258)");
+		Uerror("blocking sel in d_step (nr.44, near line 259)");
 S_328_0: /* 2 */
 		goto S_861_0; /* '.' */
 		goto S_861_0; /* ';' */
@@ -3286,7 +3291,7 @@
 #endif
 		_m = 3; goto P999;
 
-	case 47: // STATE 367 - ../../claim.pml:297 - [D_STEP297]
+	case 47: // STATE 367 - ../../claim.pml:298 - [D_STEP298]
 		if (!(boq == -1 && (((((2!=0)&&(((int)now.attempt[1].sought)&(1<<2)))&&((((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].able)&&((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].announced))&& !(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].unsure)))&&((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].latest)==((int)now.attempt[1].latest))|| !((((int)mutant)!=10))))&&((1<<((int)((P0 *)_this)->self))&( (((int)now.attempt[1].latest)) ? (( (((int)now.settled)) ? (14) : ((7|14)) )) : (7) ))))&& !(((((int)mutant)!=8)&&((2<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))||(((2==((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))&&(2!=0))&&(1<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].to)))))))&&(((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised)!=2)||(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].to)!=1))||(((((int)now.attempt[1].phase)==1)&&(((int)now.attempt[1].round)==2))&&(((int)now.attempt[1].vote[ Index(((int)((P0 *)_this)->self), 4) ])!=((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].life)))))))
 			continue;
 
@@ -3347,7 +3352,7 @@
 		/* else */;
 		goto S_341_0;
 S_340_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.45, near line 153)");
+		Uerror("blocking sel in d_step (nr.45, near line 154)");
 S_341_0: /* 2 */
 		goto S_348_0;
 S_348_0: /* 2 */
@@ -3367,7 +3372,7 @@
 		/* else */;
 		goto S_347_0;
 S_346_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.46, near line 153)");
+		Uerror("blocking sel in d_step (nr.46, near line 154)");
 S_347_0: /* 2 */
 		goto S_354_0;
 S_354_0: /* 2 */
@@ -3387,7 +3392,7 @@
 		/* else */;
 		goto S_353_0;
 S_352_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.47, near line 153)");
+		Uerror("blocking sel in d_step (nr.47, near line 154)");
 S_353_0: /* 2 */
 		goto S_360_0;
 S_360_0: /* 2 */
@@ -3407,7 +3412,7 @@
 		/* else */;
 		goto S_359_0;
 S_358_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.48, near line 153)");
+		Uerror("blocking sel in d_step (nr.48, near line 154)");
 S_359_0: /* 2 */
 		goto S_364_0;
 S_363_1: /* 3 */
@@ -3415,7 +3420,7 @@
 		/* else */;
 		goto S_364_0;
 S_363_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.49, near line 258)");
+		Uerror("blocking sel in d_step (nr.49, near line 259)");
 S_364_0: /* 2 */
 		goto S_861_0; /* '.' */
 		goto S_861_0; /* ';' */
@@ -3426,7 +3431,7 @@
 #endif
 		_m = 3; goto P999;
 
-	case 48: // STATE 403 - ../../claim.pml:298 - [D_STEP298]
+	case 48: // STATE 403 - ../../claim.pml:299 - [D_STEP299]
 		if (!(boq == -1 && (((((2!=0)&&(((int)now.attempt[2].sought)&(1<<2)))&&((((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].able)&&((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].announced))&& !(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].unsure)))&&((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].latest)==((int)now.attempt[2].latest))|| !((((int)mutant)!=10))))&&((1<<((int)((P0 *)_this)->self))&( (((int)now.attempt[2].latest)) ? (( (((int)now.settled)) ? (14) : ((7|14)) )) : (7) ))))&& !(((((int)mutant)!=8)&&((2<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))||(((2==((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised))&&(2!=0))&&(2<((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].to)))))))&&(((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised)!=2)||(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].to)!=2))||(((((int)now.attempt[2].phase)==1)&&(((int)now.attempt[2].round)==2))&&(((int)now.attempt[2].vote[ Index(((int)((P0 *)_this)->self), 4) ])!=((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].life)))))))
 			continue;
 
@@ -3487,7 +3492,7 @@
 		/* else */;
 		goto S_377_0;
 S_376_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.50, near line 153)");
+		Uerror("blocking sel in d_step (nr.50, near line 154)");
 S_377_0: /* 2 */
 		goto S_384_0;
 S_384_0: /* 2 */
@@ -3507,7 +3512,7 @@
 		/* else */;
 		goto S_383_0;
 S_382_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.51, near line 153)");
+		Uerror("blocking sel in d_step (nr.51, near line 154)");
 S_383_0: /* 2 */
 		goto S_390_0;
 S_390_0: /* 2 */
@@ -3527,7 +3532,7 @@
 		/* else */;
 		goto S_389_0;
 S_388_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.52, near line 153)");
+		Uerror("blocking sel in d_step (nr.52, near line 154)");
 S_389_0: /* 2 */
 		goto S_396_0;
 S_396_0: /* 2 */
@@ -3547,7 +3552,7 @@
 		/* else */;
 		goto S_395_0;
 S_394_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.53, near line 153)");
+		Uerror("blocking sel in d_step (nr.53, near line 154)");
 S_395_0: /* 2 */
 		goto S_400_0;
 S_399_1: /* 3 */
@@ -3555,7 +3560,7 @@
 		/* else */;
 		goto S_400_0;
 S_399_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.54, near line 258)");
+		Uerror("blocking sel in d_step (nr.54, near line 259)");
 S_400_0: /* 2 */
 		goto S_861_0; /* '.' */
 		goto S_861_0; /* ';' */
@@ -3566,7 +3571,7 @@
 #endif
 		_m = 3; goto P999;
 
-	case 49: // STATE 418 - ../../claim.pml:299 - [D_STEP299]
+	case 49: // STATE 418 - ../../claim.pml:300 - [D_STEP300]
 		if (!(boq == -1 && ((((int)now.attempt[1].phase)==5)&&((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)==1)||((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised)<(((int)now.attempt[1].round)+1))||(((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised)==(((int)now.attempt[1].round)+1))&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised)!=0))&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].to)<0)))))))
 			continue;
 
@@ -3603,7 +3608,7 @@
 		/* else */;
 		goto S_409_0;
 S_408_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.55, near line 271)");
+		Uerror("blocking sel in d_step (nr.55, near line 272)");
 S_409_0: /* 2 */
 S_414_0: /* 2 */
 S_410_0: /* 2 */
@@ -3627,7 +3632,7 @@
 		/* else */;
 		goto S_415_0;
 S_414_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.56, near line 277)");
+		Uerror("blocking sel in d_step (nr.56, near line 278)");
 S_415_0: /* 2 */
 		goto S_861_0; /* '.' */
 		goto S_861_0; /* ';' */
@@ -3638,7 +3643,7 @@
 #endif
 		_m = 3; goto P999;
 
-	case 50: // STATE 433 - ../../claim.pml:300 - [D_STEP300]
+	case 50: // STATE 433 - ../../claim.pml:301 - [D_STEP301]
 		if (!(boq == -1 && ((((int)now.attempt[2].phase)==5)&&((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)==2)||((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised)<(((int)now.attempt[2].round)+1))||(((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised)==(((int)now.attempt[2].round)+1))&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised)!=0))&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].to)<0)))))))
 			continue;
 
@@ -3675,7 +3680,7 @@
 		/* else */;
 		goto S_424_0;
 S_423_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.57, near line 271)");
+		Uerror("blocking sel in d_step (nr.57, near line 272)");
 S_424_0: /* 2 */
 S_429_0: /* 2 */
 S_425_0: /* 2 */
@@ -3699,7 +3704,7 @@
 		/* else */;
 		goto S_430_0;
 S_429_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.58, near line 277)");
+		Uerror("blocking sel in d_step (nr.58, near line 278)");
 S_430_0: /* 2 */
 		goto S_861_0; /* '.' */
 		goto S_861_0; /* ';' */
@@ -3710,7 +3715,7 @@
 #endif
 		_m = 3; goto P999;
 
-	case 51: // STATE 448 - ../../claim.pml:301 - [D_STEP301]
+	case 51: // STATE 448 - ../../claim.pml:302 - [D_STEP302]
 		if (!(boq == -1 && ((((int)now.attempt[3].phase)==5)&&((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].holder)==3)||((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised)<(((int)now.attempt[3].round)+1))||(((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised)==(((int)now.attempt[3].round)+1))&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].promised)!=0))&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].to)<0)))))))
 			continue;
 
@@ -3747,7 +3752,7 @@
 		/* else */;
 		goto S_439_0;
 S_438_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.59, near line 271)");
+		Uerror("blocking sel in d_step (nr.59, near line 272)");
 S_439_0: /* 2 */
 S_444_0: /* 2 */
 S_440_0: /* 2 */
@@ -3771,7 +3776,7 @@
 		/* else */;
 		goto S_445_0;
 S_444_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.60, near line 277)");
+		Uerror("blocking sel in d_step (nr.60, near line 278)");
 S_445_0: /* 2 */
 		goto S_861_0; /* '.' */
 		goto S_861_0; /* ';' */
@@ -3782,7 +3787,7 @@
 #endif
 		_m = 3; goto P999;
 
-	case 52: // STATE 541 - ../../claim.pml:302 - [D_STEP302]
+	case 52: // STATE 541 - ../../claim.pml:303 - [D_STEP303]
 		if (!(boq == -1 && ((((0!=((int)((P0 *)_this)->self))&& !((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].able)&&((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].announced))))&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].latest)==((int)now.replica[0].latest)))&&((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].source[0])!=((int)now.replica[0].life))||(((int)now.replica[0].able)&& !((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].sourceAble)&(1<<0))))))))
 			continue;
 
@@ -3814,7 +3819,7 @@
 		/* else */;
 		goto S_453_0;
 S_452_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.61, near line 153)");
+		Uerror("blocking sel in d_step (nr.61, near line 154)");
 S_453_0: /* 2 */
 		goto S_460_0;
 S_460_0: /* 2 */
@@ -3834,7 +3839,7 @@
 		/* else */;
 		goto S_459_0;
 S_458_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.62, near line 153)");
+		Uerror("blocking sel in d_step (nr.62, near line 154)");
 S_459_0: /* 2 */
 		goto S_466_0;
 S_466_0: /* 2 */
@@ -3854,7 +3859,7 @@
 		/* else */;
 		goto S_465_0;
 S_464_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.63, near line 153)");
+		Uerror("blocking sel in d_step (nr.63, near line 154)");
 S_465_0: /* 2 */
 		goto S_472_0;
 S_472_0: /* 2 */
@@ -3874,7 +3879,7 @@
 		/* else */;
 		goto S_471_0;
 S_470_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.64, near line 153)");
+		Uerror("blocking sel in d_step (nr.64, near line 154)");
 S_471_0: /* 2 */
 		goto S_478_0;
 S_478_0: /* 2 */
@@ -3894,7 +3899,7 @@
 		/* else */;
 		goto S_477_0;
 S_476_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.65, near line 153)");
+		Uerror("blocking sel in d_step (nr.65, near line 154)");
 S_477_0: /* 2 */
 		goto S_484_0;
 S_484_0: /* 2 */
@@ -3914,7 +3919,7 @@
 		/* else */;
 		goto S_483_0;
 S_482_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.66, near line 153)");
+		Uerror("blocking sel in d_step (nr.66, near line 154)");
 S_483_0: /* 2 */
 		goto S_509_0;
 S_509_0: /* 2 */
@@ -3944,7 +3949,7 @@
 		/* else */;
 		goto S_491_0;
 S_490_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.67, near line 129)");
+		Uerror("blocking sel in d_step (nr.67, near line 130)");
 S_491_0: /* 2 */
 S_492_0: /* 2 */
 		now.replica[ Index(((P0 *)_this)->self, 4) ].unsure = (((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].unsure)||((int)now.replica[0].unsure));
@@ -4005,11 +4010,11 @@
 		/* else */;
 		goto S_504_0;
 S_503_3: /* 3 */
-		Uerror("blocking sel in d_step (nr.68, near line 141)");
+		Uerror("blocking sel in d_step (nr.68, near line 142)");
 S_504_0: /* 2 */
 		goto S_506_0;
 S_505_3: /* 3 */
-		Uerror("blocking sel in d_step (nr.69, near line 136)");
+		Uerror("blocking sel in d_step (nr.69, near line 137)");
 S_506_0: /* 2 */
 		goto S_510_0;
 S_509_1: /* 3 */
@@ -4017,7 +4022,7 @@
 		/* else */;
 		goto S_510_0;
 S_509_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.70, near line 171)");
+		Uerror("blocking sel in d_step (nr.70, near line 172)");
 S_510_0: /* 2 */
 S_511_0: /* 2 */
 		now.replica[ Index(((P0 *)_this)->self, 4) ].source[0] = ((int)now.replica[0].life);
@@ -4047,7 +4052,7 @@
 		;
 		goto S_517_0;
 S_516_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.71, near line 176)");
+		Uerror("blocking sel in d_step (nr.71, near line 177)");
 S_517_0: /* 2 */
 S_538_0: /* 2 */
 S_521_0: /* 2 */
@@ -4066,7 +4071,7 @@
 		/* else */;
 		goto S_522_0;
 S_521_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.72, near line 102)");
+		Uerror("blocking sel in d_step (nr.72, near line 103)");
 S_522_0: /* 2 */
 S_526_0: /* 2 */
 S_523_0: /* 2 */
@@ -4084,7 +4089,7 @@
 		/* else */;
 		goto S_527_0;
 S_526_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.73, near line 106)");
+		Uerror("blocking sel in d_step (nr.73, near line 107)");
 S_527_0: /* 2 */
 S_536_0: /* 2 */
 S_528_0: /* 2 */
@@ -4127,7 +4132,7 @@
 		/* else */;
 		goto S_537_0;
 S_536_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.74, near line 110)");
+		Uerror("blocking sel in d_step (nr.74, near line 111)");
 S_537_0: /* 2 */
 		goto S_861_0; /* '.' */
 		goto S_861_0; /* ';' */
@@ -4139,7 +4144,7 @@
 #endif
 		_m = 3; goto P999;
 
-	case 53: // STATE 634 - ../../claim.pml:303 - [D_STEP303]
+	case 53: // STATE 634 - ../../claim.pml:304 - [D_STEP304]
 		if (!(boq == -1 && ((((1!=((int)((P0 *)_this)->self))&& !((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].able)&&((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].announced))))&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].latest)==((int)now.replica[1].latest)))&&((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].source[1])!=((int)now.replica[1].life))||(((int)now.replica[1].able)&& !((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].sourceAble)&(1<<1))))))))
 			continue;
 
@@ -4171,7 +4176,7 @@
 		/* else */;
 		goto S_546_0;
 S_545_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.75, near line 153)");
+		Uerror("blocking sel in d_step (nr.75, near line 154)");
 S_546_0: /* 2 */
 		goto S_553_0;
 S_553_0: /* 2 */
@@ -4191,7 +4196,7 @@
 		/* else */;
 		goto S_552_0;
 S_551_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.76, near line 153)");
+		Uerror("blocking sel in d_step (nr.76, near line 154)");
 S_552_0: /* 2 */
 		goto S_559_0;
 S_559_0: /* 2 */
@@ -4211,7 +4216,7 @@
 		/* else */;
 		goto S_558_0;
 S_557_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.77, near line 153)");
+		Uerror("blocking sel in d_step (nr.77, near line 154)");
 S_558_0: /* 2 */
 		goto S_565_0;
 S_565_0: /* 2 */
@@ -4231,7 +4236,7 @@
 		/* else */;
 		goto S_564_0;
 S_563_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.78, near line 153)");
+		Uerror("blocking sel in d_step (nr.78, near line 154)");
 S_564_0: /* 2 */
 		goto S_571_0;
 S_571_0: /* 2 */
@@ -4251,7 +4256,7 @@
 		/* else */;
 		goto S_570_0;
 S_569_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.79, near line 153)");
+		Uerror("blocking sel in d_step (nr.79, near line 154)");
 S_570_0: /* 2 */
 		goto S_577_0;
 S_577_0: /* 2 */
@@ -4271,7 +4276,7 @@
 		/* else */;
 		goto S_576_0;
 S_575_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.80, near line 153)");
+		Uerror("blocking sel in d_step (nr.80, near line 154)");
 S_576_0: /* 2 */
 		goto S_602_0;
 S_602_0: /* 2 */
@@ -4301,7 +4306,7 @@
 		/* else */;
 		goto S_584_0;
 S_583_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.81, near line 129)");
+		Uerror("blocking sel in d_step (nr.81, near line 130)");
 S_584_0: /* 2 */
 S_585_0: /* 2 */
 		now.replica[ Index(((P0 *)_this)->self, 4) ].unsure = (((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].unsure)||((int)now.replica[1].unsure));
@@ -4362,11 +4367,11 @@
 		/* else */;
 		goto S_597_0;
 S_596_3: /* 3 */
-		Uerror("blocking sel in d_step (nr.82, near line 141)");
+		Uerror("blocking sel in d_step (nr.82, near line 142)");
 S_597_0: /* 2 */
 		goto S_599_0;
 S_598_3: /* 3 */
-		Uerror("blocking sel in d_step (nr.83, near line 136)");
+		Uerror("blocking sel in d_step (nr.83, near line 137)");
 S_599_0: /* 2 */
 		goto S_603_0;
 S_602_1: /* 3 */
@@ -4374,7 +4379,7 @@
 		/* else */;
 		goto S_603_0;
 S_602_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.84, near line 171)");
+		Uerror("blocking sel in d_step (nr.84, near line 172)");
 S_603_0: /* 2 */
 S_604_0: /* 2 */
 		now.replica[ Index(((P0 *)_this)->self, 4) ].source[1] = ((int)now.replica[1].life);
@@ -4404,7 +4409,7 @@
 		;
 		goto S_610_0;
 S_609_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.85, near line 176)");
+		Uerror("blocking sel in d_step (nr.85, near line 177)");
 S_610_0: /* 2 */
 S_631_0: /* 2 */
 S_614_0: /* 2 */
@@ -4423,7 +4428,7 @@
 		/* else */;
 		goto S_615_0;
 S_614_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.86, near line 102)");
+		Uerror("blocking sel in d_step (nr.86, near line 103)");
 S_615_0: /* 2 */
 S_619_0: /* 2 */
 S_616_0: /* 2 */
@@ -4441,7 +4446,7 @@
 		/* else */;
 		goto S_620_0;
 S_619_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.87, near line 106)");
+		Uerror("blocking sel in d_step (nr.87, near line 107)");
 S_620_0: /* 2 */
 S_629_0: /* 2 */
 S_621_0: /* 2 */
@@ -4484,7 +4489,7 @@
 		/* else */;
 		goto S_630_0;
 S_629_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.88, near line 110)");
+		Uerror("blocking sel in d_step (nr.88, near line 111)");
 S_630_0: /* 2 */
 		goto S_861_0; /* '.' */
 		goto S_861_0; /* ';' */
@@ -4496,7 +4501,7 @@
 #endif
 		_m = 3; goto P999;
 
-	case 54: // STATE 727 - ../../claim.pml:304 - [D_STEP304]
+	case 54: // STATE 727 - ../../claim.pml:305 - [D_STEP305]
 		if (!(boq == -1 && ((((2!=((int)((P0 *)_this)->self))&& !((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].able)&&((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].announced))))&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].latest)==((int)now.replica[2].latest)))&&((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].source[2])!=((int)now.replica[2].life))||(((int)now.replica[2].able)&& !((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].sourceAble)&(1<<2))))))))
 			continue;
 
@@ -4528,7 +4533,7 @@
 		/* else */;
 		goto S_639_0;
 S_638_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.89, near line 153)");
+		Uerror("blocking sel in d_step (nr.89, near line 154)");
 S_639_0: /* 2 */
 		goto S_646_0;
 S_646_0: /* 2 */
@@ -4548,7 +4553,7 @@
 		/* else */;
 		goto S_645_0;
 S_644_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.90, near line 153)");
+		Uerror("blocking sel in d_step (nr.90, near line 154)");
 S_645_0: /* 2 */
 		goto S_652_0;
 S_652_0: /* 2 */
@@ -4568,7 +4573,7 @@
 		/* else */;
 		goto S_651_0;
 S_650_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.91, near line 153)");
+		Uerror("blocking sel in d_step (nr.91, near line 154)");
 S_651_0: /* 2 */
 		goto S_658_0;
 S_658_0: /* 2 */
@@ -4588,7 +4593,7 @@
 		/* else */;
 		goto S_657_0;
 S_656_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.92, near line 153)");
+		Uerror("blocking sel in d_step (nr.92, near line 154)");
 S_657_0: /* 2 */
 		goto S_664_0;
 S_664_0: /* 2 */
@@ -4608,7 +4613,7 @@
 		/* else */;
 		goto S_663_0;
 S_662_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.93, near line 153)");
+		Uerror("blocking sel in d_step (nr.93, near line 154)");
 S_663_0: /* 2 */
 		goto S_670_0;
 S_670_0: /* 2 */
@@ -4628,7 +4633,7 @@
 		/* else */;
 		goto S_669_0;
 S_668_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.94, near line 153)");
+		Uerror("blocking sel in d_step (nr.94, near line 154)");
 S_669_0: /* 2 */
 		goto S_695_0;
 S_695_0: /* 2 */
@@ -4658,7 +4663,7 @@
 		/* else */;
 		goto S_677_0;
 S_676_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.95, near line 129)");
+		Uerror("blocking sel in d_step (nr.95, near line 130)");
 S_677_0: /* 2 */
 S_678_0: /* 2 */
 		now.replica[ Index(((P0 *)_this)->self, 4) ].unsure = (((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].unsure)||((int)now.replica[2].unsure));
@@ -4719,11 +4724,11 @@
 		/* else */;
 		goto S_690_0;
 S_689_3: /* 3 */
-		Uerror("blocking sel in d_step (nr.96, near line 141)");
+		Uerror("blocking sel in d_step (nr.96, near line 142)");
 S_690_0: /* 2 */
 		goto S_692_0;
 S_691_3: /* 3 */
-		Uerror("blocking sel in d_step (nr.97, near line 136)");
+		Uerror("blocking sel in d_step (nr.97, near line 137)");
 S_692_0: /* 2 */
 		goto S_696_0;
 S_695_1: /* 3 */
@@ -4731,7 +4736,7 @@
 		/* else */;
 		goto S_696_0;
 S_695_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.98, near line 171)");
+		Uerror("blocking sel in d_step (nr.98, near line 172)");
 S_696_0: /* 2 */
 S_697_0: /* 2 */
 		now.replica[ Index(((P0 *)_this)->self, 4) ].source[2] = ((int)now.replica[2].life);
@@ -4761,7 +4766,7 @@
 		;
 		goto S_703_0;
 S_702_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.99, near line 176)");
+		Uerror("blocking sel in d_step (nr.99, near line 177)");
 S_703_0: /* 2 */
 S_724_0: /* 2 */
 S_707_0: /* 2 */
@@ -4780,7 +4785,7 @@
 		/* else */;
 		goto S_708_0;
 S_707_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.100, near line 102)");
+		Uerror("blocking sel in d_step (nr.100, near line 103)");
 S_708_0: /* 2 */
 S_712_0: /* 2 */
 S_709_0: /* 2 */
@@ -4798,7 +4803,7 @@
 		/* else */;
 		goto S_713_0;
 S_712_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.101, near line 106)");
+		Uerror("blocking sel in d_step (nr.101, near line 107)");
 S_713_0: /* 2 */
 S_722_0: /* 2 */
 S_714_0: /* 2 */
@@ -4841,7 +4846,7 @@
 		/* else */;
 		goto S_723_0;
 S_722_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.102, near line 110)");
+		Uerror("blocking sel in d_step (nr.102, near line 111)");
 S_723_0: /* 2 */
 		goto S_861_0; /* '.' */
 		goto S_861_0; /* ';' */
@@ -4853,7 +4858,7 @@
 #endif
 		_m = 3; goto P999;
 
-	case 55: // STATE 820 - ../../claim.pml:305 - [D_STEP305]
+	case 55: // STATE 820 - ../../claim.pml:306 - [D_STEP306]
 		if (!(boq == -1 && ((((3!=((int)((P0 *)_this)->self))&& !((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].able)&&((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].announced))))&&(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].latest)==((int)now.replica[3].latest)))&&((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].source[3])!=((int)now.replica[3].life))||(((int)now.replica[3].able)&& !((((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].sourceAble)&(1<<3))))))))
 			continue;
 
@@ -4885,7 +4890,7 @@
 		/* else */;
 		goto S_732_0;
 S_731_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.103, near line 153)");
+		Uerror("blocking sel in d_step (nr.103, near line 154)");
 S_732_0: /* 2 */
 		goto S_739_0;
 S_739_0: /* 2 */
@@ -4905,7 +4910,7 @@
 		/* else */;
 		goto S_738_0;
 S_737_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.104, near line 153)");
+		Uerror("blocking sel in d_step (nr.104, near line 154)");
 S_738_0: /* 2 */
 		goto S_745_0;
 S_745_0: /* 2 */
@@ -4925,7 +4930,7 @@
 		/* else */;
 		goto S_744_0;
 S_743_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.105, near line 153)");
+		Uerror("blocking sel in d_step (nr.105, near line 154)");
 S_744_0: /* 2 */
 		goto S_751_0;
 S_751_0: /* 2 */
@@ -4945,7 +4950,7 @@
 		/* else */;
 		goto S_750_0;
 S_749_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.106, near line 153)");
+		Uerror("blocking sel in d_step (nr.106, near line 154)");
 S_750_0: /* 2 */
 		goto S_757_0;
 S_757_0: /* 2 */
@@ -4965,7 +4970,7 @@
 		/* else */;
 		goto S_756_0;
 S_755_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.107, near line 153)");
+		Uerror("blocking sel in d_step (nr.107, near line 154)");
 S_756_0: /* 2 */
 		goto S_763_0;
 S_763_0: /* 2 */
@@ -4985,7 +4990,7 @@
 		/* else */;
 		goto S_762_0;
 S_761_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.108, near line 153)");
+		Uerror("blocking sel in d_step (nr.108, near line 154)");
 S_762_0: /* 2 */
 		goto S_788_0;
 S_788_0: /* 2 */
@@ -5015,7 +5020,7 @@
 		/* else */;
 		goto S_770_0;
 S_769_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.109, near line 129)");
+		Uerror("blocking sel in d_step (nr.109, near line 130)");
 S_770_0: /* 2 */
 S_771_0: /* 2 */
 		now.replica[ Index(((P0 *)_this)->self, 4) ].unsure = (((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].unsure)||((int)now.replica[3].unsure));
@@ -5076,11 +5081,11 @@
 		/* else */;
 		goto S_783_0;
 S_782_3: /* 3 */
-		Uerror("blocking sel in d_step (nr.110, near line 141)");
+		Uerror("blocking sel in d_step (nr.110, near line 142)");
 S_783_0: /* 2 */
 		goto S_785_0;
 S_784_3: /* 3 */
-		Uerror("blocking sel in d_step (nr.111, near line 136)");
+		Uerror("blocking sel in d_step (nr.111, near line 137)");
 S_785_0: /* 2 */
 		goto S_789_0;
 S_788_1: /* 3 */
@@ -5088,7 +5093,7 @@
 		/* else */;
 		goto S_789_0;
 S_788_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.112, near line 171)");
+		Uerror("blocking sel in d_step (nr.112, near line 172)");
 S_789_0: /* 2 */
 S_790_0: /* 2 */
 		now.replica[ Index(((P0 *)_this)->self, 4) ].source[3] = ((int)now.replica[3].life);
@@ -5118,7 +5123,7 @@
 		;
 		goto S_796_0;
 S_795_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.113, near line 176)");
+		Uerror("blocking sel in d_step (nr.113, near line 177)");
 S_796_0: /* 2 */
 S_817_0: /* 2 */
 S_800_0: /* 2 */
@@ -5137,7 +5142,7 @@
 		/* else */;
 		goto S_801_0;
 S_800_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.114, near line 102)");
+		Uerror("blocking sel in d_step (nr.114, near line 103)");
 S_801_0: /* 2 */
 S_805_0: /* 2 */
 S_802_0: /* 2 */
@@ -5155,7 +5160,7 @@
 		/* else */;
 		goto S_806_0;
 S_805_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.115, near line 106)");
+		Uerror("blocking sel in d_step (nr.115, near line 107)");
 S_806_0: /* 2 */
 S_815_0: /* 2 */
 S_807_0: /* 2 */
@@ -5198,7 +5203,7 @@
 		/* else */;
 		goto S_816_0;
 S_815_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.116, near line 110)");
+		Uerror("blocking sel in d_step (nr.116, near line 111)");
 S_816_0: /* 2 */
 		goto S_861_0; /* '.' */
 		goto S_861_0; /* ';' */
@@ -5210,7 +5215,7 @@
 #endif
 		_m = 3; goto P999;
 
-	case 56: // STATE 849 - ../../claim.pml:306 - [D_STEP306]
+	case 56: // STATE 849 - ../../claim.pml:307 - [D_STEP307]
 		if (!(boq == -1 && ((((int)mortal)&(1<<((int)((P0 *)_this)->self)))&&(((int)now.crashes)<((int)maxCrashes)))))
 			continue;
 
@@ -5358,7 +5363,7 @@
 		/* else */;
 		goto S_846_0;
 S_845_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.117, near line 204)");
+		Uerror("blocking sel in d_step (nr.117, near line 205)");
 S_846_0: /* 2 */
 		goto S_861_0; /* '.' */
 		goto S_861_0; /* ';' */
@@ -5369,7 +5374,7 @@
 #endif
 		_m = 3; goto P999;
 
-	case 57: // STATE 860 - ../../claim.pml:307 - [D_STEP307]
+	case 57: // STATE 860 - ../../claim.pml:308 - [D_STEP308]
 		if (!(boq == -1 && (((int)now.published)&& !(((int)now.replica[ Index(((int)((P0 *)_this)->self), 4) ].latest)))))
 			continue;
 
@@ -5436,7 +5441,7 @@
 #endif
 		_m = 3; goto P999;
 
-	case 58: // STATE 864 - ../../claim.pml:309 - [-end-] (0:0:0 - 1)
+	case 58: // STATE 864 - ../../claim.pml:310 - [-end-] (0:0:0 - 1)
 		IfNotBlocked
 		reached[0][864] = 1;
 		if (!delproc(1, II)) continue;
--- a/model/verifier/claim/pan.t
+++ b/model/verifier/claim/pan.t
@@ -28,14 +28,14 @@
 
 	trans[3] = (Trans **) emalloc(144*sizeof(Trans *));
 
-	T = trans[ 3][142] = settr(1169,2,0,0,0,"ATOMIC", 1, 2, 0);
-	T->nxt	= settr(1169,2,1,0,0,"ATOMIC", 1, 2, 0);
-	trans[3][1]	= settr(1028,2,23,3,3,"{c_code1}", 1, 2, 0);
-	T = trans[ 3][23] = settr(1050,0,0,0,0,"sub-sequence", 1, 2, 0);
-	T->nxt	= settr(1050,0,19,0,0,"sub-sequence", 1, 2, 0);
-	T = trans[ 3][19] = settr(1046,0,0,0,0,"sub-sequence", 1, 2, 0);
-	T->nxt	= settr(1046,0,2,0,0,"sub-sequence", 1, 2, 0);
-	trans[3][2]	= settr(1029,2,18,4,4,"replica[0].able = 0", 1, 2, 0); /* m: 3 -> 0,18 */
+	T = trans[ 3][142] = settr(1171,2,0,0,0,"ATOMIC", 1, 2, 0);
+	T->nxt	= settr(1171,2,1,0,0,"ATOMIC", 1, 2, 0);
+	trans[3][1]	= settr(1030,2,23,3,3,"{c_code1}", 1, 2, 0);
+	T = trans[ 3][23] = settr(1052,0,0,0,0,"sub-sequence", 1, 2, 0);
+	T->nxt	= settr(1052,0,19,0,0,"sub-sequence", 1, 2, 0);
+	T = trans[ 3][19] = settr(1048,0,0,0,0,"sub-sequence", 1, 2, 0);
+	T->nxt	= settr(1048,0,2,0,0,"sub-sequence", 1, 2, 0);
+	trans[3][2]	= settr(1031,2,18,4,4,"replica[0].able = 0", 1, 2, 0); /* m: 3 -> 0,18 */
 	reached3[3] = 1;
 	trans[3][3]	= settr(0,0,0,0,0,"replica[0].announced = 0",0,0,0);
 	trans[3][4]	= settr(0,0,0,0,0,"replica[0].holder = 0",0,0,0);
@@ -47,9 +47,9 @@
 	trans[3][10]	= settr(0,0,0,0,0,"replica[0].known[1] = 1",0,0,0);
 	trans[3][11]	= settr(0,0,0,0,0,"replica[0].known[2] = 1",0,0,0);
 	trans[3][12]	= settr(0,0,0,0,0,"replica[0].known[3] = 1",0,0,0);
-	T = trans[ 3][18] = settr(1045,0,0,0,0,"sub-sequence", 1, 2, 0);
-	T->nxt	= settr(1045,0,13,0,0,"sub-sequence", 1, 2, 0);
-	trans[3][13]	= settr(1040,2,45,5,5,"replica[0].source[0] = 0", 1, 2, 0); /* m: 14 -> 0,45 */
+	T = trans[ 3][18] = settr(1047,0,0,0,0,"sub-sequence", 1, 2, 0);
+	T->nxt	= settr(1047,0,13,0,0,"sub-sequence", 1, 2, 0);
+	trans[3][13]	= settr(1042,2,45,5,5,"replica[0].source[0] = 0", 1, 2, 0); /* m: 14 -> 0,45 */
 	reached3[14] = 1;
 	trans[3][14]	= settr(0,0,0,0,0,"replica[0].source[1] = 0",0,0,0);
 	trans[3][15]	= settr(0,0,0,0,0,"replica[0].source[2] = 0",0,0,0);
@@ -58,11 +58,11 @@
 	trans[3][20]	= settr(0,0,0,0,0,"replica[0].able = 1",0,0,0);
 	trans[3][21]	= settr(0,0,0,0,0,"replica[0].announced = 1",0,0,0);
 	trans[3][22]	= settr(0,0,0,0,0,"replica[0].life = 1",0,0,0);
-	T = trans[ 3][45] = settr(1072,0,0,0,0,"sub-sequence", 1, 2, 0);
-	T->nxt	= settr(1072,0,41,0,0,"sub-sequence", 1, 2, 0);
-	T = trans[ 3][41] = settr(1068,0,0,0,0,"sub-sequence", 1, 2, 0);
-	T->nxt	= settr(1068,0,24,0,0,"sub-sequence", 1, 2, 0);
-	trans[3][24]	= settr(1051,2,40,6,6,"replica[1].able = 0", 1, 2, 0); /* m: 25 -> 0,40 */
+	T = trans[ 3][45] = settr(1074,0,0,0,0,"sub-sequence", 1, 2, 0);
+	T->nxt	= settr(1074,0,41,0,0,"sub-sequence", 1, 2, 0);
+	T = trans[ 3][41] = settr(1070,0,0,0,0,"sub-sequence", 1, 2, 0);
+	T->nxt	= settr(1070,0,24,0,0,"sub-sequence", 1, 2, 0);
+	trans[3][24]	= settr(1053,2,40,6,6,"replica[1].able = 0", 1, 2, 0); /* m: 25 -> 0,40 */
 	reached3[25] = 1;
 	trans[3][25]	= settr(0,0,0,0,0,"replica[1].announced = 0",0,0,0);
 	trans[3][26]	= settr(0,0,0,0,0,"replica[1].holder = 0",0,0,0);
@@ -74,9 +74,9 @@
 	trans[3][32]	= settr(0,0,0,0,0,"replica[1].known[1] = 1",0,0,0);
 	trans[3][33]	= settr(0,0,0,0,0,"replica[1].known[2] = 1",0,0,0);
 	trans[3][34]	= settr(0,0,0,0,0,"replica[1].known[3] = 1",0,0,0);
-	T = trans[ 3][40] = settr(1067,0,0,0,0,"sub-sequence", 1, 2, 0);
-	T->nxt	= settr(1067,0,35,0,0,"sub-sequence", 1, 2, 0);
-	trans[3][35]	= settr(1062,2,67,7,7,"replica[1].source[0] = 0", 1, 2, 0); /* m: 36 -> 0,67 */
+	T = trans[ 3][40] = settr(1069,0,0,0,0,"sub-sequence", 1, 2, 0);
+	T->nxt	= settr(1069,0,35,0,0,"sub-sequence", 1, 2, 0);
+	trans[3][35]	= settr(1064,2,67,7,7,"replica[1].source[0] = 0", 1, 2, 0); /* m: 36 -> 0,67 */
 	reached3[36] = 1;
 	trans[3][36]	= settr(0,0,0,0,0,"replica[1].source[1] = 0",0,0,0);
 	trans[3][37]	= settr(0,0,0,0,0,"replica[1].source[2] = 0",0,0,0);
@@ -85,11 +85,11 @@
 	trans[3][42]	= settr(0,0,0,0,0,"replica[1].able = 1",0,0,0);
 	trans[3][43]	= settr(0,0,0,0,0,"replica[1].announced = 1",0,0,0);
 	trans[3][44]	= settr(0,0,0,0,0,"replica[1].life = 1",0,0,0);
-	T = trans[ 3][67] = settr(1094,0,0,0,0,"sub-sequence", 1, 2, 0);
-	T->nxt	= settr(1094,0,63,0,0,"sub-sequence", 1, 2, 0);
-	T = trans[ 3][63] = settr(1090,0,0,0,0,"sub-sequence", 1, 2, 0);
-	T->nxt	= settr(1090,0,46,0,0,"sub-sequence", 1, 2, 0);
-	trans[3][46]	= settr(1073,2,62,8,8,"replica[2].able = 0", 1, 2, 0); /* m: 47 -> 0,62 */
+	T = trans[ 3][67] = settr(1096,0,0,0,0,"sub-sequence", 1, 2, 0);
+	T->nxt	= settr(1096,0,63,0,0,"sub-sequence", 1, 2, 0);
+	T = trans[ 3][63] = settr(1092,0,0,0,0,"sub-sequence", 1, 2, 0);
+	T->nxt	= settr(1092,0,46,0,0,"sub-sequence", 1, 2, 0);
+	trans[3][46]	= settr(1075,2,62,8,8,"replica[2].able = 0", 1, 2, 0); /* m: 47 -> 0,62 */
 	reached3[47] = 1;
 	trans[3][47]	= settr(0,0,0,0,0,"replica[2].announced = 0",0,0,0);
 	trans[3][48]	= settr(0,0,0,0,0,"replica[2].holder = 0",0,0,0);
@@ -101,9 +101,9 @@
 	trans[3][54]	= settr(0,0,0,0,0,"replica[2].known[1] = 1",0,0,0);
 	trans[3][55]	= settr(0,0,0,0,0,"replica[2].known[2] = 1",0,0,0);
 	trans[3][56]	= settr(0,0,0,0,0,"replica[2].known[3] = 1",0,0,0);
-	T = trans[ 3][62] = settr(1089,0,0,0,0,"sub-sequence", 1, 2, 0);
-	T->nxt	= settr(1089,0,57,0,0,"sub-sequence", 1, 2, 0);
-	trans[3][57]	= settr(1084,2,85,9,9,"replica[2].source[0] = 0", 1, 2, 0); /* m: 58 -> 0,85 */
+	T = trans[ 3][62] = settr(1091,0,0,0,0,"sub-sequence", 1, 2, 0);
+	T->nxt	= settr(1091,0,57,0,0,"sub-sequence", 1, 2, 0);
+	trans[3][57]	= settr(1086,2,85,9,9,"replica[2].source[0] = 0", 1, 2, 0); /* m: 58 -> 0,85 */
 	reached3[58] = 1;
 	trans[3][58]	= settr(0,0,0,0,0,"replica[2].source[1] = 0",0,0,0);
 	trans[3][59]	= settr(0,0,0,0,0,"replica[2].source[2] = 0",0,0,0);
@@ -112,9 +112,9 @@
 	trans[3][64]	= settr(0,0,0,0,0,"replica[2].able = 1",0,0,0);
 	trans[3][65]	= settr(0,0,0,0,0,"replica[2].announced = 1",0,0,0);
 	trans[3][66]	= settr(0,0,0,0,0,"replica[2].life = 1",0,0,0);
-	T = trans[ 3][85] = settr(1112,0,0,0,0,"sub-sequence", 1, 2, 0);
-	T->nxt	= settr(1112,0,68,0,0,"sub-sequence", 1, 2, 0);
-	trans[3][68]	= settr(1095,2,84,10,10,"replica[3].able = 0", 1, 2, 0); /* m: 69 -> 0,84 */
+	T = trans[ 3][85] = settr(1114,0,0,0,0,"sub-sequence", 1, 2, 0);
+	T->nxt	= settr(1114,0,68,0,0,"sub-sequence", 1, 2, 0);
+	trans[3][68]	= settr(1097,2,84,10,10,"replica[3].able = 0", 1, 2, 0); /* m: 69 -> 0,84 */
 	reached3[69] = 1;
 	trans[3][69]	= settr(0,0,0,0,0,"replica[3].announced = 0",0,0,0);
 	trans[3][70]	= settr(0,0,0,0,0,"replica[3].holder = 0",0,0,0);
@@ -126,18 +126,18 @@
 	trans[3][76]	= settr(0,0,0,0,0,"replica[3].known[1] = 1",0,0,0);
 	trans[3][77]	= settr(0,0,0,0,0,"replica[3].known[2] = 1",0,0,0);
 	trans[3][78]	= settr(0,0,0,0,0,"replica[3].known[3] = 1",0,0,0);
-	T = trans[ 3][84] = settr(1111,0,0,0,0,"sub-sequence", 1, 2, 0);
-	T->nxt	= settr(1111,0,79,0,0,"sub-sequence", 1, 2, 0);
-	trans[3][79]	= settr(1106,2,99,11,11,"replica[3].source[0] = 0", 1, 2, 0); /* m: 80 -> 0,99 */
+	T = trans[ 3][84] = settr(1113,0,0,0,0,"sub-sequence", 1, 2, 0);
+	T->nxt	= settr(1113,0,79,0,0,"sub-sequence", 1, 2, 0);
+	trans[3][79]	= settr(1108,2,99,11,11,"replica[3].source[0] = 0", 1, 2, 0); /* m: 80 -> 0,99 */
 	reached3[80] = 1;
 	trans[3][80]	= settr(0,0,0,0,0,"replica[3].source[1] = 0",0,0,0);
 	trans[3][81]	= settr(0,0,0,0,0,"replica[3].source[2] = 0",0,0,0);
 	trans[3][82]	= settr(0,0,0,0,0,"replica[3].source[3] = 0",0,0,0);
 	trans[3][83]	= settr(0,0,0,0,0,"replica[3].sourceAble = 0",0,0,0);
 	trans[3][86]	= settr(0,0,0,0,0,"replica[3].life = 1",0,0,0);
-	T = trans[ 3][99] = settr(1126,0,0,0,0,"sub-sequence", 1, 2, 0);
-	T->nxt	= settr(1126,0,87,0,0,"sub-sequence", 1, 2, 0);
-	trans[3][87]	= settr(1114,2,112,12,12,"attempt[1].vote[0] = 0", 1, 2, 0); /* m: 88 -> 0,112 */
+	T = trans[ 3][99] = settr(1128,0,0,0,0,"sub-sequence", 1, 2, 0);
+	T->nxt	= settr(1128,0,87,0,0,"sub-sequence", 1, 2, 0);
+	trans[3][87]	= settr(1116,2,112,12,12,"attempt[1].vote[0] = 0", 1, 2, 0); /* m: 88 -> 0,112 */
 	reached3[88] = 1;
 	trans[3][88]	= settr(0,0,0,0,0,"attempt[1].vote[1] = 0",0,0,0);
 	trans[3][89]	= settr(0,0,0,0,0,"attempt[1].vote[2] = 0",0,0,0);
@@ -150,9 +150,9 @@
 	trans[3][96]	= settr(0,0,0,0,0,"attempt[1].voted[1] = 0",0,0,0);
 	trans[3][97]	= settr(0,0,0,0,0,"attempt[1].voted[2] = 0",0,0,0);
 	trans[3][98]	= settr(0,0,0,0,0,"attempt[1].voted[3] = 0",0,0,0);
-	T = trans[ 3][112] = settr(1139,0,0,0,0,"sub-sequence", 1, 2, 0);
-	T->nxt	= settr(1139,0,100,0,0,"sub-sequence", 1, 2, 0);
-	trans[3][100]	= settr(1127,2,125,13,13,"attempt[2].vote[0] = 0", 1, 2, 0); /* m: 101 -> 0,125 */
+	T = trans[ 3][112] = settr(1141,0,0,0,0,"sub-sequence", 1, 2, 0);
+	T->nxt	= settr(1141,0,100,0,0,"sub-sequence", 1, 2, 0);
+	trans[3][100]	= settr(1129,2,125,13,13,"attempt[2].vote[0] = 0", 1, 2, 0); /* m: 101 -> 0,125 */
 	reached3[101] = 1;
 	trans[3][101]	= settr(0,0,0,0,0,"attempt[2].vote[1] = 0",0,0,0);
 	trans[3][102]	= settr(0,0,0,0,0,"attempt[2].vote[2] = 0",0,0,0);
@@ -165,9 +165,9 @@
 	trans[3][109]	= settr(0,0,0,0,0,"attempt[2].voted[1] = 0",0,0,0);
 	trans[3][110]	= settr(0,0,0,0,0,"attempt[2].voted[2] = 0",0,0,0);
 	trans[3][111]	= settr(0,0,0,0,0,"attempt[2].voted[3] = 0",0,0,0);
-	T = trans[ 3][125] = settr(1152,0,0,0,0,"sub-sequence", 1, 2, 0);
-	T->nxt	= settr(1152,0,113,0,0,"sub-sequence", 1, 2, 0);
-	trans[3][113]	= settr(1140,2,126,14,14,"attempt[3].vote[0] = 0", 1, 2, 0); /* m: 114 -> 0,126 */
+	T = trans[ 3][125] = settr(1154,0,0,0,0,"sub-sequence", 1, 2, 0);
+	T->nxt	= settr(1154,0,113,0,0,"sub-sequence", 1, 2, 0);
+	trans[3][113]	= settr(1142,2,126,14,14,"attempt[3].vote[0] = 0", 1, 2, 0); /* m: 114 -> 0,126 */
 	reached3[114] = 1;
 	trans[3][114]	= settr(0,0,0,0,0,"attempt[3].vote[1] = 0",0,0,0);
 	trans[3][115]	= settr(0,0,0,0,0,"attempt[3].vote[2] = 0",0,0,0);
@@ -180,65 +180,65 @@
 	trans[3][122]	= settr(0,0,0,0,0,"attempt[3].voted[1] = 0",0,0,0);
 	trans[3][123]	= settr(0,0,0,0,0,"attempt[3].voted[2] = 0",0,0,0);
 	trans[3][124]	= settr(0,0,0,0,0,"attempt[3].voted[3] = 0",0,0,0);
-	trans[3][126]	= settr(1153,2,127,15,15,"(run Node(0))", 1, 2, 0);
-	trans[3][127]	= settr(1154,2,128,16,16,"(run Node(1))", 1, 2, 0);
-	trans[3][128]	= settr(1155,2,132,17,17,"(run Node(2))", 1, 2, 0);
-	T = trans[3][132] = settr(1159,2,0,0,0,"IF", 1, 2, 0);
-	T = T->nxt	= settr(1159,2,129,0,0,"IF", 1, 2, 0);
-	    T->nxt	= settr(1159,2,131,0,0,"IF", 1, 2, 0);
-	trans[3][129]	= settr(1156,2,130,18,0,"(change)", 1, 2, 0);
-	trans[3][130]	= settr(1157,2,134,19,19,"(run Node(3))", 1, 2, 0);
-	trans[3][133]	= settr(1160,2,134,1,0,".(goto)", 1, 2, 0);
-	trans[3][131]	= settr(1158,2,134,2,0,"else", 1, 2, 0);
-	trans[3][134]	= settr(1161,2,135,20,20,"(run Coordinator(1))", 1, 2, 0);
-	trans[3][135]	= settr(1162,2,139,21,21,"(run Coordinator(2))", 1, 2, 0);
-	T = trans[3][139] = settr(1166,2,0,0,0,"IF", 1, 2, 0);
-	T = T->nxt	= settr(1166,2,136,0,0,"IF", 1, 2, 0);
-	    T->nxt	= settr(1166,2,138,0,0,"IF", 1, 2, 0);
-	trans[3][136]	= settr(1163,2,137,22,0,"((attempts>2))", 1, 2, 0);
-	trans[3][137]	= settr(1164,2,140,23,23,"(run Coordinator(3))", 1, 2, 0);
-	trans[3][140]	= settr(1167,2,141,1,0,".(goto)", 1, 2, 0);
-	trans[3][138]	= settr(1165,2,140,2,0,"else", 1, 2, 0);
-	trans[3][141]	= settr(1168,0,143,24,24,"(run Configuration())", 1, 2, 0);
-	trans[3][143]	= settr(1170,0,0,25,25,"-end-", 0, 3500, 0);
+	trans[3][126]	= settr(1155,2,127,15,15,"(run Node(0))", 1, 2, 0);
+	trans[3][127]	= settr(1156,2,128,16,16,"(run Node(1))", 1, 2, 0);
+	trans[3][128]	= settr(1157,2,132,17,17,"(run Node(2))", 1, 2, 0);
+	T = trans[3][132] = settr(1161,2,0,0,0,"IF", 1, 2, 0);
+	T = T->nxt	= settr(1161,2,129,0,0,"IF", 1, 2, 0);
+	    T->nxt	= settr(1161,2,131,0,0,"IF", 1, 2, 0);
+	trans[3][129]	= settr(1158,2,130,18,0,"(change)", 1, 2, 0);
+	trans[3][130]	= settr(1159,2,134,19,19,"(run Node(3))", 1, 2, 0);
+	trans[3][133]	= settr(1162,2,134,1,0,".(goto)", 1, 2, 0);
+	trans[3][131]	= settr(1160,2,134,2,0,"else", 1, 2, 0);
+	trans[3][134]	= settr(1163,2,135,20,20,"(run Coordinator(1))", 1, 2, 0);
+	trans[3][135]	= settr(1164,2,139,21,21,"(run Coordinator(2))", 1, 2, 0);
+	T = trans[3][139] = settr(1168,2,0,0,0,"IF", 1, 2, 0);
+	T = T->nxt	= settr(1168,2,136,0,0,"IF", 1, 2, 0);
+	    T->nxt	= settr(1168,2,138,0,0,"IF", 1, 2, 0);
+	trans[3][136]	= settr(1165,2,137,22,0,"((attempts>2))", 1, 2, 0);
+	trans[3][137]	= settr(1166,2,140,23,23,"(run Coordinator(3))", 1, 2, 0);
+	trans[3][140]	= settr(1169,2,141,1,0,".(goto)", 1, 2, 0);
+	trans[3][138]	= settr(1167,2,140,2,0,"else", 1, 2, 0);
+	trans[3][141]	= settr(1170,0,143,24,24,"(run Configuration())", 1, 2, 0);
+	trans[3][143]	= settr(1172,0,0,25,25,"-end-", 0, 3500, 0);
 
 	/* proctype 2: Configuration */
 
 	trans[2] = (Trans **) emalloc(11*sizeof(Trans *));
 
-	trans[2][8]	= settr(1025,0,7,1,0,".(goto)", 0, 2, 0);
-	T = trans[2][7] = settr(1024,0,0,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(1024,0,3,0,0,"DO", 0, 2, 0);
-	    T->nxt	= settr(1024,0,6,0,0,"DO", 0, 2, 0);
-/*->*/	trans[2][3]	= settr(1020,32,7,26,26,"D_STEP397", 1, 2, 0);
-/*->*/	trans[2][6]	= settr(1023,32,7,27,27,"D_STEP398", 1, 2, 0);
-	trans[2][9]	= settr(1026,0,10,1,0,"break", 0, 2, 0);
-	trans[2][10]	= settr(1027,0,0,28,28,"-end-", 0, 3500, 0);
+	trans[2][8]	= settr(1027,0,7,1,0,".(goto)", 0, 2, 0);
+	T = trans[2][7] = settr(1026,0,0,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(1026,0,3,0,0,"DO", 0, 2, 0);
+	    T->nxt	= settr(1026,0,6,0,0,"DO", 0, 2, 0);
+/*->*/	trans[2][3]	= settr(1022,32,7,26,26,"D_STEP404", 1, 2, 0);
+/*->*/	trans[2][6]	= settr(1025,32,7,27,27,"D_STEP405", 1, 2, 0);
+	trans[2][9]	= settr(1028,0,10,1,0,"break", 0, 2, 0);
+	trans[2][10]	= settr(1029,0,0,28,28,"-end-", 0, 3500, 0);
 
 	/* proctype 1: Coordinator */
 
-	trans[1] = (Trans **) emalloc(155*sizeof(Trans *));
-
-	trans[1][152]	= settr(1015,0,151,1,0,".(goto)", 0, 2, 0);
-	T = trans[1][151] = settr(1014,0,0,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(1014,0,19,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(1014,0,39,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(1014,0,58,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(1014,0,77,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(1014,0,93,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(1014,0,113,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(1014,0,130,0,0,"DO", 0, 2, 0);
-	    T->nxt	= settr(1014,0,150,0,0,"DO", 0, 2, 0);
-/*->*/	trans[1][19]	= settr(882,32,151,29,29,"D_STEP378", 1, 2, 0);
-/*->*/	trans[1][39]	= settr(902,32,151,30,30,"D_STEP379", 1, 2, 0);
-/*->*/	trans[1][58]	= settr(921,32,151,31,31,"D_STEP380", 1, 2, 0);
-/*->*/	trans[1][77]	= settr(940,32,151,32,32,"D_STEP381", 1, 2, 0);
-/*->*/	trans[1][93]	= settr(956,32,151,33,33,"D_STEP382", 1, 2, 0);
-/*->*/	trans[1][113]	= settr(976,32,151,34,34,"D_STEP383", 1, 2, 0);
-/*->*/	trans[1][130]	= settr(993,32,151,35,35,"D_STEP384", 1, 2, 0);
-/*->*/	trans[1][150]	= settr(1013,32,151,36,36,"D_STEP385", 1, 2, 0);
-	trans[1][153]	= settr(1016,0,154,1,0,"break", 0, 2, 0);
-	trans[1][154]	= settr(1017,0,0,37,37,"-end-", 0, 3500, 0);
+	trans[1] = (Trans **) emalloc(157*sizeof(Trans *));
+
+	trans[1][154]	= settr(1017,0,153,1,0,".(goto)", 0, 2, 0);
+	T = trans[1][153] = settr(1016,0,0,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(1016,0,19,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(1016,0,39,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(1016,0,58,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(1016,0,77,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(1016,0,93,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(1016,0,114,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(1016,0,131,0,0,"DO", 0, 2, 0);
+	    T->nxt	= settr(1016,0,152,0,0,"DO", 0, 2, 0);
+/*->*/	trans[1][19]	= settr(882,32,153,29,29,"D_STEP385", 1, 2, 0);
+/*->*/	trans[1][39]	= settr(902,32,153,30,30,"D_STEP386", 1, 2, 0);
+/*->*/	trans[1][58]	= settr(921,32,153,31,31,"D_STEP387", 1, 2, 0);
+/*->*/	trans[1][77]	= settr(940,32,153,32,32,"D_STEP388", 1, 2, 0);
+/*->*/	trans[1][93]	= settr(956,32,153,33,33,"D_STEP389", 1, 2, 0);
+/*->*/	trans[1][114]	= settr(977,32,153,34,34,"D_STEP390", 1, 2, 0);
+/*->*/	trans[1][131]	= settr(994,32,153,35,35,"D_STEP391", 1, 2, 0);
+/*->*/	trans[1][152]	= settr(1015,32,153,36,36,"D_STEP392", 1, 2, 0);
+	trans[1][155]	= settr(1018,0,156,1,0,"break", 0, 2, 0);
+	trans[1][156]	= settr(1019,0,0,37,37,"-end-", 0, 3500, 0);
 
 	/* proctype 0: Node */
 
@@ -266,26 +266,26 @@
 	T = T->nxt	= settr(860,0,820,0,0,"DO", 0, 2, 0);
 	T = T->nxt	= settr(860,0,849,0,0,"DO", 0, 2, 0);
 	    T->nxt	= settr(860,0,860,0,0,"DO", 0, 2, 0);
-/*->*/	trans[0][37]	= settr(36,32,861,38,38,"D_STEP288", 1, 2, 0);
-/*->*/	trans[0][74]	= settr(73,32,861,39,39,"D_STEP289", 1, 2, 0);
-/*->*/	trans[0][111]	= settr(110,32,861,40,40,"D_STEP290", 1, 2, 0);
-/*->*/	trans[0][148]	= settr(147,32,861,41,41,"D_STEP291", 1, 2, 0);
-/*->*/	trans[0][185]	= settr(184,32,861,42,42,"D_STEP292", 1, 2, 0);
-/*->*/	trans[0][222]	= settr(221,32,861,43,43,"D_STEP293", 1, 2, 0);
-/*->*/	trans[0][259]	= settr(258,32,861,44,44,"D_STEP294", 1, 2, 0);
-/*->*/	trans[0][295]	= settr(294,32,861,45,45,"D_STEP295", 1, 2, 0);
-/*->*/	trans[0][331]	= settr(330,32,861,46,46,"D_STEP296", 1, 2, 0);
-/*->*/	trans[0][367]	= settr(366,32,861,47,47,"D_STEP297", 1, 2, 0);
-/*->*/	trans[0][403]	= settr(402,32,861,48,48,"D_STEP298", 1, 2, 0);
-/*->*/	trans[0][418]	= settr(417,32,861,49,49,"D_STEP299", 1, 2, 0);
-/*->*/	trans[0][433]	= settr(432,32,861,50,50,"D_STEP300", 1, 2, 0);
-/*->*/	trans[0][448]	= settr(447,32,861,51,51,"D_STEP301", 1, 2, 0);
-/*->*/	trans[0][541]	= settr(540,32,861,52,52,"D_STEP302", 1, 2, 0);
-/*->*/	trans[0][634]	= settr(633,32,861,53,53,"D_STEP303", 1, 2, 0);
-/*->*/	trans[0][727]	= settr(726,32,861,54,54,"D_STEP304", 1, 2, 0);
-/*->*/	trans[0][820]	= settr(819,32,861,55,55,"D_STEP305", 1, 2, 0);
-/*->*/	trans[0][849]	= settr(848,32,861,56,56,"D_STEP306", 1, 2, 0);
-/*->*/	trans[0][860]	= settr(859,32,861,57,57,"D_STEP307", 1, 2, 0);
+/*->*/	trans[0][37]	= settr(36,32,861,38,38,"D_STEP289", 1, 2, 0);
+/*->*/	trans[0][74]	= settr(73,32,861,39,39,"D_STEP290", 1, 2, 0);
+/*->*/	trans[0][111]	= settr(110,32,861,40,40,"D_STEP291", 1, 2, 0);
+/*->*/	trans[0][148]	= settr(147,32,861,41,41,"D_STEP292", 1, 2, 0);
+/*->*/	trans[0][185]	= settr(184,32,861,42,42,"D_STEP293", 1, 2, 0);
+/*->*/	trans[0][222]	= settr(221,32,861,43,43,"D_STEP294", 1, 2, 0);
+/*->*/	trans[0][259]	= settr(258,32,861,44,44,"D_STEP295", 1, 2, 0);
+/*->*/	trans[0][295]	= settr(294,32,861,45,45,"D_STEP296", 1, 2, 0);
+/*->*/	trans[0][331]	= settr(330,32,861,46,46,"D_STEP297", 1, 2, 0);
+/*->*/	trans[0][367]	= settr(366,32,861,47,47,"D_STEP298", 1, 2, 0);
+/*->*/	trans[0][403]	= settr(402,32,861,48,48,"D_STEP299", 1, 2, 0);
+/*->*/	trans[0][418]	= settr(417,32,861,49,49,"D_STEP300", 1, 2, 0);
+/*->*/	trans[0][433]	= settr(432,32,861,50,50,"D_STEP301", 1, 2, 0);
+/*->*/	trans[0][448]	= settr(447,32,861,51,51,"D_STEP302", 1, 2, 0);
+/*->*/	trans[0][541]	= settr(540,32,861,52,52,"D_STEP303", 1, 2, 0);
+/*->*/	trans[0][634]	= settr(633,32,861,53,53,"D_STEP304", 1, 2, 0);
+/*->*/	trans[0][727]	= settr(726,32,861,54,54,"D_STEP305", 1, 2, 0);
+/*->*/	trans[0][820]	= settr(819,32,861,55,55,"D_STEP306", 1, 2, 0);
+/*->*/	trans[0][849]	= settr(848,32,861,56,56,"D_STEP307", 1, 2, 0);
+/*->*/	trans[0][860]	= settr(859,32,861,57,57,"D_STEP308", 1, 2, 0);
 	trans[0][863]	= settr(862,0,864,1,0,"break", 0, 2, 0);
 	trans[0][864]	= settr(863,0,0,58,58,"-end-", 0, 3500, 0);
 	/* np_ demon: */
--- a/model/verifier/distribution/pan.b
+++ b/model/verifier/distribution/pan.b
@@ -201,17 +201,17 @@
 	case 43: // STATE 172
 		sv_restor();
 		goto R999;
-	case 44: // STATE 192
+	case 44: // STATE 193
 		sv_restor();
 		goto R999;
-	case 45: // STATE 199
+	case 45: // STATE 201
 		sv_restor();
 		goto R999;
-	case 46: // STATE 209
+	case 46: // STATE 212
 		sv_restor();
 		goto R999;
 
-	case 47: // STATE 213
+	case 47: // STATE 216
 		;
 		p_restor(II);
 		;
--- a/model/verifier/distribution/pan.c
+++ b/model/verifier/distribution/pan.c
@@ -513,11 +513,11 @@
 uchar *loopstate4;
 
 short src_ln3 [] = {
-	  0, 321, 310, 311, 312, 313, 314, 315, 
-	316, 309, 310, 311, 312, 313, 314, 315, 
-	316, 309, 310, 311, 312, 313, 314, 315, 
-	316, 309, 335, 336, 337, 338, 339, 320, 
-	341,   0, };
+	  0, 327, 316, 317, 318, 319, 320, 321, 
+	322, 315, 316, 317, 318, 319, 320, 321, 
+	322, 315, 316, 317, 318, 319, 320, 321, 
+	322, 315, 342, 343, 344, 345, 346, 326, 
+	348,   0, };
 S_F_MAP src_file3 [] = {
 	{ "-", 0, 0 },
 	{ "../../distribution.pml", 1, 32 },
@@ -532,7 +532,7 @@
 uchar *loopstate3;
 
 short src_ln2 [] = {
-	  0, 305, 306, 307,   0, };
+	  0, 311, 312, 313,   0, };
 S_F_MAP src_file2 [] = {
 	{ "-", 0, 0 },
 	{ "../../distribution.pml", 1, 3 },
@@ -543,21 +543,21 @@
 uchar *loopstate2;
 
 short src_ln1 [] = {
-	  0,   0,   0, 274,   0,   0,   0,   0, 
+	  0,   0,   0, 280,   0,   0,   0,   0, 
 	  0,   0,   0,   0,   0,   0,   0,   0, 
 	  0,   0,   0,   0,   0,   0,   0,   0, 
-	  0,   0,   0,   0,   0, 275,   0,   0, 
+	  0,   0,   0,   0,   0, 281,   0,   0, 
 	  0,   0,   0,   0,   0,   0,   0,   0, 
 	  0,   0,   0,   0,   0,   0,   0,   0, 
-	  0,   0,   0,   0,   0,   0,   0, 276, 
+	  0,   0,   0,   0,   0,   0,   0, 282, 
 	  0,   0,   0,   0,   0,   0,   0,   0, 
 	  0,   0,   0,   0,   0,   0,   0,   0, 
 	  0,   0,   0,   0,   0,   0,   0,   0, 
-	  0, 277,   0,   0,   0,   0,   0, 278, 
-	  0,   0,   0,   0,   0, 279,   0,   0, 
-	  0,   0,   0, 280,   0,   0,   0, 281, 
-	  0,   0, 282,   0,   0, 283,   0,   0, 
-	  0, 284, 273, 286, 273, 286,   0, };
+	  0, 283,   0,   0,   0,   0,   0, 284, 
+	  0,   0,   0,   0,   0, 285,   0,   0, 
+	  0,   0,   0, 286,   0,   0,   0, 287, 
+	  0,   0, 288,   0,   0, 289,   0,   0, 
+	  0, 290, 279, 292, 279, 292,   0, };
 S_F_MAP src_file1 [] = {
 	{ "-", 0, 2 },
 	{ "../../distribution.pml", 3, 3 },
@@ -604,31 +604,32 @@
 short src_ln0 [] = {
 	  0,   0,   0,   0,   0,   0,   0,   0, 
 	  0,   0,   0,   0,   0,   0,   0,   0, 
-	  0,   0, 208,   0,   0,   0,   0,   0, 
+	  0,   0, 214,   0,   0,   0,   0,   0, 
 	  0,   0,   0,   0,   0,   0,   0,   0, 
-	  0,   0,   0,   0, 209,   0,   0,   0, 
+	  0,   0,   0,   0, 215,   0,   0,   0, 
 	  0,   0,   0,   0,   0,   0,   0,   0, 
-	  0,   0,   0,   0,   0,   0, 210,   0, 
+	  0,   0,   0,   0,   0,   0, 216,   0, 
 	  0,   0,   0,   0,   0,   0,   0,   0, 
 	  0,   0,   0,   0,   0,   0,   0,   0, 
-	211,   0,   0,   0,   0,   0,   0,   0, 
-	  0,   0,   0,   0,   0,   0,   0,   0, 
-	  0,   0, 212,   0,   0,   0,   0,   0, 
+	217,   0,   0,   0,   0,   0,   0,   0, 
 	  0,   0,   0,   0,   0,   0,   0,   0, 
-	  0,   0,   0,   0, 213,   0,   0,   0, 
-	  0,   0,   0,   0,   0,   0,   0, 214, 
+	  0,   0, 218,   0,   0,   0,   0,   0, 
 	  0,   0,   0,   0,   0,   0,   0,   0, 
-	  0,   0, 215,   0,   0, 216,   0,   0, 
-	217,   0,   0,   0,   0,   0,   0,   0, 
-	  0, 218,   0,   0,   0,   0,   0,   0, 
-	  0,   0, 219,   0,   0,   0,   0,   0, 
-	  0,   0,   0, 220,   0,   0,   0,   0, 
-	  0,   0,   0,   0, 221,   0,   0,   0, 
+	  0,   0,   0,   0, 219,   0,   0,   0, 
+	  0,   0,   0,   0,   0,   0,   0, 220, 
 	  0,   0,   0,   0,   0,   0,   0,   0, 
+	  0,   0, 221,   0,   0, 222,   0,   0, 
+	223,   0,   0,   0,   0,   0,   0,   0, 
+	  0, 224,   0,   0,   0,   0,   0,   0, 
+	  0,   0, 225,   0,   0,   0,   0,   0, 
+	  0,   0,   0, 226,   0,   0,   0,   0, 
+	  0,   0,   0,   0, 227,   0,   0,   0, 
 	  0,   0,   0,   0,   0,   0,   0,   0, 
-	222,   0,   0,   0,   0,   0,   0, 223, 
 	  0,   0,   0,   0,   0,   0,   0,   0, 
-	  0, 224, 207, 226, 207, 226,   0, };
+	  0, 228,   0,   0,   0,   0,   0,   0, 
+	  0, 229,   0,   0,   0,   0,   0,   0, 
+	  0,   0,   0,   0, 230, 213, 232, 213, 
+	232,   0, };
 S_F_MAP src_file0 [] = {
 	{ "-", 0, 17 },
 	{ "../../distribution.pml", 18, 18 },
@@ -658,13 +659,13 @@
 	{ "../../distribution.pml", 163, 163 },
 	{ "-", 164, 171 },
 	{ "../../distribution.pml", 172, 172 },
-	{ "-", 173, 191 },
-	{ "../../distribution.pml", 192, 192 },
-	{ "-", 193, 198 },
-	{ "../../distribution.pml", 199, 199 },
-	{ "-", 200, 208 },
-	{ "../../distribution.pml", 209, 213 },
-	{ "-", 214, 215 }
+	{ "-", 173, 192 },
+	{ "../../distribution.pml", 193, 193 },
+	{ "-", 194, 200 },
+	{ "../../distribution.pml", 201, 201 },
+	{ "-", 202, 211 },
+	{ "../../distribution.pml", 212, 216 },
+	{ "-", 217, 218 }
 };
 uchar reached0 [] = {
 	  0,   0,   1,   1,   1,   1,   1,   1, 
@@ -690,10 +691,11 @@
 	  0,   0,   0,   1,   0,   1,   1,   1, 
 	  1,   0,   0,   0,   1,   0,   1,   1, 
 	  1,   1,   1,   0,   0,   1,   1,   1, 
-	  1,   0,   0,   0,   0,   1,   1,   0, 
-	  1,   0,   1,   1,   1,   1,   0,   1, 
-	  0,   1,   1,   1,   1,   1,   1,   1, 
-	  0,   1,   0,   1,   1,   0,   0, };
+	  1,   1,   0,   0,   0,   0,   1,   1, 
+	  0,   1,   0,   1,   1,   1,   1,   1, 
+	  0,   1,   0,   1,   1,   1,   1,   1, 
+	  1,   1,   1,   0,   1,   0,   1,   1, 
+	  0,   0, };
 uchar *loopstate0;
 uchar reached5[3];  /* np_ */
 uchar *loopstate5;  /* np_ */
@@ -718,7 +720,7 @@
 struct {
 	char *c; char *t;
 } code_lookup[] = {
-	{ "c_code1", "      mutant = atoi(getenv(\"MUTANT\"));\n      quorum = atoi(getenv(\"QUORUM\"));\n      newest = atoi(getenv(\"NEWEST\"));\n      maxCrashes = atoi(getenv(\"CRASHES\"));\n      mortal = atoi(getenv(\"MORTAL\"));\n      maxCuts = atoi(getenv(\"CUTS\"));\n      ending = atoi(getenv(\"ENDING\"));\n      now.acceptedByQuorum = atoi(getenv(\"START\"));\n      now.published = now.acceptedByQuorum > 0 ? now.acceptedByQuorum : 1;\n    " },
+	{ "c_code1", "      mutant = atoi(getenv(\"MUTANT\"));\n      quorum = atoi(getenv(\"QUORUM\"));\n      newest = atoi(getenv(\"NEWEST\"));\n      maxCrashes = atoi(getenv(\"CRASHES\"));\n      mortal = atoi(getenv(\"MORTAL\"));\n      maxCuts = atoi(getenv(\"CUTS\"));\n      ending = atoi(getenv(\"ENDING\"));\n      witness = atoi(getenv(\"WITNESS\"));\n      now.acceptedByQuorum = atoi(getenv(\"START\"));\n      now.published = now.acceptedByQuorum > 0 ? now.acceptedByQuorum : 1;\n    " },
 	{ (char *) 0, "" }
 };
 
@@ -1076,11 +1078,11 @@
 		break;
 	case 0:	/* Process */
 		((P0 *)pptr(h))->_t = 0;
-		((P0 *)pptr(h))->_p = 210;
+		((P0 *)pptr(h))->_p = 213;
 #ifdef HAS_PRIORITY
 		((P0 *)pptr(h))->_priority = priority; /* was: 1 */
 #endif
-		reached0[210]=1;
+		reached0[213]=1;
 		/* params: */
 		((P0 *)pptr(h))->self = par0;
 		/* locals: */
@@ -1269,7 +1271,7 @@
 	accpstate[4][10] = 1;
 	stopstate[2][1] = 1;
 	stopstate[1][114] = 1;
-	stopstate[0][210] = 1;
+	stopstate[0][213] = 1;
 	retrans(0, _nstates0, _start0, src_ln0, reached0, loopstate0);
 	retrans(1, _nstates1, _start1, src_ln1, reached1, loopstate1);
 	retrans(2, _nstates2, _start2, src_ln2, reached2, loopstate2);
@@ -12639,6 +12641,7 @@
 		mortal = 0;
 		maxCuts = 0;
 		ending = 0;
+		witness = 0;
 		staged_in_part = 0;
 		moved_back = 0;
 		activated_in_part = 0;
@@ -12647,6 +12650,7 @@
 		ready_behind = 0;
 		accepted_lost = 0;
 		not_converged = 0;
+		witness_found = 0;
 		now.node[0].up = 0;
 		now.node[0].ready = 0;
 		now.node[0].service = 0;
@@ -14542,7 +14546,7 @@
 {	unused++; /* avoid complaints */
 }
 
-Trans *t_id_lkup[378];
+Trans *t_id_lkup[381];
 
 
 #ifdef BFS_PAR
--- a/model/verifier/distribution/pan.h
+++ b/model/verifier/distribution/pan.h
@@ -103,7 +103,7 @@
 	#define NFAIR	2	/* must be >= 2 */
 #endif
 #define ETIM	1
-#define HAS_HIDDEN	15
+#define HAS_HIDDEN	17
 #if defined(BFS_PAR) || defined(BFS)
 	#error cannot use BFS on models with variables declared hidden
 #endif
@@ -145,29 +145,29 @@
 } S_F_MAP;
 
 #define _nstates4	14	/* converges */
-#define minseq4	365
-#define maxseq4	377
+#define minseq4	368
+#define maxseq4	380
 #define _endstate4	13
 
 #define _nstates3	33	/* :init: */
-#define minseq3	333
-#define maxseq3	364
+#define minseq3	336
+#define maxseq3	367
 #define _endstate3	32
 
 #define _nstates2	4	/* Monitor */
-#define minseq2	330
-#define maxseq2	332
+#define minseq2	333
+#define maxseq2	335
 #define _endstate2	3
 
 #define _nstates1	118	/* Faults */
-#define minseq1	213
-#define maxseq1	329
+#define minseq1	216
+#define maxseq1	332
 #define _endstate1	117
 
-#define _nstates0	214	/* Process */
+#define _nstates0	217	/* Process */
 #define minseq0	0
-#define maxseq0	212
-#define _endstate0	213
+#define maxseq0	215
+#define _endstate0	216
 
 extern short src_ln4[];
 extern short src_ln3[];
@@ -505,6 +505,7 @@
 /* hidden variable: */	uchar mortal;
 /* hidden variable: */	uchar maxCuts;
 /* hidden variable: */	uchar ending;
+/* hidden variable: */	uchar witness;
 /* hidden variable: */	uchar staged_in_part;
 /* hidden variable: */	uchar moved_back;
 /* hidden variable: */	uchar activated_in_part;
@@ -513,6 +514,7 @@
 /* hidden variable: */	uchar ready_behind;
 /* hidden variable: */	uchar accepted_lost;
 /* hidden variable: */	uchar not_converged;
+/* hidden variable: */	uchar witness_found;
 #define FORWARD_MOVES	"pan.m"
 #define BACKWARD_MOVES	"pan.b"
 #define TRANSITIONS	"pan.t"
@@ -525,7 +527,7 @@
 #define _start3	31
 #define _start2	1
 #define _start1	114
-#define _start0	210
+#define _start0	213
 #ifdef NP
 	#define ACCEPT_LAB	1 /* at least 1 in np_ */
 #else
--- a/model/verifier/distribution/pan.m
+++ b/model/verifier/distribution/pan.m
@@ -73,7 +73,7 @@
 		_m = 3; goto P999; /* 0 */
 
 		 /* PROC :init: */
-	case 5: // STATE 1 - ../../distribution.pml:321 - [{c_code1}] (0:0:0 - 1)
+	case 5: // STATE 1 - ../../distribution.pml:327 - [{c_code1}] (0:0:0 - 1)
 		IfNotBlocked
 		reached[3][1] = 1;
 		/* c_code1 */
@@ -86,6 +86,7 @@
       mortal = atoi(getenv("MORTAL"));
       maxCuts = atoi(getenv("CUTS"));
       ending = atoi(getenv("ENDING"));
+      witness = atoi(getenv("WITNESS"));
       now.acceptedByQuorum = atoi(getenv("START"));
       now.published = now.acceptedByQuorum > 0 ? now.acceptedByQuorum : 1;
      }
@@ -95,7 +96,7 @@
 #endif
 ;
 		_m = 3; goto P999; /* 0 */
-	case 6: // STATE 2 - ../../distribution.pml:310 - [node[0].up = 1] (0:17:7 - 1)
+	case 6: // STATE 2 - ../../distribution.pml:316 - [node[0].up = 1] (0:17:7 - 1)
 		IfNotBlocked
 		reached[3][2] = 1;
 		(trpt+1)->bup.ovals = grab_ints(7);
@@ -154,7 +155,7 @@
 #endif
 		;
 		_m = 3; goto P999; /* 6 */
-	case 7: // STATE 10 - ../../distribution.pml:310 - [node[1].up = 1] (0:25:7 - 1)
+	case 7: // STATE 10 - ../../distribution.pml:316 - [node[1].up = 1] (0:25:7 - 1)
 		IfNotBlocked
 		reached[3][10] = 1;
 		(trpt+1)->bup.ovals = grab_ints(7);
@@ -213,7 +214,7 @@
 #endif
 		;
 		_m = 3; goto P999; /* 6 */
-	case 8: // STATE 18 - ../../distribution.pml:310 - [node[2].up = 1] (0:26:7 - 1)
+	case 8: // STATE 18 - ../../distribution.pml:316 - [node[2].up = 1] (0:26:7 - 1)
 		IfNotBlocked
 		reached[3][18] = 1;
 		(trpt+1)->bup.ovals = grab_ints(7);
@@ -272,62 +273,62 @@
 #endif
 		;
 		_m = 3; goto P999; /* 6 */
-	case 9: // STATE 26 - ../../distribution.pml:335 - [(run Process(0))] (0:0:0 - 1)
+	case 9: // STATE 26 - ../../distribution.pml:342 - [(run Process(0))] (0:0:0 - 1)
 		IfNotBlocked
 		reached[3][26] = 1;
 		if (!(addproc(II, 1, 0, 0)))
 			continue;
 		_m = 3; goto P999; /* 0 */
-	case 10: // STATE 27 - ../../distribution.pml:336 - [(run Process(1))] (0:0:0 - 1)
+	case 10: // STATE 27 - ../../distribution.pml:343 - [(run Process(1))] (0:0:0 - 1)
 		IfNotBlocked
 		reached[3][27] = 1;
 		if (!(addproc(II, 1, 0, 1)))
 			continue;
 		_m = 3; goto P999; /* 0 */
-	case 11: // STATE 28 - ../../distribution.pml:337 - [(run Process(2))] (0:0:0 - 1)
+	case 11: // STATE 28 - ../../distribution.pml:344 - [(run Process(2))] (0:0:0 - 1)
 		IfNotBlocked
 		reached[3][28] = 1;
 		if (!(addproc(II, 1, 0, 2)))
 			continue;
 		_m = 3; goto P999; /* 0 */
-	case 12: // STATE 29 - ../../distribution.pml:338 - [(run Faults())] (0:0:0 - 1)
+	case 12: // STATE 29 - ../../distribution.pml:345 - [(run Faults())] (0:0:0 - 1)
 		IfNotBlocked
 		reached[3][29] = 1;
 		if (!(addproc(II, 1, 1, 0)))
 			continue;
 		_m = 3; goto P999; /* 0 */
-	case 13: // STATE 30 - ../../distribution.pml:339 - [(run Monitor())] (0:0:0 - 1)
+	case 13: // STATE 30 - ../../distribution.pml:346 - [(run Monitor())] (0:0:0 - 1)
 		IfNotBlocked
 		reached[3][30] = 1;
 		if (!(addproc(II, 1, 2, 0)))
 			continue;
 		_m = 3; goto P999; /* 0 */
-	case 14: // STATE 32 - ../../distribution.pml:341 - [-end-] (0:0:0 - 1)
+	case 14: // STATE 32 - ../../distribution.pml:348 - [-end-] (0:0:0 - 1)
 		IfNotBlocked
 		reached[3][32] = 1;
 		if (!delproc(1, II)) continue;
 		_m = 3; goto P999; /* 0 */
 
 		 /* PROC Monitor */
-	case 15: // STATE 1 - ../../distribution.pml:305 - [((timeout&&(ending==2)))] (0:0:0 - 1)
+	case 15: // STATE 1 - ../../distribution.pml:311 - [((timeout&&(ending==2)))] (0:0:0 - 1)
 		IfNotBlocked
 		reached[2][1] = 1;
 		if (!((((trpt->tau)&1)&&(((int)ending)==2))))
 			continue;
 		_m = 1; goto P999; /* 0 */
-	case 16: // STATE 2 - ../../distribution.pml:306 - [assert((((((((faultsOver&&(!(node[0].up)||((((node[0].inForce==node[0].staged)&&(node[0].ready||(!(sourceUp)&&(node[0].inForce==0))))&&(!(sourceUp)||(node[0].inForce==published)))&&((crashes>=quorum)||(node[0].inForce>=acceptedByQuorum)))))&&(!(node[1].up)||((((node[1].inForce==node[1].staged)&&(node[1].ready||(!(sourceUp)&&(node[1].inForce==0))))&&(!(sourceUp)||(node[1].inForce==published)))&&((crashes>=quorum)||(node[1].inForce>=acceptedByQuorum)))))&&(!(node[2].up)||((((node[2].inForce==node[2].staged)&&(node[2].ready||(!(sourceUp)&&(node[2].inForce==0))))&&(!(sourceUp)||(node[2].inForce==published)))&&((crashes>=quorum)||(node[2].inForce>=acceptedByQuorum)))))&&((!(node[0].up)||!(node[1].up))||(node[0].inForce==node[1].inForce)))&&((!(node[1].up)||!(node[2].up))||(node[1].inForce==node[2].inForce)))&&((!(node[0].up)||!(node[2].up))||(node[0].inForce==node[2].inForce)))||not_converged))] (0:0:0 - 1)
+	case 16: // STATE 2 - ../../distribution.pml:312 - [assert((((((((faultsOver&&(!(node[0].up)||((((node[0].inForce==node[0].staged)&&(node[0].ready||(!(sourceUp)&&(node[0].inForce==0))))&&(!(sourceUp)||(node[0].inForce==published)))&&((crashes>=quorum)||(node[0].inForce>=acceptedByQuorum)))))&&(!(node[1].up)||((((node[1].inForce==node[1].staged)&&(node[1].ready||(!(sourceUp)&&(node[1].inForce==0))))&&(!(sourceUp)||(node[1].inForce==published)))&&((crashes>=quorum)||(node[1].inForce>=acceptedByQuorum)))))&&(!(node[2].up)||((((node[2].inForce==node[2].staged)&&(node[2].ready||(!(sourceUp)&&(node[2].inForce==0))))&&(!(sourceUp)||(node[2].inForce==published)))&&((crashes>=quorum)||(node[2].inForce>=acceptedByQuorum)))))&&((!(node[0].up)||!(node[1].up))||(node[0].inForce==node[1].inForce)))&&((!(node[1].up)||!(node[2].up))||(node[1].inForce==node[2].inForce)))&&((!(node[0].up)||!(node[2].up))||(node[0].inForce==node[2].inForce)))||not_converged))] (0:0:0 - 1)
 		IfNotBlocked
 		reached[2][2] = 1;
 		spin_assert((((((((((int)now.faultsOver)&&( !(((int)now.node[0].up))||((((((int)now.node[0].inForce)==((int)now.node[0].staged))&&(((int)now.node[0].ready)||( !(((int)now.sourceUp))&&(((int)now.node[0].inForce)==0))))&&( !(((int)now.sourceUp))||(((int)now.node[0].inForce)==((int)now.published))))&&((((int)now.crashes)>=((int)quorum))||(((int)now.node[0].inForce)>=((int)now.acceptedByQuorum))))))&&( !(((int)now.node[1].up))||((((((int)now.node[1].inForce)==((int)now.node[1].staged))&&(((int)now.node[1].ready)||( !(((int)now.sourceUp))&&(((int)now.node[1].inForce)==0))))&&( !(((int)now.sourceUp))||(((int)now.node[1].inForce)==((int)now.published))))&&((((int)now.crashes)>=((int)quorum))||(((int)now.node[1].inForce)>=((int)now.acceptedByQuorum))))))&&( !(((int)now.node[2].up))||((((((int)now.node[2].inForce)==((int)now.node[2].staged))&&(((int)now.node[2].ready)||( !(((int)now.sourceUp))&&(((int)now.node[2].inForce)==0))))&&( !(((int)now.sourceUp))||(((int)now.node[2].inForce)==((int)now.published))))&&((((int)now.crashes)>=((int)quorum))||(((int)now.node[2].inForce)>=((int)now.acceptedByQuorum))))))&&(( !(((int)now.node[0].up))|| !(((int)now.node[1].up)))||(((int)now.node[0].inForce)==((int)now.node[1].inForce))))&&(( !(((int)now.node[1].up))|| !(((int)now.node[2].up)))||(((int)now.node[1].inForce)==((int)now.node[2].inForce))))&&(( !(((int)now.node[0].up))|| !(((int)now.node[2].up)))||(((int)now.node[0].inForce)==((int)now.node[2].inForce))))||((int)not_converged)), "(((((((faultsOver&&( !(node[0].up)||((((node[0].inForce==node[0].staged)&&(node[0].ready||( !(sourceUp)&&(node[0].inForce==0))))&&( !(sourceUp)||(node[0].inForce==published)))&&((crashes>=quorum)||(node[0].inForce>=acceptedByQuorum)))))&&( !(node[1].up)||((((node[1].inForce==node[1].staged)&&(node[1].ready||( !(sourceUp)&&(node[1].inForce==0))))&&( !(sourceUp)||(node[1].inForce==published)))&&((crashes>=quorum)||(node[1].inForce>=acceptedByQuorum)))))&&( !(node[2].up)||((((node[2].inForce==node[2].staged)&&(node[2].ready||( !(sourceUp)&&(node[2].inForce==0))))&&( !(sourceUp)||(node[2].inForce==published)))&&((crashes>=quorum)||(node[2].inForce>=acceptedByQuorum)))))&&(( !(node[0].up)|| !(node[1].up))||(node[0].inForce==node[1].inForce)))&&(( !(node[1].up)|| !(node[2].up))||(node[1].inForce==node[2].inForce)))&&(( !(node[0].up)|| !(node[2].up))||(node[0].inForce==node[2].inForce)))||not_converged)", II, tt, t);
 		_m = 3; goto P999; /* 0 */
-	case 17: // STATE 3 - ../../distribution.pml:307 - [-end-] (0:0:0 - 1)
+	case 17: // STATE 3 - ../../distribution.pml:313 - [-end-] (0:0:0 - 1)
 		IfNotBlocked
 		reached[2][3] = 1;
 		if (!delproc(1, II)) continue;
 		_m = 3; goto P999; /* 0 */
 
 		 /* PROC Faults */
-	case 18: // STATE 3 - ../../distribution.pml:274 - [D_STEP274]
+	case 18: // STATE 3 - ../../distribution.pml:280 - [D_STEP280]
 		if (!(boq == -1 && ( !(((int)now.faultsOver))&&(((int)now.published)<((int)newest)))))
 			continue;
 
@@ -338,24 +339,24 @@
 		if (TstOnly) return 1;
 
 		sv_save();
-		S_213_0: /* 2 */
+		S_216_0: /* 2 */
 		if (!(( !(((int)now.faultsOver))&&(((int)now.published)<((int)newest)))))
 			Uerror("block in d_step seq");
-S_214_0: /* 2 */
+S_217_0: /* 2 */
 		now.published = (((int)now.published)+1);
 #ifdef VAR_RANGES
 		logval("published", ((int)now.published));
 #endif
 		;
-		goto S_327_0;
-S_327_0: /* 1 */
+		goto S_330_0;
+S_330_0: /* 1 */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 19: // STATE 29 - ../../distribution.pml:275 - [D_STEP275]
+	case 19: // STATE 29 - ../../distribution.pml:281 - [D_STEP281]
 		if (!(boq == -1 && ((( !(((int)now.faultsOver))&&((int)now.node[0].up))&&(((int)now.crashes)<((int)maxCrashes)))&&(((int)mortal)&(1<<0)))))
 			continue;
 
@@ -366,145 +367,145 @@
 		if (TstOnly) return 1;
 
 		sv_save();
-		S_216_0: /* 2 */
+		S_219_0: /* 2 */
 		if (!(((( !(((int)now.faultsOver))&&((int)now.node[0].up))&&(((int)now.crashes)<((int)maxCrashes)))&&(((int)mortal)&(1<<0)))))
 			Uerror("block in d_step seq");
-S_240_0: /* 2 */
-S_217_0: /* 2 */
+S_243_0: /* 2 */
+S_220_0: /* 2 */
 		now.node[0].up = 0;
 #ifdef VAR_RANGES
 		logval("node[0].up", ((int)now.node[0].up));
 #endif
 		;
-S_218_0: /* 2 */
+S_221_0: /* 2 */
 		now.node[0].ready = 0;
 #ifdef VAR_RANGES
 		logval("node[0].ready", ((int)now.node[0].ready));
 #endif
 		;
-S_219_0: /* 2 */
+S_222_0: /* 2 */
 		now.node[0].service = 0;
 #ifdef VAR_RANGES
 		logval("node[0].service", ((int)now.node[0].service));
 #endif
 		;
-S_220_0: /* 2 */
+S_223_0: /* 2 */
 		now.node[0].secret = 0;
 #ifdef VAR_RANGES
 		logval("node[0].secret", ((int)now.node[0].secret));
 #endif
 		;
-S_221_0: /* 2 */
+S_224_0: /* 2 */
 		now.node[0].staged = 0;
 #ifdef VAR_RANGES
 		logval("node[0].staged", ((int)now.node[0].staged));
 #endif
 		;
-S_222_0: /* 2 */
+S_225_0: /* 2 */
 		now.node[0].accepted = 0;
 #ifdef VAR_RANGES
 		logval("node[0].accepted", ((int)now.node[0].accepted));
 #endif
 		;
-S_223_0: /* 2 */
+S_226_0: /* 2 */
 		now.node[0].inForce = 0;
 #ifdef VAR_RANGES
 		logval("node[0].inForce", ((int)now.node[0].inForce));
 #endif
 		;
-S_224_0: /* 2 */
+S_227_0: /* 2 */
 		now.node[0].reports = 0;
 #ifdef VAR_RANGES
 		logval("node[0].reports", ((int)now.node[0].reports));
 #endif
 		;
-S_225_0: /* 2 */
+S_228_0: /* 2 */
 		now.node[0].heard = 0;
 #ifdef VAR_RANGES
 		logval("node[0].heard", ((int)now.node[0].heard));
 #endif
 		;
-S_226_0: /* 2 */
+S_229_0: /* 2 */
 		now.node[0].needed = 0;
 #ifdef VAR_RANGES
 		logval("node[0].needed", ((int)now.node[0].needed));
 #endif
 		;
-S_227_0: /* 2 */
+S_230_0: /* 2 */
 		now.owed[0].by[0] = 0;
 #ifdef VAR_RANGES
 		logval("owed[0].by[0]", ((int)now.owed[0].by[0]));
 #endif
 		;
-S_228_0: /* 2 */
+S_231_0: /* 2 */
 		now.owed[0].by[1] = 0;
 #ifdef VAR_RANGES
 		logval("owed[0].by[1]", ((int)now.owed[0].by[1]));
 #endif
 		;
-S_229_0: /* 2 */
+S_232_0: /* 2 */
 		now.owed[0].by[2] = 0;
 #ifdef VAR_RANGES
 		logval("owed[0].by[2]", ((int)now.owed[0].by[2]));
 #endif
 		;
+S_236_0: /* 2 */
 S_233_0: /* 2 */
-S_230_0: /* 2 */
 		now.owed[ Index(((0+1)%3), 3) ].by[0] = 0;
 #ifdef VAR_RANGES
 		logval("owed[((0+1)%3)].by[0]", ((int)now.owed[ Index(((0+1)%3), 3) ].by[0]));
 #endif
 		;
-S_231_0: /* 2 */
+S_234_0: /* 2 */
 		now.node[ Index(((0+1)%3), 3) ].heard = 0;
 #ifdef VAR_RANGES
 		logval("node[((0+1)%3)].heard", ((int)now.node[ Index(((0+1)%3), 3) ].heard));
 #endif
 		;
-S_232_0: /* 2 */
+S_235_0: /* 2 */
 		now.node[ Index(((0+1)%3), 3) ].needed = 0;
 #ifdef VAR_RANGES
 		logval("node[((0+1)%3)].needed", ((int)now.node[ Index(((0+1)%3), 3) ].needed));
 #endif
 		;
-		goto S_237_0;
+		goto S_240_0;
+S_240_0: /* 2 */
 S_237_0: /* 2 */
-S_234_0: /* 2 */
 		now.owed[ Index(((0+2)%3), 3) ].by[0] = 0;
 #ifdef VAR_RANGES
 		logval("owed[((0+2)%3)].by[0]", ((int)now.owed[ Index(((0+2)%3), 3) ].by[0]));
 #endif
 		;
-S_235_0: /* 2 */
+S_238_0: /* 2 */
 		now.node[ Index(((0+2)%3), 3) ].heard = 0;
 #ifdef VAR_RANGES
 		logval("node[((0+2)%3)].heard", ((int)now.node[ Index(((0+2)%3), 3) ].heard));
 #endif
 		;
-S_236_0: /* 2 */
+S_239_0: /* 2 */
 		now.node[ Index(((0+2)%3), 3) ].needed = 0;
 #ifdef VAR_RANGES
 		logval("node[((0+2)%3)].needed", ((int)now.node[ Index(((0+2)%3), 3) ].needed));
 #endif
 		;
-		goto S_238_0;
-S_238_0: /* 2 */
+		goto S_241_0;
+S_241_0: /* 2 */
 		now.crashes = (((int)now.crashes)+1);
 #ifdef VAR_RANGES
 		logval("crashes", ((int)now.crashes));
 #endif
 		;
-S_239_0: /* 2 */
+S_242_0: /* 2 */
 		spin_assert((((((((int)now.crashes)>=((int)quorum))||(((int)now.node[0].staged)>=((int)now.acceptedByQuorum)))||(((int)now.node[1].staged)>=((int)now.acceptedByQuorum)))||(((int)now.node[2].staged)>=((int)now.acceptedByQuorum)))||((int)accepted_lost)), "(((((crashes>=quorum)||(node[0].staged>=acceptedByQuorum))||(node[1].staged>=acceptedByQuorum))||(node[2].staged>=acceptedByQuorum))||accepted_lost)", II, tt, t);
-		goto S_327_0; /* ';' */
-		goto S_327_0; /* ';' */
+		goto S_330_0; /* ';' */
+		goto S_330_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 20: // STATE 55 - ../../distribution.pml:276 - [D_STEP276]
+	case 20: // STATE 55 - ../../distribution.pml:282 - [D_STEP282]
 		if (!(boq == -1 && ((( !(((int)now.faultsOver))&&((int)now.node[1].up))&&(((int)now.crashes)<((int)maxCrashes)))&&(((int)mortal)&(1<<1)))))
 			continue;
 
@@ -515,145 +516,145 @@
 		if (TstOnly) return 1;
 
 		sv_save();
-		S_242_0: /* 2 */
+		S_245_0: /* 2 */
 		if (!(((( !(((int)now.faultsOver))&&((int)now.node[1].up))&&(((int)now.crashes)<((int)maxCrashes)))&&(((int)mortal)&(1<<1)))))
 			Uerror("block in d_step seq");
-S_266_0: /* 2 */
-S_243_0: /* 2 */
+S_269_0: /* 2 */
+S_246_0: /* 2 */
 		now.node[1].up = 0;
 #ifdef VAR_RANGES
 		logval("node[1].up", ((int)now.node[1].up));
 #endif
 		;
-S_244_0: /* 2 */
+S_247_0: /* 2 */
 		now.node[1].ready = 0;
 #ifdef VAR_RANGES
 		logval("node[1].ready", ((int)now.node[1].ready));
 #endif
 		;
-S_245_0: /* 2 */
+S_248_0: /* 2 */
 		now.node[1].service = 0;
 #ifdef VAR_RANGES
 		logval("node[1].service", ((int)now.node[1].service));
 #endif
 		;
-S_246_0: /* 2 */
+S_249_0: /* 2 */
 		now.node[1].secret = 0;
 #ifdef VAR_RANGES
 		logval("node[1].secret", ((int)now.node[1].secret));
 #endif
 		;
-S_247_0: /* 2 */
+S_250_0: /* 2 */
 		now.node[1].staged = 0;
 #ifdef VAR_RANGES
 		logval("node[1].staged", ((int)now.node[1].staged));
 #endif
 		;
-S_248_0: /* 2 */
+S_251_0: /* 2 */
 		now.node[1].accepted = 0;
 #ifdef VAR_RANGES
 		logval("node[1].accepted", ((int)now.node[1].accepted));
 #endif
 		;
-S_249_0: /* 2 */
+S_252_0: /* 2 */
 		now.node[1].inForce = 0;
 #ifdef VAR_RANGES
 		logval("node[1].inForce", ((int)now.node[1].inForce));
 #endif
 		;
-S_250_0: /* 2 */
+S_253_0: /* 2 */
 		now.node[1].reports = 0;
 #ifdef VAR_RANGES
 		logval("node[1].reports", ((int)now.node[1].reports));
 #endif
 		;
-S_251_0: /* 2 */
+S_254_0: /* 2 */
 		now.node[1].heard = 0;
 #ifdef VAR_RANGES
 		logval("node[1].heard", ((int)now.node[1].heard));
 #endif
 		;
-S_252_0: /* 2 */
+S_255_0: /* 2 */
 		now.node[1].needed = 0;
 #ifdef VAR_RANGES
 		logval("node[1].needed", ((int)now.node[1].needed));
 #endif
 		;
-S_253_0: /* 2 */
+S_256_0: /* 2 */
 		now.owed[1].by[0] = 0;
 #ifdef VAR_RANGES
 		logval("owed[1].by[0]", ((int)now.owed[1].by[0]));
 #endif
 		;
-S_254_0: /* 2 */
+S_257_0: /* 2 */
 		now.owed[1].by[1] = 0;
 #ifdef VAR_RANGES
 		logval("owed[1].by[1]", ((int)now.owed[1].by[1]));
 #endif
 		;
-S_255_0: /* 2 */
+S_258_0: /* 2 */
 		now.owed[1].by[2] = 0;
 #ifdef VAR_RANGES
 		logval("owed[1].by[2]", ((int)now.owed[1].by[2]));
 #endif
 		;
+S_262_0: /* 2 */
 S_259_0: /* 2 */
-S_256_0: /* 2 */
 		now.owed[ Index(((1+1)%3), 3) ].by[1] = 0;
 #ifdef VAR_RANGES
 		logval("owed[((1+1)%3)].by[1]", ((int)now.owed[ Index(((1+1)%3), 3) ].by[1]));
 #endif
 		;
-S_257_0: /* 2 */
+S_260_0: /* 2 */
 		now.node[ Index(((1+1)%3), 3) ].heard = 0;
 #ifdef VAR_RANGES
 		logval("node[((1+1)%3)].heard", ((int)now.node[ Index(((1+1)%3), 3) ].heard));
 #endif
 		;
-S_258_0: /* 2 */
+S_261_0: /* 2 */
 		now.node[ Index(((1+1)%3), 3) ].needed = 0;
 #ifdef VAR_RANGES
 		logval("node[((1+1)%3)].needed", ((int)now.node[ Index(((1+1)%3), 3) ].needed));
 #endif
 		;
-		goto S_263_0;
+		goto S_266_0;
+S_266_0: /* 2 */
 S_263_0: /* 2 */
-S_260_0: /* 2 */
 		now.owed[ Index(((1+2)%3), 3) ].by[1] = 0;
 #ifdef VAR_RANGES
 		logval("owed[((1+2)%3)].by[1]", ((int)now.owed[ Index(((1+2)%3), 3) ].by[1]));
 #endif
 		;
-S_261_0: /* 2 */
+S_264_0: /* 2 */
 		now.node[ Index(((1+2)%3), 3) ].heard = 0;
 #ifdef VAR_RANGES
 		logval("node[((1+2)%3)].heard", ((int)now.node[ Index(((1+2)%3), 3) ].heard));
 #endif
 		;
-S_262_0: /* 2 */
+S_265_0: /* 2 */
 		now.node[ Index(((1+2)%3), 3) ].needed = 0;
 #ifdef VAR_RANGES
 		logval("node[((1+2)%3)].needed", ((int)now.node[ Index(((1+2)%3), 3) ].needed));
 #endif
 		;
-		goto S_264_0;
-S_264_0: /* 2 */
+		goto S_267_0;
+S_267_0: /* 2 */
 		now.crashes = (((int)now.crashes)+1);
 #ifdef VAR_RANGES
 		logval("crashes", ((int)now.crashes));
 #endif
 		;
-S_265_0: /* 2 */
+S_268_0: /* 2 */
 		spin_assert((((((((int)now.crashes)>=((int)quorum))||(((int)now.node[0].staged)>=((int)now.acceptedByQuorum)))||(((int)now.node[1].staged)>=((int)now.acceptedByQuorum)))||(((int)now.node[2].staged)>=((int)now.acceptedByQuorum)))||((int)accepted_lost)), "(((((crashes>=quorum)||(node[0].staged>=acceptedByQuorum))||(node[1].staged>=acceptedByQuorum))||(node[2].staged>=acceptedByQuorum))||accepted_lost)", II, tt, t);
-		goto S_327_0; /* ';' */
-		goto S_327_0; /* ';' */
+		goto S_330_0; /* ';' */
+		goto S_330_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 21: // STATE 81 - ../../distribution.pml:277 - [D_STEP277]
+	case 21: // STATE 81 - ../../distribution.pml:283 - [D_STEP283]
 		if (!(boq == -1 && ((( !(((int)now.faultsOver))&&((int)now.node[2].up))&&(((int)now.crashes)<((int)maxCrashes)))&&(((int)mortal)&(1<<2)))))
 			continue;
 
@@ -664,145 +665,145 @@
 		if (TstOnly) return 1;
 
 		sv_save();
-		S_268_0: /* 2 */
+		S_271_0: /* 2 */
 		if (!(((( !(((int)now.faultsOver))&&((int)now.node[2].up))&&(((int)now.crashes)<((int)maxCrashes)))&&(((int)mortal)&(1<<2)))))
 			Uerror("block in d_step seq");
-S_292_0: /* 2 */
-S_269_0: /* 2 */
+S_295_0: /* 2 */
+S_272_0: /* 2 */
 		now.node[2].up = 0;
 #ifdef VAR_RANGES
 		logval("node[2].up", ((int)now.node[2].up));
 #endif
 		;
-S_270_0: /* 2 */
+S_273_0: /* 2 */
 		now.node[2].ready = 0;
 #ifdef VAR_RANGES
 		logval("node[2].ready", ((int)now.node[2].ready));
 #endif
 		;
-S_271_0: /* 2 */
+S_274_0: /* 2 */
 		now.node[2].service = 0;
 #ifdef VAR_RANGES
 		logval("node[2].service", ((int)now.node[2].service));
 #endif
 		;
-S_272_0: /* 2 */
+S_275_0: /* 2 */
 		now.node[2].secret = 0;
 #ifdef VAR_RANGES
 		logval("node[2].secret", ((int)now.node[2].secret));
 #endif
 		;
-S_273_0: /* 2 */
+S_276_0: /* 2 */
 		now.node[2].staged = 0;
 #ifdef VAR_RANGES
 		logval("node[2].staged", ((int)now.node[2].staged));
 #endif
 		;
-S_274_0: /* 2 */
+S_277_0: /* 2 */
 		now.node[2].accepted = 0;
 #ifdef VAR_RANGES
 		logval("node[2].accepted", ((int)now.node[2].accepted));
 #endif
 		;
-S_275_0: /* 2 */
+S_278_0: /* 2 */
 		now.node[2].inForce = 0;
 #ifdef VAR_RANGES
 		logval("node[2].inForce", ((int)now.node[2].inForce));
 #endif
 		;
-S_276_0: /* 2 */
+S_279_0: /* 2 */
 		now.node[2].reports = 0;
 #ifdef VAR_RANGES
 		logval("node[2].reports", ((int)now.node[2].reports));
 #endif
 		;
-S_277_0: /* 2 */
+S_280_0: /* 2 */
 		now.node[2].heard = 0;
 #ifdef VAR_RANGES
 		logval("node[2].heard", ((int)now.node[2].heard));
 #endif
 		;
-S_278_0: /* 2 */
+S_281_0: /* 2 */
 		now.node[2].needed = 0;
 #ifdef VAR_RANGES
 		logval("node[2].needed", ((int)now.node[2].needed));
 #endif
 		;
-S_279_0: /* 2 */
+S_282_0: /* 2 */
 		now.owed[2].by[0] = 0;
 #ifdef VAR_RANGES
 		logval("owed[2].by[0]", ((int)now.owed[2].by[0]));
 #endif
 		;
-S_280_0: /* 2 */
+S_283_0: /* 2 */
 		now.owed[2].by[1] = 0;
 #ifdef VAR_RANGES
 		logval("owed[2].by[1]", ((int)now.owed[2].by[1]));
 #endif
 		;
-S_281_0: /* 2 */
+S_284_0: /* 2 */
 		now.owed[2].by[2] = 0;
 #ifdef VAR_RANGES
 		logval("owed[2].by[2]", ((int)now.owed[2].by[2]));
 #endif
 		;
+S_288_0: /* 2 */
 S_285_0: /* 2 */
-S_282_0: /* 2 */
 		now.owed[ Index(((2+1)%3), 3) ].by[2] = 0;
 #ifdef VAR_RANGES
 		logval("owed[((2+1)%3)].by[2]", ((int)now.owed[ Index(((2+1)%3), 3) ].by[2]));
 #endif
 		;
-S_283_0: /* 2 */
+S_286_0: /* 2 */
 		now.node[ Index(((2+1)%3), 3) ].heard = 0;
 #ifdef VAR_RANGES
 		logval("node[((2+1)%3)].heard", ((int)now.node[ Index(((2+1)%3), 3) ].heard));
 #endif
 		;
-S_284_0: /* 2 */
+S_287_0: /* 2 */
 		now.node[ Index(((2+1)%3), 3) ].needed = 0;
 #ifdef VAR_RANGES
 		logval("node[((2+1)%3)].needed", ((int)now.node[ Index(((2+1)%3), 3) ].needed));
 #endif
 		;
-		goto S_289_0;
+		goto S_292_0;
+S_292_0: /* 2 */
 S_289_0: /* 2 */
-S_286_0: /* 2 */
 		now.owed[ Index(((2+2)%3), 3) ].by[2] = 0;
 #ifdef VAR_RANGES
 		logval("owed[((2+2)%3)].by[2]", ((int)now.owed[ Index(((2+2)%3), 3) ].by[2]));
 #endif
 		;
-S_287_0: /* 2 */
+S_290_0: /* 2 */
 		now.node[ Index(((2+2)%3), 3) ].heard = 0;
 #ifdef VAR_RANGES
 		logval("node[((2+2)%3)].heard", ((int)now.node[ Index(((2+2)%3), 3) ].heard));
 #endif
 		;
-S_288_0: /* 2 */
+S_291_0: /* 2 */
 		now.node[ Index(((2+2)%3), 3) ].needed = 0;
 #ifdef VAR_RANGES
 		logval("node[((2+2)%3)].needed", ((int)now.node[ Index(((2+2)%3), 3) ].needed));
 #endif
 		;
-		goto S_290_0;
-S_290_0: /* 2 */
+		goto S_293_0;
+S_293_0: /* 2 */
 		now.crashes = (((int)now.crashes)+1);
 #ifdef VAR_RANGES
 		logval("crashes", ((int)now.crashes));
 #endif
 		;
-S_291_0: /* 2 */
+S_294_0: /* 2 */
 		spin_assert((((((((int)now.crashes)>=((int)quorum))||(((int)now.node[0].staged)>=((int)now.acceptedByQuorum)))||(((int)now.node[1].staged)>=((int)now.acceptedByQuorum)))||(((int)now.node[2].staged)>=((int)now.acceptedByQuorum)))||((int)accepted_lost)), "(((((crashes>=quorum)||(node[0].staged>=acceptedByQuorum))||(node[1].staged>=acceptedByQuorum))||(node[2].staged>=acceptedByQuorum))||accepted_lost)", II, tt, t);
-		goto S_327_0; /* ';' */
-		goto S_327_0; /* ';' */
+		goto S_330_0; /* ';' */
+		goto S_330_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 22: // STATE 87 - ../../distribution.pml:278 - [D_STEP278]
+	case 22: // STATE 87 - ../../distribution.pml:284 - [D_STEP284]
 		if (!(boq == -1 && ( !(((int)now.faultsOver))&& !(((int)now.node[0].up)))))
 			continue;
 
@@ -813,37 +814,37 @@
 		if (TstOnly) return 1;
 
 		sv_save();
-		S_294_0: /* 2 */
+		S_297_0: /* 2 */
 		if (!(( !(((int)now.faultsOver))&& !(((int)now.node[0].up)))))
 			Uerror("block in d_step seq");
+S_301_0: /* 2 */
 S_298_0: /* 2 */
-S_295_0: /* 2 */
 		now.node[0].up = 1;
 #ifdef VAR_RANGES
 		logval("node[0].up", ((int)now.node[0].up));
 #endif
 		;
-S_296_0: /* 2 */
+S_299_0: /* 2 */
 		now.owed[0].by[ Index(((0+1)%3), 3) ] = ((int)now.node[ Index(((0+1)%3), 3) ].inForce);
 #ifdef VAR_RANGES
 		logval("owed[0].by[((0+1)%3)]", ((int)now.owed[0].by[ Index(((0+1)%3), 3) ]));
 #endif
 		;
-S_297_0: /* 2 */
+S_300_0: /* 2 */
 		now.owed[0].by[ Index(((0+2)%3), 3) ] = ((int)now.node[ Index(((0+2)%3), 3) ].inForce);
 #ifdef VAR_RANGES
 		logval("owed[0].by[((0+2)%3)]", ((int)now.owed[0].by[ Index(((0+2)%3), 3) ]));
 #endif
 		;
-		goto S_327_0; /* ';' */
-		goto S_327_0; /* ';' */
+		goto S_330_0; /* ';' */
+		goto S_330_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 23: // STATE 93 - ../../distribution.pml:279 - [D_STEP279]
+	case 23: // STATE 93 - ../../distribution.pml:285 - [D_STEP285]
 		if (!(boq == -1 && ( !(((int)now.faultsOver))&& !(((int)now.node[1].up)))))
 			continue;
 
@@ -854,37 +855,37 @@
 		if (TstOnly) return 1;
 
 		sv_save();
-		S_300_0: /* 2 */
+		S_303_0: /* 2 */
 		if (!(( !(((int)now.faultsOver))&& !(((int)now.node[1].up)))))
 			Uerror("block in d_step seq");
+S_307_0: /* 2 */
 S_304_0: /* 2 */
-S_301_0: /* 2 */
 		now.node[1].up = 1;
 #ifdef VAR_RANGES
 		logval("node[1].up", ((int)now.node[1].up));
 #endif
 		;
-S_302_0: /* 2 */
+S_305_0: /* 2 */
 		now.owed[1].by[ Index(((1+1)%3), 3) ] = ((int)now.node[ Index(((1+1)%3), 3) ].inForce);
 #ifdef VAR_RANGES
 		logval("owed[1].by[((1+1)%3)]", ((int)now.owed[1].by[ Index(((1+1)%3), 3) ]));
 #endif
 		;
-S_303_0: /* 2 */
+S_306_0: /* 2 */
 		now.owed[1].by[ Index(((1+2)%3), 3) ] = ((int)now.node[ Index(((1+2)%3), 3) ].inForce);
 #ifdef VAR_RANGES
 		logval("owed[1].by[((1+2)%3)]", ((int)now.owed[1].by[ Index(((1+2)%3), 3) ]));
 #endif
 		;
-		goto S_327_0; /* ';' */
-		goto S_327_0; /* ';' */
+		goto S_330_0; /* ';' */
+		goto S_330_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 24: // STATE 99 - ../../distribution.pml:280 - [D_STEP280]
+	case 24: // STATE 99 - ../../distribution.pml:286 - [D_STEP286]
 		if (!(boq == -1 && ( !(((int)now.faultsOver))&& !(((int)now.node[2].up)))))
 			continue;
 
@@ -895,37 +896,37 @@
 		if (TstOnly) return 1;
 
 		sv_save();
-		S_306_0: /* 2 */
+		S_309_0: /* 2 */
 		if (!(( !(((int)now.faultsOver))&& !(((int)now.node[2].up)))))
 			Uerror("block in d_step seq");
+S_313_0: /* 2 */
 S_310_0: /* 2 */
-S_307_0: /* 2 */
 		now.node[2].up = 1;
 #ifdef VAR_RANGES
 		logval("node[2].up", ((int)now.node[2].up));
 #endif
 		;
-S_308_0: /* 2 */
+S_311_0: /* 2 */
 		now.owed[2].by[ Index(((2+1)%3), 3) ] = ((int)now.node[ Index(((2+1)%3), 3) ].inForce);
 #ifdef VAR_RANGES
 		logval("owed[2].by[((2+1)%3)]", ((int)now.owed[2].by[ Index(((2+1)%3), 3) ]));
 #endif
 		;
-S_309_0: /* 2 */
+S_312_0: /* 2 */
 		now.owed[2].by[ Index(((2+2)%3), 3) ] = ((int)now.node[ Index(((2+2)%3), 3) ].inForce);
 #ifdef VAR_RANGES
 		logval("owed[2].by[((2+2)%3)]", ((int)now.owed[2].by[ Index(((2+2)%3), 3) ]));
 #endif
 		;
-		goto S_327_0; /* ';' */
-		goto S_327_0; /* ';' */
+		goto S_330_0; /* ';' */
+		goto S_330_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 25: // STATE 103 - ../../distribution.pml:281 - [D_STEP281]
+	case 25: // STATE 103 - ../../distribution.pml:287 - [D_STEP287]
 		if (!(boq == -1 && (( !(((int)now.faultsOver))&& !(((int)now.cut)))&&(((int)now.cuts)<((int)maxCuts)))))
 			continue;
 
@@ -936,29 +937,29 @@
 		if (TstOnly) return 1;
 
 		sv_save();
-		S_312_0: /* 2 */
+		S_315_0: /* 2 */
 		if (!((( !(((int)now.faultsOver))&& !(((int)now.cut)))&&(((int)now.cuts)<((int)maxCuts)))))
 			Uerror("block in d_step seq");
-S_313_0: /* 2 */
+S_316_0: /* 2 */
 		now.cut = 1;
 #ifdef VAR_RANGES
 		logval("cut", ((int)now.cut));
 #endif
 		;
-S_314_0: /* 2 */
+S_317_0: /* 2 */
 		now.cuts = (((int)now.cuts)+1);
 #ifdef VAR_RANGES
 		logval("cuts", ((int)now.cuts));
 #endif
 		;
-		goto S_327_0; /* ';' */
+		goto S_330_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 26: // STATE 106 - ../../distribution.pml:282 - [D_STEP282]
+	case 26: // STATE 106 - ../../distribution.pml:288 - [D_STEP288]
 		if (!(boq == -1 && ( !(((int)now.faultsOver))&&((int)now.cut))))
 			continue;
 
@@ -969,23 +970,23 @@
 		if (TstOnly) return 1;
 
 		sv_save();
-		S_316_0: /* 2 */
+		S_319_0: /* 2 */
 		if (!(( !(((int)now.faultsOver))&&((int)now.cut))))
 			Uerror("block in d_step seq");
-S_317_0: /* 2 */
+S_320_0: /* 2 */
 		now.cut = 0;
 #ifdef VAR_RANGES
 		logval("cut", ((int)now.cut));
 #endif
 		;
-		goto S_327_0; /* ';' */
+		goto S_330_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 27: // STATE 109 - ../../distribution.pml:283 - [D_STEP283]
+	case 27: // STATE 109 - ../../distribution.pml:289 - [D_STEP289]
 		if (!(boq == -1 && (( !(((int)now.faultsOver))&&((int)ending))&& !(((int)now.cut)))))
 			continue;
 
@@ -996,23 +997,23 @@
 		if (TstOnly) return 1;
 
 		sv_save();
-		S_319_0: /* 2 */
+		S_322_0: /* 2 */
 		if (!((( !(((int)now.faultsOver))&&((int)ending))&& !(((int)now.cut)))))
 			Uerror("block in d_step seq");
-S_320_0: /* 2 */
+S_323_0: /* 2 */
 		now.faultsOver = 1;
 #ifdef VAR_RANGES
 		logval("faultsOver", ((int)now.faultsOver));
 #endif
 		;
-		goto S_327_0; /* ';' */
+		goto S_330_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 28: // STATE 113 - ../../distribution.pml:284 - [D_STEP284]
+	case 28: // STATE 113 - ../../distribution.pml:290 - [D_STEP290]
 		if (!(boq == -1 && (( !(((int)now.faultsOver))&&((int)ending))&& !(((int)now.cut)))))
 			continue;
 
@@ -1023,36 +1024,36 @@
 		if (TstOnly) return 1;
 
 		sv_save();
-		S_322_0: /* 2 */
+		S_325_0: /* 2 */
 		if (!((( !(((int)now.faultsOver))&&((int)ending))&& !(((int)now.cut)))))
 			Uerror("block in d_step seq");
-S_323_0: /* 2 */
+S_326_0: /* 2 */
 		now.faultsOver = 1;
 #ifdef VAR_RANGES
 		logval("faultsOver", ((int)now.faultsOver));
 #endif
 		;
-S_324_0: /* 2 */
+S_327_0: /* 2 */
 		now.sourceUp = 0;
 #ifdef VAR_RANGES
 		logval("sourceUp", ((int)now.sourceUp));
 #endif
 		;
-		goto S_327_0; /* ';' */
+		goto S_330_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 29: // STATE 117 - ../../distribution.pml:286 - [-end-] (0:0:0 - 1)
+	case 29: // STATE 117 - ../../distribution.pml:292 - [-end-] (0:0:0 - 1)
 		IfNotBlocked
 		reached[1][117] = 1;
 		if (!delproc(1, II)) continue;
 		_m = 3; goto P999; /* 0 */
 
 		 /* PROC Process */
-	case 30: // STATE 18 - ../../distribution.pml:208 - [D_STEP208]
+	case 30: // STATE 18 - ../../distribution.pml:214 - [D_STEP214]
 		if (!(boq == -1 && ((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].up)&&((1<=((int)now.published))&&( !(((int)now.faultsOver))||(((int)now.sourceUp)&&(1==((int)now.published))))))&&((1>((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service))||( !((((int)mutant)!=1))&&(1!=((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)))))))
 			continue;
 
@@ -1109,7 +1110,7 @@
 		;
 		goto S_010_0;
 S_009_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.0, near line 90)");
+		Uerror("blocking sel in d_step (nr.0, near line 93)");
 S_010_0: /* 2 */
 		goto S_014_0;
 S_013_1: /* 3 */
@@ -1117,17 +1118,17 @@
 		/* else */;
 		goto S_014_0;
 S_013_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.1, near line 97)");
+		Uerror("blocking sel in d_step (nr.1, near line 100)");
 S_014_0: /* 2 */
-		goto S_210_0;
-S_210_0: /* 1 */
+		goto S_213_0;
+S_213_0: /* 1 */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 31: // STATE 36 - ../../distribution.pml:209 - [D_STEP209]
+	case 31: // STATE 36 - ../../distribution.pml:215 - [D_STEP215]
 		if (!(boq == -1 && ((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].up)&&((2<=((int)now.published))&&( !(((int)now.faultsOver))||(((int)now.sourceUp)&&(2==((int)now.published))))))&&((2>((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service))||( !((((int)mutant)!=1))&&(2!=((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)))))))
 			continue;
 
@@ -1184,7 +1185,7 @@
 		;
 		goto S_028_0;
 S_027_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.2, near line 90)");
+		Uerror("blocking sel in d_step (nr.2, near line 93)");
 S_028_0: /* 2 */
 		goto S_032_0;
 S_031_1: /* 3 */
@@ -1192,19 +1193,19 @@
 		/* else */;
 		goto S_032_0;
 S_031_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.3, near line 97)");
+		Uerror("blocking sel in d_step (nr.3, near line 100)");
 S_032_0: /* 2 */
-		goto S_210_0; /* '.' */
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
+		goto S_213_0; /* '.' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 32: // STATE 54 - ../../distribution.pml:210 - [D_STEP210]
+	case 32: // STATE 54 - ../../distribution.pml:216 - [D_STEP216]
 		if (!(boq == -1 && ((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].up)&&((3<=((int)now.published))&&( !(((int)now.faultsOver))||(((int)now.sourceUp)&&(3==((int)now.published))))))&&((3>((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service))||( !((((int)mutant)!=1))&&(3!=((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)))))))
 			continue;
 
@@ -1261,7 +1262,7 @@
 		;
 		goto S_046_0;
 S_045_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.4, near line 90)");
+		Uerror("blocking sel in d_step (nr.4, near line 93)");
 S_046_0: /* 2 */
 		goto S_050_0;
 S_049_1: /* 3 */
@@ -1269,19 +1270,19 @@
 		/* else */;
 		goto S_050_0;
 S_049_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.5, near line 97)");
+		Uerror("blocking sel in d_step (nr.5, near line 100)");
 S_050_0: /* 2 */
-		goto S_210_0; /* '.' */
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
+		goto S_213_0; /* '.' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 33: // STATE 72 - ../../distribution.pml:211 - [D_STEP211]
+	case 33: // STATE 72 - ../../distribution.pml:217 - [D_STEP217]
 		if (!(boq == -1 && ((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].up)&&((1<=((int)now.published))&&( !(((int)now.faultsOver))||(((int)now.sourceUp)&&(1==((int)now.published))))))&&((1>((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].secret))||( !((((int)mutant)!=1))&&(1!=((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].secret)))))))
 			continue;
 
@@ -1338,7 +1339,7 @@
 		;
 		goto S_064_0;
 S_063_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.6, near line 90)");
+		Uerror("blocking sel in d_step (nr.6, near line 93)");
 S_064_0: /* 2 */
 		goto S_068_0;
 S_067_1: /* 3 */
@@ -1346,19 +1347,19 @@
 		/* else */;
 		goto S_068_0;
 S_067_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.7, near line 97)");
+		Uerror("blocking sel in d_step (nr.7, near line 100)");
 S_068_0: /* 2 */
-		goto S_210_0; /* '.' */
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
+		goto S_213_0; /* '.' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 34: // STATE 90 - ../../distribution.pml:212 - [D_STEP212]
+	case 34: // STATE 90 - ../../distribution.pml:218 - [D_STEP218]
 		if (!(boq == -1 && ((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].up)&&((2<=((int)now.published))&&( !(((int)now.faultsOver))||(((int)now.sourceUp)&&(2==((int)now.published))))))&&((2>((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].secret))||( !((((int)mutant)!=1))&&(2!=((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].secret)))))))
 			continue;
 
@@ -1415,7 +1416,7 @@
 		;
 		goto S_082_0;
 S_081_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.8, near line 90)");
+		Uerror("blocking sel in d_step (nr.8, near line 93)");
 S_082_0: /* 2 */
 		goto S_086_0;
 S_085_1: /* 3 */
@@ -1423,19 +1424,19 @@
 		/* else */;
 		goto S_086_0;
 S_085_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.9, near line 97)");
+		Uerror("blocking sel in d_step (nr.9, near line 100)");
 S_086_0: /* 2 */
-		goto S_210_0; /* '.' */
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
+		goto S_213_0; /* '.' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 35: // STATE 108 - ../../distribution.pml:213 - [D_STEP213]
+	case 35: // STATE 108 - ../../distribution.pml:219 - [D_STEP219]
 		if (!(boq == -1 && ((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].up)&&((3<=((int)now.published))&&( !(((int)now.faultsOver))||(((int)now.sourceUp)&&(3==((int)now.published))))))&&((3>((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].secret))||( !((((int)mutant)!=1))&&(3!=((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].secret)))))))
 			continue;
 
@@ -1492,7 +1493,7 @@
 		;
 		goto S_100_0;
 S_099_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.10, near line 90)");
+		Uerror("blocking sel in d_step (nr.10, near line 93)");
 S_100_0: /* 2 */
 		goto S_104_0;
 S_103_1: /* 3 */
@@ -1500,19 +1501,19 @@
 		/* else */;
 		goto S_104_0;
 S_103_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.11, near line 97)");
+		Uerror("blocking sel in d_step (nr.11, near line 100)");
 S_104_0: /* 2 */
-		goto S_210_0; /* '.' */
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
+		goto S_213_0; /* '.' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 36: // STATE 119 - ../../distribution.pml:214 - [D_STEP214]
+	case 36: // STATE 119 - ../../distribution.pml:220 - [D_STEP220]
 		if (!(boq == -1 && (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].up)&&(((((int)mutant)!=6)&&(((int)now.node[ Index(((((int)((P0 *)_this)->self)+1)%3), 3) ].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==((((int)((P0 *)_this)->self)+1)%3)))||((((int)((P0 *)_this)->self)!=0)&&(((((int)((P0 *)_this)->self)+1)%3)!=0)))))&&(((int)now.node[ Index(((((int)((P0 *)_this)->self)+1)%3), 3) ].staged)>((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged))))))
 			continue;
 
@@ -1556,19 +1557,19 @@
 		;
 		goto S_115_0;
 S_114_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.12, near line 90)");
+		Uerror("blocking sel in d_step (nr.12, near line 93)");
 S_115_0: /* 2 */
-		goto S_210_0; /* '.' */
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
+		goto S_213_0; /* '.' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 37: // STATE 130 - ../../distribution.pml:215 - [D_STEP215]
+	case 37: // STATE 130 - ../../distribution.pml:221 - [D_STEP221]
 		if (!(boq == -1 && (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].up)&&(((((int)mutant)!=6)&&(((int)now.node[ Index(((((int)((P0 *)_this)->self)+2)%3), 3) ].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==((((int)((P0 *)_this)->self)+2)%3)))||((((int)((P0 *)_this)->self)!=0)&&(((((int)((P0 *)_this)->self)+2)%3)!=0)))))&&(((int)now.node[ Index(((((int)((P0 *)_this)->self)+2)%3), 3) ].staged)>((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged))))))
 			continue;
 
@@ -1612,19 +1613,19 @@
 		;
 		goto S_126_0;
 S_125_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.13, near line 90)");
+		Uerror("blocking sel in d_step (nr.13, near line 93)");
 S_126_0: /* 2 */
-		goto S_210_0; /* '.' */
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
+		goto S_213_0; /* '.' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 38: // STATE 133 - ../../distribution.pml:216 - [D_STEP216]
+	case 38: // STATE 133 - ../../distribution.pml:222 - [D_STEP222]
 		if (!(boq == -1 && (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].up)&&((((((int)now.node[ Index(((((int)((P0 *)_this)->self)+1)%3), 3) ].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==((((int)((P0 *)_this)->self)+1)%3)))||((((int)((P0 *)_this)->self)!=0)&&(((((int)((P0 *)_this)->self)+1)%3)!=0))))&&(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)>((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].accepted)))&&(((int)now.node[ Index(((((int)((P0 *)_this)->self)+1)%3), 3) ].staged)>=((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)))&& !((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports)&(1<<((((int)((P0 *)_this)->self)+1)%3))))))))
 			continue;
 
@@ -1644,14 +1645,14 @@
 		logval("node[Process:self].reports", ((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports));
 #endif
 		;
-		goto S_210_0; /* ';' */
+		goto S_213_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 39: // STATE 136 - ../../distribution.pml:217 - [D_STEP217]
+	case 39: // STATE 136 - ../../distribution.pml:223 - [D_STEP223]
 		if (!(boq == -1 && (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].up)&&((((((int)now.node[ Index(((((int)((P0 *)_this)->self)+2)%3), 3) ].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==((((int)((P0 *)_this)->self)+2)%3)))||((((int)((P0 *)_this)->self)!=0)&&(((((int)((P0 *)_this)->self)+2)%3)!=0))))&&(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)>((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].accepted)))&&(((int)now.node[ Index(((((int)((P0 *)_this)->self)+2)%3), 3) ].staged)>=((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)))&& !((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports)&(1<<((((int)((P0 *)_this)->self)+2)%3))))))))
 			continue;
 
@@ -1671,14 +1672,14 @@
 		logval("node[Process:self].reports", ((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports));
 #endif
 		;
-		goto S_210_0; /* ';' */
+		goto S_213_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 40: // STATE 145 - ../../distribution.pml:218 - [D_STEP218]
+	case 40: // STATE 145 - ../../distribution.pml:224 - [D_STEP224]
 		if (!(boq == -1 && (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].up)&&((((int)now.node[ Index(((((int)((P0 *)_this)->self)+1)%3), 3) ].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==((((int)((P0 *)_this)->self)+1)%3)))||((((int)((P0 *)_this)->self)!=0)&&(((((int)((P0 *)_this)->self)+1)%3)!=0))))&&(((int)now.node[ Index(((((int)((P0 *)_this)->self)+1)%3), 3) ].accepted)>((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].accepted))))))
 			continue;
 
@@ -1715,18 +1716,18 @@
 		/* else */;
 		goto S_142_0;
 S_141_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.14, near line 126)");
+		Uerror("blocking sel in d_step (nr.14, near line 129)");
 S_142_0: /* 2 */
-		goto S_210_0; /* '.' */
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
+		goto S_213_0; /* '.' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 41: // STATE 154 - ../../distribution.pml:219 - [D_STEP219]
+	case 41: // STATE 154 - ../../distribution.pml:225 - [D_STEP225]
 		if (!(boq == -1 && (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].up)&&((((int)now.node[ Index(((((int)((P0 *)_this)->self)+2)%3), 3) ].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==((((int)((P0 *)_this)->self)+2)%3)))||((((int)((P0 *)_this)->self)!=0)&&(((((int)((P0 *)_this)->self)+2)%3)!=0))))&&(((int)now.node[ Index(((((int)((P0 *)_this)->self)+2)%3), 3) ].accepted)>((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].accepted))))))
 			continue;
 
@@ -1763,18 +1764,18 @@
 		/* else */;
 		goto S_151_0;
 S_150_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.15, near line 126)");
+		Uerror("blocking sel in d_step (nr.15, near line 129)");
 S_151_0: /* 2 */
-		goto S_210_0; /* '.' */
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
+		goto S_213_0; /* '.' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 42: // STATE 163 - ../../distribution.pml:220 - [D_STEP220]
+	case 42: // STATE 163 - ../../distribution.pml:226 - [D_STEP226]
 		if (!(boq == -1 && (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].up)&&(((((int)now.node[ Index(((((int)((P0 *)_this)->self)+1)%3), 3) ].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==((((int)((P0 *)_this)->self)+1)%3)))||((((int)((P0 *)_this)->self)!=0)&&(((((int)((P0 *)_this)->self)+1)%3)!=0))))&& !(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].ready)))&& !((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].heard)&(1<<((((int)((P0 *)_this)->self)+1)%3))))))))
 			continue;
 
@@ -1811,18 +1812,18 @@
 		/* else */;
 		goto S_160_0;
 S_159_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.16, near line 134)");
+		Uerror("blocking sel in d_step (nr.16, near line 137)");
 S_160_0: /* 2 */
-		goto S_210_0; /* '.' */
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
+		goto S_213_0; /* '.' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 43: // STATE 172 - ../../distribution.pml:221 - [D_STEP221]
+	case 43: // STATE 172 - ../../distribution.pml:227 - [D_STEP227]
 		if (!(boq == -1 && (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].up)&&(((((int)now.node[ Index(((((int)((P0 *)_this)->self)+2)%3), 3) ].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==((((int)((P0 *)_this)->self)+2)%3)))||((((int)((P0 *)_this)->self)!=0)&&(((((int)((P0 *)_this)->self)+2)%3)!=0))))&& !(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].ready)))&& !((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].heard)&(1<<((((int)((P0 *)_this)->self)+2)%3))))))))
 			continue;
 
@@ -1859,22 +1860,22 @@
 		/* else */;
 		goto S_169_0;
 S_168_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.17, near line 134)");
+		Uerror("blocking sel in d_step (nr.17, near line 137)");
 S_169_0: /* 2 */
-		goto S_210_0; /* '.' */
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
+		goto S_213_0; /* '.' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 44: // STATE 192 - ../../distribution.pml:222 - [D_STEP222]
+	case 44: // STATE 193 - ../../distribution.pml:228 - [D_STEP228]
 		if (!(boq == -1 && (((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].up)&&((((int)mutant)!=10)||(((int)((P0 *)_this)->self)==0)))&&(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)>((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].accepted)))&&((((((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports)&1)+((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports)>>1)&1))+((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports)>>2)&1))>=((int)quorum))|| !((((int)mutant)!=5)))||((((int)mutant)!=7)&&((( !((((int)now.node[0].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==0))||((((int)((P0 *)_this)->self)!=0)&&(0!=0)))))||(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports)&(1<<0)))&&( !((((int)now.node[1].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==1))||((((int)((P0 *)_this)->self)!=0)&&(1!=0)))))||(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports)&(1<<1))))&&( !((((int)now.node[2].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==2))||((((int)((P0 *)_this)->self)!=0)&&(2!=0)))))||(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports)&(1<<2)))))))))
 			continue;
 
-		reached[0][192] = 1;
+		reached[0][193] = 1;
 		reached[0][t->st] = 1;
 		reached[0][tt] = 1;
 
@@ -1884,11 +1885,11 @@
 		S_172_0: /* 2 */
 		if (!((((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].up)&&((((int)mutant)!=10)||(((int)((P0 *)_this)->self)==0)))&&(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)>((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].accepted)))&&((((((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports)&1)+((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports)>>1)&1))+((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports)>>2)&1))>=((int)quorum))|| !((((int)mutant)!=5)))||((((int)mutant)!=7)&&((( !((((int)now.node[0].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==0))||((((int)((P0 *)_this)->self)!=0)&&(0!=0)))))||(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports)&(1<<0)))&&( !((((int)now.node[1].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==1))||((((int)((P0 *)_this)->self)!=0)&&(1!=0)))))||(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports)&(1<<1))))&&( !((((int)now.node[2].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==2))||((((int)((P0 *)_this)->self)!=0)&&(2!=0)))))||(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports)&(1<<2)))))))))
 			Uerror("block in d_step seq");
-S_190_0: /* 2 */
-S_186_0: /* 2 */
+S_191_0: /* 2 */
+S_187_0: /* 2 */
 S_173_0: /* 2 */
 		if (!((((((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports)&1)+((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports)>>1)&1))+((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports)>>2)&1))>=((int)quorum))|| !(((((int)mutant)!=7)&&((( !((((int)now.node[0].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==0))||((((int)((P0 *)_this)->self)!=0)&&(0!=0)))))||(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports)&(1<<0)))&&( !((((int)now.node[1].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==1))||((((int)((P0 *)_this)->self)!=0)&&(1!=0)))))||(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports)&(1<<1))))&&( !((((int)now.node[2].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==2))||((((int)((P0 *)_this)->self)!=0)&&(2!=0)))))||(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports)&(1<<2)))))))))
-			goto S_186_1;
+			goto S_187_1;
 S_174_0: /* 2 */
 		spin_assert(((((((((int)now.node[0].staged)>=((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged))+(((int)now.node[1].staged)>=((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)))+(((int)now.node[2].staged)>=((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)))+((int)now.crashes))>=((int)quorum))||((int)too_few_holders)), "((((((node[0].staged>=node[self].staged)+(node[1].staged>=node[self].staged))+(node[2].staged>=node[self].staged))+crashes)>=quorum)||too_few_holders)", II, tt, t);
 S_178_0: /* 2 */
@@ -1907,153 +1908,159 @@
 		/* else */;
 		goto S_179_0;
 S_178_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.18, near line 149)");
+		Uerror("blocking sel in d_step (nr.18, near line 152)");
 S_179_0: /* 2 */
-		goto S_187_0;
-S_186_1: /* 3 */
+		goto S_188_0;
+S_187_1: /* 3 */
 S_180_0: /* 2 */
 		/* else */;
-S_184_0: /* 2 */
 S_181_0: /* 2 */
-		if (!((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)>((int)now.acceptedByFewer))))
-			goto S_184_1;
+		spin_assert(( !(((((int)witness)==2)&&((int)now.cut)))||((int)witness_found)), "( !(((witness==2)&&cut))||witness_found)", II, tt, t);
+S_185_0: /* 2 */
 S_182_0: /* 2 */
+		if (!((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)>((int)now.acceptedByFewer))))
+			goto S_185_1;
+S_183_0: /* 2 */
 		now.acceptedByFewer = ((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged);
 #ifdef VAR_RANGES
 		logval("acceptedByFewer", ((int)now.acceptedByFewer));
 #endif
 		;
-		goto S_185_0;
-S_184_1: /* 3 */
-S_183_0: /* 2 */
+		goto S_186_0;
+S_185_1: /* 3 */
+S_184_0: /* 2 */
 		/* else */;
-		goto S_185_0;
-S_184_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.19, near line 154)");
-S_185_0: /* 2 */
-		goto S_187_0;
-S_186_2: /* 3 */
-		Uerror("blocking sel in d_step (nr.20, near line 144)");
-S_187_0: /* 2 */
+		goto S_186_0;
+S_185_2: /* 3 */
+		Uerror("blocking sel in d_step (nr.19, near line 158)");
+S_186_0: /* 2 */
+		goto S_188_0;
+S_187_2: /* 3 */
+		Uerror("blocking sel in d_step (nr.20, near line 147)");
 S_188_0: /* 2 */
+S_189_0: /* 2 */
 		now.node[ Index(((P0 *)_this)->self, 3) ].accepted = ((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged);
 #ifdef VAR_RANGES
 		logval("node[Process:self].accepted", ((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].accepted));
 #endif
 		;
-S_189_0: /* 2 */
+S_190_0: /* 2 */
 		now.node[ Index(((P0 *)_this)->self, 3) ].reports = 0;
 #ifdef VAR_RANGES
 		logval("node[Process:self].reports", ((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].reports));
 #endif
 		;
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 45: // STATE 199 - ../../distribution.pml:223 - [D_STEP223]
+	case 45: // STATE 201 - ../../distribution.pml:229 - [D_STEP229]
 		if (!(boq == -1 && (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].up)&&(((( ((((int)mutant)!=2)) ? (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)) : (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)) )!=0)&&((( ((((int)mutant)!=2)) ? (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)) : (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)) )>((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].inForce))||( !((((int)mutant)!=1))&&(( ((((int)mutant)!=2)) ? (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)) : (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)) )!=((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].inForce)))))&&((( ((((int)mutant)!=2)) ? (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)) : (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)) )<=((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].accepted))|| !((((int)mutant)!=3)))))))
 			continue;
 
-		reached[0][199] = 1;
+		reached[0][201] = 1;
 		reached[0][t->st] = 1;
 		reached[0][tt] = 1;
 
 		if (TstOnly) return 1;
 
 		sv_save();
-		S_192_0: /* 2 */
+		S_193_0: /* 2 */
 		if (!((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].up)&&(((( ((((int)mutant)!=2)) ? (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)) : (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)) )!=0)&&((( ((((int)mutant)!=2)) ? (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)) : (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)) )>((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].inForce))||( !((((int)mutant)!=1))&&(( ((((int)mutant)!=2)) ? (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)) : (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)) )!=((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].inForce)))))&&((( ((((int)mutant)!=2)) ? (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)) : (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)) )<=((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].accepted))|| !((((int)mutant)!=3)))))))
 			Uerror("block in d_step seq");
-S_197_0: /* 2 */
-S_193_0: /* 2 */
-		spin_assert(((( ((((int)mutant)!=2)) ? (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)) : (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)) )>((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].inForce))||((int)moved_back)), "((( ((mutant!=2)) ? (node[self].staged) : (node[self].service) )>node[self].inForce)||moved_back)", II, tt, t);
+S_199_0: /* 2 */
 S_194_0: /* 2 */
-		spin_assert(((( ((((int)mutant)!=2)) ? (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)) : (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)) )==( ((((int)mutant)!=2)) ? (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)) : (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].secret)) ))||((int)activated_in_part)), "((( ((mutant!=2)) ? (node[self].staged) : (node[self].service) )==( ((mutant!=2)) ? (node[self].staged) : (node[self].secret) ))||activated_in_part)", II, tt, t);
+		spin_assert(( !((((((int)witness)==3)&&(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].inForce)==1))&&(( ((((int)mutant)!=2)) ? (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)) : (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)) )==3)))||((int)witness_found)), "( !((((witness==3)&&(node[self].inForce==1))&&(( ((mutant!=2)) ? (node[self].staged) : (node[self].service) )==3)))||witness_found)", II, tt, t);
 S_195_0: /* 2 */
-		spin_assert((((( ((((int)mutant)!=2)) ? (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)) : (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)) )<=((int)now.acceptedByQuorum))||(( ((((int)mutant)!=2)) ? (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)) : (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)) )<=((int)now.acceptedByFewer)))||((int)not_accepted)), "(((( ((mutant!=2)) ? (node[self].staged) : (node[self].service) )<=acceptedByQuorum)||(( ((mutant!=2)) ? (node[self].staged) : (node[self].service) )<=acceptedByFewer))||not_accepted)", II, tt, t);
+		spin_assert(((( ((((int)mutant)!=2)) ? (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)) : (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)) )>((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].inForce))||((int)moved_back)), "((( ((mutant!=2)) ? (node[self].staged) : (node[self].service) )>node[self].inForce)||moved_back)", II, tt, t);
 S_196_0: /* 2 */
+		spin_assert(((( ((((int)mutant)!=2)) ? (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)) : (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)) )==( ((((int)mutant)!=2)) ? (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)) : (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].secret)) ))||((int)activated_in_part)), "((( ((mutant!=2)) ? (node[self].staged) : (node[self].service) )==( ((mutant!=2)) ? (node[self].staged) : (node[self].secret) ))||activated_in_part)", II, tt, t);
+S_197_0: /* 2 */
+		spin_assert((((( ((((int)mutant)!=2)) ? (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)) : (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)) )<=((int)now.acceptedByQuorum))||(( ((((int)mutant)!=2)) ? (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)) : (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)) )<=((int)now.acceptedByFewer)))||((int)not_accepted)), "(((( ((mutant!=2)) ? (node[self].staged) : (node[self].service) )<=acceptedByQuorum)||(( ((mutant!=2)) ? (node[self].staged) : (node[self].service) )<=acceptedByFewer))||not_accepted)", II, tt, t);
+S_198_0: /* 2 */
 		now.node[ Index(((P0 *)_this)->self, 3) ].inForce = ( ((((int)mutant)!=2)) ? (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].staged)) : (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].service)) );
 #ifdef VAR_RANGES
 		logval("node[Process:self].inForce", ((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].inForce));
 #endif
 		;
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 46: // STATE 209 - ../../distribution.pml:224 - [D_STEP224]
+	case 46: // STATE 212 - ../../distribution.pml:230 - [D_STEP230]
 		if (!(boq == -1 && (((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].up)&&((( !(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].ready))&&(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].inForce)!=0))&&(( !((((int)mutant)!=4))||((((int)mutant)!=9)&&((( !((((int)now.node[0].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==0))||((((int)((P0 *)_this)->self)!=0)&&(0!=0)))))||((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].heard)|(1<<((int)((P0 *)_this)->self)))&(1<<0)))&&( !((((int)now.node[1].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==1))||((((int)((P0 *)_this)->self)!=0)&&(1!=0)))))||((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].heard)|(1<<((int)((P0 *)_this)->self)))&(1<<1))))&&( !((((int)now.node[2].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==2))||((((int)((P0 *)_this)->self)!=0)&&(2!=0)))))||((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].heard)|(1<<((int)((P0 *)_this)->self)))&(1<<2))))))||( !((((int)mutant)!=9))&&(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].heard)!=0))))&&( !((((int)mutant)!=4))||(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].inForce)>=((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].needed)))))))
 			continue;
 
-		reached[0][209] = 1;
+		reached[0][212] = 1;
 		reached[0][t->st] = 1;
 		reached[0][tt] = 1;
 
 		if (TstOnly) return 1;
 
 		sv_save();
-		S_199_0: /* 2 */
+		S_201_0: /* 2 */
 		if (!((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].up)&&((( !(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].ready))&&(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].inForce)!=0))&&(( !((((int)mutant)!=4))||((((int)mutant)!=9)&&((( !((((int)now.node[0].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==0))||((((int)((P0 *)_this)->self)!=0)&&(0!=0)))))||((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].heard)|(1<<((int)((P0 *)_this)->self)))&(1<<0)))&&( !((((int)now.node[1].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==1))||((((int)((P0 *)_this)->self)!=0)&&(1!=0)))))||((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].heard)|(1<<((int)((P0 *)_this)->self)))&(1<<1))))&&( !((((int)now.node[2].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==2))||((((int)((P0 *)_this)->self)!=0)&&(2!=0)))))||((((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].heard)|(1<<((int)((P0 *)_this)->self)))&(1<<2))))))||( !((((int)mutant)!=9))&&(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].heard)!=0))))&&( !((((int)mutant)!=4))||(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].inForce)>=((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].needed)))))))
 			Uerror("block in d_step seq");
-S_207_0: /* 2 */
-S_200_0: /* 2 */
+S_210_0: /* 2 */
+S_202_0: /* 2 */
+		spin_assert(( !((((((int)witness)==1)&&(((int)now.crashes)==2))&&(((int)now.owed[ Index(((int)((P0 *)_this)->self), 3) ].by[2])==2)))||((int)witness_found)), "( !((((witness==1)&&(crashes==2))&&(owed[self].by[2]==2)))||witness_found)", II, tt, t);
+S_203_0: /* 2 */
 		spin_assert((((( !((((int)now.node[0].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==0))||((((int)((P0 *)_this)->self)!=0)&&(0!=0)))))||(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].inForce)>=((int)now.owed[ Index(((int)((P0 *)_this)->self), 3) ].by[0])))&&( !((((int)now.node[1].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==1))||((((int)((P0 *)_this)->self)!=0)&&(1!=0)))))||(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].inForce)>=((int)now.owed[ Index(((int)((P0 *)_this)->self), 3) ].by[1]))))&&( !((((int)now.node[2].up)&&(( !(((int)now.cut))||(((int)((P0 *)_this)->self)==2))||((((int)((P0 *)_this)->self)!=0)&&(2!=0)))))||(((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].inForce)>=((int)now.owed[ Index(((int)((P0 *)_this)->self), 3) ].by[2]))))||((int)ready_behind)), "(((( !((node[0].up&&(( !(cut)||(self==0))||((self!=0)&&(0!=0)))))||(node[self].inForce>=owed[self].by[0]))&&( !((node[1].up&&(( !(cut)||(self==1))||((self!=0)&&(1!=0)))))||(node[self].inForce>=owed[self].by[1])))&&( !((node[2].up&&(( !(cut)||(self==2))||((self!=0)&&(2!=0)))))||(node[self].inForce>=owed[self].by[2])))||ready_behind)", II, tt, t);
-S_201_0: /* 2 */
+S_204_0: /* 2 */
 		now.node[ Index(((P0 *)_this)->self, 3) ].ready = 1;
 #ifdef VAR_RANGES
 		logval("node[Process:self].ready", ((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].ready));
 #endif
 		;
-S_202_0: /* 2 */
+S_205_0: /* 2 */
 		now.node[ Index(((P0 *)_this)->self, 3) ].heard = 0;
 #ifdef VAR_RANGES
 		logval("node[Process:self].heard", ((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].heard));
 #endif
 		;
-S_203_0: /* 2 */
+S_206_0: /* 2 */
 		now.node[ Index(((P0 *)_this)->self, 3) ].needed = 0;
 #ifdef VAR_RANGES
 		logval("node[Process:self].needed", ((int)now.node[ Index(((int)((P0 *)_this)->self), 3) ].needed));
 #endif
 		;
-S_204_0: /* 2 */
+S_207_0: /* 2 */
 		now.owed[ Index(((P0 *)_this)->self, 3) ].by[0] = 0;
 #ifdef VAR_RANGES
 		logval("owed[Process:self].by[0]", ((int)now.owed[ Index(((int)((P0 *)_this)->self), 3) ].by[0]));
 #endif
 		;
-S_205_0: /* 2 */
+S_208_0: /* 2 */
 		now.owed[ Index(((P0 *)_this)->self, 3) ].by[1] = 0;
 #ifdef VAR_RANGES
 		logval("owed[Process:self].by[1]", ((int)now.owed[ Index(((int)((P0 *)_this)->self), 3) ].by[1]));
 #endif
 		;
-S_206_0: /* 2 */
+S_209_0: /* 2 */
 		now.owed[ Index(((P0 *)_this)->self, 3) ].by[2] = 0;
 #ifdef VAR_RANGES
 		logval("owed[Process:self].by[2]", ((int)now.owed[ Index(((int)((P0 *)_this)->self), 3) ].by[2]));
 #endif
 		;
-		goto S_210_0; /* ';' */
-		goto S_210_0; /* ';' */
+		goto S_213_0; /* ';' */
+		goto S_213_0; /* ';' */
 
 #if defined(C_States) && (HAS_TRACK==1)
 		c_update((uchar *) &(now.c_state[0]));
 #endif
 		_m = 3; goto P999;
 
-	case 47: // STATE 213 - ../../distribution.pml:226 - [-end-] (0:0:0 - 1)
+	case 47: // STATE 216 - ../../distribution.pml:232 - [-end-] (0:0:0 - 1)
 		IfNotBlocked
-		reached[0][213] = 1;
+		reached[0][216] = 1;
 		if (!delproc(1, II)) continue;
 		_m = 3; goto P999; /* 0 */
 	case  _T5:	/* np_ */
