--- a/model/verifier/distribution/pan.t
+++ b/model/verifier/distribution/pan.t
@@ -28,33 +28,33 @@
 
 	trans[4] = (Trans **) emalloc(14*sizeof(Trans *));
 
-	trans[4][6]	= settr(370,0,5,1,0,".(goto)", 0, 2, 0);
-	T = trans[4][5] = settr(369,0,0,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(369,0,1,0,0,"DO", 0, 2, 0);
-	    T->nxt	= settr(369,0,3,0,0,"DO", 0, 2, 0);
-	trans[4][1]	= settr(365,0,10,3,0,"(!(((((((faultsOver&&(!(node[0].up)||((((node[0].inForce==node[0].staged)&&(node[0].ready||(!(sourceUp)&&(node[0].inForce==0))))&&(!(sourceUp)||(node[0].inForce==published)))&&((crashes>=quorum)||(node[0].inForce>=acceptedByQuorum)))))&&(!(node[1].up)||((((node[1].inForce==node[1].staged)&&(node[1].ready||(!(sourceUp)&&(node[1].inForce==0))))&&(!(sourceUp)||(node[1].inForce==published)))&&((crashes>=quorum)||(node[1].inForce>=acceptedByQuorum)))))&&(!(node[2].up)||((((node[2].inForce==node[2].staged)&&(node[2].ready||(!(sourceUp)&&(node[2].inForce==0))))&&(!(sourceUp)||(node[2].inForce==published)))&&((crashes>=quorum)||(node[2].inForce>=acceptedByQuorum)))))&&((!(node[0].up)||!(node[1].up))||(node[0].inForce==node[1].inForce)))&&((!(node[1].up)||!(node[2].up))||(node[1].inForce==node[2].inForce)))&&((!(node[0].up)||!(node[2].up))||(node[0].inForce==node[2].inForce)))))", 1, 2, 0);
-	trans[4][2]	= settr(366,0,10,1,0,"goto accept_S9", 0, 2, 0);
-	trans[4][3]	= settr(367,0,5,1,0,"(1)", 0, 2, 0);
-	trans[4][4]	= settr(368,0,5,1,0,"goto T0_init", 0, 2, 0);
-	trans[4][7]	= settr(371,0,10,1,0,"break", 0, 2, 0);
-	trans[4][11]	= settr(375,0,10,1,0,".(goto)", 0, 2, 0);
-	T = trans[4][10] = settr(374,0,0,0,0,"DO", 0, 2, 0);
-	    T->nxt	= settr(374,0,8,0,0,"DO", 0, 2, 0);
-	trans[4][8]	= settr(372,0,5,1,0,"(1)", 0, 2, 0);
-	trans[4][9]	= settr(373,0,5,1,0,"goto T0_init", 0, 2, 0);
-	trans[4][12]	= settr(376,0,13,1,0,"break", 0, 2, 0);
-	trans[4][13]	= settr(377,0,0,4,4,"-end-", 0, 3500, 0);
+	trans[4][6]	= settr(373,0,5,1,0,".(goto)", 0, 2, 0);
+	T = trans[4][5] = settr(372,0,0,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(372,0,1,0,0,"DO", 0, 2, 0);
+	    T->nxt	= settr(372,0,3,0,0,"DO", 0, 2, 0);
+	trans[4][1]	= settr(368,0,10,3,0,"(!(((((((faultsOver&&(!(node[0].up)||((((node[0].inForce==node[0].staged)&&(node[0].ready||(!(sourceUp)&&(node[0].inForce==0))))&&(!(sourceUp)||(node[0].inForce==published)))&&((crashes>=quorum)||(node[0].inForce>=acceptedByQuorum)))))&&(!(node[1].up)||((((node[1].inForce==node[1].staged)&&(node[1].ready||(!(sourceUp)&&(node[1].inForce==0))))&&(!(sourceUp)||(node[1].inForce==published)))&&((crashes>=quorum)||(node[1].inForce>=acceptedByQuorum)))))&&(!(node[2].up)||((((node[2].inForce==node[2].staged)&&(node[2].ready||(!(sourceUp)&&(node[2].inForce==0))))&&(!(sourceUp)||(node[2].inForce==published)))&&((crashes>=quorum)||(node[2].inForce>=acceptedByQuorum)))))&&((!(node[0].up)||!(node[1].up))||(node[0].inForce==node[1].inForce)))&&((!(node[1].up)||!(node[2].up))||(node[1].inForce==node[2].inForce)))&&((!(node[0].up)||!(node[2].up))||(node[0].inForce==node[2].inForce)))))", 1, 2, 0);
+	trans[4][2]	= settr(369,0,10,1,0,"goto accept_S9", 0, 2, 0);
+	trans[4][3]	= settr(370,0,5,1,0,"(1)", 0, 2, 0);
+	trans[4][4]	= settr(371,0,5,1,0,"goto T0_init", 0, 2, 0);
+	trans[4][7]	= settr(374,0,10,1,0,"break", 0, 2, 0);
+	trans[4][11]	= settr(378,0,10,1,0,".(goto)", 0, 2, 0);
+	T = trans[4][10] = settr(377,0,0,0,0,"DO", 0, 2, 0);
+	    T->nxt	= settr(377,0,8,0,0,"DO", 0, 2, 0);
+	trans[4][8]	= settr(375,0,5,1,0,"(1)", 0, 2, 0);
+	trans[4][9]	= settr(376,0,5,1,0,"goto T0_init", 0, 2, 0);
+	trans[4][12]	= settr(379,0,13,1,0,"break", 0, 2, 0);
+	trans[4][13]	= settr(380,0,0,4,4,"-end-", 0, 3500, 0);
 
 	/* proctype 3: :init: */
 
 	trans[3] = (Trans **) emalloc(33*sizeof(Trans *));
 
-	T = trans[ 3][31] = settr(363,2,0,0,0,"ATOMIC", 1, 2, 0);
-	T->nxt	= settr(363,2,1,0,0,"ATOMIC", 1, 2, 0);
-	trans[3][1]	= settr(333,2,9,5,5,"{c_code1}", 1, 2, 0);
-	T = trans[ 3][9] = settr(341,0,0,0,0,"sub-sequence", 1, 2, 0);
-	T->nxt	= settr(341,0,2,0,0,"sub-sequence", 1, 2, 0);
-	trans[3][2]	= settr(334,2,17,6,6,"node[0].up = 1", 1, 2, 0); /* m: 3 -> 0,17 */
+	T = trans[ 3][31] = settr(366,2,0,0,0,"ATOMIC", 1, 2, 0);
+	T->nxt	= settr(366,2,1,0,0,"ATOMIC", 1, 2, 0);
+	trans[3][1]	= settr(336,2,9,5,5,"{c_code1}", 1, 2, 0);
+	T = trans[ 3][9] = settr(344,0,0,0,0,"sub-sequence", 1, 2, 0);
+	T->nxt	= settr(344,0,2,0,0,"sub-sequence", 1, 2, 0);
+	trans[3][2]	= settr(337,2,17,6,6,"node[0].up = 1", 1, 2, 0); /* m: 3 -> 0,17 */
 	reached3[3] = 1;
 	trans[3][3]	= settr(0,0,0,0,0,"node[0].ready = (acceptedByQuorum!=0)",0,0,0);
 	trans[3][4]	= settr(0,0,0,0,0,"node[0].service = acceptedByQuorum",0,0,0);
@@ -62,9 +62,9 @@
 	trans[3][6]	= settr(0,0,0,0,0,"node[0].staged = acceptedByQuorum",0,0,0);
 	trans[3][7]	= settr(0,0,0,0,0,"node[0].accepted = acceptedByQuorum",0,0,0);
 	trans[3][8]	= settr(0,0,0,0,0,"node[0].inForce = acceptedByQuorum",0,0,0);
-	T = trans[ 3][17] = settr(349,0,0,0,0,"sub-sequence", 1, 2, 0);
-	T->nxt	= settr(349,0,10,0,0,"sub-sequence", 1, 2, 0);
-	trans[3][10]	= settr(342,2,25,7,7,"node[1].up = 1", 1, 2, 0); /* m: 11 -> 0,25 */
+	T = trans[ 3][17] = settr(352,0,0,0,0,"sub-sequence", 1, 2, 0);
+	T->nxt	= settr(352,0,10,0,0,"sub-sequence", 1, 2, 0);
+	trans[3][10]	= settr(345,2,25,7,7,"node[1].up = 1", 1, 2, 0); /* m: 11 -> 0,25 */
 	reached3[11] = 1;
 	trans[3][11]	= settr(0,0,0,0,0,"node[1].ready = (acceptedByQuorum!=0)",0,0,0);
 	trans[3][12]	= settr(0,0,0,0,0,"node[1].service = acceptedByQuorum",0,0,0);
@@ -72,9 +72,9 @@
 	trans[3][14]	= settr(0,0,0,0,0,"node[1].staged = acceptedByQuorum",0,0,0);
 	trans[3][15]	= settr(0,0,0,0,0,"node[1].accepted = acceptedByQuorum",0,0,0);
 	trans[3][16]	= settr(0,0,0,0,0,"node[1].inForce = acceptedByQuorum",0,0,0);
-	T = trans[ 3][25] = settr(357,0,0,0,0,"sub-sequence", 1, 2, 0);
-	T->nxt	= settr(357,0,18,0,0,"sub-sequence", 1, 2, 0);
-	trans[3][18]	= settr(350,2,26,8,8,"node[2].up = 1", 1, 2, 0); /* m: 19 -> 0,26 */
+	T = trans[ 3][25] = settr(360,0,0,0,0,"sub-sequence", 1, 2, 0);
+	T->nxt	= settr(360,0,18,0,0,"sub-sequence", 1, 2, 0);
+	trans[3][18]	= settr(353,2,26,8,8,"node[2].up = 1", 1, 2, 0); /* m: 19 -> 0,26 */
 	reached3[19] = 1;
 	trans[3][19]	= settr(0,0,0,0,0,"node[2].ready = (acceptedByQuorum!=0)",0,0,0);
 	trans[3][20]	= settr(0,0,0,0,0,"node[2].service = acceptedByQuorum",0,0,0);
@@ -82,94 +82,94 @@
 	trans[3][22]	= settr(0,0,0,0,0,"node[2].staged = acceptedByQuorum",0,0,0);
 	trans[3][23]	= settr(0,0,0,0,0,"node[2].accepted = acceptedByQuorum",0,0,0);
 	trans[3][24]	= settr(0,0,0,0,0,"node[2].inForce = acceptedByQuorum",0,0,0);
-	trans[3][26]	= settr(358,2,27,9,9,"(run Process(0))", 1, 2, 0);
-	trans[3][27]	= settr(359,2,28,10,10,"(run Process(1))", 1, 2, 0);
-	trans[3][28]	= settr(360,2,29,11,11,"(run Process(2))", 1, 2, 0);
-	trans[3][29]	= settr(361,2,30,12,12,"(run Faults())", 1, 2, 0);
-	trans[3][30]	= settr(362,0,32,13,13,"(run Monitor())", 1, 2, 0);
-	trans[3][32]	= settr(364,0,0,14,14,"-end-", 0, 3500, 0);
+	trans[3][26]	= settr(361,2,27,9,9,"(run Process(0))", 1, 2, 0);
+	trans[3][27]	= settr(362,2,28,10,10,"(run Process(1))", 1, 2, 0);
+	trans[3][28]	= settr(363,2,29,11,11,"(run Process(2))", 1, 2, 0);
+	trans[3][29]	= settr(364,2,30,12,12,"(run Faults())", 1, 2, 0);
+	trans[3][30]	= settr(365,0,32,13,13,"(run Monitor())", 1, 2, 0);
+	trans[3][32]	= settr(367,0,0,14,14,"-end-", 0, 3500, 0);
 
 	/* proctype 2: Monitor */
 
 	trans[2] = (Trans **) emalloc(4*sizeof(Trans *));
 
-	trans[2][1]	= settr(330,0,2,15,0,"((timeout&&(ending==2)))", 1, 3000, 0);
-	trans[2][2]	= settr(331,0,3,16,0,"assert((((((((faultsOver&&(!(node[0].up)||((((node[0].inForce==node[0].staged)&&(node[0].ready||(!(sourceUp)&&(node[0].inForce==0))))&&(!(sourceUp)||(node[0].inForce==published)))&&((crashes>=quorum)||(node[0].inForce>=acceptedByQuorum)))))&&(!(node[1].up)||((((node[1].inForce==node[1].staged)&&(node[1].ready||(!(sourceUp)&&(node[1].inForce==0))))&&(!(sourceUp)||(node[1].inForce==published)))&&((crashes>=quorum)||(node[1].inForce>=acceptedByQuorum)))))&&(!(node[2].up)||((((node[2].inForce==node[2].staged)&&(node[2].ready||(!(sourceUp)&&(node[2].inForce==0))))&&(!(sourceUp)||(node[2].inForce==published)))&&((crashes>=quorum)||(node[2].inForce>=acceptedByQuorum)))))&&((!(node[0].up)||!(node[1].up))||(node[0].inForce==node[1].inForce)))&&((!(node[1].up)||!(node[2].up))||(node[1].inForce==node[2].inForce)))&&((!(node[0].up)||!(node[2].up))||(node[0].inForce==node[2].inForce)))||not_converged))", 1, 2, 0);
-	trans[2][3]	= settr(332,0,0,17,17,"-end-", 0, 3500, 0);
+	trans[2][1]	= settr(333,0,2,15,0,"((timeout&&(ending==2)))", 1, 3000, 0);
+	trans[2][2]	= settr(334,0,3,16,0,"assert((((((((faultsOver&&(!(node[0].up)||((((node[0].inForce==node[0].staged)&&(node[0].ready||(!(sourceUp)&&(node[0].inForce==0))))&&(!(sourceUp)||(node[0].inForce==published)))&&((crashes>=quorum)||(node[0].inForce>=acceptedByQuorum)))))&&(!(node[1].up)||((((node[1].inForce==node[1].staged)&&(node[1].ready||(!(sourceUp)&&(node[1].inForce==0))))&&(!(sourceUp)||(node[1].inForce==published)))&&((crashes>=quorum)||(node[1].inForce>=acceptedByQuorum)))))&&(!(node[2].up)||((((node[2].inForce==node[2].staged)&&(node[2].ready||(!(sourceUp)&&(node[2].inForce==0))))&&(!(sourceUp)||(node[2].inForce==published)))&&((crashes>=quorum)||(node[2].inForce>=acceptedByQuorum)))))&&((!(node[0].up)||!(node[1].up))||(node[0].inForce==node[1].inForce)))&&((!(node[1].up)||!(node[2].up))||(node[1].inForce==node[2].inForce)))&&((!(node[0].up)||!(node[2].up))||(node[0].inForce==node[2].inForce)))||not_converged))", 1, 2, 0);
+	trans[2][3]	= settr(335,0,0,17,17,"-end-", 0, 3500, 0);
 
 	/* proctype 1: Faults */
 
 	trans[1] = (Trans **) emalloc(118*sizeof(Trans *));
 
-	trans[1][115]	= settr(327,0,114,1,0,".(goto)", 0, 2, 0);
-	T = trans[1][114] = settr(326,0,0,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(326,0,3,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(326,0,29,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(326,0,55,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(326,0,81,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(326,0,87,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(326,0,93,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(326,0,99,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(326,0,103,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(326,0,106,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(326,0,109,0,0,"DO", 0, 2, 0);
-	    T->nxt	= settr(326,0,113,0,0,"DO", 0, 2, 0);
-/*->*/	trans[1][3]	= settr(215,32,114,18,18,"D_STEP274", 1, 2, 0);
-/*->*/	trans[1][29]	= settr(241,32,114,19,19,"D_STEP275", 1, 2, 0);
-/*->*/	trans[1][55]	= settr(267,32,114,20,20,"D_STEP276", 1, 2, 0);
-/*->*/	trans[1][81]	= settr(293,32,114,21,21,"D_STEP277", 1, 2, 0);
-/*->*/	trans[1][87]	= settr(299,32,114,22,22,"D_STEP278", 1, 2, 0);
-/*->*/	trans[1][93]	= settr(305,32,114,23,23,"D_STEP279", 1, 2, 0);
-/*->*/	trans[1][99]	= settr(311,32,114,24,24,"D_STEP280", 1, 2, 0);
-/*->*/	trans[1][103]	= settr(315,32,114,25,25,"D_STEP281", 1, 2, 0);
-/*->*/	trans[1][106]	= settr(318,32,114,26,26,"D_STEP282", 1, 2, 0);
-/*->*/	trans[1][109]	= settr(321,32,114,27,27,"D_STEP283", 1, 2, 0);
-/*->*/	trans[1][113]	= settr(325,32,114,28,28,"D_STEP284", 1, 2, 0);
-	trans[1][116]	= settr(328,0,117,1,0,"break", 0, 2, 0);
-	trans[1][117]	= settr(329,0,0,29,29,"-end-", 0, 3500, 0);
+	trans[1][115]	= settr(330,0,114,1,0,".(goto)", 0, 2, 0);
+	T = trans[1][114] = settr(329,0,0,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(329,0,3,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(329,0,29,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(329,0,55,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(329,0,81,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(329,0,87,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(329,0,93,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(329,0,99,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(329,0,103,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(329,0,106,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(329,0,109,0,0,"DO", 0, 2, 0);
+	    T->nxt	= settr(329,0,113,0,0,"DO", 0, 2, 0);
+/*->*/	trans[1][3]	= settr(218,32,114,18,18,"D_STEP280", 1, 2, 0);
+/*->*/	trans[1][29]	= settr(244,32,114,19,19,"D_STEP281", 1, 2, 0);
+/*->*/	trans[1][55]	= settr(270,32,114,20,20,"D_STEP282", 1, 2, 0);
+/*->*/	trans[1][81]	= settr(296,32,114,21,21,"D_STEP283", 1, 2, 0);
+/*->*/	trans[1][87]	= settr(302,32,114,22,22,"D_STEP284", 1, 2, 0);
+/*->*/	trans[1][93]	= settr(308,32,114,23,23,"D_STEP285", 1, 2, 0);
+/*->*/	trans[1][99]	= settr(314,32,114,24,24,"D_STEP286", 1, 2, 0);
+/*->*/	trans[1][103]	= settr(318,32,114,25,25,"D_STEP287", 1, 2, 0);
+/*->*/	trans[1][106]	= settr(321,32,114,26,26,"D_STEP288", 1, 2, 0);
+/*->*/	trans[1][109]	= settr(324,32,114,27,27,"D_STEP289", 1, 2, 0);
+/*->*/	trans[1][113]	= settr(328,32,114,28,28,"D_STEP290", 1, 2, 0);
+	trans[1][116]	= settr(331,0,117,1,0,"break", 0, 2, 0);
+	trans[1][117]	= settr(332,0,0,29,29,"-end-", 0, 3500, 0);
 
 	/* proctype 0: Process */
 
-	trans[0] = (Trans **) emalloc(214*sizeof(Trans *));
-
-	trans[0][211]	= settr(210,0,210,1,0,".(goto)", 0, 2, 0);
-	T = trans[0][210] = settr(209,0,0,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(209,0,18,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(209,0,36,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(209,0,54,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(209,0,72,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(209,0,90,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(209,0,108,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(209,0,119,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(209,0,130,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(209,0,133,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(209,0,136,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(209,0,145,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(209,0,154,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(209,0,163,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(209,0,172,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(209,0,192,0,0,"DO", 0, 2, 0);
-	T = T->nxt	= settr(209,0,199,0,0,"DO", 0, 2, 0);
-	    T->nxt	= settr(209,0,209,0,0,"DO", 0, 2, 0);
-/*->*/	trans[0][18]	= settr(17,32,210,30,30,"D_STEP208", 1, 2, 0);
-/*->*/	trans[0][36]	= settr(35,32,210,31,31,"D_STEP209", 1, 2, 0);
-/*->*/	trans[0][54]	= settr(53,32,210,32,32,"D_STEP210", 1, 2, 0);
-/*->*/	trans[0][72]	= settr(71,32,210,33,33,"D_STEP211", 1, 2, 0);
-/*->*/	trans[0][90]	= settr(89,32,210,34,34,"D_STEP212", 1, 2, 0);
-/*->*/	trans[0][108]	= settr(107,32,210,35,35,"D_STEP213", 1, 2, 0);
-/*->*/	trans[0][119]	= settr(118,32,210,36,36,"D_STEP214", 1, 2, 0);
-/*->*/	trans[0][130]	= settr(129,32,210,37,37,"D_STEP215", 1, 2, 0);
-/*->*/	trans[0][133]	= settr(132,32,210,38,38,"D_STEP216", 1, 2, 0);
-/*->*/	trans[0][136]	= settr(135,32,210,39,39,"D_STEP217", 1, 2, 0);
-/*->*/	trans[0][145]	= settr(144,32,210,40,40,"D_STEP218", 1, 2, 0);
-/*->*/	trans[0][154]	= settr(153,32,210,41,41,"D_STEP219", 1, 2, 0);
-/*->*/	trans[0][163]	= settr(162,32,210,42,42,"D_STEP220", 1, 2, 0);
-/*->*/	trans[0][172]	= settr(171,32,210,43,43,"D_STEP221", 1, 2, 0);
-/*->*/	trans[0][192]	= settr(191,32,210,44,44,"D_STEP222", 1, 2, 0);
-/*->*/	trans[0][199]	= settr(198,32,210,45,45,"D_STEP223", 1, 2, 0);
-/*->*/	trans[0][209]	= settr(208,32,210,46,46,"D_STEP224", 1, 2, 0);
-	trans[0][212]	= settr(211,0,213,1,0,"break", 0, 2, 0);
-	trans[0][213]	= settr(212,0,0,47,47,"-end-", 0, 3500, 0);
+	trans[0] = (Trans **) emalloc(217*sizeof(Trans *));
+
+	trans[0][214]	= settr(213,0,213,1,0,".(goto)", 0, 2, 0);
+	T = trans[0][213] = settr(212,0,0,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(212,0,18,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(212,0,36,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(212,0,54,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(212,0,72,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(212,0,90,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(212,0,108,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(212,0,119,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(212,0,130,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(212,0,133,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(212,0,136,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(212,0,145,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(212,0,154,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(212,0,163,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(212,0,172,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(212,0,193,0,0,"DO", 0, 2, 0);
+	T = T->nxt	= settr(212,0,201,0,0,"DO", 0, 2, 0);
+	    T->nxt	= settr(212,0,212,0,0,"DO", 0, 2, 0);
+/*->*/	trans[0][18]	= settr(17,32,213,30,30,"D_STEP214", 1, 2, 0);
+/*->*/	trans[0][36]	= settr(35,32,213,31,31,"D_STEP215", 1, 2, 0);
+/*->*/	trans[0][54]	= settr(53,32,213,32,32,"D_STEP216", 1, 2, 0);
+/*->*/	trans[0][72]	= settr(71,32,213,33,33,"D_STEP217", 1, 2, 0);
+/*->*/	trans[0][90]	= settr(89,32,213,34,34,"D_STEP218", 1, 2, 0);
+/*->*/	trans[0][108]	= settr(107,32,213,35,35,"D_STEP219", 1, 2, 0);
+/*->*/	trans[0][119]	= settr(118,32,213,36,36,"D_STEP220", 1, 2, 0);
+/*->*/	trans[0][130]	= settr(129,32,213,37,37,"D_STEP221", 1, 2, 0);
+/*->*/	trans[0][133]	= settr(132,32,213,38,38,"D_STEP222", 1, 2, 0);
+/*->*/	trans[0][136]	= settr(135,32,213,39,39,"D_STEP223", 1, 2, 0);
+/*->*/	trans[0][145]	= settr(144,32,213,40,40,"D_STEP224", 1, 2, 0);
+/*->*/	trans[0][154]	= settr(153,32,213,41,41,"D_STEP225", 1, 2, 0);
+/*->*/	trans[0][163]	= settr(162,32,213,42,42,"D_STEP226", 1, 2, 0);
+/*->*/	trans[0][172]	= settr(171,32,213,43,43,"D_STEP227", 1, 2, 0);
+/*->*/	trans[0][193]	= settr(192,32,213,44,44,"D_STEP228", 1, 2, 0);
+/*->*/	trans[0][201]	= settr(200,32,213,45,45,"D_STEP229", 1, 2, 0);
+/*->*/	trans[0][212]	= settr(211,32,213,46,46,"D_STEP230", 1, 2, 0);
+	trans[0][215]	= settr(214,0,216,1,0,"break", 0, 2, 0);
+	trans[0][216]	= settr(215,0,0,47,47,"-end-", 0, 3500, 0);
 	/* np_ demon: */
 	trans[_NP_] = (Trans **) emalloc(3*sizeof(Trans *));
 	T = trans[_NP_][0] = settr(9997,0,1,_T5,0,"(np_)", 1,2,0);
