Do not take the word of peers that hold nothing, nor read the source alone at once

Second: nodes that had not met their peers yet all took reader duty (100 of 100 read the source at start). Change: words count towards a zone only from members that hold a version; at the time-out a node goes on when a peer holds something, the source was read, or all peers said that they hold nothing. A lone started node takes no duty before the catch-up time-out.

--- a/internal/distribution/catchup.go
+++ b/internal/distribution/catchup.go
@@ -94,17 +94,16 @@
 }
 
 // heardEveryZone reports whether in each zone some members with a version in
-// force gave word, or all did.
+// force gave word, or all its members did. The word of a member that holds
+// nothing does not count: it may itself have just been started.
 func (c *catchUp) heardEveryZone(view *view) bool {
 	if len(view.members) <= 1 {
 		return false
 	}
-	words, useful := make(map[string]int), make(map[string]int)
+	useful := make(map[string]int)
 	for name, known := range c.reports {
-		zone := view.member(name).Zone
-		words[zone]++
 		if !known.active.IsZero() {
-			useful[zone]++
+			useful[view.member(name).Zone]++
 		}
 	}
 	own := view.member(view.self).Zone
@@ -112,7 +111,7 @@
 		if zone == own {
 			members--
 		}
-		if words[zone] < members && useful[zone] < reportsPerZone {
+		if useful[zone] < min(members, reportsPerZone) {
 			return false
 		}
 	}
@@ -164,17 +163,22 @@
 	m.catchUp.reports = nil
 }
 
-// heardEnough reports whether the words heard allow the phase to end. Without
-// any word the source must have been read.
+// heardEnough reports whether the words heard allow the phase to end. When the
+// wait has ended and no peer holds anything, the source must have been read or
+// all peers have said so.
 func (m *Machine) heardEnough() bool {
-	words := len(m.catchUp.reports)
-	if m.catchUp.phase == phaseResumed && words > 0 {
+	if m.catchUp.phase == phaseResumed && len(m.catchUp.reports) > 0 {
 		return true
 	}
 	if m.catchUp.phase == phaseStarting && m.catchUp.heardEveryZone(m.view) {
 		return true
 	}
-	return m.timedOut() && (words > 0 || m.catchUp.sourceRead)
+	if !m.timedOut() {
+		return false
+	}
+	peers := len(m.view.members) - 1
+	goal, _ := m.catchUp.goal()
+	return !goal.IsZero() || m.catchUp.sourceRead || (peers > 0 && len(m.catchUp.reports) >= peers)
 }
 
 // newestAccepted returns the newest version that is in force here or would be.
--- a/internal/distribution/machine.go
+++ b/internal/distribution/machine.go
@@ -121,11 +121,24 @@
 	}
 }
 
-// isReader reports whether this node has the duty to read the source. A node
-// that was paused has none until a peer has confirmed its state or none answers.
+// isReader reports whether this node has the duty to read the source.
 func (m *Machine) isReader() bool {
-	unconfirmed := m.catchUp.phase == phaseResumed && !m.timedOut()
-	return !unconfirmed && m.view.readerRank(m.config.Self.Name) >= 0
+	return m.mayHaveDuty() && m.view.readerRank(m.config.Self.Name) >= 0
+}
+
+// mayHaveDuty reports whether this node's view may be acted on. A node that was
+// paused waits until a peer has confirmed its state; a started one that knows
+// nobody else waits for peers, so that a fleet that starts at once does not
+// read the source all together. Neither waits longer than the catch-up timeout.
+func (m *Machine) mayHaveDuty() bool {
+	switch m.catchUp.phase {
+	case phaseResumed:
+		return m.timedOut()
+	case phaseStarting:
+		return len(m.view.members) > 1 || m.timedOut()
+	default:
+		return true
+	}
 }
 
 func (m *Machine) onMembers(live []wire.Member) {
--- a/internal/distribution/machine_test.go
+++ b/internal/distribution/machine_test.go
@@ -394,3 +394,35 @@
 	}
 	must.Eq(t, fmt.Sprint(before), fmt.Sprint(machine.Status()))
 }
+
+// Found by experiments/failure-source.yaml: in a mass restart beside a stale
+// source, a node took the word of one other started node, which held nothing,
+// for that of the fleet.
+func TestWordsOfPeersThatHoldNothingDoNotEndTheStart(t *testing.T) {
+	now := time.Unix(1, 0)
+	machine := single(now, peer("peer-a"))
+	stale, newest := edition{revision: 1}.set(t), edition{revision: 3}.set(t)
+	machine.Step(PeerDigests{From: "peer-a"}, now)
+	machine.Step(SourceRead{Set: stale}, now)
+	for _, holder := range []string{"peer-a", "peer-c", "peer-d"} {
+		machine.Step(Received{wire.Envelope{From: holder, Staged: &wire.Staged{Version: stale.Version(), Zone: "zone-0"}}}, now)
+	}
+	must.Eq(t, string(phaseStarting), machine.Status().Phase, must.Sprint("freshness guard: peer-a holds nothing itself"))
+	must.True(t, machine.Active().Version().IsZero())
+
+	machine.Step(Members{Live: []wire.Member{peer("node-000"), peer("peer-a"), peer("peer-b")}}, now)
+	machine.Step(PeerDigests{From: "peer-b", Digests: wire.Digests{Active: newest.Version()}}, now)
+	machine.Step(pushOf(snapshot.Empty(), newest, "peer-b", ""), now)
+	machine.Step(PeerDigests{From: "peer-a", Digests: wire.Digests{Active: newest.Version()}}, now)
+	must.Eq(t, newest.Version(), machine.Active().Version())
+}
+
+func TestStartedNodesDoNotAllReadTheSource(t *testing.T) {
+	now := time.Unix(1, 0)
+	machine := single(now)
+	must.False(t, machine.Status().Reader, must.Sprint("duty guard: a node that has not met its peers yet reads"))
+	for passed := time.Duration(0); passed <= DefaultConfig().CatchUpTimeout; passed += time.Second {
+		machine.Step(Tick{}, now.Add(passed))
+	}
+	must.True(t, machine.Status().Reader)
+}
