--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -93,6 +93,7 @@
 	backlogTellings    = 5                // how often each is told then
 	littleTellings     = 2                // how often what is no news is told
 	hearsayLimit       = 8                // deaths told by stream that are probed at once
+	hearsayPatience    = 4                // times the suspicion timeout, for more than these
 	memberLimit        = 8192             // registers held, against a peer that invents names
 	stallFactor        = 2                // a gap between ticks of this many probe timeouts is a pause
 )
--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -340,9 +340,10 @@
 	f.run(time.Minute)
 	must.True(t, f.agreed())
 
-	f.side[3] = 1
-	f.run(1200 * time.Millisecond) // long enough to be doubted
-	clear(f.side)
+	for _, observer := range f.nodes[:3] { // each doubts it once
+		observer.machine.now = f.now
+		observer.machine.suspect(nodeName(3))
+	}
 	f.run(time.Minute)
 	must.Zero(t, f.deaths)
 	f.kill(n)
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -165,21 +165,33 @@
 // here becomes a suspect only: after a partition each side holds the other's
 // members for dead, and taking that over would empty both sides' views until
 // every member had refuted. A few such are probed at once and get a short wait:
-// their time for a refutation has passed elsewhere.
+// their time for a refutation has passed elsewhere. Many get a long one, because
+// many refutations take long to spread, and are not told on.
 func (m *Machine) applyTable(members []wire.Member, spread spread) {
-	var accused []string
+	var accused []wire.Member
 	for _, member := range members {
 		if member.Status == wire.StatusDead && m.table.isLive(member.Name) {
 			member.Status = wire.StatusSuspect
-			accused = append(accused, member.Name)
+			accused = append(accused, member)
+			continue
 		}
 		m.apply(member, spread)
 	}
-	if len(accused) > hearsayLimit {
-		return
+	for _, member := range accused {
+		if len(accused) > hearsayLimit {
+			m.doubtForLong(member)
+			continue
+		}
+		m.apply(member, spread)
+		m.verify(member.Name)
 	}
-	for _, name := range accused {
-		m.verify(name)
+}
+
+// doubtForLong takes over one of many accusations.
+func (m *Machine) doubtForLong(member wire.Member) {
+	m.apply(member, spreadNot)
+	if held, ok := m.table.suspects[member.Name]; ok {
+		held.suspected = m.now.Add(hearsayPatience * m.suspicionTimeout())
 	}
 }
 
