--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -204,6 +204,26 @@
 	})
 }
 
+// Found by BenchmarkFleet half: each repair brought the same deaths, and each
+// time the wait for a refutation began anew.
+func TestManySyncedDeathsAreBelievedInTime(t *testing.T) {
+	f := agreedFleet(t, 16)
+	var dead []wire.Member
+	for _, n := range f.nodes[4:] {
+		f.kill(n)
+		member := n.machine.Self()
+		member.Status = wire.StatusDead
+		dead = append(dead, member)
+	}
+	f.side[0] = 1 // no gossip helps
+	message := wire.Envelope{From: nodeName(1), Sync: &wire.Sync{Members: dead}}
+	for range 10 {
+		f.step(f.nodes[0], Received{Message: message})
+		f.run(2 * time.Second)
+	}
+	must.Len(t, 1, f.nodes[0].machine.Live())
+}
+
 func TestIndirectProbesBridgeABrokenLink(t *testing.T) {
 	f := agreedFleet(t, 4)
 	f.broken = [2]int{1, 2}
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -166,7 +166,7 @@
 // members for dead, and taking that over would empty both sides' views until
 // every member had refuted. A few such are probed at once and get a short wait:
 // their time for a refutation has passed elsewhere. Many get a long one, because
-// many refutations take long to spread, and are not told on.
+// many refutations take long to spread. Neither is told on.
 func (m *Machine) applyTable(members []wire.Member, spread spread) {
 	var accused []wire.Member
 	for _, member := range members {
@@ -182,13 +182,17 @@
 			m.doubtForLong(member)
 			continue
 		}
-		m.apply(member, spread)
+		m.apply(member, spreadNot)
 		m.verify(member.Name)
 	}
 }
 
-// doubtForLong takes over one of many accusations.
+// doubtForLong takes over one of many accusations. The wait runs once: the same
+// accusations come again with each repair.
 func (m *Machine) doubtForLong(member wire.Member) {
+	if _, doubted := m.table.suspects[member.Name]; doubted {
+		return
+	}
 	m.apply(member, spreadNot)
 	if held, ok := m.table.suspects[member.Name]; ok {
 		held.suspected = m.now.Add(hearsayPatience * m.suspicionTimeout())
