--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -165,21 +165,37 @@
 // here becomes a suspect only: after a partition each side holds the other's
 // members for dead, and taking that over would empty both sides' views until
 // every member had refuted. A few such are probed at once and get a short wait:
-// their time for a refutation has passed elsewhere.
+// their time for a refutation has passed elsewhere. Many get a long one, because
+// many refutations take long to spread. Neither is told on.
 func (m *Machine) applyTable(members []wire.Member, spread spread) {
-	var accused []string
+	var accused []wire.Member
 	for _, member := range members {
 		if member.Status == wire.StatusDead && m.table.isLive(member.Name) {
 			member.Status = wire.StatusSuspect
-			accused = append(accused, member.Name)
+			accused = append(accused, member)
+			continue
 		}
 		m.apply(member, spread)
 	}
-	if len(accused) > hearsayLimit {
+	for _, member := range accused {
+		if len(accused) > hearsayLimit {
+			m.doubtForLong(member)
+			continue
+		}
+		m.apply(member, spreadNot)
+		m.verify(member.Name)
+	}
+}
+
+// doubtForLong takes over one of many accusations. The wait runs once: the same
+// accusations come again with each repair.
+func (m *Machine) doubtForLong(member wire.Member) {
+	if _, doubted := m.table.suspects[member.Name]; doubted {
 		return
 	}
-	for _, name := range accused {
-		m.verify(name)
+	m.apply(member, spreadNot)
+	if held, ok := m.table.suspects[member.Name]; ok {
+		held.suspected = m.now.Add(hearsayPatience * m.suspicionTimeout())
 	}
 }
 
