--- a/cmd/sliphead-lab/fleet.go
+++ b/cmd/sliphead-lab/fleet.go
@@ -14,6 +14,8 @@
 // fleetCommand runs hollow nodes in this process.
 type fleetCommand struct {
 	Nodes       int    `help:"Hollow nodes in this process." default:"850"`
+	Services    int    `help:"Services that the nodes are spread over." default:"29"`
+	Claims      bool   `help:"Hold claims too; the process needs two file descriptors for each pair of nodes of a service."`
 	Octet       int    `help:"Second octet of the first zone's loopback addresses; five in a row are used." default:"20"`
 	Profile     string `help:"Profile of all nodes." enum:"convergence,bytes" default:"convergence"`
 	Compression string `help:"Coding of streams." enum:"deflate,none" default:"deflate"`
@@ -32,6 +34,8 @@
 		Profile:     settings.Profile(c.Profile),
 		Compression: transport.Compression(c.Compression),
 		History:     c.History,
+		Services:    c.Services,
+		Claims:      c.Claims,
 	}
 	result, err := c.run(ctx, options)
 	fields := log.Fields{"event": "experiment.result", "name": "fleet", "verdict": "pass"}
--- a/internal/node/configure.go
+++ b/internal/node/configure.go
@@ -59,7 +59,7 @@
 		Distribution: n.distributionConfig(),
 		Holder:       n.holder,
 		Sender:       n.transport,
-		Claims:       n.keeper,
+		Claims:       n.claims(),
 		Lease:        n.settings.Distribution.Lease.Duration,
 		Tick:         controlTick,
 		Overlap:      n.settings.Distribution.ScheduleOverlap.Duration,
@@ -70,6 +70,20 @@
 	}
 }
 
+// claims returns the keeper, or nothing when the options leave it out.
+func (n *Node) claims() control.Claims {
+	if n.options.WithoutClaims {
+		return noClaims{}
+	}
+	return n.keeper
+}
+
+// noClaims takes what a keeper would, and does nothing with it.
+type noClaims struct{}
+
+func (noClaims) Deliver(wire.Envelope)     {}
+func (noClaims) Configure(claim.Configure) {}
+
 // membershipConfig applies the settings to the profile's defaults.
 func (n *Node) membershipConfig() membership.Config {
 	config := membership.DefaultConfig(membership.Profile(n.settings.Profile))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,8 @@
 	Hollow   bool // leaves the request and admin listeners out
 	// Compression is the coding of outgoing streams, "" for the default.
 	Compression transport.Compression
+	// WithoutClaims leaves the claim replica out.
+	WithoutClaims bool
 	// History is how many former versions are kept for deltas, below zero for
 	// the default.
 	History int
--- a/lab/fleet/change_bench_test.go
+++ b/lab/fleet/change_bench_test.go
@@ -11,7 +11,7 @@
 // BenchmarkChange measures the steps that a node takes for one change at the
 // target's size.
 func BenchmarkChange(b *testing.B) {
-	layout := &plan{nodes: 850}
+	layout := &plan{nodes: 850, services: 29}
 	before, _ := snapshot.Build(layout.document(0), 1, nil)
 	after, _ := snapshot.Build(layout.document(1), 2, nil)
 	delta := snapshot.Diff(before, after)
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -39,7 +39,9 @@
 	Octet       int // second octet of the first zone's loopback addresses
 	Profile     settings.Profile
 	Compression transport.Compression
-	History     int // former versions kept for deltas; negative for none
+	Services    int  // services that the nodes are spread over
+	Claims      bool // whether nodes hold claims; each then keeps a stream to every other of its service for a while
+	History     int  // former versions kept for deltas; negative for none
 }
 
 // process is one life of a node.
@@ -66,7 +68,7 @@
 
 // newFleet starts the platform of a fleet that has no nodes yet.
 func newFleet(ctx context.Context, options Options) (*Fleet, error) {
-	layout := &plan{nodes: options.Nodes, octet: options.Octet, since: time.Now().Add(startTime)}
+	layout := &plan{nodes: options.Nodes, services: options.Services, octet: options.Octet, since: time.Now().Add(startTime)}
 	f := &Fleet{
 		options:  options,
 		plan:     layout,
@@ -110,11 +112,12 @@
 func (f *Fleet) startNode(ctx context.Context, index int) error {
 	name := f.plan.name(index)
 	started, err := node.New(f.plan.settings(index, f.options.Profile), node.Options{
-		Network:     f.network.from(f.plan.zone(index)),
-		Logger:      f.recorder.logger(name),
-		Hollow:      true,
-		Compression: f.options.Compression,
-		History:     f.options.History,
+		Network:       f.network.from(f.plan.zone(index)),
+		Logger:        f.recorder.logger(name),
+		Hollow:        true,
+		Compression:   f.options.Compression,
+		History:       f.options.History,
+		WithoutClaims: !f.options.Claims,
 	})
 	if err != nil {
 		return err
--- a/lab/fleet/plan.go
+++ b/lab/fleet/plan.go
@@ -16,7 +16,6 @@
 // The shape of the fleet in the users' target.
 const (
 	zoneCount        = 5
-	serviceCount     = 29
 	routesPerService = 3
 	nodesPerHost     = 200 // last octet of the address
 	peerPort         = 7000
@@ -41,9 +40,10 @@
 
 // plan lays a fleet out.
 type plan struct {
-	nodes int
-	octet int       // second octet of the first zone's addresses
-	since time.Time // when claim replicas may vote
+	nodes    int
+	services int
+	octet    int       // second octet of the first zone's addresses
+	since    time.Time // when claim replicas may vote
 }
 
 // region returns the region of a zone.
@@ -75,7 +75,7 @@
 
 // service returns the service of the worker beside a node.
 func (p *plan) service(node int) string {
-	return fmt.Sprintf("service-%02d", node/zoneCount%serviceCount)
+	return fmt.Sprintf("service-%02d", node/zoneCount%p.services)
 }
 
 // address returns the peer address of a node.
@@ -130,7 +130,7 @@
 	for zone, name := range zoneNames {
 		document.Zones = append(document.Zones, declaration.Zone{Name: name, Region: region(zone), TimeZone: "Asia/Kolkata"})
 	}
-	for service := range serviceCount {
+	for service := range p.services {
 		name := fmt.Sprintf("service-%02d", service)
 		document.Services = append(document.Services, declaration.Service{Name: name})
 		document.Selectors = append(document.Selectors, declaration.Selector{Name: name, Service: name, WorkerLabels: declaration.Labels{"shift": "day"}})
