Treat a suspend that stops the monotonic clock as a pause

Cause: control's noticePause and Holder.Current compared monotonic readings only. A machine that is suspended stops that clock, so that a node woke with its lease running and its duties held. Change: the gap is the longer of the monotonic and the wall clock's; a view's lease ends by either clock. Schedules are read at the wall clock alone, so that a clock that is set is noticed at the next boundary. Ruled out: the wall clock alone, which an operator may set back during a pause.

--- a/internal/control/clock.go
+++ b/internal/control/clock.go
@@ -56,3 +56,13 @@
 	}
 	return median
 }
+
+// longestGap returns the time between two readings of the clock, by the
+// monotonic clock or the wall clock, whichever moved further. The monotonic
+// clock stands still while a machine is suspended; the wall clock may be set
+// back.
+func longestGap(before, after time.Time) time.Duration {
+	monotonic := after.Sub(before)
+	wall := after.Round(0).Sub(before.Round(0))
+	return max(monotonic, wall)
+}
--- a/internal/control/handle.go
+++ b/internal/control/handle.go
@@ -58,9 +58,10 @@
 
 // noticePause detects that the process was stopped for longer than its lease:
 // whatever it believes may be long past, so it holds no duty and no lease
-// until a peer has confirmed its state.
+// until a peer has confirmed its state. A wall clock set forward by more than
+// the lease can't be told from a machine suspended, and counts as a pause.
 func (l *Loop) noticePause(now time.Time) {
-	gap := now.Sub(l.lastSeen)
+	gap := longestGap(l.lastSeen, now)
 	l.lastSeen = now
 	if gap <= l.config.Lease {
 		return
@@ -214,7 +215,7 @@
 }
 
 // wallClock returns the time by which schedules are read.
-func (l *Loop) wallClock(now time.Time) time.Time { return now.Add(l.clock.correction()) }
+func (l *Loop) wallClock(now time.Time) time.Time { return now.Add(l.clock.correction()).Round(0) }
 
 // logDistribution writes an event of the distribution machine to the log.
 func (l *Loop) logDistribution(event distribution.Log) {
--- a/internal/control/pause_test.go
+++ b/internal/control/pause_test.go
@@ -50,7 +50,12 @@
 // newReady returns a loop that agreed with its peer on a version.
 func newReady(t *testing.T) *paused {
 	t.Helper()
-	p := &paused{out: &outbox{}, holder: &snapshot.Holder{}, now: time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)}
+	return newReadyAt(t, time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC))
+}
+
+func newReadyAt(t *testing.T, now time.Time) *paused {
+	t.Helper()
+	p := &paused{out: &outbox{}, holder: &snapshot.Holder{}, now: now}
 	p.peer = wire.Member{Name: "peer", Zone: "zone", Peer: "peer:1", Start: p.now.UnixMilli(), Status: wire.StatusAlive, Endpoint: wire.EndpointReady}
 	self := wire.Member{Name: "self", Zone: "zone", Peer: "self:1", Start: p.now.UnixMilli(), Status: wire.StatusAlive}
 	members := membership.DefaultConfig(membership.ProfileConvergence)
--- a/internal/snapshot/view.go
+++ b/internal/snapshot/view.go
@@ -66,12 +66,14 @@
 func (h *Holder) Renew(until time.Time) { h.until.Store(&until) }
 
 // Current returns the newest view, and false when there is none yet or the
-// lease has ended: the process was paused and may believe things long past.
+// lease has ended: the process was paused and may believe things long past. It
+// ends by the monotonic clock or by the wall clock, whichever is first, because
+// the monotonic clock stands still while a machine is suspended.
 func (h *Holder) Current(now time.Time) (*View, bool) {
 	view := h.view.Load()
 	until := h.until.Load()
 	if view == nil || until == nil {
 		return view, false
 	}
-	return view, now.Before(*until)
+	return view, now.Before(*until) && now.Round(0).Before(until.Round(0))
 }
