Name the events of unknown requests and refused certificates

Cause: both lines were written with an empty message and a field named event, so that they read event="" beside the name. Change: the name is the message. request.unknown stays a warning without an error, so it is not written through logging.Problem. The test of renewal never reached the refusal: the key that it broke kept an older time than the certificate's. It now sets the time, and counts the line. Proof, before the change: TestMetricsCountRequests: metrics_test.go:44: "request.unknown" expected, "" found TestCertificateIsRenewed: the line's message is empty

--- a/internal/traffic/certificate.go
+++ b/internal/traffic/certificate.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"sliphead/internal/fault"
+	"sliphead/internal/logging"
 )
 
 // certificateCheck is how often the files are looked at, at most.
@@ -59,7 +60,7 @@
 		return c.current
 	}
 	if err := c.load(); err != nil {
-		c.logger.WithFields(log.Fields{"event": "certificate.refused", "error": err.Error()}).Error("")
+		logging.Problem(c.logger, "certificate.refused", err, nil)
 	}
 	return c.current
 }
--- a/internal/traffic/certificate_test.go
+++ b/internal/traffic/certificate_test.go
@@ -15,6 +15,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"github.com/shoenig/test/must"
 
 	"sliphead/internal/fault"
@@ -48,13 +50,18 @@
 	directory := t.TempDir()
 	now := time.Now()
 	certificateFile, keyFile := writeCertificate(t, directory, 1, now)
-	c, err := LoadCertificates(certificateFile, keyFile, quiet())
+	events := memory.New()
+	c, err := LoadCertificates(certificateFile, keyFile, &log.Logger{Handler: events})
 	must.NoError(t, err)
 	must.Eq(t, 1, serialOf(t, c.certificate(now)))
 	writeCertificate(t, directory, 2, now.Add(time.Minute))
 	must.Eq(t, 2, serialOf(t, c.certificate(now.Add(time.Minute))))
 	must.NoError(t, os.WriteFile(keyFile, []byte("nonsense"), 0o600))
+	written := now.Add(2 * time.Minute)
+	must.NoError(t, os.Chtimes(keyFile, written, written))
 	must.Eq(t, 2, serialOf(t, c.certificate(now.Add(time.Hour)))) // the one before goes on to serve
+	must.Len(t, 1, events.Entries)
+	must.Eq(t, "certificate.refused", events.Entries[0].Message)
 }
 
 func TestMissingCertificateIsASettingsFault(t *testing.T) {
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"sliphead/internal/logging"
 	"sliphead/internal/outcome"
 )
 
@@ -75,10 +76,10 @@
 		m.failures.WithLabelValues(string(ended.cause)).Inc()
 	}
 	if ended.outcome == outcome.Unknown {
-		m.logger.WithFields(log.Fields{
-			"event": "request.unknown", "side": m.side, "route": route, "request": x.id,
+		m.logger.WithFields(logging.Fields{
+			"side": m.side, "route": route, "request": x.id,
 			"cause": string(ended.cause), "status": ended.status, "remedy": ended.remedy,
-		}).Warn("")
+		}).Warn("request.unknown")
 	}
 	conclude(x, ended)
 }
--- a/internal/traffic/metrics_test.go
+++ b/internal/traffic/metrics_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/shoenig/test/must"
 )
@@ -10,7 +12,10 @@
 // Both handlers of a node register with one registry and count each request.
 func TestMetricsCountRequests(t *testing.T) {
 	registry := prometheus.NewRegistry()
-	m, _ := newFaultyMesh(t, func(config *Config) { config.Registerer = registry })
+	events := memory.New()
+	m, _ := newFaultyMesh(t, func(config *Config) {
+		config.Registerer, config.Logger = registry, &log.Logger{Handler: events}
+	})
 	_, _, err := m.call(t, "GET", "/lookup?n=a", "")
 	must.NoError(t, err)
 	_, _, err = m.call(t, "GET", "/lookup?n=b&do=close", "")
@@ -34,6 +39,10 @@
 	must.Eq(t, 1, counts["sliphead_retries_total,side=outbound"])
 	must.Eq(t, 2, counts["sliphead_request_failures_total,cause=broken,side=inbound"])
 	must.Eq(t, 0, counts["sliphead_requests_in_flight,side=inbound"])
+	must.SliceNotEmpty(t, events.Entries)
+	for _, entry := range events.Entries {
+		must.Eq(t, "request.unknown", entry.Message)
+	}
 }
 
 // A node draws its retries from a share of its requests.
