Log when the correction of the clock begins, changes or ends

Change: control logs clock.corrected with offset_ms at the first tick on which the correction is news; at most every 10 s, because an offset near the tolerance would begin and end again and again. Proof, without the call in the tick: TestClockCorrectionIsLoggedWhenItIsNews: clock_test.go:60: [60000 3600000 0] expected, nil found

--- a/internal/control/clock.go
+++ b/internal/control/clock.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"sliphead/internal/logging"
 )
 
 // Bounds of the clock estimate.
@@ -10,6 +12,8 @@
 	clockTolerance = time.Second // a clock that is off by less is left alone
 	clockSamples   = 31          // peers whose offsets are kept
 	clockQuorum    = 3           // peers needed before the own clock is doubted
+
+	correctionReportSpacing = 10 * time.Second // between two lines of the log
 )
 
 // clockOffset estimates how far the own wall clock is off against the median of
@@ -57,6 +61,33 @@
 	return median
 }
 
+// correctionReport is the correction that was logged last.
+type correctionReport struct {
+	correction time.Duration
+	at         time.Time
+}
+
+// due reports whether a correction is news: it begins, ends or has changed by
+// more than the tolerance. One that hovers at the tolerance is reported seldom.
+func (r *correctionReport) due(correction time.Duration, now time.Time) bool {
+	change := correction - r.correction
+	edge := (correction == 0) != (r.correction == 0)
+	if !edge && change.Abs() <= clockTolerance {
+		return false
+	}
+	return r.at.IsZero() || now.Sub(r.at) >= correctionReportSpacing
+}
+
+// reportClock logs a correction of the clock that is news.
+func (l *Loop) reportClock(now time.Time) {
+	correction := l.clock.correction()
+	if !l.reported.due(correction, now) {
+		return
+	}
+	l.reported = correctionReport{correction: correction, at: now}
+	logging.Event(l.config.Logger, "clock.corrected", logging.Fields{"offset_ms": correction.Milliseconds()})
+}
+
 // longestGap returns the time between two readings of the clock, by the
 // monotonic clock or the wall clock, whichever moved further. The monotonic
 // clock stands still while a machine is suspended; the wall clock may be set
--- a/internal/control/clock_test.go
+++ b/internal/control/clock_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"github.com/shoenig/test/must"
 )
 
@@ -37,3 +39,23 @@
 	}
 	must.MapLen(t, clockSamples, offset.byPeer)
 }
+
+func TestClockCorrectionIsLoggedWhenItIsNews(t *testing.T) {
+	p, events := newReady(t), memory.New()
+	p.loop.config.Logger = &log.Logger{Handler: events}
+	for _, offset := range []time.Duration{0, time.Minute, time.Minute + time.Second/2, time.Hour, 0} {
+		p.now = p.now.Add(correctionReportSpacing)
+		for peer := range clockSamples {
+			p.loop.clock.observe(fmt.Sprint(peer), p.now.Add(offset).UnixMilli(), p.now)
+		}
+		p.loop.handle(tick{}, p.now)
+		p.loop.handle(tick{}, p.now)
+	}
+	var offsets []any
+	for _, entry := range events.Entries {
+		if entry.Message == "clock.corrected" {
+			offsets = append(offsets, entry.Fields["offset_ms"])
+		}
+	}
+	must.Eq(t, []any{int64(60_000), int64(3_600_000), int64(0)}, offsets)
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -59,6 +59,7 @@
 	membership   *membership.Machine
 	distribution *distribution.Machine
 	clock        *clockOffset
+	reported     correctionReport
 	publisher    *publisher
 	inputs       chan any
 	addresses    addressBook
--- a/internal/control/handle.go
+++ b/internal/control/handle.go
@@ -19,6 +19,7 @@
 		l.stepDistribution(distribution.Tick{}, now)
 		l.confirmInTime(now)
 		l.passDuty(now)
+		l.reportClock(now)
 	case transport.Received:
 		l.route(event.Envelope, now)
 	case sourceRead:
