Name to a refused dialer whom else it may ask

Cause: transport.Config.Others was never set, so that Busy named nobody, and a Busy that arrived was dropped by control. Change: control publishes five live members, of its own zone first, beginning after itself in the order of names, so that nodes name different ones; the node gives them to the transport. A dialer proposes those that it doesn't know to membership, beside the platform's list, until that is read again. Ruled out: letting distribution ask them at once; it asks known members only, and these are known once they have answered a ping. Proof, before the change: TestBusyPeerNamesWhomToAsk fails: no message goes to other:1; Others is nil

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -63,6 +64,8 @@
 	publisher    *publisher
 	inputs       chan any
 	addresses    addressBook
+	others       atomic.Pointer[[]wire.Member] // whom a refused dialer may ask
+	listed       []membership.ListedMachine    // the platform's list
 	encoded      encodedPush
 	peerVersions map[string]version.Version // by live member, as it last said
 	duty         duty
--- a/internal/control/handle.go
+++ b/internal/control/handle.go
@@ -27,7 +27,7 @@
 	case sourceFailed:
 		l.stepDistribution(distribution.SourceFailed{Err: event.err}, now)
 	case machinesRead:
-		l.stepMembership(membership.MachineList{Machines: event.machines}, now)
+		l.readMachines(event.machines, now)
 	case endpointChange:
 		l.setEndpoint(event.state, now)
 	case drainRequest:
@@ -91,6 +91,8 @@
 		l.stepDistribution(distribution.Received{Message: message}, now)
 	case message.ClaimRequest != nil, message.ClaimReply != nil, message.ClaimCopy != nil:
 		l.config.Claims.Deliver(message)
+	case message.Busy != nil:
+		l.refusedBy(message.Busy, now)
 	}
 }
 
@@ -140,6 +142,8 @@
 func (l *Loop) membersChanged(now time.Time) {
 	live := l.membership.Live()
 	l.addresses.store(live)
+	others := chooseOthers(live, l.config.Membership.Self)
+	l.others.Store(&others)
 	l.forgetPeerVersions()
 	l.publisher.setMembers(live, now)
 	l.stepDistribution(distribution.Members{Live: live}, now)
--- a/internal/control/pause_test.go
+++ b/internal/control/pause_test.go
@@ -22,9 +22,15 @@
 const pauseTestLease = 2 * time.Second
 
 // outbox keeps what a loop sends.
-type outbox struct{ sent []wire.Envelope }
+type outbox struct {
+	sent      []wire.Envelope
+	addresses []string
+}
 
-func (o *outbox) SendDatagram(_ string, envelope wire.Envelope) { o.sent = append(o.sent, envelope) }
+func (o *outbox) SendDatagram(address string, envelope wire.Envelope) {
+	o.sent = append(o.sent, envelope)
+	o.addresses = append(o.addresses, address)
+}
 
 func (o *outbox) SendEncoded(_ string, line []byte) {
 	if envelope, err := wire.Decode(line); err == nil {
--- a/internal/node/configure.go
+++ b/internal/node/configure.go
@@ -21,6 +21,7 @@
 	return transport.Config{
 		Bind:        n.settings.Listen.Peer,
 		Self:        func() wire.Member { return n.self },
+		Others:      func() []wire.Member { return n.loop.Others() },
 		Network:     n.options.Network,
 		Security:    transport.Security(n.settings.Security),
 		Compression: n.options.Compression,
