Give control's state as metrics

Change: one collector reads the transport's totals, readiness, version, reader duty, members by status, dropped messages and the age of the last answer of the source when metrics are collected. Ruled out: gauges that the loop writes on each step, which cost it time.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -63,6 +63,7 @@
 	reported     correctionReport
 	publisher    *publisher
 	inputs       chan any
+	dropped      atomic.Uint64 // messages that found inputs full
 	addresses    addressBook
 	others       atomic.Pointer[[]wire.Member] // whom a refused dialer may ask
 	listed       []membership.ListedMachine    // the platform's list
@@ -120,10 +121,15 @@
 	case l.inputs <- received:
 		return true
 	default:
+		l.dropped.Add(1)
 		return false
 	}
 }
 
+// Dropped counts the messages that found the queue full. It may be called from
+// any goroutine.
+func (l *Loop) Dropped() uint64 { return l.dropped.Load() }
+
 // Send sends a message for a part outside the loop, such as the claim keeper.
 // It may be called from any goroutine.
 func (l *Loop) Send(outgoing wire.Outgoing) {
--- a/internal/control/others_test.go
+++ b/internal/control/others_test.go
@@ -35,3 +35,12 @@
 	}
 	must.SliceContains(t, p.out.addresses, "other:1")
 }
+
+func TestMessagesThatFindTheQueueFullAreCounted(t *testing.T) {
+	p := newReady(t)
+	for range inputQueue {
+		must.True(t, p.loop.Deliver(p.fromPeer(wire.Envelope{})))
+	}
+	must.False(t, p.loop.Deliver(p.fromPeer(wire.Envelope{})))
+	must.Eq(t, 1, p.loop.Dropped())
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,8 +29,8 @@
 type Options struct {
 	Network  transport.Network // nil for the machine's own
 	Logger   log.Interface
-	Registry *prometheus.Registry
-	Hollow   bool // leaves the request and admin listeners out
+	Registry *prometheus.Registry // nil for one of the node's own
+	Hollow   bool                 // leaves the request and admin listeners out
 	// Compression is the coding of outgoing streams, "" for the default.
 	Compression transport.Compression
 	// WithoutClaims leaves the claim replica out.
@@ -57,6 +57,9 @@
 
 // New assembles a node. It opens no socket.
 func New(configured *settings.Settings, options Options) (*Node, error) {
+	if options.Registry == nil {
+		options.Registry = prometheus.NewRegistry()
+	}
 	n := &Node{
 		settings: configured,
 		options:  options,
@@ -72,6 +75,7 @@
 	n.keeper = claim.NewKeeper(n.claimConfig())
 	n.loop = control.New(n.controlConfig())
 	n.source = newSourceDuty(configured, n.loop, options.Logger)
+	options.Registry.MustRegister(n.controlState())
 	n.requests, err = newRequests(n)
 	return n, err
 }
--- a/internal/source/reader.go
+++ b/internal/source/reader.go
@@ -41,6 +41,7 @@
 	current  Result
 	sound    bool // whether the document given last is the current one
 	reads    atomic.Uint64
+	answered atomic.Pointer[time.Time]
 }
 
 // minInterval is the least time between two questions, whatever the source
@@ -50,6 +51,15 @@
 // Reads returns how many questions were asked of the source, secrets included.
 func (r *Reader) Reads() uint64 { return r.reads.Load() }
 
+// LastRead returns when the source last answered as it should, also that there
+// is no news; zero before the first time.
+func (r *Reader) LastRead() time.Time {
+	if answered := r.answered.Load(); answered != nil {
+		return *answered
+	}
+	return time.Time{}
+}
+
 // Run reads whenever duty is on. duty delivers changes of the duty; its first
 // value is awaited. Run returns when ctx ends, after its last question ended.
 func (r *Reader) Run(ctx context.Context, duty <-chan bool) {
@@ -154,6 +164,8 @@
 	if err != nil {
 		return false, err
 	}
+	answered := time.Now()
+	r.answered.Store(&answered)
 	if document != nil && (document.ETag == "" || document.ETag != r.etag) {
 		r.take(ctx, document)
 		return true, nil
