Log failures of the machine list once per cause

Cause: the node read the list by its own loop, which logged each failure at debug only, while source.Machines.Poll logged once per cause and nobody used it. Change: Poll asks whether the list is due, which depends on the duty, and the node uses it. The event is machines.failed; machines.unread is gone.

--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -31,6 +31,10 @@
 // polls there is one question for each change, so that it only bounds bursts.
 const readSpacing = 100 * time.Millisecond
 
+// aloneInterval is the middle of the wait between two reads of the machine list
+// by a node that knows no other.
+const aloneInterval = time.Second
+
 // dutyQueue holds changes of duty that the reader has not seen yet.
 const dutyQueue = 16
 
@@ -110,34 +114,23 @@
 }
 
 // watchMachines reads the machine list at jittered intervals, but only while
-// somebody has to: readers by duty, and a node that knows no other.
+// somebody has to: readers by duty, and a node that knows no other. A failure
+// costs nothing: the list only proposes, and the failure detector knows better.
 func (d *sourceDuty) watchMachines(ctx context.Context) {
-	random := newRandom()
-	for {
-		wait := d.interval/2 + time.Duration(random.Int64N(int64(d.interval)))
+	due := func() (bool, time.Duration) {
 		status := d.loop.Status(ctx)
 		if len(status.Members) <= 1 {
-			wait = time.Duration(random.Int64N(int64(time.Second))) + time.Second/2
-		}
-		if status.Distribution.Reader || len(status.Members) <= 1 {
-			d.readMachines(ctx)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(wait):
+			return true, aloneInterval
 		}
+		return status.Distribution.Reader, d.interval
 	}
+	d.machines.Poll(ctx, due, newRandom(), d.logger, func(listed []source.Machine) {
+		d.loop.MachinesRead(ctx, proposals(listed))
+	})
 }
 
-// readMachines reads the list once. A failure costs nothing: the list only
-// proposes, and the failure detector knows better.
-func (d *sourceDuty) readMachines(ctx context.Context) {
-	listed, err := d.machines.Fetch(ctx)
-	if err != nil {
-		d.logger.WithError(err).Debug("machines.unread")
-		return
-	}
+// proposals translates the list for membership.
+func proposals(listed []source.Machine) []membership.ListedMachine {
 	machines := make([]membership.ListedMachine, 0, len(listed))
 	for _, machine := range listed {
 		machines = append(machines, membership.ListedMachine{
@@ -149,5 +142,5 @@
 			Leaving: machine.State == source.MachineLeaving,
 		})
 	}
-	d.loop.MachinesRead(ctx, machines)
+	return machines
 }
--- a/internal/source/source_test.go
+++ b/internal/source/source_test.go
@@ -310,7 +310,7 @@
 
 func TestMachinesArePolledApartAndFailuresKeepTheLastList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var down atomic.Bool
+		var down, off atomic.Bool
 		asked, lists := 0, 0
 		machines := &Machines{Base: "http://list", Client: &http.Client{Transport: trip(func(*http.Request) (*http.Response, error) {
 			asked++
@@ -320,10 +320,12 @@
 			return reply(200, `{"machines":[]}`), nil
 		})}}
 		var events bytes.Buffer
-		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Hour)
 		defer cancel()
 		time.AfterFunc(30*time.Minute, func() { down.Store(true) })
-		machines.Poll(ctx, 10*time.Second, rand.New(rand.NewPCG(1, 1)), logging.New(&events, log.InfoLevel), func([]Machine) { lists++ })
+		time.AfterFunc(time.Hour, func() { off.Store(true) })
+		due := func() (bool, time.Duration) { return !off.Load(), 10 * time.Second }
+		machines.Poll(ctx, due, rand.New(rand.NewPCG(1, 1)), logging.New(&events, log.InfoLevel), func([]Machine) { lists++ })
 		must.Between(t, 320, asked, 400)
 		must.Between(t, 160, lists, 200)
 		must.Eq(t, 1, strings.Count(events.String(), "event=machines.failed"))
