Enforce limits.maxConnections

Cause: the setting was read and never used. Change: the outbound and the inbound listener each count their connections. A connection beyond the bound has its first request refused with 503 as not run, with the request's id and try, so that the caller's node may send it elsewhere even when it may not be repeated; from 64 beyond, connections are closed unread, so that refusals are bounded too. Open and refused ones are metrics. Ruled out: closing at once, which a caller can't tell from a request that ran; not accepting, which leaves callers waiting behind idle connections. Proof, without the check in the guard: TestConnectionsBeyondTheBoundAreRefusedAsNotRun: 503 expected, 200 found

--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -94,13 +94,13 @@
 		return
 	}
 	listen := r.node.settings.Listen
-	limits := r.node.trafficConfig().Limits
-	r.serve(ctx, group, listen.Outbound, r.security, traffic.NewServer(r.outbound, limits))
-	r.serve(ctx, group, listen.Admin, nil, &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: limits.HeaderTimeout})
+	r.serveRequests(ctx, group, "outbound", listen.Outbound, r.security, r.outbound)
+	operators := &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: r.node.settings.Limits.HeaderTimeout.Duration}
+	r.serve(ctx, group, listen.Admin, operators, traffic.NewListener)
 	if r.inbound == nil {
 		return
 	}
-	r.serve(ctx, group, listen.Inbound, nil, traffic.NewServer(r.inbound, limits))
+	r.serveRequests(ctx, group, "inbound", listen.Inbound, nil, r.inbound)
 	r.watcher = worker.NewWatcher(worker.Config{
 		Name:       r.node.self.Worker,
 		URL:        "http://" + r.node.settings.Worker.Address + r.node.settings.Worker.HealthPath,
@@ -114,20 +114,32 @@
 	})
 }
 
-// serve runs one listener, over TLS when security is set. What is still open when ctx ends is cut: a planned
-// stop has waited for it before.
-func (r *requests) serve(ctx context.Context, group *errgroup.Group, address string, security *tls.Config, server *http.Server) {
+// serveRequests runs a listener for requests, over TLS when security is set,
+// with its connections bounded.
+func (r *requests) serveRequests(ctx context.Context, group *errgroup.Group, side, address string, security *tls.Config, handler http.Handler) {
+	limit := newConnectionLimit(r.node.settings.Limits.MaxConnections)
+	limit.register(r.node.options.Registry, side)
+	server := traffic.NewServer(limit.guard(handler), r.node.trafficConfig().Limits)
+	r.serve(ctx, group, address, server, func(plain net.Listener) net.Listener {
+		bounded := limit.listener(plain)
+		if security != nil {
+			bounded = tls.NewListener(bounded, security)
+		}
+		return traffic.NewListener(bounded)
+	})
+}
+
+// serve runs one listener, wrapped. What is still open when ctx ends is cut: a
+// planned stop has waited for it before.
+func (r *requests) serve(ctx context.Context, group *errgroup.Group, address string, server *http.Server, wrap func(net.Listener) net.Listener) {
 	group.Go(func() error {
 		plain, err := net.Listen("tcp", address)
 		if err != nil {
 			return fault.Wrap(err, fault.Settings, "free the address or change listen in the settings", "listen on %s", address)
 		}
-		if security != nil {
-			plain = tls.NewListener(plain, security)
-		}
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
-		if err := server.Serve(traffic.NewListener(plain)); ctx.Err() == nil {
+		if err := server.Serve(wrap(plain)); ctx.Err() == nil {
 			return fault.Wrap(err, fault.Internal, "restart the node", "serve on %s", address)
 		}
 		return nil
