Bound the schedule overlap to less than a minute

Change: at most 59 s. Proof, before the change: TestWrongSettingsAreRefusedWithLineAndRemedy, an overlap of a minute is not refused.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -96,7 +96,7 @@
 	Fanout          int      `yaml:"fanout" validate:"min=2,max=64"`         // children of a relay
 	ReadersPerZone  int      `yaml:"readersPerZone" validate:"min=1,max=16"` //
 	Lease           Duration `yaml:"lease" validate:"atLeast=100ms,atMost=1m"`
-	ScheduleOverlap Duration `yaml:"scheduleOverlap" validate:"atLeast=0s,atMost=10m"`
+	ScheduleOverlap Duration `yaml:"scheduleOverlap" validate:"atLeast=0s,atMost=59s"` // under the minute that is a window's least length
 }
 
 // Membership tunes the failure detector.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -83,6 +83,7 @@
 		"duration as list":    {beside, "probeInterval: 1s", "probeInterval: [1s]", "node.yaml:13", "unit"},
 		"below the least":     {beside, "healthInterval: 2s", "healthInterval: 500ms", "node.yaml:6", "at least 1s"},
 		"below zero":          {beside, "scheduleOverlap: 10s", "scheduleOverlap: -10s", "node.yaml:12", "at least 0s"},
+		"overlap of a minute": {beside, "scheduleOverlap: 10s", "scheduleOverlap: 1m", "node.yaml:12", "at most 59s"},
 		"beyond the most":     {beside, "holders: 3", "holders: 300", "node.yaml:12", "at most 15"},
 		"host name":           {edge, `admin: "127.0.0.1:7003"`, `admin: "localhost:7003"`, "node.yaml:4", "IP and a port"},
 		"no port":             {edge, `admin: "127.0.0.1:7003"`, `admin: "127.0.0.1"`, "node.yaml:4", "IP and a port"},
