Offer claims.copyOnly as a setting

Cause: the safer way of recovery, claim.Config.CopyOnly, could not be chosen. It needs claims.since, without which a new fleet would never vote.

--- a/internal/node/configure.go
+++ b/internal/node/configure.go
@@ -41,6 +41,7 @@
 			GroupSize: n.settings.Claims.GroupSize,
 			ClockSkew: n.settings.Claims.ClockSkew.Duration,
 			Since:     n.settings.Claims.Since,
+			CopyOnly:  n.settings.Claims.CopyOnly,
 			Random:    newRandom(),
 		},
 		Send: func(outgoing wire.Outgoing) { n.loop.Send(outgoing) },
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -109,8 +109,9 @@
 type Claims struct {
 	KeyLife   Duration  `yaml:"keyLife" validate:"atLeast=1s,atMost=24h"`
 	GroupSize int       `yaml:"groupSize" validate:"min=1,max=15"`
-	ClockSkew Duration  `yaml:"clockSkew" validate:"atLeast=0s,atMost=10m"` // bound on the differences between the nodes' clocks
-	Since     time.Time `yaml:"since,omitempty"`                            // no replica votes before it; those started before it have forgotten nothing
+	ClockSkew Duration  `yaml:"clockSkew" validate:"atLeast=0s,atMost=10m"`        // bound on the differences between the nodes' clocks
+	CopyOnly  bool      `yaml:"copyOnly,omitempty"`                                // a replica that can't copy gives no vote, whatever its age; needs Since for the first start
+	Since     time.Time `yaml:"since,omitempty" validate:"required_with=CopyOnly"` // no replica votes before it; those started before it have forgotten nothing
 }
 
 // Limits bound what callers may cost the node.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -34,7 +34,7 @@
 security: {certificateFile: a, keyFile: b, authorityFile: c, datagramKeyFile: d}
 distribution: {holders: 3, fanout: 8, readersPerZone: 2, lease: 2s, scheduleOverlap: 10s}
 membership: {probeInterval: 1s}
-claims: {keyLife: 10m, groupSize: 5, since: 2026-12-02T08:00:00Z}
+claims: {keyLife: 10m, groupSize: 5, since: 2026-12-02T08:00:00Z, copyOnly: true}
 limits: {maxHeaderBytes: 65536, headerTimeout: 5s}
 drain: {timeout: 10m}
 `
@@ -45,6 +45,7 @@
 	must.Eq(t, "127.0.0.2:7000", read.Advertise.Peer)
 	must.Eq(t, "127.0.0.1:7001", read.Advertise.Inbound)
 	must.Eq(t, 500*time.Millisecond, read.Membership.GossipInterval.Duration)
+	must.True(t, read.Claims.CopyOnly)
 	must.Eq(t, 2*time.Second, read.Worker.HealthInterval.Duration)
 	must.Eq(t, Default().Limits.IdleTimeout, read.Limits.IdleTimeout)
 
@@ -78,6 +79,7 @@
 		"two documents":       {edge, "security: {plain: true}", "security: {plain: true}\n---\nname: other", "node.yaml", "one document"},
 		"no name":             {edge, "name: edge-1\n", "", "node.yaml", "set name"},
 		"name for no DNS":     {edge, "name: edge-1", "name: edge 1", "node.yaml:1", "letters"},
+		"copies of nothing":   {beside, "since: 2026-12-02T08:00:00Z, copyOnly: true", "copyOnly: true", "node.yaml:14", "set since"},
 		"no unit":             {beside, "lease: 2s", "lease: 2", "node.yaml:12", "unit"},
 		"wrong unit":          {beside, "probeInterval: 1s", "probeInterval: 1sec", "node.yaml:13", "unit"},
 		"duration as list":    {beside, "probeInterval: 1s", "probeInterval: [1s]", "node.yaml:13", "unit"},
