Let the number of former versions be set, and whole sets be sent always

Test: TestWithoutHistoryWholeSetsAreSent; with deltaBase always giving the held set it fails with "a delta was sent".

--- a/internal/command/node/node.go
+++ b/internal/command/node/node.go
@@ -46,7 +46,7 @@
 	logger := logging.New(os.Stderr, log.MustParseLevel(c.LogLevel))
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	running, err := systemnode.New(configured, systemnode.Options{Logger: logger, Registry: registry})
+	running, err := systemnode.New(configured, systemnode.Options{Logger: logger, Registry: registry, History: -1})
 	if err != nil {
 		return err
 	}
--- a/internal/distribution/config.go
+++ b/internal/distribution/config.go
@@ -30,6 +30,7 @@
 	RetryInterval  time.Duration             // first wait before a push, a pull or a question is repeated
 	RepairDelay    time.Duration             // wait for the tree before a version seen in gossip is pulled
 	MaxWholePerSec int                       // whole sets sent in answer to pulls each second
+	History        int                       // former versions kept to make deltas against; 0: whole sets are sent always
 	Validate       func(*snapshot.Set) error // deterministic check of the declarations; secrets' values may be missing
 	Random         *rand.Rand                // seeded by the caller, used by this machine alone
 }
@@ -47,13 +48,13 @@
 		RetryInterval:  500 * time.Millisecond,
 		RepairDelay:    200 * time.Millisecond,
 		MaxWholePerSec: 16,
+		History:        4,
 	}
 }
 
 // The bounds on what a Machine keeps.
 const (
 	maxStaged        = 2  // whole versions that are not in force yet
-	maxHistory       = 4  // former versions, kept to make deltas against
 	maxRefused       = 16 // refused versions, with reasons
 	maxKnownAccepted = 4  // versions known to be accepted
 	maxPushes        = 2  // pushes to be passed on once their version is whole
--- a/internal/distribution/fleet_test.go
+++ b/internal/distribution/fleet_test.go
@@ -120,6 +120,7 @@
 	order     int
 	nodes     []*simNode
 	byName    map[string]*simNode
+	history   int // of each node that starts
 	lossy     float64
 	twice     float64
 	delay     func(from, to *simNode) time.Duration
@@ -134,7 +135,7 @@
 	f := &fleet{
 		t: t, now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewSource(seed)),
 		byName: map[string]*simNode{}, held: map[version.Version]map[string]bool{},
-		accepted: map[version.Version]bool{}, logs: map[string]int{},
+		accepted: map[version.Version]bool{}, logs: map[string]int{}, history: DefaultConfig().History,
 	}
 	f.delay = func(from, to *simNode) time.Duration {
 		return time.Duration(500+f.random.Intn(1500)) * time.Microsecond
@@ -152,7 +153,7 @@
 	node.member.Status = wire.StatusAlive
 	config := DefaultConfig()
 	config.Self, config.Validate = node.member, validate
-	config.Random = rand.New(rand.NewSource(f.random.Int63()))
+	config.Random, config.History = rand.New(rand.NewSource(f.random.Int63())), f.history
 	node.machine = New(config, f.now)
 	node.alive, node.frozen, node.reader, node.fresh = true, false, false, false
 	node.inbox, node.active, node.digests, node.view = nil, version.Version{}, wire.Digests{}, nil
--- a/internal/distribution/holding.go
+++ b/internal/distribution/holding.go
@@ -33,9 +33,10 @@
 // holdings are the sets that a node holds. All but the history is after active.
 type holdings struct {
 	active   *snapshot.Set
-	staged   []*candidate // whole, newest first
-	waiting  *candidate   // the newest that lacks bodies, nil if none
-	history  []*snapshot.Set
+	staged   []*candidate      // whole, newest first
+	waiting  *candidate        // the newest that lacks bodies, nil if none
+	history  []*snapshot.Set   // newest first
+	former   int               // the most sets in the history
 	passed   version.Version   // newest accepted version passed on
 	accepted []version.Version // known to be accepted, newest first
 	pushes   []*heldPush       // newest first
@@ -117,7 +118,7 @@
 		return
 	}
 	h.history = slices.Insert(h.history, 0, set)
-	h.history = h.history[:min(len(h.history), maxHistory)]
+	h.history = h.history[:min(len(h.history), h.former)]
 }
 
 // pushOf returns the push to be passed on for a version, nil if there is none.
--- a/internal/distribution/lead.go
+++ b/internal/distribution/lead.go
@@ -103,7 +103,7 @@
 // rootPush returns the push against the version that children are believed to
 // hold: the one in force here.
 func (m *Machine) rootPush(staged *candidate) *wire.Push {
-	return &wire.Push{Delta: smallestDelta(m.active, staged.set), Root: m.config.Self.Name}
+	return &wire.Push{Delta: smallestDelta(m.deltaBase(m.active), staged.set), Root: m.config.Self.Name}
 }
 
 // continueFlight accepts the version or, after a wait, pushes it again to those
--- a/internal/distribution/machine.go
+++ b/internal/distribution/machine.go
@@ -37,7 +37,7 @@
 		view:     newView(config, nil),
 		now:      now,
 		last:     now,
-		holdings: holdings{active: snapshot.Empty()},
+		holdings: holdings{active: snapshot.Empty(), former: config.History},
 		notices:  make(map[string]version.Version),
 		deltas:   newDeltaCache(),
 	}
--- a/internal/distribution/machine_test.go
+++ b/internal/distribution/machine_test.go
@@ -427,3 +427,24 @@
 	}
 	must.True(t, machine.Status().Reader)
 }
+
+func TestWithoutHistoryWholeSetsAreSent(t *testing.T) {
+	f := newFleet(t, 1, 9, 3)
+	f.history = 0
+	f.startAll()
+	f.publish(edition{revision: 1}.set(t))
+	f.mustAgree(edition{revision: 1})
+	pushes := 0
+	f.onDeliver = func(_, _ *simNode, message wire.Envelope) {
+		if message.Push != nil {
+			pushes++
+			must.True(t, message.Push.Delta.From.IsZero(), must.Sprint("a delta was sent"))
+		}
+	}
+	for revision := uint64(2); revision <= 6; revision++ {
+		f.publish(edition{revision: revision}.set(t))
+		f.mustAgree(edition{revision: revision})
+	}
+	must.Positive(t, pushes)
+	must.SliceEmpty(t, f.nodes[0].machine.history)
+}
--- a/internal/distribution/repair.go
+++ b/internal/distribution/repair.go
@@ -97,19 +97,28 @@
 		return
 	}
 	m.send(from, wire.Envelope{Accepted: &wire.Accepted{Version: m.active.Version(), Number: pull.Number}})
-	base := m.lookup(pull.Have)
-	if base == nil {
-		base = snapshot.Empty()
+	base := snapshot.Empty()
+	if held := m.lookup(pull.Have); held != nil {
+		base = m.deltaBase(held)
 	}
 	if m.active.Version().After(pull.Have) {
 		m.sendDelta(from, base, m.active)
-		base = m.active
+		base = m.deltaBase(m.active)
 	}
 	if len(m.staged) > 0 && m.staged[0].version().After(pull.Have) {
 		m.sendDelta(from, base, m.staged[0].set)
 	}
 }
 
+// deltaBase returns the set against which a delta is made for a peer that holds
+// the given one: the empty set when deltas are switched off.
+func (m *Machine) deltaBase(held *snapshot.Set) *snapshot.Set {
+	if m.config.History <= 0 {
+		return snapshot.Empty()
+	}
+	return held
+}
+
 // sendDelta sends a repair. Whole sets are limited, so that a storm of started
 // nodes is spread over their peers.
 func (m *Machine) sendDelta(to string, from, target *snapshot.Set) {
--- a/internal/node/configure.go
+++ b/internal/node/configure.go
@@ -104,6 +104,9 @@
 	config.ReadersPerZone = n.settings.Distribution.ReadersPerZone
 	config.MaxReaders = n.settings.Source.Readers
 	config.Lease = n.settings.Distribution.Lease.Duration
+	if n.options.History >= 0 {
+		config.History = n.options.History
+	}
 	config.Validate = validate
 	config.Random = mathrand.New(mathrand.NewSource(rand.Int64()))
 	return config
