--- a/internal/distribution/machine.go
+++ b/internal/distribution/machine.go
@@ -37,7 +37,7 @@
 		view:     newView(config, nil),
 		now:      now,
 		last:     now,
-		holdings: holdings{active: snapshot.Empty()},
+		holdings: holdings{active: snapshot.Empty(), former: config.History},
 		notices:  make(map[string]version.Version),
 		deltas:   newDeltaCache(),
 	}
@@ -95,6 +95,7 @@
 	m.leadIfDue()
 	m.askForMissing()
 	m.pullIfDue()
+	m.confirmGossip()
 	m.announce()
 }
 
