Send a request on from a full worker instead of queueing it there

Cause (trace of each level of experiments/depth.yaml, 20 requests): each of 20 requests was refused once at its 13th or 14th level, 16 of them after 660 to 925 ms in the queue of a worker whose slots were 6 of 6 held by its own callers. Own zone first sends every level of a service to the same workers; a caller's node counted five of its own in flight, the sixth slot was held through another node, and a load report comes only with an answer, of which there was none yet. So the try was queued until its node gave up, at 95 % of the deadline or less, and only then went to another zone.

Ruled out: the caller's node not counting its own requests (it does, and moves on where all six are its own); stalls from 8 levels on (8 and 12 levels did not stall: a service must come up more often in a path than it has slots).

Change: a try says that another endpoint seems free (Sliphead-Elsewhere). A full worker's node then refuses it at once, cause full; the caller's node goes on, twice at most, without cost to retry budgets and without blame for the endpoint. The try that says nothing of it is queued by class as before. A reported load counts in whole requests, else a report of full held for no time. A request whose own callers, by request id and distinct levels, hold all slots of the worker is refused at once, cause nested.

Several trees that hold all slots together still wait for the deadline.

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -110,6 +110,9 @@
 // Slots returns the number of slots.
 func (q *Queue[W]) Slots() int { return q.settings.Slots }
 
+// Free reports whether a request that arrives now would be granted at once.
+func (q *Queue[W]) Free() bool { return q.running < q.settings.Slots && q.length == 0 }
+
 // Resize changes the number of slots and returns the tickets that this decides.
 func (q *Queue[W]) Resize(slots int, now time.Time) []*Ticket[W] {
 	q.settings.Slots = slots
@@ -120,7 +123,7 @@
 // tickets that had to give way to it.
 func (q *Queue[W]) Arrive(class Class, deadline, now time.Time, waiter W) (ticket *Ticket[W], decided []*Ticket[W]) {
 	ticket = &Ticket[W]{Waiter: waiter, class: class, arrived: now, deadline: deadline}
-	if q.running < q.settings.Slots && q.length == 0 {
+	if q.Free() {
 		q.grant(ticket, now)
 		return ticket, nil
 	}
--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -12,12 +12,13 @@
 
 // admitter lets request goroutines share the queue of the local worker.
 type admitter struct {
-	mutex sync.Mutex
-	queue *admission.Queue[*exchange]
+	mutex   sync.Mutex
+	queue   *admission.Queue[*exchange]
+	holders map[*exchange]struct{} // requests that hold a slot
 }
 
 func newAdmitter(limits Limits) *admitter {
-	return &admitter{queue: admission.New[*exchange](admission.Settings{
+	return &admitter{holders: map[*exchange]struct{}{}, queue: admission.New[*exchange](admission.Settings{
 		Slots:     limits.Slots,
 		Length:    limits.QueueLength,
 		AgeAfter:  admission.DefaultAgeAfter,
@@ -28,7 +29,10 @@
 // admit holds a slot while the request runs.
 func (a *admitter) admit(next stage) stage {
 	return func(x *exchange) result {
-		mine := a.arrive(x)
+		mine, refused := a.arrive(x)
+		if refused != nil {
+			return *refused
+		}
 		if x.granted != nil {
 			a.wait(x, mine)
 		}
@@ -43,15 +47,19 @@
 	}
 }
 
-func (a *admitter) arrive(x *exchange) *ticket {
+func (a *admitter) arrive(x *exchange) (*ticket, *result) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	if refused := a.noWait(x); refused != nil {
+		return nil, refused
+	}
 	mine, decided := a.queue.Arrive(admission.ClassOf(x.route.Priority), x.deadline, time.Now(), x)
 	if mine.Verdict == admission.Queued {
 		x.granted = make(chan struct{})
 	}
-	tell(decided)
-	return mine
+	a.hold(mine)
+	a.tell(decided)
+	return mine, nil
 }
 
 // wait returns when the ticket is decided.
@@ -72,20 +80,29 @@
 func (a *admitter) done(mine *ticket) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	tell(a.queue.Done(mine, time.Now()))
+	delete(a.holders, mine.Waiter)
+	a.tell(a.queue.Done(mine, time.Now()))
 }
 
 func (a *admitter) resize(slots int) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if slots != a.queue.Slots() {
-		tell(a.queue.Resize(slots, time.Now()))
+		a.tell(a.queue.Resize(slots, time.Now()))
+	}
+}
+
+// hold notes a request that was granted.
+func (a *admitter) hold(mine *ticket) {
+	if mine.Verdict == admission.Granted {
+		a.holders[mine.Waiter] = struct{}{}
 	}
 }
 
 // tell wakes the goroutines whose tickets were decided.
-func tell(decided []*ticket) {
+func (a *admitter) tell(decided []*ticket) {
 	for _, other := range decided {
+		a.hold(other)
 		close(other.Waiter.granted)
 	}
 }
--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -93,6 +93,19 @@
 	return chosen
 }
 
+// Another reports whether, as far as known at the last Pick, an endpoint other
+// than the picked one was untried, not backed off and had a free slot.
+func (b *Balancer) Another(picked int) bool {
+	for _, candidates := range b.usable {
+		for _, index := range candidates {
+			if index != picked {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Key names an endpoint. A worker that was replaced at another address is
 // another endpoint.
 type Key struct{ Worker, Address string }
--- a/internal/traffic/balance/balance_test.go
+++ b/internal/traffic/balance/balance_test.go
@@ -30,6 +30,20 @@
 	must.Eq(t, map[string]int{"near": 6, "mid": 6, "far": 3}, counts)
 }
 
+// Five in flight and one of another node fill six slots, until the report fades.
+func TestReportOfFullCounts(t *testing.T) {
+	b := newBalancer()
+	endpoints := []snapshot.Endpoint{endpoint("near", "z1", "r1"), endpoint("far", "z9", "r2")}
+	for range 6 {
+		must.Eq(t, 0, b.Pick(start, endpoints, nil))
+	}
+	must.True(t, b.Another(0))
+	b.Ended(start, "", endpoints[0], Observation{Loaded: true, Load: Load{Busy: 6, Slots: 6}})
+	must.Eq(t, 1, b.Pick(start.Add(10*time.Millisecond), endpoints, nil))
+	must.False(t, b.Another(1))
+	must.Eq(t, 0, b.Pick(start.Add(time.Second), endpoints, nil))
+}
+
 func TestAllTried(t *testing.T) {
 	b := newBalancer()
 	must.Eq(t, -1, b.Pick(start, []snapshot.Endpoint{endpoint("a", "z1", "r1")}, []int{0}))
--- a/internal/traffic/balance/observe.go
+++ b/internal/traffic/balance/observe.go
@@ -87,9 +87,10 @@
 	return float64(others) * (1 - float64(age)/float64(b.settings.ReportLife))
 }
 
-// saturated reports whether the endpoint has no free slot.
+// saturated reports whether the endpoint has no free slot. What others have
+// running is rounded: a report of full would else count for no time at all.
 func (b *Balancer) saturated(endpoint snapshot.Endpoint, held *state, now time.Time) bool {
-	return float64(held.inFlight)+b.reported(held, now) >= float64(max(1, endpoint.Slots))
+	return float64(held.inFlight)+math.Round(b.reported(held, now)) >= float64(max(1, endpoint.Slots))
 }
 
 // warmth rises from a tenth to one over the slow start.
--- a/internal/traffic/choose.go
+++ b/internal/traffic/choose.go
@@ -18,10 +18,12 @@
 	balancer *balance.Balancer
 }
 
-func (c *chooser) pick(x *exchange, tried []int) int {
+// pick chooses an endpoint and tells whether another one seems to be free.
+func (c *chooser) pick(x *exchange, tried []int) (index int, another bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.balancer.Pick(time.Now(), x.route.Endpoints, tried)
+	index = c.balancer.Pick(time.Now(), x.route.Endpoints, tried)
+	return index, c.balancer.Another(index)
 }
 
 func (c *chooser) ended(x *exchange, endpoint snapshot.Endpoint, seen balance.Observation) {
@@ -36,13 +38,14 @@
 	last := refuse(causeEndpoints, time.Second, "send it again later, no worker takes this route now")
 	mayHaveRun := false
 	var tried []int
+	moves := 0
 	for {
-		index := out.chooser.pick(x, tried)
+		index, another := out.chooser.pick(x, tried)
 		if index < 0 {
 			break
 		}
 		endpoint := x.route.Endpoints[index]
-		got, seen, failure := out.try(x, endpoint)
+		got, seen, failure := out.try(x, endpoint, another && moves < mostMoves)
 		if failure == nil {
 			ended := got.pass(x)
 			seen.Failed = ended.cut && x.request.Context().Err() == nil
@@ -52,7 +55,15 @@
 		out.chooser.ended(x, endpoint, seen)
 		last = *failure
 		mayHaveRun = mayHaveRun || failure.outcome == outcome.Unknown
-		if !worthRetrying(x, failure) || len(tried)+1 == len(x.route.Endpoints) || !out.spendRetry(x) {
+		if !worthRetrying(x, failure) {
+			break
+		}
+		if failure.cause == causeFull && moves < mostMoves {
+			moves++
+			out.metrics.retries.Inc()
+			continue
+		}
+		if len(tried)+1 == len(x.route.Endpoints) || !out.spendRetry(x) {
 			break
 		}
 		tried = append(tried, index)
@@ -71,7 +82,8 @@
 
 // try sends the request to one endpoint. It returns the answer, what was seen
 // of the endpoint, and how the try failed.
-func (out *Outbound) try(x *exchange, endpoint snapshot.Endpoint) (*answer, balance.Observation, *result) {
+// With elsewhere it asks the endpoint's node to refuse rather than to queue it.
+func (out *Outbound) try(x *exchange, endpoint snapshot.Endpoint, elsewhere bool) (*answer, balance.Observation, *result) {
 	attempt := out.newID()
 	header := make(http.Header, len(x.request.Header)+6)
 	copyEndToEnd(header, x.request.Header)
@@ -79,6 +91,9 @@
 	x.setContext(internal, x.millisecondsLeft())
 	internal.set(outcome.Route, x.route.Name)
 	internal.set(attemptHeader, attempt)
+	if elsewhere {
+		internal.set(elsewhereHeader, "1")
+	}
 	seen := balance.Observation{}
 	began := time.Now()
 	check := func(response *http.Response) *result {
@@ -89,7 +104,7 @@
 		if x.body.stream == nil {
 			seen.Latency = time.Since(began)
 		}
-		return refusedByNode(response)
+		return markFull(refusedByNode(response), response)
 	}
 	got, failure := send(x, hop{transport: out.transport, address: endpoint.Address, header: header, expect: true}, check)
 	if failure != nil {
@@ -105,7 +120,7 @@
 // worker's node that is busy does not: its load says enough.
 func blames(failure *result, seen balance.Observation) bool {
 	switch failure.cause {
-	case causeCallerGone:
+	case causeCallerGone, causeFull:
 		return false
 	case causeRefused:
 		return failure.status >= http.StatusInternalServerError && seen.Load.Busy < seen.Load.Slots
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -59,6 +59,8 @@
 	causeEndpoints  cause = "endpoints"
 	causeNotLocal   cause = "not-local"
 	causeQueue      cause = "queue"
+	causeFull       cause = "full"
+	causeNested     cause = "nested"
 	causeClaim      cause = "claim"
 	causeConnect    cause = "connect"
 	causeRefused    cause = "refused"
