Measure the two hops against direct calls in one run

sliphead-lab latency starts one edge, one worker's node and the stand-in worker as real processes without links and alternates open-loop spans directly to the worker and through the nodes, with exponential gaps; latency counts from the intended start. The nodes' processor time is theirs while requests go through them less theirs while requests pass them by.

--- /dev/null
+++ b/lab/latency/mesh.go
@@ -0,0 +1,81 @@
+package latency
+
+import (
+	"bufio"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"sliphead/internal/declaration"
+	"sliphead/internal/fault"
+	"sliphead/lab/mesh"
+)
+
+const (
+	zoneName  = "zone-a"
+	region    = "region-a"
+	service   = "prices"
+	routePath = "/prices"
+)
+
+// plan is a mesh of one edge and one worker in one zone.
+func plan(options Options) *mesh.Plan {
+	return &mesh.Plan{
+		Name:         "latency",
+		Region:       region,
+		Profile:      "convergence",
+		EdgesPerZone: 1,
+		Zones:        []declaration.Zone{{Name: zoneName, Region: region, TimeZone: "UTC"}},
+		Services: []mesh.Service{{
+			Name:             service,
+			Workers:          1,
+			Slots:            options.Slots,
+			Connections:      connections,
+			ConnectionCostMS: 1,
+			RunTimeMS:        options.RunMillis,
+		}},
+		Selectors: []declaration.Selector{{Name: "all", Service: service}},
+		Routes: []declaration.Route{{
+			Name: "prices", PathPrefix: routePath, Service: service, Selectors: []string{"all"},
+			Priority: declaration.PriorityInternal, Repeatable: true, DeadlineMS: 10_000,
+		}},
+	}
+}
+
+// connections is the bound on a worker's connections.
+const connections = 130
+
+// nodesCPU returns the processor time that the nodes have used.
+func (r *runner) nodesCPU() (time.Duration, error) {
+	var total time.Duration
+	for _, node := range r.mesh.Nodes {
+		used, err := cpuOf(node.Admin)
+		if err != nil {
+			return 0, err
+		}
+		total += used
+	}
+	return total, nil
+}
+
+// cpuMetric is the processor time of a process, seconds.
+const cpuMetric = "process_cpu_seconds_total "
+
+func cpuOf(admin string) (time.Duration, error) {
+	const remedy = "read the node's log in the lab's directory"
+	client := http.Client{Timeout: 10 * time.Second}
+	response, err := client.Get("http://" + admin + "/metrics")
+	if err != nil {
+		return 0, fault.Wrap(err, fault.Unready, remedy, "ask %s for its metrics", admin)
+	}
+	defer response.Body.Close()
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		if text, found := strings.CutPrefix(scanner.Text(), cpuMetric); found {
+			seconds, err := strconv.ParseFloat(text, 64)
+			return time.Duration(seconds * float64(time.Second)), err
+		}
+	}
+	return 0, fault.New(fault.Unready, remedy, "%s has no metric %s", admin, cpuMetric)
+}
