Make round trips on the goroutine of the request

Cause: each hop handed a request to two goroutines of the transport of net/http and back. On a busy machine every hand-over waits for a processor.

Change: a pool of connections on which the handler's own goroutine writes the request and reads the answer, for bodies up to 16 KiB; headers go straight from the caller's request into the connection's buffer. Streams, longer bodies and requests that find the worker's pool full go by the transport as before. An idle connection is read without waiting before it is used: one that was closed, or on which an answer came late, is not used.

Ruled out: one combined context header.

TestFaultyWorker now runs over the pool and over the transport, and with long bodies.

--- a/cmd/sliphead-lab/latency.go
+++ b/cmd/sliphead-lab/latency.go
@@ -13,6 +13,7 @@
 // latencyCommand measures the two hops.
 type latencyCommand struct {
 	meshFlags
+	Former    string        `help:"Another sliphead program to compare with in the same run." type:"existingfile" optional:""`
 	Rates     []float64     `help:"Requests a second on one pair of nodes, measured one after the other." default:"55,550,2750"`
 	Span      time.Duration `help:"Length of a span; spans to the worker directly and through the nodes alternate." default:"2s"`
 	Spans     int           `help:"Spans of each path for each rate." default:"10"`
@@ -32,7 +33,7 @@
 		return err
 	}
 	all, err := latency.Run(ctx, latency.Options{
-		Mesh: options, Rates: c.Rates, Span: c.Span, Spans: c.Spans, RunMillis: c.RunMillis, Slots: c.Slots, Seed: c.Seed,
+		Mesh: options, Former: c.Former, Rates: c.Rates, Span: c.Span, Spans: c.Spans, RunMillis: c.RunMillis, Slots: c.Slots, Seed: c.Seed,
 	})
 	wrong := 0
 	for _, figures := range all {
--- a/internal/traffic/choose.go
+++ b/internal/traffic/choose.go
@@ -73,12 +73,7 @@
 // of the endpoint, and how the try failed.
 func (out *Outbound) try(x *exchange, endpoint snapshot.Endpoint) (*answer, balance.Observation, *result) {
 	attempt := out.newID()
-	header := make(http.Header, len(x.request.Header)+6)
-	copyEndToEnd(header, x.request.Header)
-	internal := newFields(header)
-	x.setContext(internal, x.millisecondsLeft())
-	internal.set(outcome.Route, x.route.Name)
-	internal.set(attemptHeader, attempt)
+	fields := append(x.contextFields(), field{outcome.Route, x.route.Name}, field{attemptHeader, attempt})
 	seen := balance.Observation{}
 	began := time.Now()
 	check := func(response *http.Response) *result {
@@ -91,7 +86,7 @@
 		}
 		return refusedByNode(response)
 	}
-	got, failure := send(x, hop{transport: out.transport, address: endpoint.Address, header: header, expect: true}, check)
+	got, failure := send(x, &hop{pool: out.pool, transport: out.transport, address: endpoint.Address, fields: fields, expect: true}, check)
 	if failure != nil {
 		seen.Latency = 0
 		seen.Failed = blames(failure, seen)
--- a/internal/traffic/forward.go
+++ b/internal/traffic/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"time"
 
 	"sliphead/internal/outcome"
@@ -34,16 +35,39 @@
 // bufferSize is the size of each of a connection's two buffers.
 const bufferSize = 8 << 10
 
+// field is a header that a hop sets.
+type field struct{ name, value string }
+
 // hop is where a request goes next.
 type hop struct {
+	pool      *pool
 	transport *http.Transport
-	address   string // host:port
-	header    http.Header
-	expect    bool // whether a streamed body waits for 100 Continue
+	address   string  // host:port
+	fields    []field // in place of the caller's of the same name
+	expect    bool    // whether a streamed body waits for 100 Continue
+}
+
+// sets reports whether the hop sets a header.
+func (h *hop) sets(name string) bool {
+	return slices.ContainsFunc(h.fields, func(each field) bool { return each.name == name })
 }
 
+// directBody is the length up to which a body is written in one go, before the
+// answer is read. Any connection takes so much at once.
+const directBody = 16 << 10
+
 // send makes one try. It returns the answer, or how the try failed.
-func send(x *exchange, to hop, check func(*http.Response) *result) (*answer, *result) {
+func send(x *exchange, to *hop, check func(*http.Response) *result) (*answer, *result) {
+	if x.body.stream == nil && x.body.length <= directBody {
+		if got, failure, done := sendDirect(x, to, check); done {
+			return got, failure
+		}
+	}
+	return sendByTransport(x, to, check)
+}
+
+// sendByTransport makes one try by the transport of net/http.
+func sendByTransport(x *exchange, to *hop, check func(*http.Response) *result) (*answer, *result) {
 	watch := newSending()
 	request := outgoing(httptrace.WithClientTrace(x.context, &watch.trace), x, to)
 	response, err := to.transport.RoundTrip(request)
@@ -66,7 +90,12 @@
 }
 
 // outgoing builds the request of the next hop.
-func outgoing(ctx context.Context, x *exchange, to hop) *http.Request {
+func outgoing(ctx context.Context, x *exchange, to *hop) *http.Request {
+	header := make(http.Header, len(x.request.Header)+len(to.fields))
+	copyEndToEnd(header, x.request.Header)
+	for _, each := range to.fields {
+		header[each.name] = []string{each.value}
+	}
 	target := *x.request.URL
 	target.Scheme = "http"
 	target.Host = to.address
@@ -77,12 +106,12 @@
 		Host:          x.request.Host,
 		ProtoMajor:    1, // the transport waits for 100 Continue only when it knows the version
 		ProtoMinor:    1,
-		Header:        to.header,
+		Header:        header,
 		Body:          x.body.reader(),
 		ContentLength: x.body.length,
 	}
 	if to.expect && x.body.stream != nil {
-		to.header["Expect"] = []string{"100-continue"}
+		header["Expect"] = []string{"100-continue"}
 	}
 	return request.WithContext(ctx)
 }
--- a/internal/traffic/header.go
+++ b/internal/traffic/header.go
@@ -48,12 +48,14 @@
 	}
 }
 
-// setContext writes the request's context for the next hop.
-func (x *exchange) setContext(to *fields, millisecondsLeft int64) {
-	to.set(outcome.RequestID, x.id)
-	to.set(outcome.Deadline, strconv.FormatInt(millisecondsLeft, 10))
-	to.set(outcome.RetryBudget, strconv.Itoa(x.budget))
-	to.set(outcome.Depth, strconv.Itoa(x.depth))
+// contextFields returns the headers that tell the next hop the request's context.
+func (x *exchange) contextFields() []field {
+	fields := make([]field, 0, usualFields)
+	return append(fields,
+		field{outcome.RequestID, x.id},
+		field{outcome.Deadline, strconv.FormatInt(x.millisecondsLeft(), 10)},
+		field{outcome.RetryBudget, strconv.Itoa(x.budget)},
+		field{outcome.Depth, strconv.Itoa(x.depth)})
 }
 
 // fields sets headers of one value each. The values share an array, so that
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -96,17 +96,14 @@
 
 // forward runs the request at the worker.
 func (in *Inbound) forward(x *exchange) result {
-	header := make(http.Header, len(x.request.Header)+1)
-	copyEndToEnd(header, x.request.Header)
-	internal := newFields(header)
-	x.setContext(internal, x.millisecondsLeft())
-	internal.set(attemptHeader, x.attempt)
+	fields := append(x.contextFields(), field{attemptHeader, x.attempt})
 	if x.route.Credential != "" {
-		internal.set("Authorization", "Bearer "+x.route.Credential)
+		fields = append(fields, field{"Authorization", "Bearer " + x.route.Credential})
 	}
 	in.config.Calls.begin(x.id)
-	to := hop{transport: in.worker.transport(), address: in.config.WorkerAddress, header: header}
-	got, failure := send(x, to, func(response *http.Response) *result { return in.checkWorker(x, response) })
+	direct, transport := in.worker.connections()
+	to := hop{pool: direct, transport: transport, address: in.config.WorkerAddress, fields: fields}
+	got, failure := send(x, &to, func(response *http.Response) *result { return in.checkWorker(x, response) })
 	callFailed := in.config.Calls.end(x.id)
 	if failure != nil {
 		failure.final = callFailed
--- a/internal/traffic/once_test.go
+++ b/internal/traffic/once_test.go
@@ -103,10 +103,19 @@
 // Whatever the worker does, an order runs at most once, not run means not in
 // the worker's journal, and an answer is the request's own and whole.
 func TestFaultyWorker(t *testing.T) {
+	for name, connections := range map[string]int{"pool": 130, "transport": 1} {
+		t.Run(name, func(t *testing.T) { testFaultyWorker(t, connections) })
+	}
+}
+
+// testFaultyWorker uses one connection to the worker to have all requests go by
+// the transport.
+func testFaultyWorker(t *testing.T, connections int) {
 	m, worker := newFaultyMesh(t, nil)
+	m.setCapacity(6, connections)
 	behaviours := []string{"ok", "close", "close-shed", "reset", "half", "half-long", "half-chunked", "unframed", "foreign", "lie", "shed", "hang"}
 	for _, route := range []string{"lookup", "order"} {
-		for _, method := range []string{"GET", "POST", "POST-empty", "POST-key"} {
+		for _, method := range []string{"GET", "POST", "POST-empty", "POST-key", "POST-long"} {
 			for _, behaviour := range behaviours {
 				t.Run(route+"/"+method+"/"+behaviour, func(t *testing.T) {
 					// The connections are in use already: only on such does net/http send again by itself.
@@ -126,6 +135,9 @@
 						headers = []string{outcome.IdempotencyKey, name}
 					}
 					body := "order of cards"
+					if method == "POST-long" { // by the transport on both hops
+						body = strings.Repeat("cards", directBody)
+					}
 					if method == "GET" || method == "POST-empty" {
 						body = ""
 					}
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -17,7 +18,8 @@
 	config    Config
 	gate      *gate
 	random    *rand.Rand
-	transport *http.Transport
+	pool      *pool
+	transport *http.Transport // for what the pool does not carry
 	chooser   *chooser
 	retries   *retryBucket
 	metrics   *metrics
@@ -28,6 +30,7 @@
 func NewOutbound(config Config) *Outbound {
 	config = config.withDefaults()
 	out := &Outbound{config: config, gate: newGate(), random: rand.New(config.Random)}
+	out.pool = newPool(config.Dial, math.MaxInt, config.Limits.IdlePerNode)
 	out.transport = newTransport(config.Dial, 0, config.Limits.IdlePerNode)
 	out.chooser = &chooser{balancer: balance.New(balance.DefaultSettings(config.Zone, config.Region), rand.New(config.Random))}
 	out.retries = newRetryBucket(config.Limits)
--- /dev/null
+++ b/internal/traffic/pool_test.go
@@ -0,0 +1,160 @@
+package traffic
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"sliphead/internal/outcome"
+	"sliphead/internal/snapshot"
+)
+
+// ends dials a connection and tells its other end.
+func ends(t *testing.T, network string) (DialFunc, chan net.Conn) {
+	far := make(chan net.Conn, 4)
+	if network == "pipe" {
+		return func(context.Context, string, string) (net.Conn, error) {
+			near, other := net.Pipe()
+			far <- other
+			return near, nil
+		}, far
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	return func(context.Context, string, string) (net.Conn, error) {
+		near, err := net.Dial("tcp", listener.Addr().String())
+		must.NoError(t, err)
+		other, err := listener.Accept()
+		must.NoError(t, err)
+		far <- other
+		return near, nil
+	}, far
+}
+
+// An idle connection that the other side closed, or on which an answer came
+// that nobody asked for, does not carry another request.
+func TestIdleConnectionIsLookedAt(t *testing.T) {
+	for _, network := range []string{"tcp", "pipe"} {
+		for name, disturb := range map[string]func(net.Conn){
+			"closed":      func(far net.Conn) { _ = far.Close() },
+			"late answer": func(far net.Conn) { _, _ = far.Write([]byte("HTTP/1.1 200 OK\r\n")) },
+		} {
+			if network == "pipe" && name == "late answer" {
+				continue // net.Pipe holds nothing: what is written there is read or waits
+			}
+			t.Run(network+" "+name, func(t *testing.T) {
+				dial, far := ends(t, network)
+				p := newPool(sealedDial(dial, time.Minute), 1, 1)
+				defer p.close()
+				first, err := p.take(t.Context(), "")
+				must.NoError(t, err)
+				other := <-far
+				defer other.Close()
+				p.put(first)
+				again, err := p.take(t.Context(), "")
+				must.NoError(t, err)
+				must.True(t, first == again)
+				go disturb(other)
+				waitFor(t, func() bool { return !first.probe.quiet() })
+				p.put(first)
+				renewed, err := p.take(t.Context(), "")
+				must.NoError(t, err)
+				must.True(t, first != renewed)
+				defer renewed.close()
+				defer func() { _ = (<-far).Close() }()
+				_, err = p.take(t.Context(), "")
+				must.ErrorIs(t, err, errPoolFull) // the closed one no longer counts, the new one does
+			})
+		}
+	}
+}
+
+func TestPoolClosesWhatIsIdleForLong(t *testing.T) {
+	dial, far := ends(t, "pipe")
+	p := newPool(sealedDial(dial, time.Minute), math.MaxInt, 8)
+	defer p.close()
+	old, err := p.take(t.Context(), "old")
+	must.NoError(t, err)
+	p.put(old)
+	old.idleSince = time.Now().Add(-idleLife)
+	p.swept = time.Time{}
+	fresh, err := p.take(t.Context(), "fresh")
+	must.NoError(t, err)
+	p.put(fresh)
+	must.MapNotContainsKey(t, p.kept, "old")
+	must.Eq(t, 1, p.open)
+	_, err = (<-far).Read(make([]byte, 1))
+	must.Eq(t, io.EOF, err)
+}
+
+// The end of a request's context may interrupt its connection at any later
+// moment, so such a connection carries no other request.
+func TestInterruptedConnectionIsNotKept(t *testing.T) {
+	dial, _ := ends(t, "pipe")
+	p := newPool(sealedDial(dial, time.Minute), 1, 1)
+	conn, err := p.take(t.Context(), "")
+	must.NoError(t, err)
+	ended, end := context.WithCancel(t.Context())
+	conn.begin(ended)
+	end()
+	conn.finish(true)
+	must.Zero(t, p.open)
+}
+
+// An answer's header is bounded, and answers before the final one are passed over.
+func TestAnswersOfAWorker(t *testing.T) {
+	endless := "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", maxAnswerHeader)
+	for name, each := range map[string]struct {
+		answer, outcome string
+		kept            int // connections kept for the next request
+	}{
+		"early hints":       {"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "answered", 1},
+		"only early hints":  {strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 9), "unknown", 0},
+		"endless header":    {endless, "unknown", 0},
+		"not HTTP":          {"hello\r\n\r\n", "unknown", 0},
+		"other protocol":    {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n", "unknown", 0},
+		"no body":           {"HTTP/1.1 204 No Content\r\n\r\n", "answered", 1},
+		"two answers":       {"HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "answered", 0},
+		"closed afterwards": {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", "answered", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dial, far := ends(t, "tcp")
+			m := newMesh(t, nil, func(config *Config) { config.WorkerAddress = "worker:1" })
+			m.in.worker.pool.dial = sealedDial(dial, time.Minute)
+			go func() {
+				conn := <-far
+				defer conn.Close()
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+				_, _ = io.WriteString(conn, each.answer)
+				_, _ = io.Copy(io.Discard, conn)
+			}()
+			response, _, err := m.call(t, "GET", "/order", "")
+			must.NoError(t, err)
+			must.Eq(t, each.outcome, response.Header.Get(outcome.Header))
+			must.NotEq(t, http.StatusGatewayTimeout, response.StatusCode) // ended at once, not at the deadline
+			must.Eq(t, each.kept, len(m.in.worker.pool.kept["worker:1"]))
+		})
+	}
+}
+
+// A credential that holds a line end is not sent.
+func TestCredentialWithALineEndIsRefused(t *testing.T) {
+	m, worker := newFaultyMesh(t, nil)
+	view, _ := m.holder.Current(time.Now())
+	route := *view.Route("order")
+	route.Credential = "a\r\nX: b"
+	m.holder.Store(snapshot.NewView(view.Version, time.Now(), []*snapshot.Route{&route}))
+	response, _, err := m.call(t, "POST", "/order?n=a", "")
+	must.NoError(t, err)
+	must.Eq(t, "not-run", response.Header.Get(outcome.Header))
+	must.Zero(t, worker.runs("a"))
+}
--- /dev/null
+++ b/internal/traffic/request.go
@@ -0,0 +1,83 @@
+package traffic
+
+import (
+	"bufio"
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strconv"
+	"strings"
+
+	"sliphead/internal/fault"
+)
+
+// writeRequest writes the request of the next hop. Its body is whole.
+func writeRequest(writer *bufio.Writer, x *exchange, to *hop) error {
+	if err := to.validate(); err != nil {
+		return err
+	}
+	writeStrings(writer, x.request.Method, " ", x.request.URL.RequestURI(), " HTTP/1.1\r\nHost: ", x.request.Host, "\r\n")
+	writeEndToEnd(writer, x.request.Header, to)
+	for _, each := range to.fields {
+		writeStrings(writer, each.name, ": ", each.value, "\r\n")
+	}
+	if x.body.present || expectsBody(x.request.Method) {
+		length := strconv.AppendInt(writer.AvailableBuffer(), x.body.length, 10)
+		writeStrings(writer, "Content-Length: ", string(length), "\r\n")
+	}
+	writeStrings(writer, "\r\n")
+	_, _ = writer.Write(x.body.whole) // Flush tells its error
+	return writer.Flush()
+}
+
+func writeStrings(writer *bufio.Writer, texts ...string) {
+	for _, text := range texts {
+		_, _ = writer.WriteString(text) // Flush tells its error
+	}
+}
+
+// expectsBody reports whether a length is told even when there is no body.
+func expectsBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
+// validate refuses a value that would end its line.
+func (h *hop) validate() error {
+	for _, each := range h.fields {
+		if strings.ContainsAny(each.value, "\r\n\x00") {
+			return fault.New(fault.Settings, "correct the credential, it holds a line end", "the value of %s cannot be sent", each.name)
+		}
+	}
+	return nil
+}
+
+// writeEndToEnd writes the headers that are meant for the other end, as
+// copyEndToEnd copies them.
+func writeEndToEnd(writer *bufio.Writer, header http.Header, to *hop) {
+	connection := header["Connection"]
+	for name, values := range header {
+		if passed := endToEnd(name) && !to.sets(name) && !listed(connection, name); !passed {
+			continue
+		}
+		for _, value := range values {
+			writeStrings(writer, name, ": ", value, "\r\n")
+		}
+	}
+}
+
+// endToEnd reports whether a header of a request is passed on.
+func endToEnd(name string) bool {
+	return !strings.HasPrefix(name, internalPrefix) && name != "Content-Length" && name != "Host" && !slices.Contains(hopByHop, name)
+}
+
+// listed reports whether Connection headers name a header.
+func listed(connection []string, name string) bool {
+	for _, list := range connection {
+		for each := range strings.SplitSeq(list, ",") {
+			if textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(each)) == name {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/traffic/time_test.go
+++ b/internal/traffic/time_test.go
@@ -81,7 +81,9 @@
 	t.Cleanup(func() {
 		transport.CloseIdleConnections()
 		m.out.transport.CloseIdleConnections()
-		m.in.worker.transport().CloseIdleConnections()
+		m.in.worker.transport.CloseIdleConnections()
+		m.out.pool.close()
+		m.in.worker.pool.close()
 	})
 	return m
 }
--- a/internal/traffic/worker.go
+++ b/internal/traffic/worker.go
@@ -9,12 +9,17 @@
 
 // workerLink holds the connections to the local worker, within its bound.
 type workerLink struct {
-	dial        DialFunc
-	mutex       sync.Mutex
-	connections int
-	current     *http.Transport
+	dial      DialFunc
+	mutex     sync.Mutex
+	bounded   int // connections in all
+	pool      *pool
+	transport *http.Transport // for what the pool does not carry
 }
 
+// transportShare is the part of the worker's connections that the transport
+// has to itself; one is left to it in any case.
+const transportShare = 4
+
 func newWorkerLink(config Config) *workerLink {
 	link := &workerLink{dial: config.Dial}
 	link.bound(config.Limits.Connections)
@@ -26,20 +31,23 @@
 func (l *workerLink) bound(connections int) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.connections == connections {
+	if l.bounded == connections {
 		return
 	}
-	if l.current != nil {
-		l.current.CloseIdleConnections()
+	if l.transport != nil {
+		l.pool.close()
+		l.transport.CloseIdleConnections()
 	}
-	l.connections = connections
-	l.current = newTransport(l.dial, connections, connections)
+	l.bounded = connections
+	shared := max(1, connections/transportShare)
+	l.transport = newTransport(l.dial, shared, shared)
+	l.pool = newPool(l.dial, connections-shared, connections-shared)
 }
 
-func (l *workerLink) transport() *http.Transport {
+func (l *workerLink) connections() (*pool, *http.Transport) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.current
+	return l.pool, l.transport
 }
 
 // adjust takes the worker's declared slots and connections from a new view.
--- a/lab/latency/latency.go
+++ b/lab/latency/latency.go
@@ -8,6 +8,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -20,6 +22,7 @@
 // Options say what to measure.
 type Options struct {
 	Mesh      mesh.Options // links are left out
+	Former    string       // a node program to compare with in the same run, "" for none
 	Rates     []float64    // requests a second, measured one after the other
 	Span      time.Duration
 	Spans     int // of each path for each rate
@@ -35,6 +38,7 @@
 const (
 	Direct  Path = "direct"
 	Through Path = "through"
+	Former  Path = "former" // through nodes of another program
 )
 
 // Figures are the result at one rate.
@@ -44,27 +48,30 @@
 	Wrong         int // answers passed on as whole that are not, or are another's
 	Failed        int // requests that got no whole answer
 	Quantiles     map[Path]Quantiles
-	CPUPerRequest time.Duration // of both nodes together, less what they use without requests
+	CPUPerRequest map[Path]time.Duration // of both nodes together, less what they use without requests
 }
 
 // Quantiles are latencies of answered requests.
 type Quantiles struct{ P50, P99 time.Duration }
 
-// Run starts a mesh of one edge and one worker and measures each rate.
+// Run starts a mesh of one edge and one worker, and one more for the program
+// to compare with, and measures each rate.
 func Run(ctx context.Context, options Options) ([]Figures, error) {
-	options.Mesh.WithoutLinks = true
-	started, err := mesh.Start(plan(options), options.Mesh)
-	if err != nil {
-		return nil, err
-	}
-	defer started.Close()
-	if err := started.WaitReady(ctx); err != nil {
+	run := &runner{options: options, meshes: map[Path]*mesh.Mesh{}}
+	defer run.close()
+	if err := run.start(ctx, Through, options.Mesh); err != nil {
 		return nil, err
 	}
-	run := &runner{options: options, mesh: started, caller: load.NewCaller(started.ClientAddress())}
-	defer run.caller.Close()
-	if err := run.waitRouted(ctx); err != nil {
-		return nil, err
+	run.meshes[Direct] = run.meshes[Through]
+	run.paths = []Path{Direct, Through}
+	if options.Former != "" {
+		other := options.Mesh
+		other.NodeBinary = options.Former
+		other.Directory = filepath.Join(other.Directory, string(Former))
+		if err := run.start(ctx, Former, other); err != nil {
+			return nil, err
+		}
+		run.paths = append(run.paths, Former)
 	}
 	var all []Figures
 	for _, rate := range options.Rates {
@@ -77,14 +84,43 @@
 	return all, nil
 }
 
-// runner holds a run's mesh and caller.
+// runner holds a run's meshes and caller.
 type runner struct {
 	options Options
-	mesh    *mesh.Mesh
+	meshes  map[Path]*mesh.Mesh
+	paths   []Path
 	caller  *load.Caller
 	number  int
 }
 
+// start starts a mesh and waits until requests get through it.
+func (r *runner) start(ctx context.Context, path Path, options mesh.Options) error {
+	options.WithoutLinks = true
+	started, err := mesh.Start(plan(r.options), options)
+	if err != nil {
+		return err
+	}
+	r.meshes[path] = started
+	if err := started.WaitReady(ctx); err != nil {
+		return err
+	}
+	if r.caller == nil {
+		r.caller = load.NewCaller(started.ClientAddress())
+	}
+	return r.waitRouted(ctx, path)
+}
+
+func (r *runner) close() {
+	if r.caller != nil {
+		r.caller.Close()
+	}
+	for path, started := range r.meshes {
+		if path != Direct {
+			started.Close()
+		}
+	}
+}
+
 func (r *runner) class() load.Class {
 	return load.Class{
 		Name: "price-check", Method: "GET", Path: routePath + "/a4",
@@ -97,18 +133,18 @@
 // target returns where requests of a path go.
 func (r *runner) target(path Path) load.Target {
 	if path == Direct {
-		return load.Target{Name: string(Direct), Address: r.mesh.Workers[0].Address, Direct: true}
+		return load.Target{Name: string(Direct), Address: r.meshes[Direct].Workers[0].Address, Direct: true}
 	}
-	edge := r.mesh.Edges()[0]
+	edge := r.meshes[path].Edges()[0]
 	return load.Target{Name: edge.Name, Address: edge.Public}
 }
 
 // waitRouted waits until a request gets through, as the worker must first be
 // seen as ready.
-func (r *runner) waitRouted(ctx context.Context) error {
+func (r *runner) waitRouted(ctx context.Context, path Path) error {
 	const pause = 50 * time.Millisecond
 	for {
-		attempt := r.caller.Submit(ctx, r.submission(Through, time.Now()))
+		attempt := r.caller.Submit(ctx, r.submission(path, time.Now()))
 		if attempt.Ending == load.EndingAnswered {
 			return nil
 		}
@@ -120,22 +156,21 @@
 	}
 }
 
-// measure alternates spans of both paths at a rate. The first span of each
+// measure alternates spans of all paths at a rate. The first span of each
 // opens connections and does not count.
 func (r *runner) measure(ctx context.Context, rate float64) (Figures, error) {
-	figures := Figures{Rate: rate, Quantiles: map[Path]Quantiles{}}
-	tallies := map[Path]*tally{Direct: newTally(), Through: newTally()}
+	figures := Figures{Rate: rate, Quantiles: map[Path]Quantiles{}, CPUPerRequest: map[Path]time.Duration{}}
+	tallies := map[Path]*tally{}
 	random := rand.New(rand.NewPCG(r.options.Seed, uint64(rate)))
-	for _, path := range []Path{Direct, Through} {
+	for _, path := range r.paths {
+		tallies[path] = newTally()
 		if err := r.span(ctx, path, rate, random, newTally()); err != nil {
 			return figures, err
 		}
 	}
-	for span := range r.options.Spans {
-		paths := []Path{Direct, Through}
-		if span%2 == 1 {
-			paths = []Path{Through, Direct}
-		}
+	paths := slices.Clone(r.paths)
+	for range r.options.Spans {
+		random.Shuffle(len(paths), func(i, j int) { paths[i], paths[j] = paths[j], paths[i] })
 		for _, path := range paths {
 			if err := r.span(ctx, path, rate, random, tallies[path]); err != nil {
 				return figures, err
@@ -146,26 +181,33 @@
 		figures.Quantiles[path] = counted.quantiles()
 		figures.Wrong += counted.wrong
 		figures.Failed += counted.failed
+		figures.CPUPerRequest[path] = cpuPerRequest(counted, tallies[Direct])
 	}
 	figures.Requests = tallies[Through].requests
-	figures.CPUPerRequest = cpuPerRequest(tallies[Through], tallies[Direct])
 	return figures, nil
 }
 
 // Fields returns the figures for a result line.
 func (f Figures) Fields() log.Fields {
-	direct, through := f.Quantiles[Direct], f.Quantiles[Through]
-	return log.Fields{
+	direct := f.Quantiles[Direct]
+	fields := log.Fields{
 		"rate":               f.Rate,
 		"requests":           f.Requests,
 		"wrong":              f.Wrong,
 		"failed":             f.Failed,
-		"direct_p50_us":      direct.P50.Microseconds(),
-		"direct_p99_us":      direct.P99.Microseconds(),
-		"through_p50_us":     through.P50.Microseconds(),
-		"through_p99_us":     through.P99.Microseconds(),
-		"added_p50_us":       (through.P50 - direct.P50).Microseconds(),
-		"added_p99_us":       (through.P99 - direct.P99).Microseconds(),
-		"cpu_us_per_request": f.CPUPerRequest.Microseconds(),
+		"cpu_us_per_request": f.CPUPerRequest[Through].Microseconds(),
+	}
+	for path, seen := range f.Quantiles {
+		fields[string(path)+"_p50_us"] = seen.P50.Microseconds()
+		fields[string(path)+"_p99_us"] = seen.P99.Microseconds()
+	}
+	through := f.Quantiles[Through]
+	fields["added_p50_us"] = (through.P50 - direct.P50).Microseconds()
+	fields["added_p99_us"] = (through.P99 - direct.P99).Microseconds()
+	if former, compared := f.Quantiles[Former]; compared {
+		fields["former_added_p50_us"] = (former.P50 - direct.P50).Microseconds()
+		fields["former_added_p99_us"] = (former.P99 - direct.P99).Microseconds()
+		fields["former_cpu_us_per_request"] = f.CPUPerRequest[Former].Microseconds()
 	}
+	return fields
 }
--- a/lab/latency/mesh.go
+++ b/lab/latency/mesh.go
@@ -46,10 +46,10 @@
 // connections is the bound on a worker's connections.
 const connections = 130
 
-// nodesCPU returns the processor time that the nodes have used.
-func (r *runner) nodesCPU() (time.Duration, error) {
+// nodesCPU returns the processor time that the nodes of a path have used.
+func (r *runner) nodesCPU(path Path) (time.Duration, error) {
 	var total time.Duration
-	for _, node := range r.mesh.Nodes {
+	for _, node := range r.meshes[path].Nodes {
 		used, err := cpuOf(node.Admin)
 		if err != nil {
 			return 0, err
--- a/lab/latency/span.go
+++ b/lab/latency/span.go
@@ -57,7 +57,7 @@
 // cpuPerRequest is the nodes' time for a request through them, less their time
 // while requests passed them by.
 func cpuPerRequest(through, direct *tally) time.Duration {
-	if through.requests == 0 || direct.elapsed == 0 {
+	if through == direct || through.requests == 0 || direct.elapsed == 0 {
 		return 0
 	}
 	idle := float64(direct.cpu) * float64(through.elapsed) / float64(direct.elapsed)
@@ -78,14 +78,14 @@
 // span sends requests of one path at their intended times for the length of a
 // span and waits for their ends.
 func (r *runner) span(ctx context.Context, path Path, rate float64, random *rand.Rand, counted *tally) error {
-	before, err := r.nodesCPU()
+	before, err := r.nodesCPU(path)
 	if err != nil {
 		return err
 	}
 	began := time.Now()
 	r.send(ctx, path, rate, random, counted)
 	counted.elapsed += time.Since(began)
-	after, err := r.nodesCPU()
+	after, err := r.nodesCPU(path)
 	counted.cpu += after - before
 	return err
 }
