Tell the worker's watcher what requests meet

traffic.Config.Observe is told true for a whole answer and false for none that was the worker's doing: no connection, broken off, foreign or without an end. Refusals, ends of time, callers that left and failures of calls that the worker made say nothing about it. internal/node has still to set it.

--- a/internal/traffic/depth_test.go
+++ b/internal/traffic/depth_test.go
@@ -24,11 +24,12 @@
 	entry   string         // of the edge
 	depths  []atomic.Int64 // the last depth told to each level
 	tooDeep atomic.Int64   // answers that told of a loop
+	blamed  []atomic.Int64 // failures told of each level's worker
 }
 
 // newChain starts the levels. The last one fails as told.
 func newChain(t *testing.T, levels int, loop bool, last http.HandlerFunc) *chain {
-	c := &chain{runs: make([]atomic.Int64, levels), depths: make([]atomic.Int64, levels)}
+	c := &chain{runs: make([]atomic.Int64, levels), depths: make([]atomic.Int64, levels), blamed: make([]atomic.Int64, levels)}
 	holder := &snapshot.Holder{}
 	holder.Renew(time.Now().Add(time.Hour))
 	var routes []*snapshot.Route
@@ -50,7 +51,12 @@
 			c.passOn(w, r, outbound.URL+"/level-"+strconv.Itoa(next))
 		}
 		worker := httptest.NewServer(http.HandlerFunc(handler))
-		inbound := serve(t, NewInbound(Config{Holder: holder, Calls: calls, WorkerAddress: address(worker), Limits: Limits{Slots: 64}, Logger: quiet()}), Limits{})
+		observe := func(succeeded bool) {
+			if !succeeded {
+				c.blamed[level].Add(1)
+			}
+		}
+		inbound := serve(t, NewInbound(Config{Observe: observe, Holder: holder, Calls: calls, WorkerAddress: address(worker), Limits: Limits{Slots: 64}, Logger: quiet()}), Limits{})
 		t.Cleanup(func() { outbound.Close(); inbound.Close(); worker.Close() })
 		name := "level-" + strconv.Itoa(level)
 		endpoint := snapshot.Endpoint{Worker: name, Address: address(inbound), Slots: 64, Connections: 130}
@@ -110,6 +116,7 @@
 	must.Greater(t, requests, c.runs[levels-1].Load()) // the nearest level does try again
 	for level := range levels {
 		must.Eq(t, int64(level), c.depths[level].Load())
+		must.Eq(t, level == levels-1, c.blamed[level].Load() > 0) // a failure below is not the worker's own
 	}
 }
 
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -105,14 +105,34 @@
 	to := hop{pool: direct, transport: transport, address: in.config.WorkerAddress, fields: fields}
 	got, failure := send(x, &to, func(response *http.Response) *result { return in.checkWorker(x, response) })
 	callFailed := in.config.Calls.end(x.id)
-	if failure != nil {
-		failure.final = callFailed
-		return *failure
+	ended := result{outcome: outcome.Answered, cause: causeNone, answer: got}
+	switch {
+	case failure != nil:
+		ended = *failure
+		ended.final = callFailed
+	case got.isWhole:
+		ended.status = got.response.StatusCode
+	default:
+		ended = got.pass(x)
 	}
-	if got.isWhole {
-		return result{outcome: outcome.Answered, status: got.response.StatusCode, cause: causeNone, answer: got}
+	if !callFailed {
+		in.observe(x, ended.cause)
+	}
+	return ended
+}
+
+// observe tells what a request met at the worker. Refusals, ends of time and
+// callers that left say nothing about it.
+func (in *Inbound) observe(x *exchange, met cause) {
+	if in.config.Observe == nil || x.request.Context().Err() != nil || x.context.Err() != nil {
+		return
+	}
+	switch met {
+	case causeNone:
+		in.config.Observe(true)
+	case causeConnect, causeBroken, causeForeign, causeUnframed:
+		in.config.Observe(false)
 	}
-	return got.pass(x)
 }
 
 // checkWorker refuses a worker's answer that belongs to another request and
--- a/internal/traffic/once_test.go
+++ b/internal/traffic/once_test.go
@@ -214,3 +214,41 @@
 	must.Eq(t, "not-run", response.Header.Get(outcome.Header))
 	must.Zero(t, worker.runs("a"))
 }
+
+// What the watcher of the worker is told: whole answers, and what is missing
+// by the worker's doing.
+func TestObservedOfTheWorker(t *testing.T) {
+	for behaviour, told := range map[string]string{
+		"ok": "+", "lie": "+", "close": "-", "half": "-", "half-long": "-", "foreign": "-", "unframed": "-",
+		"shed": "", "hang": "",
+	} {
+		t.Run(behaviour, func(t *testing.T) {
+			var mutex sync.Mutex
+			observed := ""
+			m, _ := newFaultyMesh(t, func(config *Config) {
+				config.Observe = func(succeeded bool) {
+					mutex.Lock()
+					defer mutex.Unlock()
+					observed += map[bool]string{true: "+", false: "-"}[succeeded]
+				}
+			})
+			path := "/order"
+			if behaviour == "hang" {
+				path = "/quick-order"
+			}
+			_, _, _ = m.call(t, "POST", path+"?n=a&do="+behaviour, "")
+			waitFor(t, func() bool { return m.in.InFlight() == 0 })
+			mutex.Lock()
+			defer mutex.Unlock()
+			must.Eq(t, told, observed)
+		})
+	}
+	// No worker there at all.
+	observed := make(chan bool, 8)
+	m, worker := newFaultyMesh(t, func(config *Config) { config.Observe = func(succeeded bool) { observed <- succeeded } })
+	_ = worker.listener.Close()
+	response, _, err := m.call(t, "POST", "/order?n=a", "")
+	must.NoError(t, err)
+	must.Eq(t, "not-run", response.Header.Get(outcome.Header))
+	must.False(t, <-observed)
+}
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -54,6 +54,9 @@
 	Logger       log.Interface         // nil: log.Log
 	Dial         DialFunc              // nil: net.Dialer
 	Random       rand.Source           // nil: seeded from the clock
+	// Observe is told what requests met at the local worker: true for a whole
+	// answer, false for none that was the worker's doing. It must not block.
+	Observe func(succeeded bool)
 	// Calls joins the inbound and the outbound handler of one node; see Calls.
 	Calls *Calls
 }
