--- a/internal/traffic/choose.go
+++ b/internal/traffic/choose.go
@@ -85,14 +85,9 @@
 // With elsewhere it asks the endpoint's node to refuse rather than to queue it.
 func (out *Outbound) try(x *exchange, endpoint snapshot.Endpoint, elsewhere bool) (*answer, balance.Observation, *result) {
 	attempt := out.newID()
-	header := make(http.Header, len(x.request.Header)+6)
-	copyEndToEnd(header, x.request.Header)
-	internal := newFields(header)
-	x.setContext(internal, x.millisecondsLeft())
-	internal.set(outcome.Route, x.route.Name)
-	internal.set(attemptHeader, attempt)
+	fields := append(x.contextFields(), field{outcome.Route, x.route.Name}, field{attemptHeader, attempt})
 	if elsewhere {
-		internal.set(elsewhereHeader, "1")
+		fields = append(fields, field{elsewhereHeader, "1"})
 	}
 	seen := balance.Observation{}
 	began := time.Now()
@@ -106,7 +101,7 @@
 		}
 		return markFull(refusedByNode(response), response)
 	}
-	got, failure := send(x, hop{transport: out.transport, address: endpoint.Address, header: header, expect: true}, check)
+	got, failure := send(x, &hop{pool: out.pool, transport: out.transport, address: endpoint.Address, fields: fields, expect: true}, check)
 	if failure != nil {
 		seen.Latency = 0
 		seen.Failed = blames(failure, seen)
