--- a/internal/traffic/nested_test.go
+++ b/internal/traffic/nested_test.go
@@ -35,7 +35,7 @@
 		c.pipes.serve(t, "in-"+name+":1", NewServer(http.HandlerFunc(counted), config.Limits))
 		c.pipes.serve(t, "out-"+name+":1", NewServer(out, config.Limits))
 		c.pipes.serve(t, config.WorkerAddress, &http.Server{Handler: c.nest("out-" + name + ":1")})
-		t.Cleanup(func() { out.transport.CloseIdleConnections(); in.worker.transport().CloseIdleConnections() })
+		t.Cleanup(func() { out.transport.CloseIdleConnections(); in.worker.transport.CloseIdleConnections() })
 		endpoints = append(endpoints, snapshot.Endpoint{Worker: name, Zone: config.Zone, Address: "in-" + name + ":1", Slots: 3, Connections: 130})
 	}
 	holder.Store(viewOf(endpoints))
