Forget a reader's word that it holds a version when its process ends

Cause: words of holders that come before this node leads a version were kept by name. When the member restarted and was never seen absent, its word was counted for the new process, which holds nothing: the version was accepted by too few.

Change: the start of the process is kept with the word, as a flight does.

Test before the change, TestNoticeOfARestartedHolderDoesNotCount: acceptance guard: the word of a former process counted

--- a/internal/distribution/machine.go
+++ b/internal/distribution/machine.go
@@ -19,7 +19,7 @@
 
 	holdings
 	flight  *flight // as a root: the version being brought to acceptance
-	notices map[string]version.Version
+	notices map[string]notice
 	repair  repair
 	asking  asking
 	catchUp catchUp
@@ -38,7 +38,7 @@
 		now:      now,
 		last:     now,
 		holdings: holdings{active: snapshot.Empty(), former: config.History},
-		notices:  make(map[string]version.Version),
+		notices:  make(map[string]notice),
 		deltas:   newDeltaCache(),
 	}
 	m.catchUp.begin(phaseStarting, now, config.Random.Uint64())
@@ -152,8 +152,8 @@
 
 // forgetAbsent drops what members that have left or restarted told.
 func (m *Machine) forgetAbsent() {
-	for name := range m.notices {
-		if m.view.member(name) == nil {
+	for name, known := range m.notices {
+		if member := m.view.member(name); member == nil || member.Start != known.start {
 			delete(m.notices, name)
 		}
 	}
--- a/internal/distribution/machine_test.go
+++ b/internal/distribution/machine_test.go
@@ -448,3 +448,21 @@
 	must.Positive(t, pushes)
 	must.SliceEmpty(t, f.nodes[0].machine.history)
 }
+
+// The word that a member holds a version ends with its process.
+func TestNoticeOfARestartedHolderDoesNotCount(t *testing.T) {
+	now := time.Unix(1, 0)
+	machine := single(now, peer("peer-a"))
+	first, second := edition{revision: 1}.set(t), edition{revision: 2}.set(t)
+	machine.Step(pushOf(snapshot.Empty(), first, "peer-a", ""), now)
+	told(t, machine, "peer-a", first.Version(), now)
+	machine.Step(Received{wire.Envelope{From: "peer-a", Staged: &wire.Staged{Version: second.Version(), Zone: "zone-0"}}}, now)
+	restarted := peer("peer-a")
+	restarted.Start = now.UnixMilli()
+	machine.Step(Members{Live: []wire.Member{machine.config.Self, restarted}}, now)
+	machine.Step(SourceRead{Set: second}, now)
+	machine.Step(Tick{}, now.Add(DefaultConfig().RetryInterval))
+	machine.Step(Tick{}, now.Add(2*DefaultConfig().RetryInterval))
+	must.True(t, machine.flight.leads(second.Version()), must.Sprint("acceptance guard: the word of a former process counted"))
+	must.Eq(t, first.Version(), machine.Active().Version())
+}
--- a/internal/distribution/push.go
+++ b/internal/distribution/push.go
@@ -113,13 +113,20 @@
 	m.want(v, from, 0)
 }
 
+// notice is a member's word that it holds a version.
+type notice struct {
+	version version.Version
+	start   int64 // of the member's process
+}
+
 // keepNotice remembers the newest version that a member told it holds.
 func (m *Machine) keepNotice(from string, v version.Version) {
 	if _, known := m.notices[from]; !known && len(m.notices) >= maxNotices {
 		return
 	}
-	if m.view.member(from) != nil && v.After(m.notices[from]) {
-		m.notices[from] = v
+	member := m.view.member(from)
+	if member != nil && v.After(m.notices[from].version) {
+		m.notices[from] = notice{version: v, start: member.Start}
 	}
 }
 
@@ -127,7 +134,7 @@
 func (m *Machine) holdersNoticed(v version.Version) []string {
 	var names []string
 	for name, held := range m.notices {
-		if held == v {
+		if held.version == v {
 			names = append(names, name)
 		}
 	}
