Start hollow fleets at a rate, with streams that idle out in a second

Cause: 850 nodes started at once in one process need some 12 streams each and run out of 20000 file descriptors (transport.accept 1699, unreachable 198043).

--- a/cmd/sliphead-lab/fleet.go
+++ b/cmd/sliphead-lab/fleet.go
@@ -14,6 +14,7 @@
 // fleetCommand runs hollow nodes in this process.
 type fleetCommand struct {
 	Nodes       int    `help:"Hollow nodes in this process." default:"850"`
+	StartRate   int    `help:"Nodes started a second; 0 starts all at once." default:"0"`
 	Services    int    `help:"Services that the nodes are spread over." default:"29"`
 	Claims      bool   `help:"Hold claims too; the process needs two file descriptors for each pair of nodes of a service."`
 	Octet       int    `help:"Second octet of the first zone's loopback addresses; five in a row are used." default:"20"`
@@ -34,6 +35,7 @@
 		Profile:     settings.Profile(c.Profile),
 		Compression: transport.Compression(c.Compression),
 		History:     c.History,
+		StartRate:   c.StartRate,
 		Services:    c.Services,
 		Claims:      c.Claims,
 	}
--- a/internal/node/configure.go
+++ b/internal/node/configure.go
@@ -25,6 +25,7 @@
 		Network:     n.options.Network,
 		Security:    transport.Security(n.settings.Security),
 		Compression: n.options.Compression,
+		Limits:      transport.Limits{IdleTimeout: n.options.StreamIdle},
 		Deliver:     func(received transport.Received) { n.loop.Deliver(received) },
 		Logger:      n.options.Logger,
 		Random:      newRandom(),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,8 @@
 	Hollow   bool                 // leaves the request and admin listeners out
 	// Compression is the coding of outgoing streams, "" for the default.
 	Compression transport.Compression
+	// StreamIdle is how long an idle stream to a peer is kept, 0 for the default.
+	StreamIdle time.Duration
 	// WithoutClaims leaves the claim replica out.
 	WithoutClaims bool
 	// History is how many former versions are kept for deltas, below zero for
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -39,6 +39,7 @@
 	Octet       int // second octet of the first zone's loopback addresses
 	Profile     settings.Profile
 	Compression transport.Compression
+	StartRate   int  // nodes started a second, 0 for all at once
 	Services    int  // services that the nodes are spread over
 	Claims      bool // whether nodes hold claims; each then keeps a stream to every other of its service for a while
 	History     int  // former versions kept for deltas; negative for none
@@ -51,8 +52,11 @@
 	ended  chan struct{}
 }
 
-// Start starts the platform and all nodes at once, the worst case for the
-// platform and for peers.
+// streamIdle is less than the time between two changes: changes of a day's rate
+// find no stream open, and all streams of a process share its descriptors.
+const streamIdle = time.Second
+
+// Start starts the platform and all nodes, at once or at a rate.
 func Start(ctx context.Context, options Options) (*Fleet, error) {
 	f, err := newFleet(ctx, options)
 	if err != nil {
@@ -62,6 +66,9 @@
 		if err := f.startNode(ctx, index); err != nil {
 			return nil, err
 		}
+		if options.StartRate > 0 {
+			pause(ctx, time.Second/time.Duration(options.StartRate))
+		}
 	}
 	return f, nil
 }
@@ -117,6 +124,7 @@
 		Hollow:        true,
 		Compression:   f.options.Compression,
 		History:       f.options.History,
+		StreamIdle:    streamIdle,
 		WithoutClaims: !f.options.Claims,
 	})
 	if err != nil {
