--- /dev/null
+++ b/internal/distribution/conformance_test.go
@@ -0,0 +1,232 @@
+package distribution
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"sliphead/internal/snapshot"
+	"sliphead/internal/version"
+	"sliphead/internal/wire"
+)
+
+// holding says that a node holds a version whole.
+type holding struct {
+	node    string
+	version version.Version
+}
+
+// modelNode holds the variables of Node in model/distribution.pml, as they
+// follow from the events and effects of one process. What it has heard is not
+// taken from the machine.
+type modelNode struct {
+	view       map[string]wire.Member
+	inForce    version.Version
+	whole      map[version.Version]bool // staged at some time
+	accepted   map[version.Version]bool // by its own count or by a peer's word
+	reports    map[holding]bool         // of processes in the view
+	ready      bool
+	phase      phase
+	began      time.Time // of the phase
+	last       time.Time // of the step before
+	asked      map[uint64]bool
+	answers    map[string]version.Version
+	sourceRead bool
+}
+
+// begin forgets what was heard before a start or a pause.
+func (n *modelNode) begin(now time.Time) {
+	n.began, n.ready, n.sourceRead = now, false, false
+	n.reports, n.asked, n.answers = map[holding]bool{}, map[uint64]bool{}, map[string]version.Version{}
+}
+
+// conformance replays the steps of a fleet by the rules of the model. A step
+// that no rule allows, or that leaves other variables than the rules, fails.
+type conformance struct {
+	*fleet
+	nodes     map[string]*modelNode
+	published map[string]version.Version // by their texts
+	agreed    map[version.Version]bool   // accepted by some node
+	holders   map[holding]bool
+	used      map[string]int // uses of each rule
+}
+
+func (c *conformance) allow(rule string, allowed bool, node *simNode, v version.Version) {
+	c.used[rule]++
+	must.True(c.t, allowed, must.Sprintf("model: %s of %s at %s: %+v", rule, v, node.member.Name, c.nodes[node.member.Name]))
+}
+
+func (c *conformance) replay(node *simNode, event Event, effects []Effect) {
+	n := c.nodes[node.member.Name]
+	if event == nil {
+		n = &modelNode{phase: phaseStarting, whole: map[version.Version]bool{}, accepted: map[version.Version]bool{}, last: c.now}
+		n.look([]wire.Member{node.member})
+		n.begin(c.now)
+		c.nodes[node.member.Name] = n
+		c.allow("restart", node.machine.Active().Len() == 0 && len(node.machine.staged) == 0, node, version.Version{})
+		return
+	}
+	c.pauseIfLate(n, event)
+	c.receive(node, n, event)
+	for _, staged := range node.machine.staged {
+		c.stage(node, n, staged.set)
+	}
+	for _, effect := range effects {
+		c.follow(node, n, effect)
+	}
+	if node.machine.catchUp.phase == phaseCaughtUp && n.phase != phaseCaughtUp {
+		c.allow("catch up", c.mayCatchUp(node, n), node, n.inForce)
+		n.phase = phaseCaughtUp
+	}
+	must.Eq(c.t, n.inForce, node.machine.Active().Version())
+	must.Eq(c.t, n.ready, node.machine.fresh, must.Sprintf("model: ready at %s", node.member.Name))
+	for v := range n.whole {
+		must.False(c.t, v.After(node.machine.newestWhole()), must.Sprintf("model: %s was lost at %s", v, node.member.Name))
+	}
+}
+
+func (c *conformance) pauseIfLate(n *modelNode, event Event) {
+	if _, told := event.(Resumed); told || c.now.Sub(n.last) > DefaultConfig().Lease {
+		c.used["pause"]++
+		if n.phase == phaseCaughtUp {
+			n.phase = phaseResumed
+		}
+		n.begin(c.now)
+	}
+	n.last = c.now
+}
+
+func (c *conformance) receive(node *simNode, n *modelNode, event Event) {
+	switch event := event.(type) {
+	case Members:
+		n.look(event.Live)
+	case SourceRead:
+		v := event.Set.Version()
+		c.published[v.String()], n.sourceRead = v, true
+	case PeerDigests:
+		c.learn(node, n, event.Digests.Active)
+	case Received:
+		from, live := n.view[event.Message.From]
+		if word := event.Message.Staged; word != nil && live {
+			held := holding{from.Name, word.Version}
+			c.allow("report", c.holders[held], node, word.Version)
+			n.reports[held] = true
+		}
+		if word := event.Message.Accepted; word != nil {
+			c.learn(node, n, word.Version)
+			if n.asked[word.Number] && live && n.phase != phaseCaughtUp {
+				n.answers[from.Name] = word.Version
+			}
+		}
+	}
+}
+
+// look takes a new view. Words of processes that are not in it are forgotten.
+func (n *modelNode) look(live []wire.Member) {
+	former := n.view
+	n.view = map[string]wire.Member{}
+	for _, member := range live {
+		n.view[member.Name] = member
+	}
+	gone := func(name string) bool { return n.view[name].Start != former[name].Start }
+	maps.DeleteFunc(n.answers, func(name string, _ version.Version) bool { return gone(name) })
+	maps.DeleteFunc(n.reports, func(held holding, _ bool) bool { return gone(held.node) })
+}
+
+func (c *conformance) learn(node *simNode, n *modelNode, v version.Version) {
+	c.allow("learn", v.IsZero() || c.agreed[v], node, v)
+	n.accepted[v] = true
+}
+
+func (c *conformance) stage(node *simNode, n *modelNode, set *snapshot.Set) {
+	v := set.Version()
+	if n.whole[v] {
+		return
+	}
+	c.allow("stage", set.Complete() && v.After(n.inForce) && c.published[v.String()] == v, node, v)
+	n.whole[v], c.holders[holding{node.member.Name, v}] = true, true
+}
+
+func (c *conformance) follow(node *simNode, n *modelNode, effect Effect) {
+	switch effect := effect.(type) {
+	case Send:
+		if pull := effect.Message.Pull; pull != nil && pull.Number != 0 {
+			n.asked[pull.Number] = true
+		}
+	case Activate:
+		v := effect.Set.Version()
+		c.stage(node, n, effect.Set)
+		c.allow("activate", v.After(n.inForce) && n.whole[v] && n.accepted[v], node, v)
+		n.inForce = v
+	case Fresh:
+		c.allow("ready", !n.inForce.IsZero() && node.machine.catchUp.phase == phaseCaughtUp, node, n.inForce)
+		n.ready = true
+	case Stale:
+		n.ready = false
+	case Log:
+		if effect.Name == LogAccepted {
+			v := c.published[effect.Fields[0].Value]
+			c.stage(node, n, node.machine.lookup(v))
+			c.allow("accept", n.mayAccept(node.member.Name, v), node, v)
+			c.agreed[v], n.accepted[v] = true, true
+		}
+	}
+}
+
+// mayAccept is ENOUGH of the model, over the members that are not leaving.
+func (n *modelNode) mayAccept(self string, v version.Version) bool {
+	held, staying := 0, 0
+	for name, member := range n.view {
+		if member.Status == wire.StatusLeaving {
+			continue
+		}
+		staying++
+		if name == self || n.reports[holding{name, v}] {
+			held++
+		}
+	}
+	return n.whole[v] && held >= min(DefaultConfig().Holders, staying)
+}
+
+// mayCatchUp is CAN_BE_READY of the model, with the two answers of each zone, and
+// the wait, that the code makes do with.
+func (c *conformance) mayCatchUp(node *simNode, n *modelNode) bool {
+	useful, peers := map[string]int{}, map[string]int{}
+	for name, member := range n.view {
+		if n.answers[name].After(n.inForce) {
+			return false
+		}
+		if name != node.member.Name {
+			peers[member.Zone]++
+		}
+		if !n.answers[name].IsZero() {
+			useful[member.Zone]++
+		}
+	}
+	enough, all := len(peers) > 0, len(peers) > 0 && len(n.answers) >= len(n.view)-1
+	for zone, count := range peers {
+		enough = enough && useful[zone] >= min(count, reportsPerZone)
+	}
+	waited := c.now.Sub(n.began) >= DefaultConfig().CatchUpTimeout
+	return enough || (n.phase == phaseResumed && len(n.answers) > 0) || (waited && (len(useful) > 0 || n.sourceRead || all))
+}
+
+// TestConformanceWithModel replays runs under faults. Each rule must be used.
+func TestConformanceWithModel(t *testing.T) {
+	used := map[string]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		runUnderFaults(t, func(f *fleet) {
+			c := &conformance{
+				fleet: f, nodes: map[string]*modelNode{}, published: map[string]version.Version{},
+				agreed: map[version.Version]bool{}, holders: map[holding]bool{}, used: used,
+			}
+			f.onStep = c.replay
+		})
+	})
+	for _, rule := range []string{"restart", "pause", "learn", "report", "stage", "accept", "activate", "catch up", "ready"} {
+		must.Positive(t, used[rule], must.Sprintf("rule %s was not used", rule))
+	}
+}
--- a/internal/distribution/fleet_fuzz_test.go
+++ b/internal/distribution/fleet_fuzz_test.go
@@ -197,29 +197,33 @@
 // each step; at the end all live nodes must agree on no less than the newest
 // accepted version that one of them held, and then follow the source again.
 func TestFleetUnderFaults(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		nodes := rapid.IntRange(1, 9).Draw(t, "nodes")
-		f := newFleet(t, rapid.Int64Range(0, 1<<30).Draw(t, "seed"), nodes, rapid.IntRange(1, 3).Draw(t, "zones"))
-		o := &operators{fleet: f}
-		f.startAll()
-		t.Repeat(map[string]func(*rapid.T){
-			"change": o.change, "changeWithSecret": o.changeWithSecret, "equivocate": o.equivocate,
-			"staleSource": o.staleSource, "sourceOutage": o.sourceOutage,
-			"kill": o.kill, "leave": o.leave, "killReaders": o.killReaders, "restart": o.restart, "restartAgain": o.restart,
-			"freeze": o.freeze, "unfreeze": o.unfreeze, "unfreezeAgain": o.unfreeze,
-			"partition": o.partition, "healPartition": o.healPartition, "degrade": o.degrade,
-			"pass": o.pass, "passAgain": o.pass, "passOnceMore": o.pass,
-		})
-		o.quiet()
-		floor := o.newestHeldAccepted()
-		f.run(30 * time.Second)
-		o.checkOneVersion(t, floor)
-		o.revision++
-		final := edition{revision: o.revision}.set(t)
-		f.publish(final)
-		must.True(t, f.until(f.now.Add(30*time.Second), func() bool { return f.agree(final.Version()) }),
-			must.Func(func() string { return o.describe() }))
+	rapid.Check(t, func(t *rapid.T) { runUnderFaults(t, func(*fleet) {}) })
+}
+
+// runUnderFaults makes one run. watch is called before the nodes start.
+func runUnderFaults(t *rapid.T, watch func(*fleet)) {
+	nodes := rapid.IntRange(1, 9).Draw(t, "nodes")
+	f := newFleet(t, rapid.Int64Range(0, 1<<30).Draw(t, "seed"), nodes, rapid.IntRange(1, 3).Draw(t, "zones"))
+	o := &operators{fleet: f}
+	watch(f)
+	f.startAll()
+	t.Repeat(map[string]func(*rapid.T){
+		"change": o.change, "changeWithSecret": o.changeWithSecret, "equivocate": o.equivocate,
+		"staleSource": o.staleSource, "sourceOutage": o.sourceOutage,
+		"kill": o.kill, "leave": o.leave, "killReaders": o.killReaders, "restart": o.restart, "restartAgain": o.restart,
+		"freeze": o.freeze, "unfreeze": o.unfreeze, "unfreezeAgain": o.unfreeze,
+		"partition": o.partition, "healPartition": o.healPartition, "degrade": o.degrade,
+		"pass": o.pass, "passAgain": o.pass, "passOnceMore": o.pass,
 	})
+	o.quiet()
+	floor := o.newestHeldAccepted()
+	f.run(30 * time.Second)
+	o.checkOneVersion(t, floor)
+	o.revision++
+	final := edition{revision: o.revision}.set(t)
+	f.publish(final)
+	must.True(t, f.until(f.now.Add(30*time.Second), func() bool { return f.agree(final.Version()) }),
+		must.Func(func() string { return o.describe() }))
 }
 
 func (o *operators) describe() string {
--- a/internal/distribution/fleet_test.go
+++ b/internal/distribution/fleet_test.go
@@ -129,6 +129,7 @@
 	logs      map[string]int
 	onDeliver func(from, to *simNode, message wire.Envelope)
 	onActive  func(node *simNode, v version.Version)
+	onStep    func(node *simNode, event Event, effects []Effect) // a nil event is a start
 }
 
 func newFleet(t must.T, seed int64, nodes, zones int) *fleet {
@@ -157,6 +158,9 @@
 	node.machine = New(config, f.now)
 	node.alive, node.frozen, node.reader, node.fresh = true, false, false, false
 	node.inbox, node.active, node.digests, node.view = nil, version.Version{}, wire.Digests{}, nil
+	if f.onStep != nil {
+		f.onStep(node, nil, nil)
+	}
 }
 
 func (f *fleet) startAll() {
@@ -238,6 +242,9 @@
 	began := time.Now()
 	effects := node.machine.Step(event, f.now)
 	node.cpu += time.Since(began)
+	if f.onStep != nil {
+		f.onStep(node, event, effects)
+	}
 	for _, effect := range effects {
 		f.carryOut(node, effect)
 	}
