Compare the two hops with two plain relays in the same run

What two processes that only pass bytes on add is the least that two hops can cost on a machine, with its own delays in waking a process.

--- a/cmd/sliphead-lab/latency.go
+++ b/cmd/sliphead-lab/latency.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"io"
+	"net"
+	"os"
 	"time"
 
 	"github.com/apex/log"
@@ -56,3 +59,24 @@
 	}
 	return "fail"
 }
+
+// relayCommand passes bytes on until its standard input ends.
+type relayCommand struct {
+	Listen string `help:"Address to listen on, IP:port." required:""`
+	To     string `help:"Address to pass bytes on to, IP:port." required:""`
+}
+
+// Run implements the command.
+func (c *relayCommand) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		cancel()
+	}()
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fault.Wrap(err, fault.Settings, "choose a free address", "listen on %s", c.Listen)
+	}
+	return latency.Relay(ctx, listener, c.To)
+}
--- a/cmd/sliphead-lab/main.go
+++ b/cmd/sliphead-lab/main.go
@@ -21,6 +21,7 @@
 	Fleet    fleetCommand    `cmd:"" help:"Run many hollow nodes in one process and measure them."`
 	Latency  latencyCommand  `cmd:"" help:"Measure what the two hops add to a call, against direct calls in the same run."`
 	Overload overloadCommand `cmd:"" help:"Try more load than workers can do, and workers that misbehave, in this process."`
+	Relay    relayCommand    `cmd:"" hidden:"" help:"Pass bytes on, to compare with."`
 	Report   reportCommand   `cmd:"" help:"Draw the plots of a run's report."`
 	Worker   workerCommand   `cmd:"" help:"Run one stand-in worker until a signal ends it."`
 	Source   sourceCommand   `cmd:"" help:"Run a stand-in configuration service until a signal ends it."`
--- a/lab/latency/latency.go
+++ b/lab/latency/latency.go
@@ -39,6 +39,7 @@
 	Direct  Path = "direct"
 	Through Path = "through"
 	Former  Path = "former" // through nodes of another program
+	Relayed Path = "relay"  // through two processes that only pass bytes on
 )
 
 // Figures are the result at one rate.
@@ -63,7 +64,11 @@
 		return nil, err
 	}
 	run.meshes[Direct] = run.meshes[Through]
-	run.paths = []Path{Direct, Through}
+	if err := run.startRelays(options.Mesh.LabBinary); err != nil {
+		return nil, err
+	}
+	run.meshes[Relayed] = run.meshes[Through]
+	run.paths = []Path{Direct, Relayed, Through}
 	if options.Former != "" {
 		other := options.Mesh
 		other.NodeBinary = options.Former
@@ -91,6 +96,8 @@
 	paths   []Path
 	caller  *load.Caller
 	number  int
+	relay   string   // address of the first relay
+	relays  []func() // ends them
 }
 
 // start starts a mesh and waits until requests get through it.
@@ -114,8 +121,11 @@
 	if r.caller != nil {
 		r.caller.Close()
 	}
+	for _, end := range r.relays {
+		end()
+	}
 	for path, started := range r.meshes {
-		if path != Direct {
+		if path == Through || path == Former {
 			started.Close()
 		}
 	}
@@ -135,6 +145,9 @@
 	if path == Direct {
 		return load.Target{Name: string(Direct), Address: r.meshes[Direct].Workers[0].Address, Direct: true}
 	}
+	if path == Relayed {
+		return load.Target{Name: string(Relayed), Address: r.relay, Direct: true}
+	}
 	edge := r.meshes[path].Edges()[0]
 	return load.Target{Name: edge.Name, Address: edge.Public}
 }
@@ -201,13 +214,14 @@
 		fields[string(path)+"_p50_us"] = seen.P50.Microseconds()
 		fields[string(path)+"_p99_us"] = seen.P99.Microseconds()
 	}
-	through := f.Quantiles[Through]
-	fields["added_p50_us"] = (through.P50 - direct.P50).Microseconds()
-	fields["added_p99_us"] = (through.P99 - direct.P99).Microseconds()
-	if former, compared := f.Quantiles[Former]; compared {
-		fields["former_added_p50_us"] = (former.P50 - direct.P50).Microseconds()
-		fields["former_added_p99_us"] = (former.P99 - direct.P99).Microseconds()
-		fields["former_cpu_us_per_request"] = f.CPUPerRequest[Former].Microseconds()
+	for path, prefix := range map[Path]string{Through: "", Former: "former_", Relayed: "relay_"} {
+		if seen, measured := f.Quantiles[path]; measured {
+			fields[prefix+"added_p50_us"] = (seen.P50 - direct.P50).Microseconds()
+			fields[prefix+"added_p99_us"] = (seen.P99 - direct.P99).Microseconds()
+		}
+	}
+	if used, measured := f.CPUPerRequest[Former]; measured {
+		fields["former_cpu_us_per_request"] = used.Microseconds()
 	}
 	return fields
 }
