--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -59,17 +60,25 @@
 	membership   *membership.Machine
 	distribution *distribution.Machine
 	clock        *clockOffset
+	reported     correctionReport
 	publisher    *publisher
 	inputs       chan any
+	dropped      atomic.Uint64 // messages that found inputs full
 	addresses    addressBook
+	others       atomic.Pointer[[]wire.Member] // whom a refused dialer may ask
+	listed       []membership.ListedMachine    // the platform's list
 	encoded      encodedPush
 	peerVersions map[string]version.Version // by live member, as it last said
-	lastSeen     time.Time                  // when the loop last handled anything
+	duty         duty
+	lastSeen     time.Time // when the loop last handled anything
 	confirmation confirmation
 	caughtUp     bool // by distribution
 	fresh        bool // whether the node may serve
 	draining     bool // a planned stop has begun
 	leaving      bool
+
+	membersChanged bool      // since the other parts were told who is live
+	membersPassed  time.Time // when they were told
 }
 
 // New returns a loop that holds nothing yet.
@@ -80,11 +89,14 @@
 		membership:   membership.New(config.Membership, now),
 		distribution: distribution.New(config.Distribution, now),
 		clock:        newClockOffset(),
-		publisher:    newPublisher(config),
 		peerVersions: make(map[string]version.Version),
 		inputs:       make(chan any, inputQueue),
+		duty:         duty{started: now},
 		lastSeen:     now,
+
+		membersChanged: true, // from none to this node
 	}
+	loop.publisher = newPublisher(config, loop.membership.Live)
 	loop.addresses.store(loop.membership.Live())
 	return loop
 }
@@ -93,7 +105,7 @@
 func (l *Loop) Run(ctx context.Context) error {
 	ticker := time.NewTicker(l.config.Tick)
 	defer ticker.Stop()
-	l.membersChanged(l.config.Now())
+	l.passMembers(l.config.Now())
 	for {
 		select {
 		case <-ctx.Done():
@@ -114,10 +126,15 @@
 	case l.inputs <- received:
 		return true
 	default:
+		l.dropped.Add(1)
 		return false
 	}
 }
 
+// Dropped counts the messages that found the queue full. It may be called from
+// any goroutine.
+func (l *Loop) Dropped() uint64 { return l.dropped.Load() }
+
 // Send sends a message for a part outside the loop, such as the claim keeper.
 // It may be called from any goroutine.
 func (l *Loop) Send(outgoing wire.Outgoing) {
@@ -125,7 +142,7 @@
 		l.config.Claims.Deliver(outgoing.Message)
 		return
 	}
-	l.transmit(outgoing, nil)
+	l.transmit(outgoing, l.addresses.lookup, nil)
 }
 
 // submit hands an event to the loop and waits for room in its queue.
--- a/internal/control/handle.go
+++ b/internal/control/handle.go
@@ -18,6 +18,8 @@
 		l.stepMembership(membership.Tick{}, now)
 		l.stepDistribution(distribution.Tick{}, now)
 		l.confirmInTime(now)
+		l.passDuty(now)
+		l.reportClock(now)
 	case transport.Received:
 		l.route(event.Envelope, now)
 	case sourceRead:
@@ -25,7 +27,7 @@
 	case sourceFailed:
 		l.stepDistribution(distribution.SourceFailed{Err: event.err}, now)
 	case machinesRead:
-		l.stepMembership(membership.MachineList{Machines: event.machines}, now)
+		l.readMachines(event.machines, now)
 	case endpointChange:
 		l.setEndpoint(event.state, now)
 	case drainRequest:
@@ -38,6 +40,7 @@
 		event.reply <- l.status(now)
 	}
 	l.renewLease(now)
+	l.passMembers(now)
 	l.publish(now)
 }
 
@@ -57,9 +60,10 @@
 
 // noticePause detects that the process was stopped for longer than its lease:
 // whatever it believes may be long past, so it holds no duty and no lease
-// until a peer has confirmed its state.
+// until a peer has confirmed its state. A wall clock set forward by more than
+// the lease can't be told from a machine suspended, and counts as a pause.
 func (l *Loop) noticePause(now time.Time) {
-	gap := now.Sub(l.lastSeen)
+	gap := longestGap(l.lastSeen, now)
 	l.lastSeen = now
 	if gap <= l.config.Lease {
 		return
@@ -88,27 +92,26 @@
 		l.stepDistribution(distribution.Received{Message: message}, now)
 	case message.ClaimRequest != nil, message.ClaimReply != nil, message.ClaimCopy != nil:
 		l.config.Claims.Deliver(message)
+	case message.Busy != nil:
+		l.refusedBy(message.Busy, now)
 	}
 }
 
 // stepMembership runs one step of membership and carries out its effects.
 func (l *Loop) stepMembership(event membership.Event, now time.Time) {
-	changed := false
 	for _, effect := range l.membership.Step(event, now) {
 		switch effect := effect.(type) {
 		case membership.Send:
 			l.confirmation.sent(effect.Message.Ping)
-			l.transmit(effect.Outgoing, nil)
+			l.transmit(effect.Outgoing, l.addressOf, nil)
 		case membership.Changed:
-			changed = true
+			l.membersChanged = true
+			l.publisher.dirty = true
 			l.memberChanged(effect, now)
 		case membership.PeerDigests:
 			l.peerSaid(effect, now)
 		}
 	}
-	if changed {
-		l.membersChanged(now)
-	}
 }
 
 // peerSaid takes in what a peer's gossip says of its state.
@@ -133,34 +136,16 @@
 	})
 }
 
-// membersChanged tells the other parts who is live.
-func (l *Loop) membersChanged(now time.Time) {
-	live := l.membership.Live()
-	l.addresses.store(live)
-	l.forgetPeerVersions()
-	l.publisher.setMembers(live, now)
-	l.stepDistribution(distribution.Members{Live: live}, now)
-}
-
-// forgetPeerVersions drops what dead members said.
-func (l *Loop) forgetPeerVersions() {
-	for name := range l.peerVersions {
-		if member, known := l.membership.Lookup(name); !known || member.Status == wire.StatusDead {
-			delete(l.peerVersions, name)
-		}
-	}
-}
-
 // stepDistribution runs one step of distribution and carries out its effects.
 func (l *Loop) stepDistribution(event distribution.Event, now time.Time) {
 	for _, effect := range l.distribution.Step(event, now) {
 		switch effect := effect.(type) {
 		case distribution.Send:
-			l.transmit(effect.Outgoing, &l.encoded)
+			l.transmit(effect.Outgoing, l.addressOf, &l.encoded)
 		case distribution.Activate:
 			l.activate(effect, now)
 		case distribution.Duty:
-			l.dutyChanged(effect.Reader)
+			l.dutyChanged(effect.Reader, now)
 		case distribution.DigestsChanged:
 			l.stepMembership(membership.SetDigests{Active: effect.Active, Staged: effect.Staged}, now)
 		case distribution.Fresh:
@@ -207,21 +192,13 @@
 	l.renewLease(now)
 }
 
-// dutyChanged passes reader duty on.
-func (l *Loop) dutyChanged(reader bool) {
-	logging.Event(l.config.Logger, "duty.changed", logging.Fields{"reader": reader})
-	if l.config.OnReader != nil {
-		l.config.OnReader(reader)
-	}
-}
-
 // publish resolves a new view when anything it depends on has changed.
 func (l *Loop) publish(now time.Time) {
 	l.publisher.publishIfDue(l.wallClock(now), now)
 }
 
 // wallClock returns the time by which schedules are read.
-func (l *Loop) wallClock(now time.Time) time.Time { return now.Add(l.clock.correction()) }
+func (l *Loop) wallClock(now time.Time) time.Time { return now.Add(l.clock.correction()).Round(0) }
 
 // logDistribution writes an event of the distribution machine to the log.
 func (l *Loop) logDistribution(event distribution.Log) {
--- a/internal/distribution/machine.go
+++ b/internal/distribution/machine.go
@@ -19,7 +19,7 @@
 
 	holdings
 	flight  *flight // as a root: the version being brought to acceptance
-	notices map[string]version.Version
+	notices map[string]notice
 	repair  repair
 	asking  asking
 	catchUp catchUp
@@ -37,8 +37,8 @@
 		view:     newView(config, nil),
 		now:      now,
 		last:     now,
-		holdings: holdings{active: snapshot.Empty()},
-		notices:  make(map[string]version.Version),
+		holdings: holdings{active: snapshot.Empty(), former: config.History},
+		notices:  make(map[string]notice),
 		deltas:   newDeltaCache(),
 	}
 	m.catchUp.begin(phaseStarting, now, config.Random.Uint64())
@@ -95,6 +95,7 @@
 	m.leadIfDue()
 	m.askForMissing()
 	m.pullIfDue()
+	m.confirmGossip()
 	m.announce()
 }
 
@@ -121,11 +122,24 @@
 	}
 }
 
-// isReader reports whether this node has the duty to read the source. A node
-// that was paused has none until a peer has confirmed its state or none answers.
+// isReader reports whether this node has the duty to read the source.
 func (m *Machine) isReader() bool {
-	unconfirmed := m.catchUp.phase == phaseResumed && !m.timedOut()
-	return !unconfirmed && m.view.readerRank(m.config.Self.Name) >= 0
+	return m.mayHaveDuty() && m.view.readerRank(m.config.Self.Name) >= 0
+}
+
+// mayHaveDuty reports whether this node's view may be acted on. A node that was
+// paused waits until a peer has confirmed its state; a started one that knows
+// nobody else waits for peers, so that a fleet that starts at once does not
+// read the source all together. Neither waits longer than the catch-up timeout.
+func (m *Machine) mayHaveDuty() bool {
+	switch m.catchUp.phase {
+	case phaseResumed:
+		return m.timedOut()
+	case phaseStarting:
+		return len(m.view.members) > 1 || m.timedOut()
+	default:
+		return true
+	}
 }
 
 func (m *Machine) onMembers(live []wire.Member) {
@@ -138,8 +152,8 @@
 
 // forgetAbsent drops what members that have left or restarted told.
 func (m *Machine) forgetAbsent() {
-	for name := range m.notices {
-		if m.view.member(name) == nil {
+	for name, known := range m.notices {
+		if member := m.view.member(name); member == nil || member.Start != known.start {
 			delete(m.notices, name)
 		}
 	}
--- a/internal/distribution/machine_test.go
+++ b/internal/distribution/machine_test.go
@@ -119,12 +119,13 @@
 	far := wire.Member{Name: "peer-b", Zone: "zone-1"}
 	machine := single(now, peer("peer-a"), far)
 	first, second := edition{revision: 1}.set(t), edition{revision: 2}.set(t)
-	take := func(event Event) []Effect {
-		return slices.DeleteFunc(machine.Step(event, now), func(e Effect) bool { _, is := e.(Activate); return !is })
+	activations := func(effects []Effect) []Effect {
+		return slices.DeleteFunc(effects, func(e Effect) bool { _, is := e.(Activate); return !is })
 	}
-	must.Len(t, 0, take(PeerDigests{From: "peer-a", Digests: wire.Digests{Active: first.Version()}}))
+	take := func(event Event) []Effect { return activations(machine.Step(event, now)) }
+	must.Len(t, 0, activations(told(t, machine, "peer-a", first.Version(), now)))
 	must.Len(t, 0, take(pushOf(snapshot.Empty(), first, "peer-a", "")), must.Sprint("freshness guard: in force before other zones gave word"))
-	must.Len(t, 0, take(PeerDigests{From: "peer-b", Digests: wire.Digests{Active: second.Version()}}), must.Sprint("freshness guard: an older version than a peer's"))
+	must.Len(t, 0, activations(told(t, machine, "peer-b", second.Version(), now)), must.Sprint("freshness guard: an older version than a peer's"))
 	must.Len(t, 1, take(pushOf(first, second, "peer-b", "")))
 	must.Eq(t, second.Version(), machine.Active().Version())
 	must.True(t, machine.Status().Fresh)
@@ -188,7 +189,7 @@
 	first := edition{revision: 1}.set(t)
 	machine.Step(Received{wire.Envelope{From: "peer-a", Accepted: &wire.Accepted{Version: first.Version()}}}, now)
 	machine.Step(pushOf(snapshot.Empty(), first, "peer-a", ""), now)
-	machine.Step(PeerDigests{From: "peer-a", Digests: wire.Digests{Active: first.Version()}}, now)
+	told(t, machine, "peer-a", first.Version(), now)
 	must.True(t, machine.Status().Fresh)
 	must.True(t, machine.Status().Reader)
 
@@ -394,3 +395,74 @@
 	}
 	must.Eq(t, fmt.Sprint(before), fmt.Sprint(machine.Status()))
 }
+
+// Found by experiments/failure-source.yaml: in a mass restart beside a stale
+// source, a node took the word of one other started node, which held nothing,
+// for that of the fleet.
+func TestWordsOfPeersThatHoldNothingDoNotEndTheStart(t *testing.T) {
+	now := time.Unix(1, 0)
+	machine := single(now, peer("peer-a"))
+	stale, newest := edition{revision: 1}.set(t), edition{revision: 3}.set(t)
+	told(t, machine, "peer-a", version.Version{}, now)
+	machine.Step(SourceRead{Set: stale}, now)
+	for _, holder := range []string{"peer-a", "peer-c", "peer-d"} {
+		machine.Step(Received{wire.Envelope{From: holder, Staged: &wire.Staged{Version: stale.Version(), Zone: "zone-0"}}}, now)
+	}
+	must.Eq(t, string(phaseStarting), machine.Status().Phase, must.Sprint("freshness guard: peer-a holds nothing itself"))
+	must.True(t, machine.Active().Version().IsZero())
+
+	machine.Step(Members{Live: []wire.Member{peer("node-000"), peer("peer-a"), peer("peer-b")}}, now)
+	told(t, machine, "peer-b", newest.Version(), now)
+	machine.Step(pushOf(snapshot.Empty(), newest, "peer-b", ""), now)
+	told(t, machine, "peer-a", newest.Version(), now)
+	must.Eq(t, newest.Version(), machine.Active().Version())
+}
+
+func TestStartedNodesDoNotAllReadTheSource(t *testing.T) {
+	now := time.Unix(1, 0)
+	machine := single(now)
+	must.False(t, machine.Status().Reader, must.Sprint("duty guard: a node that has not met its peers yet reads"))
+	for passed := time.Duration(0); passed <= DefaultConfig().CatchUpTimeout; passed += time.Second {
+		machine.Step(Tick{}, now.Add(passed))
+	}
+	must.True(t, machine.Status().Reader)
+}
+
+func TestWithoutHistoryWholeSetsAreSent(t *testing.T) {
+	f := newFleet(t, 1, 9, 3)
+	f.history = 0
+	f.startAll()
+	f.publish(edition{revision: 1}.set(t))
+	f.mustAgree(edition{revision: 1})
+	pushes := 0
+	f.onDeliver = func(_, _ *simNode, message wire.Envelope) {
+		if message.Push != nil {
+			pushes++
+			must.True(t, message.Push.Delta.From.IsZero(), must.Sprint("a delta was sent"))
+		}
+	}
+	for revision := uint64(2); revision <= 6; revision++ {
+		f.publish(edition{revision: revision}.set(t))
+		f.mustAgree(edition{revision: revision})
+	}
+	must.Positive(t, pushes)
+	must.SliceEmpty(t, f.nodes[0].machine.history)
+}
+
+// The word that a member holds a version ends with its process.
+func TestNoticeOfARestartedHolderDoesNotCount(t *testing.T) {
+	now := time.Unix(1, 0)
+	machine := single(now, peer("peer-a"))
+	first, second := edition{revision: 1}.set(t), edition{revision: 2}.set(t)
+	machine.Step(pushOf(snapshot.Empty(), first, "peer-a", ""), now)
+	told(t, machine, "peer-a", first.Version(), now)
+	machine.Step(Received{wire.Envelope{From: "peer-a", Staged: &wire.Staged{Version: second.Version(), Zone: "zone-0"}}}, now)
+	restarted := peer("peer-a")
+	restarted.Start = now.UnixMilli()
+	machine.Step(Members{Live: []wire.Member{machine.config.Self, restarted}}, now)
+	machine.Step(SourceRead{Set: second}, now)
+	machine.Step(Tick{}, now.Add(DefaultConfig().RetryInterval))
+	machine.Step(Tick{}, now.Add(2*DefaultConfig().RetryInterval))
+	must.True(t, machine.flight.leads(second.Version()), must.Sprint("acceptance guard: the word of a former process counted"))
+	must.Eq(t, first.Version(), machine.Active().Version())
+}
--- a/internal/node/configure.go
+++ b/internal/node/configure.go
@@ -21,6 +21,7 @@
 	return transport.Config{
 		Bind:        n.settings.Listen.Peer,
 		Self:        func() wire.Member { return n.self },
+		Others:      func() []wire.Member { return n.loop.Others() },
 		Network:     n.options.Network,
 		Security:    transport.Security(n.settings.Security),
 		Compression: n.options.Compression,
@@ -40,6 +41,7 @@
 			GroupSize: n.settings.Claims.GroupSize,
 			ClockSkew: n.settings.Claims.ClockSkew.Duration,
 			Since:     n.settings.Claims.Since,
+			CopyOnly:  n.settings.Claims.CopyOnly,
 			Random:    newRandom(),
 		},
 		Send: func(outgoing wire.Outgoing) { n.loop.Send(outgoing) },
@@ -59,7 +61,7 @@
 		Distribution: n.distributionConfig(),
 		Holder:       n.holder,
 		Sender:       n.transport,
-		Claims:       n.keeper,
+		Claims:       n.claims(),
 		Lease:        n.settings.Distribution.Lease.Duration,
 		Tick:         controlTick,
 		Overlap:      n.settings.Distribution.ScheduleOverlap.Duration,
@@ -70,6 +72,20 @@
 	}
 }
 
+// claims returns the keeper, or nothing when the options leave it out.
+func (n *Node) claims() control.Claims {
+	if n.options.WithoutClaims {
+		return noClaims{}
+	}
+	return n.keeper
+}
+
+// noClaims takes what a keeper would, and does nothing with it.
+type noClaims struct{}
+
+func (noClaims) Deliver(wire.Envelope)     {}
+func (noClaims) Configure(claim.Configure) {}
+
 // membershipConfig applies the settings to the profile's defaults.
 func (n *Node) membershipConfig() membership.Config {
 	config := membership.DefaultConfig(membership.Profile(n.settings.Profile))
@@ -90,6 +106,9 @@
 	config.ReadersPerZone = n.settings.Distribution.ReadersPerZone
 	config.MaxReaders = n.settings.Source.Readers
 	config.Lease = n.settings.Distribution.Lease.Duration
+	if n.options.History >= 0 {
+		config.History = n.options.History
+	}
 	config.Validate = validate
 	config.Random = mathrand.New(mathrand.NewSource(rand.Int64()))
 	return config
--- a/internal/source/reader.go
+++ b/internal/source/reader.go
@@ -39,7 +39,9 @@
 	problems problems
 	etag     string
 	current  Result
+	sound    bool // whether the document given last is the current one
 	reads    atomic.Uint64
+	answered atomic.Pointer[time.Time]
 }
 
 // minInterval is the least time between two questions, whatever the source
@@ -49,6 +51,15 @@
 // Reads returns how many questions were asked of the source, secrets included.
 func (r *Reader) Reads() uint64 { return r.reads.Load() }
 
+// LastRead returns when the source last answered as it should, also that there
+// is no news; zero before the first time.
+func (r *Reader) LastRead() time.Time {
+	if answered := r.answered.Load(); answered != nil {
+		return *answered
+	}
+	return time.Time{}
+}
+
 // Run reads whenever duty is on. duty delivers changes of the duty; its first
 // value is awaited. Run returns when ctx ends, after its last question ended.
 func (r *Reader) Run(ctx context.Context, duty <-chan bool) {
@@ -111,7 +122,7 @@
 
 // read asks again and again until ctx ends.
 func (r *Reader) read(ctx context.Context) {
-	r.etag, r.current = "", Result{}
+	r.etag, r.current, r.sound = "", Result{}, false
 	for ctx.Err() == nil {
 		started := time.Now()
 		news, err := r.once(ctx)
@@ -130,7 +141,7 @@
 		r.report(err)
 		return max(minInterval, r.backoff(err))
 	}
-	r.recovered()
+	r.recovered(news)
 	if news {
 		return minInterval
 	}
@@ -145,11 +156,16 @@
 	if len(missing) > 0 {
 		wait = min(wait, jittered(r.Random, r.SecretRetry))
 	}
+	if r.failures > 0 {
+		wait = 0 // whether it answers again is to be known at once
+	}
 	r.reads.Add(1)
 	document, err := r.Configuration.Fetch(ctx, r.etag, wait)
 	if err != nil {
 		return false, err
 	}
+	answered := time.Now()
+	r.answered.Store(&answered)
 	if document != nil && (document.ETag == "" || document.ETag != r.etag) {
 		r.take(ctx, document)
 		return true, nil
@@ -165,6 +181,7 @@
 func (r *Reader) take(ctx context.Context, document *Document) {
 	parsed, err := r.Parse(document.Raw)
 	r.etag = document.ETag
+	r.sound = err == nil
 	if err != nil {
 		r.problems.log("source.documentRefused", "", err, logging.Fields{"revision": document.Revision})
 		r.Emit(Result{Revision: document.Revision, Err: err})
@@ -229,13 +246,19 @@
 	r.Emit(Result{Err: err})
 }
 
-// recovered ends a row of failures.
-func (r *Reader) recovered() {
-	if r.failures > 0 {
-		logging.Event(r.Logger, "source.recovered", logging.Fields{"failures": r.failures})
+// recovered ends a row of failures. Without news the document held is emitted
+// again, unless the source has given one since that was refused: the receiver
+// must not take the source as failing for ever.
+func (r *Reader) recovered(news bool) {
+	if r.failures == 0 {
+		return
 	}
+	logging.Event(r.Logger, "source.recovered", logging.Fields{"failures": r.failures})
 	r.failures = 0
 	r.problems.settled("source.failed", "")
+	if !news && r.sound {
+		r.Emit(r.copy())
+	}
 }
 
 // backoff returns the wait after a failure: full jitter over a bound that
--- a/internal/source/source_test.go
+++ b/internal/source/source_test.go
@@ -235,8 +235,10 @@
 		pass(time.Hour)
 		must.Between(t, 50, b.reader.Reads()-before, 60)
 		must.Eq(t, 2, strings.Count(b.log.String(), "event=source.failed"))
+		must.True(t, b.reader.LastRead().IsZero())
 		status.Store(200)
 		pass(2 * time.Minute)
+		must.Less(t, time.Minute, time.Since(b.reader.LastRead()))
 		must.Eq(t, 1, strings.Count(b.log.String(), "event=source.recovered"))
 		must.Eq(t, 3, b.results[len(b.results)-1].Revision)
 		b.stop()
@@ -308,7 +310,7 @@
 
 func TestMachinesArePolledApartAndFailuresKeepTheLastList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var down atomic.Bool
+		var down, off atomic.Bool
 		asked, lists := 0, 0
 		machines := &Machines{Base: "http://list", Client: &http.Client{Transport: trip(func(*http.Request) (*http.Response, error) {
 			asked++
@@ -318,10 +320,12 @@
 			return reply(200, `{"machines":[]}`), nil
 		})}}
 		var events bytes.Buffer
-		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Hour)
 		defer cancel()
 		time.AfterFunc(30*time.Minute, func() { down.Store(true) })
-		machines.Poll(ctx, 10*time.Second, rand.New(rand.NewPCG(1, 1)), logging.New(&events, log.InfoLevel), func([]Machine) { lists++ })
+		time.AfterFunc(time.Hour, func() { off.Store(true) })
+		due := func() (bool, time.Duration) { return !off.Load(), 10 * time.Second }
+		machines.Poll(ctx, due, rand.New(rand.NewPCG(1, 1)), logging.New(&events, log.InfoLevel), func([]Machine) { lists++ })
 		must.Between(t, 320, asked, 400)
 		must.Between(t, 160, lists, 200)
 		must.Eq(t, 1, strings.Count(events.String(), "event=machines.failed"))
@@ -346,3 +350,32 @@
 		decodeSecret(text)
 	})
 }
+
+// A source that answers again without news ends what was told of its failure,
+// and a failure that lasts is one line whatever the wait that was asked for.
+func TestRecoveryWithoutNewsIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var down atomic.Bool
+		b := startReader(t, func(request *http.Request) (*http.Response, error) {
+			switch {
+			case down.Load():
+				return nil, errors.New("connection refused")
+			case request.Header.Get("If-None-Match") == "":
+				return reply(200, document(1, ""), "ETag", "1"), nil
+			}
+			return await(request)
+		})
+		b.duty <- true
+		pass(time.Minute)
+		must.SliceLen(t, 1, b.results)
+		down.Store(true)
+		pass(10 * time.Minute)
+		must.Eq(t, 1, strings.Count(b.log.String(), "event=source.failed"))
+		must.Error(t, b.results[len(b.results)-1].Err)
+		down.Store(false)
+		pass(11 * time.Second) // the longest backoff, and no long poll
+		must.NoError(t, b.results[len(b.results)-1].Err)
+		must.Eq(t, 1, b.results[len(b.results)-1].Revision)
+		b.stop()
+	})
+}
