Spend less on views while members change

Cause: while 850 hollow nodes join, publishing views took 20 % and sorting the members 14 % of all processor time (10 s profile at start-rate 60). Change: views follow changes of members at once after quiet, then every 100 ms (20 ms before); the sorted names of members are kept; a node is told of the claims of its own service only, with the newest node of each worker.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -21,8 +21,8 @@
 
 // Sizes and periods of the loop.
 const (
-	inputQueue     = 1024                  // events that may wait for the loop
-	publishSpacing = 20 * time.Millisecond // views are resolved no more often than this
+	inputQueue     = 1024                   // events that may wait for the loop
+	publishSpacing = 100 * time.Millisecond // views are resolved no more often than this
 )
 
 // Sender is what the loop needs of the transport.
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -127,21 +127,28 @@
 	return endpoints
 }
 
-// claimConfiguration returns the declared workers of each service and the live
-// nodes beside them.
+// claimConfiguration returns the declared workers of the local worker's service
+// and the live nodes beside workers of it, the newest of each worker. A node
+// takes part in the claims of no other service.
 func (p *publisher) claimConfiguration() claim.Configure {
+	service := p.config.Membership.Self.Service
 	configuration := claim.Configure{
 		Version: p.version,
 		Workers: make(map[string][]claim.Worker),
 		Nodes:   make(map[string]string),
 	}
 	for _, worker := range p.document.Workers {
-		configuration.Workers[worker.Service] = append(configuration.Workers[worker.Service], claim.Worker{Name: worker.Name, Zone: worker.Zone})
+		if worker.Service == service {
+			configuration.Workers[service] = append(configuration.Workers[service], claim.Worker{Name: worker.Name, Zone: worker.Zone})
+		}
 	}
+	newest := make(map[string]int64)
 	for _, member := range p.members {
-		if member.Worker != "" {
-			configuration.Nodes[member.Worker] = member.Name
+		if member.Worker == "" || member.Service != service || member.Start < newest[member.Worker] {
+			continue
 		}
+		newest[member.Worker] = member.Start
+		configuration.Nodes[member.Worker] = member.Name
 	}
 	return configuration
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -32,6 +32,7 @@
 	dead     map[string]*record
 	buckets  [bucketCount]uint64
 	view     uint64
+	names    []string      // of live members, sorted
 	live     []wire.Member // cache, nil when out of date
 }
 
@@ -41,6 +42,7 @@
 		records:  make(map[string]*record),
 		suspects: make(map[string]*record),
 		dead:     make(map[string]*record),
+		names:    []string{self.Name},
 	}
 	t.put(self, now)
 	return t
@@ -110,6 +112,8 @@
 	}
 	held.peerIndex = len(t.peers)
 	t.peers = append(t.peers, held.member.Name)
+	place, _ := slices.BinarySearch(t.names, held.member.Name)
+	t.names = slices.Insert(t.names, place, held.member.Name)
 }
 
 func (t *table) removePeer(held *record) {
@@ -122,6 +126,9 @@
 	t.records[moved].peerIndex = held.peerIndex
 	t.peers = t.peers[:last]
 	held.peerIndex = -1
+	if place, found := slices.BinarySearch(t.names, held.member.Name); found {
+		t.names = slices.Delete(t.names, place, place+1)
+	}
 }
 
 // forget drops a dead member.
@@ -137,11 +144,9 @@
 		return t.live
 	}
 	t.live = make([]wire.Member, 0, t.size())
-	t.live = append(t.live, t.records[t.self].member)
-	for _, name := range t.peers {
+	for _, name := range t.names {
 		t.live = append(t.live, t.records[name].member)
 	}
-	slices.SortFunc(t.live, func(a, b wire.Member) int { return strings.Compare(a.Name, b.Name) })
 	return t.live
 }
 
