Tell failed requests by path and give the latency trial's worker connections enough

Cause: at 2750/s 2709 requests of all paths together had failed in a run with relays, none in the runs before without. The callers' direct connections, the relays' and the node's shared the worker's bound of 130. The figure did not say on which path.

--- a/lab/latency/latency.go
+++ b/lab/latency/latency.go
@@ -45,9 +45,9 @@
 // Figures are the result at one rate.
 type Figures struct {
 	Rate          float64
-	Requests      int // of each path
-	Wrong         int // answers passed on as whole that are not, or are another's
-	Failed        int // requests that got no whole answer
+	Requests      int          // of each path
+	Wrong         int          // answers passed on as whole that are not, or are another's
+	Failed        map[Path]int // requests that got no whole answer
 	Quantiles     map[Path]Quantiles
 	CPUPerRequest map[Path]time.Duration // of both nodes together, less what they use without requests
 }
@@ -172,7 +172,7 @@
 // measure alternates spans of all paths at a rate. The first span of each
 // opens connections and does not count.
 func (r *runner) measure(ctx context.Context, rate float64) (Figures, error) {
-	figures := Figures{Rate: rate, Quantiles: map[Path]Quantiles{}, CPUPerRequest: map[Path]time.Duration{}}
+	figures := Figures{Rate: rate, Quantiles: map[Path]Quantiles{}, Failed: map[Path]int{}, CPUPerRequest: map[Path]time.Duration{}}
 	tallies := map[Path]*tally{}
 	random := rand.New(rand.NewPCG(r.options.Seed, uint64(rate)))
 	for _, path := range r.paths {
@@ -193,7 +193,7 @@
 	for path, counted := range tallies {
 		figures.Quantiles[path] = counted.quantiles()
 		figures.Wrong += counted.wrong
-		figures.Failed += counted.failed
+		figures.Failed[path] = counted.failed
 		figures.CPUPerRequest[path] = cpuPerRequest(counted, tallies[Direct])
 	}
 	figures.Requests = tallies[Through].requests
@@ -207,10 +207,13 @@
 		"rate":               f.Rate,
 		"requests":           f.Requests,
 		"wrong":              f.Wrong,
-		"failed":             f.Failed,
+		"failed":             f.Failed[Through],
 		"cpu_us_per_request": f.CPUPerRequest[Through].Microseconds(),
 	}
 	for path, seen := range f.Quantiles {
+		if path != Through {
+			fields[string(path)+"_failed"] = f.Failed[path]
+		}
 		fields[string(path)+"_p50_us"] = seen.P50.Microseconds()
 		fields[string(path)+"_p99_us"] = seen.P99.Microseconds()
 	}
--- a/lab/latency/mesh.go
+++ b/lab/latency/mesh.go
@@ -43,8 +43,9 @@
 	}
 }
 
-// connections is the bound on a worker's connections.
-const connections = 130
+// connections is the bound on the worker's connections. It has to do for those
+// of the callers, the relays and the node together.
+const connections = 2000
 
 // nodesCPU returns the processor time that the nodes of a path have used.
 func (r *runner) nodesCPU(path Path) (time.Duration, error) {
