Let what requests meet at the worker outweigh its health probes

Cause: worker.Watcher.Observe was never called, so that health alone, which lags and misleads, decided whether a worker is ready. Change: traffic's Observe reaches the watcher; states go to the control loop by a channel that keeps the newest, so that no request waits for the loop. Shown: traffic's TestObservedOfTheWorker and worker's hysteresis tests; the node test passes with -race.

--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -24,18 +24,23 @@
 	inbound  *traffic.Inbound // nil at an edge
 	outbound *traffic.Outbound
 	watcher  *worker.Watcher // nil at an edge
-	security *tls.Config     // towards callers, nil for plain HTTP
+	states   chan wire.EndpointState
+	security *tls.Config // towards callers, nil for plain HTTP
 }
 
 func newRequests(n *Node) (*requests, error) {
 	if n.options.Hollow {
 		return &requests{node: n}, nil
 	}
+	r := &requests{node: n}
 	config := n.trafficConfig()
-	r := &requests{node: n, outbound: traffic.NewOutbound(config)}
 	if n.settings.Worker != nil {
+		r.states = make(chan wire.EndpointState, 1)
+		r.watcher = r.newWatcher()
+		config.Observe = r.observe
 		r.inbound = traffic.NewInbound(config)
 	}
+	r.outbound = traffic.NewOutbound(config)
 	if callers := n.settings.Callers; callers.CertificateFile != "" {
 		certificates, err := traffic.LoadCertificates(callers.CertificateFile, callers.KeyFile, n.options.Logger)
 		if err != nil {
@@ -74,6 +79,50 @@
 	return config
 }
 
+// newWatcher returns the watcher of the local worker.
+func (r *requests) newWatcher() *worker.Watcher {
+	beside := r.node.settings.Worker
+	return worker.NewWatcher(worker.Config{
+		Name:       beside.Name,
+		URL:        "http://" + beside.Address + beside.HealthPath,
+		Thresholds: worker.Thresholds{Interval: beside.HealthInterval.Duration},
+		OnState:    r.reportState,
+		Logger:     r.node.options.Logger,
+	})
+}
+
+// reportState leaves the worker's newest state for passStates. It does not wait:
+// a request may have brought the state about.
+func (r *requests) reportState(state wire.EndpointState) {
+	select {
+	case <-r.states:
+	default:
+	}
+	r.states <- state // the watcher calls one at a time, so there is room now
+}
+
+// passStates tells the control loop of the worker's states until ctx ends.
+func (r *requests) passStates(ctx context.Context) {
+	for {
+		select {
+		case state := <-r.states:
+			r.node.loop.SetEndpoint(ctx, state)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// observe tells the watcher what a request met at the local worker: that
+// outweighs what health probes say.
+func (r *requests) observe(succeeded bool) {
+	observation := worker.TrafficFailed
+	if succeeded {
+		observation = worker.TrafficSucceeded
+	}
+	r.watcher.Observe(observation)
+}
+
 // dialFrom dials from the address that the node itself listens on, as a machine
 // with several addresses needs.
 func dialFrom(listen string) traffic.DialFunc {
@@ -101,12 +150,9 @@
 		return
 	}
 	r.serveRequests(ctx, group, "inbound", listen.Inbound, nil, r.inbound)
-	r.watcher = worker.NewWatcher(worker.Config{
-		Name:       r.node.self.Worker,
-		URL:        "http://" + r.node.settings.Worker.Address + r.node.settings.Worker.HealthPath,
-		Thresholds: worker.Thresholds{Interval: r.node.settings.Worker.HealthInterval.Duration},
-		OnState:    func(state wire.EndpointState) { r.node.loop.SetEndpoint(ctx, state) },
-		Logger:     r.node.options.Logger,
+	group.Go(func() error {
+		r.passStates(ctx)
+		return nil
 	})
 	group.Go(func() error {
 		r.watcher.Run(ctx)
