Let hollow nodes wait longer for each other

Cause: 850 hollow nodes share 12 processors; starved of them they suspect each other (315611 suspicions, 40596 deaths logged in 60 s) and the talk about it starves them further.

--- a/cmd/sliphead-lab/fleet.go
+++ b/cmd/sliphead-lab/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"github.com/apex/log"
 
@@ -11,9 +12,14 @@
 	"sliphead/lab/fleet"
 )
 
+// collectorPercent lets the heap of a fleet grow more between collections: one
+// process holds what many machines would.
+const collectorPercent = 300
+
 // fleetCommand runs hollow nodes in this process.
 type fleetCommand struct {
 	Nodes       int    `help:"Hollow nodes in this process." default:"850"`
+	Patience    int    `help:"Multiplies the waits of the failure detector: hollow nodes share processors." default:"1"`
 	StartRate   int    `help:"Nodes started a second; 0 starts all at once." default:"0"`
 	Services    int    `help:"Services that the nodes are spread over." default:"29"`
 	Claims      bool   `help:"Hold claims too; the process needs two file descriptors for each pair of nodes of a service."`
@@ -29,6 +35,7 @@
 
 // Run implements the command.
 func (c *fleetCommand) Run(ctx context.Context, logger log.Interface) error {
+	debug.SetGCPercent(collectorPercent)
 	options := fleet.Options{
 		Nodes:       c.Nodes,
 		Octet:       c.Octet,
@@ -36,6 +43,7 @@
 		Compression: transport.Compression(c.Compression),
 		History:     c.History,
 		StartRate:   c.StartRate,
+		Patience:    c.Patience,
 		Services:    c.Services,
 		Claims:      c.Claims,
 	}
--- a/internal/node/configure.go
+++ b/internal/node/configure.go
@@ -94,6 +94,10 @@
 	config.Seeds = n.settings.Seeds
 	config.ProbeInterval = n.settings.Membership.ProbeInterval.Duration
 	config.GossipInterval = n.settings.Membership.GossipInterval.Duration
+	patience := time.Duration(max(n.options.Patience, 1))
+	config.ProbeTimeout *= patience
+	config.ProbeInterval *= patience
+	config.SuspicionTimeout *= patience
 	config.Random = newRandom()
 	return config
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,9 @@
 	Hollow   bool                 // leaves the request and admin listeners out
 	// Compression is the coding of outgoing streams, "" for the default.
 	Compression transport.Compression
+	// Patience multiplies the waits of the failure detector, 0 for 1: hollow
+	// nodes share processors and answer late without being dead.
+	Patience int
 	// StreamIdle is how long an idle stream to a peer is kept, 0 for the default.
 	StreamIdle time.Duration
 	// WithoutClaims leaves the claim replica out.
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -39,6 +39,7 @@
 	Octet       int // second octet of the first zone's loopback addresses
 	Profile     settings.Profile
 	Compression transport.Compression
+	Patience    int  // multiplies the waits of the failure detector
 	StartRate   int  // nodes started a second, 0 for all at once
 	Services    int  // services that the nodes are spread over
 	Claims      bool // whether nodes hold claims; each then keeps a stream to every other of its service for a while
@@ -124,6 +125,7 @@
 		Hollow:        true,
 		Compression:   f.options.Compression,
 		History:       f.options.History,
+		Patience:      f.options.Patience,
 		StreamIdle:    streamIdle,
 		WithoutClaims: !f.options.Claims,
 	})
