Give many suspicions told by a repair time to be refuted

Cause: after a healed partition a node takes the many deaths that a repair tells for suspicions with a long wait.

Change: more than eight suspicions in one repair are not told on and get the usual wait plus the time in which gossip tells so many registers five times, at most the long wait. Up to eight are probed at once.

Test before the change, TestManySyncedSuspicionsGetALongWait: hearsay guard: dead before refutations can have come

--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -224,6 +224,34 @@
 	must.Len(t, 1, f.nodes[0].machine.Live())
 }
 
+// Found by BenchmarkFleet bytes/heal: suspicions by hearsay were handed on by the
+// next repair with the short wait of a failed probe, and live members died.
+func TestManySyncedSuspicionsGetALongWait(t *testing.T) {
+	f := newFleet(t, 24, 1, ProfileBytes)
+	f.until(agreeLimit, "agreed", f.agreed)
+	var suspects []wire.Member
+	for _, n := range f.nodes[4:16] {
+		member := n.machine.Self()
+		member.Status = wire.StatusSuspect
+		suspects = append(suspects, member)
+	}
+	observer := f.nodes[0].machine
+	f.side[0] = 1 // no refutation comes
+	f.step(f.nodes[0], Received{Message: wire.Envelope{From: nodeName(1), Sync: &wire.Sync{Members: suspects}}})
+	live := func() (count int) {
+		for _, member := range suspects {
+			if observer.table.isLive(member.Name) {
+				count++
+			}
+		}
+		return count
+	}
+	f.run(observer.suspicionTimeout() + DefaultConfig(f.profile).GossipInterval)
+	must.Eq(t, len(suspects), live(), must.Sprint("hearsay guard: dead before refutations can have come"))
+	f.run(hearsayPatience * observer.suspicionTimeout())
+	must.Zero(t, live())
+}
+
 func TestIndirectProbesBridgeABrokenLink(t *testing.T) {
 	f := agreedFleet(t, 4)
 	f.broken = [2]int{1, 2}
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -164,14 +164,13 @@
 // applyTable joins the registers of a whole view. A member dead there but live
 // here becomes a suspect only: after a partition each side holds the other's
 // members for dead, and taking that over would empty both sides' views until
-// every member had refuted. A few such are probed at once and get a short wait:
-// their time for a refutation has passed elsewhere. Many get a long one, because
-// many refutations take long to spread. Neither is told on.
+// every member had refuted. A few accused members are probed at once. Many get a
+// long wait, also when they are but suspects there, because many refutations
+// take long to spread.
 func (m *Machine) applyTable(members []wire.Member, spread spread) {
 	var accused []wire.Member
 	for _, member := range members {
-		if member.Status == wire.StatusDead && m.table.isLive(member.Name) {
-			member.Status = wire.StatusSuspect
+		if isAccused(member) && m.table.isLive(member.Name) {
 			accused = append(accused, member)
 			continue
 		}
@@ -179,24 +178,51 @@
 	}
 	for _, member := range accused {
 		if len(accused) > hearsayLimit {
-			m.doubtForLong(member)
+			m.doubtForLong(member, m.hearsayWait(member.Status, len(accused)))
 			continue
 		}
+		m.doubt(member, spread)
+	}
+}
+
+// doubt takes over one of few accusations. A death is not told on, and gets a
+// short wait: the time for a refutation has passed elsewhere.
+func (m *Machine) doubt(member wire.Member, spread spread) {
+	if member.Status == wire.StatusDead {
+		member.Status = wire.StatusSuspect
 		m.apply(member, spreadNot)
 		m.verify(member.Name)
+		return
+	}
+	m.apply(member, spread)
+	if _, doubted := m.table.suspects[member.Name]; doubted && !m.probes.isWaitingFor(member.Name) {
+		m.startProbe(member.Name)
 	}
 }
 
-// doubtForLong takes over one of many accusations. The wait runs once: the same
-// accusations come again with each repair.
-func (m *Machine) doubtForLong(member wire.Member) {
+// doubtForLong takes over one of many accusations, and tells nobody. The wait
+// runs once: the same accusations come again with each repair.
+func (m *Machine) doubtForLong(member wire.Member, wait time.Duration) {
+	member.Status = wire.StatusSuspect
 	if _, doubted := m.table.suspects[member.Name]; doubted {
 		return
 	}
 	m.apply(member, spreadNot)
 	if held, ok := m.table.suspects[member.Name]; ok {
-		held.suspected = m.now.Add(hearsayPatience * m.suspicionTimeout())
+		held.suspected = m.now.Add(wait)
+	}
+}
+
+// hearsayWait returns how long each of many accused members may take to refute.
+// For suspects it is the usual wait and the time in which gossip tells so many
+// registers.
+func (m *Machine) hearsayWait(status wire.Status, accused int) time.Duration {
+	longest := hearsayPatience * m.suspicionTimeout()
+	if status == wire.StatusDead {
+		return longest
 	}
+	rounds := accused * backlogTellings / max(1, m.config.GossipFanout*m.config.MaxUpdates)
+	return min(longest, m.suspicionTimeout()+time.Duration(rounds+1)*m.config.GossipInterval)
 }
 
 // verify probes a suspect and ends its wait just after the probe would fail.
