--- a/internal/distribution/machine.go
+++ b/internal/distribution/machine.go
@@ -127,19 +127,12 @@
 	return m.mayHaveDuty() && m.view.readerRank(m.config.Self.Name) >= 0
 }
 
-// mayHaveDuty reports whether this node's view may be acted on. A node that was
-// paused waits until a peer has confirmed its state; a started one that knows
-// nobody else waits for peers, so that a fleet that starts at once does not
-// read the source all together. Neither waits longer than the catch-up timeout.
+// mayHaveDuty reports whether this node's view may be acted on: once it has
+// caught up after a start or a pause, or nobody has answered for the catch-up
+// timeout. Otherwise a fleet that starts at once, each node knowing few others,
+// would read the source all together.
 func (m *Machine) mayHaveDuty() bool {
-	switch m.catchUp.phase {
-	case phaseResumed:
-		return m.timedOut()
-	case phaseStarting:
-		return len(m.view.members) > 1 || m.timedOut()
-	default:
-		return true
-	}
+	return m.catchUp.phase == phaseCaughtUp || m.timedOut()
 }
 
 func (m *Machine) onMembers(live []wire.Member) {
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -43,7 +43,7 @@
 	StartRate   int  // nodes started a second, 0 for all at once
 	Services    int  // services that the nodes are spread over
 	Claims      bool // whether nodes hold claims; each then keeps a stream to every other of its service for a while
-	History     int  // former versions kept for deltas; negative for none
+	History     int  // former versions kept for deltas; 0 for none, negative for the default
 }
 
 // process is one life of a node.
