Name the log limiter and the health tracker by the field's terms

Cause: transport called repeated log events complaints, and worker called the hysteresis over observations a judge: metaphors that a reader must translate. Log events and behaviour are unchanged.

--- a/internal/transport/credentials.go
+++ b/internal/transport/credentials.go
@@ -29,14 +29,14 @@
 }
 
 // loadCredentials reads the files named. It fails when one is missing or wrong.
-func loadCredentials(security Security, complaints *complaints) (*credentials, error) {
+func loadCredentials(security Security, limiter *logLimiter) (*credentials, error) {
 	if security.Plain {
 		return nil, security.checkPlain()
 	}
 	loaded := &credentials{
-		certificate: newReloaded(readCertificate, complaints, security.CertificateFile, security.KeyFile),
-		authority:   newReloaded(readAuthority, complaints, security.AuthorityFile),
-		keys:        newReloaded(readDatagramKeys, complaints, security.DatagramKeyFile),
+		certificate: newReloaded(readCertificate, limiter, security.CertificateFile, security.KeyFile),
+		authority:   newReloaded(readAuthority, limiter, security.AuthorityFile),
+		keys:        newReloaded(readDatagramKeys, limiter, security.DatagramKeyFile),
 	}
 	for _, load := range []func() error{loaded.certificate.load, loaded.authority.load, loaded.keys.load} {
 		if err := load(); err != nil {
--- a/internal/transport/datagram.go
+++ b/internal/transport/datagram.go
@@ -23,7 +23,7 @@
 func (t *Transport) SendDatagram(address string, envelope wire.Envelope) {
 	if err := t.sendDatagram(address, envelope); err != nil {
 		t.totals.dropped.Add(1)
-		t.complaints.log("transport.datagramDropped", address, err)
+		t.limiter.log("transport.datagramDropped", address, err)
 	}
 }
 
@@ -78,14 +78,14 @@
 			return fault.Wrap(err, fault.Internal, "restart the node", "the peer datagram socket was closed")
 		}
 		if err != nil {
-			t.complaints.log("transport.datagramRead", t.address, err)
+			t.limiter.log("transport.datagramRead", t.address, err)
 			pause(ctx, acceptPause)
 			continue
 		}
 		t.totals.datagramBytesReceived.Add(uint64(count))
 		if err := t.takeDatagram(buffer[:count], remote, limiter); err != nil {
 			t.totals.datagramsRefused.Add(1)
-			t.complaints.log("transport.datagramRefused", hostOf(remote.String()), err)
+			t.limiter.log("transport.datagramRefused", hostOf(remote.String()), err)
 		}
 	}
 }
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -44,7 +44,7 @@
 			return fault.Wrap(err, fault.Internal, "restart the node", "the peer listener was closed")
 		}
 		if err != nil {
-			t.complaints.log("transport.accept", t.address, err)
+			t.limiter.log("transport.accept", t.address, err)
 			pause(ctx, acceptPause)
 			continue
 		}
@@ -97,7 +97,7 @@
 	busy := &wire.Busy{RetryAfterMS: wait.Milliseconds(), Others: t.config.Others()}
 	line, err := wire.Encode(wire.Envelope{From: t.config.Self().Name, Busy: busy})
 	if err != nil {
-		t.complaints.log("transport.encode", t.address, err)
+		t.limiter.log("transport.encode", t.address, err)
 		return
 	}
 	if _, err := conn.Write(line); err != nil {
@@ -117,7 +117,7 @@
 		return
 	}
 	t.totals.streamsClosedForFault.Add(1)
-	t.complaints.log("transport.streamClosed", hostOf(raw.RemoteAddr().String()), err)
+	t.limiter.log("transport.streamClosed", hostOf(raw.RemoteAddr().String()), err)
 }
 
 // isQuietEnd reports whether a stream ended as streams do: closed by the peer,
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -159,7 +159,7 @@
 		wait = busy.wait
 	} else if l.failures >= tries {
 		l.discardLocked()
-		l.transport.complaints.log("transport.unreachable", l.address, err)
+		l.transport.limiter.log("transport.unreachable", l.address, err)
 	}
 	l.notBefore = time.Now().Add(wait)
 }
@@ -220,7 +220,7 @@
 		}
 		l.transport.totals.messagesSent.Add(uint64(len(batch)))
 		if first {
-			l.transport.complaints.settled("transport.unreachable", l.address)
+			l.transport.limiter.settled("transport.unreachable", l.address)
 		}
 		batch = l.take()
 		for len(batch) == 0 {
--- a/internal/transport/reload.go
+++ b/internal/transport/reload.go
@@ -24,9 +24,9 @@
 // reloaded holds a value read from files and reads it again after one of them
 // has changed. Broken new files leave the old value in place.
 type reloaded[T any] struct {
-	files      []string
-	read       func(contents [][]byte) (T, error)
-	complaints *complaints
+	files   []string
+	read    func(contents [][]byte) (T, error)
+	limiter *logLimiter
 
 	mutex  sync.Mutex
 	value  T
@@ -35,8 +35,8 @@
 }
 
 // newReloaded returns a holder; load must succeed before current is called.
-func newReloaded[T any](read func([][]byte) (T, error), complaints *complaints, files ...string) *reloaded[T] {
-	return &reloaded[T]{files: files, read: read, complaints: complaints}
+func newReloaded[T any](read func([][]byte) (T, error), limiter *logLimiter, files ...string) *reloaded[T] {
+	return &reloaded[T]{files: files, read: read, limiter: limiter}
 }
 
 // load reads the files now.
@@ -71,10 +71,10 @@
 		err = r.loadLocked(stamps)
 	}
 	if err != nil {
-		r.complaints.log("transport.keysNotReloaded", r.files[0], err)
+		r.limiter.log("transport.keysNotReloaded", r.files[0], err)
 		return
 	}
-	r.complaints.settled("transport.keysNotReloaded", r.files[0])
+	r.limiter.settled("transport.keysNotReloaded", r.files[0])
 }
 
 // loadLocked reads the files and takes their value over if it is sound.
--- a/internal/transport/security_test.go
+++ b/internal/transport/security_test.go
@@ -157,7 +157,7 @@
 	fleet, next := newAuthority(t), newAuthority(t)
 	security := fleet.issue(t, "alpha", 1)
 	events := &logged{}
-	loaded, err := loadCredentials(security, newComplaints(logging.New(events, log.InfoLevel)))
+	loaded, err := loadCredentials(security, newLogLimiter(logging.New(events, log.InfoLevel)))
 	must.NoError(t, err)
 	before := loaded.certificate.current()
 
@@ -186,7 +186,7 @@
 	holder := func(keys ...byte) *credentials {
 		file := filepath.Join(t.TempDir(), "keys")
 		writeKeys(t, file, keys...)
-		loaded := &credentials{keys: newReloaded(readDatagramKeys, newComplaints(logging.Discard()), file)}
+		loaded := &credentials{keys: newReloaded(readDatagramKeys, newLogLimiter(logging.Discard()), file)}
 		must.NoError(t, loaded.keys.load())
 		return loaded
 	}
@@ -215,7 +215,7 @@
 	for name, security := range map[string]Security{
 		"none": {}, "missing": {CertificateFile: "nowhere", KeyFile: "nowhere"}, "short key": short, "plain and keys": both, "swapped": swapped,
 	} {
-		_, err := loadCredentials(security, newComplaints(logging.Discard()))
+		_, err := loadCredentials(security, newLogLimiter(logging.Discard()))
 		must.Eq(t, fault.Settings, fault.KindOf(err), must.Sprint(name))
 	}
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -24,7 +24,7 @@
 	localIP     string
 	credentials *credentials
 	totals      totals
-	complaints  *complaints
+	limiter     *logLimiter
 	admission   *rate.Limiter
 	jitter      jitter
 	longLines   budget
@@ -48,17 +48,17 @@
 	}
 	host, _, _ := net.SplitHostPort(config.Bind)
 	transport := &Transport{
-		config:     config,
-		localIP:    host,
-		complaints: newComplaints(config.Logger),
-		admission:  rate.NewLimiter(rate.Limit(config.Limits.StreamsPerSecond), config.Limits.StreamBurst),
-		jitter:     jitter{random: config.Random},
-		longLines:  budget{most: int64(config.Limits.LongLineBytes)},
-		bound:      make(chan struct{}),
-		links:      make(map[string]*link),
-		inbound:    make(map[string][]*inboundStream),
+		config:    config,
+		localIP:   host,
+		limiter:   newLogLimiter(config.Logger),
+		admission: rate.NewLimiter(rate.Limit(config.Limits.StreamsPerSecond), config.Limits.StreamBurst),
+		jitter:    jitter{random: config.Random},
+		longLines: budget{most: int64(config.Limits.LongLineBytes)},
+		bound:     make(chan struct{}),
+		links:     make(map[string]*link),
+		inbound:   make(map[string][]*inboundStream),
 	}
-	transport.credentials, err = loadCredentials(config.Security, transport.complaints)
+	transport.credentials, err = loadCredentials(config.Security, transport.limiter)
 	if err != nil {
 		return nil, err
 	}
@@ -152,7 +152,7 @@
 	line, err := wire.Encode(envelope)
 	if err != nil {
 		t.totals.dropped.Add(1)
-		t.complaints.log("transport.encode", address, err)
+		t.limiter.log("transport.encode", address, err)
 		return
 	}
 	t.SendEncoded(address, line)
--- a/internal/worker/judge.go
+++ b/internal/worker/health.go
@@ -59,9 +59,10 @@
 	return t
 }
 
-// Judge decides the state of a worker from observations. It is pure: time is
+// HealthTracker decides the state of a worker from observations, with hysteresis:
+// see Thresholds. It is pure: time is
 // passed in.
-type Judge struct {
+type HealthTracker struct {
 	thresholds Thresholds
 	state      wire.EndpointState
 	since      time.Time // of the state
@@ -76,110 +77,110 @@
 	withheld  int         // probes left out in a row
 }
 
-// NewJudge returns the judge of a worker of which nothing is known.
-func NewJudge(thresholds Thresholds, now time.Time) *Judge {
-	return &Judge{thresholds: thresholds.withDefaults(), state: wire.EndpointStarting, since: now, reached: now}
+// NewHealthTracker returns the tracker of a worker of which nothing is known.
+func NewHealthTracker(thresholds Thresholds, now time.Time) *HealthTracker {
+	return &HealthTracker{thresholds: thresholds.withDefaults(), state: wire.EndpointStarting, since: now, reached: now}
 }
 
 // State returns the state decided last.
-func (j *Judge) State() wire.EndpointState { return j.state }
+func (h *HealthTracker) State() wire.EndpointState { return h.state }
 
 // Step takes in an observation and returns the state of the worker.
-func (j *Judge) Step(observation Observation, now time.Time) wire.EndpointState {
+func (h *HealthTracker) Step(observation Observation, now time.Time) wire.EndpointState {
 	switch observation {
 	case TrafficSucceeded:
-		j.succeeded, j.reached, j.failed = now, now, 0
+		h.succeeded, h.reached, h.failed = now, now, 0
 	case TrafficFailed:
-		j.failed++
+		h.failed++
 	default:
-		j.noteProbe(observation, now)
+		h.noteProbe(observation, now)
 	}
-	if next := j.decide(now); next != j.state {
-		j.enter(next, now)
+	if next := h.decide(now); next != h.state {
+		h.enter(next, now)
 	}
-	return j.state
+	return h.state
 }
 
 // noteProbe counts probes that agree.
-func (j *Judge) noteProbe(hint Observation, now time.Time) {
-	if hint != j.hint {
-		j.hint, j.agreeing = hint, 0
+func (h *HealthTracker) noteProbe(hint Observation, now time.Time) {
+	if hint != h.hint {
+		h.hint, h.agreeing = hint, 0
 	}
-	j.agreeing++
+	h.agreeing++
 	if hint != ProbeUnreachable {
-		j.reached = now
+		h.reached = now
 	}
 }
 
 // decide returns the state that the observations speak for.
-func (j *Judge) decide(now time.Time) wire.EndpointState {
-	if j.state == wire.EndpointReady {
-		return j.decideReady(now)
+func (h *HealthTracker) decide(now time.Time) wire.EndpointState {
+	if h.state == wire.EndpointReady {
+		return h.decideReady(now)
 	}
-	if j.hint == ProbeUnreachable && now.Sub(j.reached) >= j.thresholds.GoneAfter {
+	if h.hint == ProbeUnreachable && now.Sub(h.reached) >= h.thresholds.GoneAfter {
 		return wire.EndpointGone
 	}
-	if j.hint == ProbeDraining && j.agreeing >= j.thresholds.Up {
+	if h.hint == ProbeDraining && h.agreeing >= h.thresholds.Up {
 		return wire.EndpointDraining
 	}
-	if j.hint == ProbeReady && j.agreeing >= j.thresholds.Up && !now.Before(j.heldUntil) {
+	if h.hint == ProbeReady && h.agreeing >= h.thresholds.Up && !now.Before(h.heldUntil) {
 		return wire.EndpointReady
 	}
-	if j.state == wire.EndpointGone && j.hint != ProbeUnreachable {
+	if h.state == wire.EndpointGone && h.hint != ProbeUnreachable {
 		return wire.EndpointStarting
 	}
-	return j.state
+	return h.state
 }
 
 // decideReady returns the next state of a ready worker. Draining is taken from
 // the health endpoint alone, as keeping requests away errs on the safe side;
 // any other doubt must not be contradicted by traffic.
-func (j *Judge) decideReady(now time.Time) wire.EndpointState {
-	if j.hint == ProbeDraining && j.agreeing >= j.thresholds.Up {
+func (h *HealthTracker) decideReady(now time.Time) wire.EndpointState {
+	if h.hint == ProbeDraining && h.agreeing >= h.thresholds.Up {
 		return wire.EndpointDraining
 	}
-	if j.failed >= j.thresholds.TrafficDown {
+	if h.failed >= h.thresholds.TrafficDown {
 		return wire.EndpointStarting
 	}
-	doubted := (j.hint == ProbeStarting || j.hint == ProbeUnreachable) && j.agreeing >= j.thresholds.Down
-	if doubted && !j.trafficFresh(now) {
+	doubted := (h.hint == ProbeStarting || h.hint == ProbeUnreachable) && h.agreeing >= h.thresholds.Down
+	if doubted && !h.trafficFresh(now) {
 		return wire.EndpointStarting
 	}
 	return wire.EndpointReady
 }
 
 // trafficFresh reports whether a request succeeded lately.
-func (j *Judge) trafficFresh(now time.Time) bool {
-	return !j.succeeded.IsZero() && now.Sub(j.succeeded) < j.thresholds.TrafficFresh
+func (h *HealthTracker) trafficFresh(now time.Time) bool {
+	return !h.succeeded.IsZero() && now.Sub(h.succeeded) < h.thresholds.TrafficFresh
 }
 
 // enter changes the state. Each fall from ready holds the worker out for
 // longer, so that a health endpoint that lies cannot make it flap.
-func (j *Judge) enter(next wire.EndpointState, now time.Time) {
-	if j.state == wire.EndpointReady {
-		if now.Sub(j.since) >= j.thresholds.SettledAfter {
-			j.falls = 0
+func (h *HealthTracker) enter(next wire.EndpointState, now time.Time) {
+	if h.state == wire.EndpointReady {
+		if now.Sub(h.since) >= h.thresholds.SettledAfter {
+			h.falls = 0
 		}
-		hold := j.thresholds.HoldMax
-		if j.falls < 16 {
-			hold = min(hold, j.thresholds.HoldBase<<j.falls)
+		hold := h.thresholds.HoldMax
+		if h.falls < 16 {
+			hold = min(hold, h.thresholds.HoldBase<<h.falls)
 		}
-		j.falls++
-		j.heldUntil = now.Add(hold)
-		j.agreeing = 0
+		h.falls++
+		h.heldUntil = now.Add(hold)
+		h.agreeing = 0
 	}
-	j.state, j.since, j.failed = next, now, 0
+	h.state, h.since, h.failed = next, now, 0
 }
 
 // ProbeDue reports whether the next probe is to be sent, and notes that it is.
 // It is asked once an interval. While traffic shows the worker alive most
 // probes are left out, as they cost the worker time.
-func (j *Judge) ProbeDue(now time.Time) bool {
-	alive := j.state == wire.EndpointReady && now.Sub(j.succeeded) < j.thresholds.Interval && j.hint == ProbeReady
-	if alive && j.withheld < j.thresholds.ProbesWithheld {
-		j.withheld++
+func (h *HealthTracker) ProbeDue(now time.Time) bool {
+	alive := h.state == wire.EndpointReady && now.Sub(h.succeeded) < h.thresholds.Interval && h.hint == ProbeReady
+	if alive && h.withheld < h.thresholds.ProbesWithheld {
+		h.withheld++
 		return false
 	}
-	j.withheld = 0
+	h.withheld = 0
 	return true
 }
--- a/internal/worker/judge_test.go
+++ b/internal/worker/health_test.go
@@ -23,32 +23,32 @@
 	goleak.VerifyTestMain(m)
 }
 
-// trial steps a judge through virtual seconds.
+// trial steps a tracker through virtual seconds.
 type trial struct {
-	judge *Judge
-	now   time.Time
-	rises int // changes to ready
+	health *HealthTracker
+	now    time.Time
+	rises  int // changes to ready
 }
 
 func newTrial() *trial {
 	start := time.Unix(1e9, 0)
-	return &trial{judge: NewJudge(Thresholds{}, start), now: start}
+	return &trial{health: NewHealthTracker(Thresholds{}, start), now: start}
 }
 
 // after lets time go by and steps through observations one second apart.
 func (r *trial) after(wait time.Duration, observations ...Observation) wire.EndpointState {
 	r.now = r.now.Add(wait)
 	for _, observation := range observations {
-		before := r.judge.State()
-		if r.judge.Step(observation, r.now) == wire.EndpointReady && before != wire.EndpointReady {
+		before := r.health.State()
+		if r.health.Step(observation, r.now) == wire.EndpointReady && before != wire.EndpointReady {
 			r.rises++
 		}
 		r.now = r.now.Add(time.Second)
 	}
-	return r.judge.State()
+	return r.health.State()
 }
 
-func TestJudge(t *testing.T) {
+func TestHealthTracker(t *testing.T) {
 	const ok, bad, drain, none = ProbeReady, ProbeStarting, ProbeDraining, ProbeUnreachable
 	const won, lost = TrafficSucceeded, TrafficFailed
 	for name, test := range map[string]struct {
@@ -82,21 +82,21 @@
 	run := newTrial()
 	for end := run.now.Add(10 * time.Minute); run.now.Before(end); {
 		run.after(0, ProbeReady)
-		if run.judge.State() == wire.EndpointReady {
+		if run.health.State() == wire.EndpointReady {
 			run.after(0, TrafficFailed, TrafficFailed, TrafficFailed, TrafficFailed, TrafficFailed)
 		}
 	}
 	must.Between(t, 5, run.rises, 25)
 	run.after(0, ProbeReady, ProbeReady)
 	run.after(time.Hour, ProbeReady, ProbeReady)
-	must.Eq(t, wire.EndpointReady, run.judge.State())
+	must.Eq(t, wire.EndpointReady, run.health.State())
 	run.after(2*time.Minute, TrafficFailed, TrafficFailed, TrafficFailed, TrafficFailed, TrafficFailed)
 	must.Eq(t, wire.EndpointReady, run.after(0, ProbeReady, ProbeReady), must.Sprint("a long good time is forgiven"))
 }
 
 // Health that says draining is believed within two probes, whatever else is
 // seen, and a worker that it never called ready is never ready.
-func TestJudgeHoldsForAnyObservations(t *testing.T) {
+func TestHealthTrackerHoldsForAnyObservations(t *testing.T) {
 	observations := []Observation{ProbeReady, ProbeStarting, ProbeDraining, ProbeUnreachable, TrafficSucceeded, TrafficFailed}
 	rapid.Check(t, func(t *rapid.T) {
 		run := newTrial()
@@ -104,7 +104,7 @@
 		for _, observation := range rapid.SliceOfN(rapid.SampledFrom(observations), 0, 60).Draw(t, "observations") {
 			saidReady = saidReady || observation == ProbeReady
 			run.after(time.Duration(rapid.IntRange(0, 20).Draw(t, "wait"))*time.Second, observation)
-			if run.judge.State() == wire.EndpointReady {
+			if run.health.State() == wire.EndpointReady {
 				must.True(t, saidReady)
 			}
 		}
@@ -116,18 +116,18 @@
 	run := newTrial()
 	probes := 0
 	for range 60 {
-		if run.judge.ProbeDue(run.now) {
+		if run.health.ProbeDue(run.now) {
 			probes++
-			run.judge.Step(ProbeReady, run.now)
+			run.health.Step(ProbeReady, run.now)
 		}
 		run.now = run.now.Add(500 * time.Millisecond)
-		run.judge.Step(TrafficSucceeded, run.now)
+		run.health.Step(TrafficSucceeded, run.now)
 		run.now = run.now.Add(500 * time.Millisecond)
 	}
 	must.Between(t, 12, probes, 15)
 	run.now = run.now.Add(time.Second)
 	for range 10 {
-		must.True(t, run.judge.ProbeDue(run.now))
+		must.True(t, run.health.ProbeDue(run.now))
 		run.now = run.now.Add(time.Second)
 	}
 }
--- a/internal/worker/watcher.go
+++ b/internal/worker/watcher.go
@@ -31,7 +31,7 @@
 type Watcher struct {
 	config Config
 	mutex  sync.Mutex
-	judge  *Judge
+	health *HealthTracker
 }
 
 // NewWatcher returns a watcher; Run polls.
@@ -49,14 +49,14 @@
 	if config.OnState == nil {
 		config.OnState = func(wire.EndpointState) {}
 	}
-	return &Watcher{config: config, judge: NewJudge(config.Thresholds, time.Now())}
+	return &Watcher{config: config, health: NewHealthTracker(config.Thresholds, time.Now())}
 }
 
 // State returns the state decided last.
 func (w *Watcher) State() wire.EndpointState {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.judge.State()
+	return w.health.State()
 }
 
 // Observe takes in what traffic met. It is safe for concurrent use.
@@ -82,19 +82,19 @@
 	}
 }
 
-// probeDue asks the judge.
+// probeDue asks the health tracker.
 func (w *Watcher) probeDue() bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.judge.ProbeDue(time.Now())
+	return w.health.ProbeDue(time.Now())
 }
 
-// step feeds the judge and tells a change.
+// step feeds the health tracker and tells a change.
 func (w *Watcher) step(observation Observation, now time.Time) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	before := w.judge.State()
-	after := w.judge.Step(observation, now)
+	before := w.health.State()
+	after := w.health.Step(observation, now)
 	if before == after {
 		return
 	}
