Call what peers say of themselves reports in distribution

Cause: identifiers, comments and the key words= of catchup.done used the word for what the type is named report. Behaviour is unchanged but for that log key.

--- a/internal/control/simulation/regression_test.go
+++ b/internal/control/simulation/regression_test.go
@@ -31,7 +31,7 @@
 	})
 }
 
-// TestPauseDuringStart pauses a process while it starts. The words that it finds
+// TestPauseDuringStart pauses a process while it starts. The reports that it finds
 // when it resumes are old, and must not make it current with an old version.
 func TestPauseDuringStart(t *testing.T) {
 	for _, startedFor := range []time.Duration{200, 400, 600, 800} {
--- a/internal/distribution/catchup.go
+++ b/internal/distribution/catchup.go
@@ -18,14 +18,14 @@
 	phaseCaughtUp phase = "caught-up" // no accepted version is known that is not held
 )
 
-// reportsPerZone is the number of members of each zone whose word a started
+// reportsPerZone is the number of members of each zone whose report a started
 // node waits for.
 const reportsPerZone = 2
 
 // confirmersAsked is the number of peers that a resumed node asks at a time.
 const confirmersAsked = 3
 
-// report is the version in force at a peer, by its own word. Only its answer
+// report is the version in force at a peer, as it says itself. Only its answer
 // to a question of this phase is sure to have been given since the phase began.
 type report struct {
 	active   version.Version // by gossip or answer
@@ -34,8 +34,8 @@
 	start    int64           // of the peer's process
 }
 
-// counts reports whether the word ends the wait for words of the peer. That of a
-// peer that holds nothing does not: it may itself have just been started.
+// counts says whether the report ends the wait for the peer. That of a peer that
+// holds nothing does not: it may itself have just been started.
 func (r report) counts() bool { return r.answered && !r.answer.IsZero() }
 
 // catchUp is what a node knows while it catches up, and what it last heard of
@@ -46,7 +46,7 @@
 	began   time.Time
 	reports map[string]report
 
-	told    string    // peer whose gossip in this step is to be confirmed, "" for none
+	confirm string    // peer whose gossip in this step is to be confirmed, "" for none
 	number  uint64    // of the question asked in this phase
 	askAt   time.Time // when it is asked again
 	attempt int
@@ -66,10 +66,10 @@
 	c.reports = make(map[string]report)
 	c.sourceRead = false
 	c.paused = false
-	c.told = ""
+	c.confirm = ""
 }
 
-// note keeps a peer's word. A word from gossip only raises it, since words may
+// note keeps a peer's report. One from gossip only raises it, since messages may
 // be reordered. The answer to a question replaces it. Peers that are not live
 // by the view don't count.
 func (c *catchUp) note(view *view, from string, active version.Version, answer bool) {
@@ -99,7 +99,7 @@
 	return answers, held
 }
 
-// forgetAbsent drops the words of members that have left or restarted.
+// forgetAbsent drops the reports of members that have left or restarted.
 func (c *catchUp) forgetAbsent(view *view) {
 	for name, known := range c.reports {
 		if member := view.member(name); member == nil || member.Start != known.start {
@@ -108,8 +108,8 @@
 	}
 }
 
-// goal returns the newest version in force by the peers' words, and one of the
-// peers that told of it.
+// goal returns the newest version in force by the peers' reports, and one of the
+// peers that reported it.
 func (c *catchUp) goal() (goal version.Version, peer string) {
 	for name, known := range c.reports {
 		order := known.active.Compare(goal)
@@ -144,7 +144,7 @@
 	return true
 }
 
-// timedOut reports whether the wait for words has ended.
+// timedOut reports whether the wait for reports has ended.
 func (m *Machine) timedOut() bool { return m.now.Sub(m.catchUp.began) >= m.config.CatchUpTimeout }
 
 // noticeGap takes a gap between steps that is longer than the lease as a pause.
@@ -171,8 +171,8 @@
 	m.catchUp.paused = true
 }
 
-// advanceCatchUp ends the phase once enough peers gave word and the newest
-// version of which they told is held.
+// advanceCatchUp ends the phase once enough peers reported and the newest
+// version that they reported is held.
 func (m *Machine) advanceCatchUp() {
 	if m.catchUp.phase == phaseCaughtUp {
 		return
@@ -181,16 +181,16 @@
 	if goal, _ := m.catchUp.goal(); !m.heardEnough() || goal.After(m.newestAccepted()) {
 		return
 	}
-	words, _ := m.catchUp.answers()
-	if words == 0 {
+	reports, _ := m.catchUp.answers()
+	if reports == 0 {
 		m.log(LogAlone, nil)
 	}
-	m.log(LogCaughtUp, nil, versionField(m.newestAccepted()), Field{"words", strconv.Itoa(words)})
+	m.log(LogCaughtUp, nil, versionField(m.newestAccepted()), Field{"reports", strconv.Itoa(reports)})
 	m.catchUp.phase = phaseCaughtUp
 	m.catchUp.reports = nil
 }
 
-// heardEnough reports whether the words heard allow the phase to end. When the
+// heardEnough reports whether the reports so far allow the phase to end. When the
 // wait has ended and no peer holds anything, the source must have been read or
 // all peers have said so.
 func (m *Machine) heardEnough() bool {
@@ -219,9 +219,8 @@
 }
 
 // askPeers asks for versions in force: after a pause some random peers until one
-// has answered, and the
-// peer that told of a version which is not held and is not being pulled, since
-// that peer may have lost it with its memory. The number tells answers from
+// has answered, and the peer that reported a version which is not held and is not
+// being pulled, since that peer may have lost it with its memory. The number tells answers from
 // messages that were sent before.
 func (m *Machine) askPeers() {
 	if m.now.Before(m.catchUp.askAt) {
@@ -247,7 +246,7 @@
 	}
 }
 
-// onReport keeps a peer's word from gossip. It does not count, since it may have
+// onReport keeps a peer's report from gossip. It does not count, since it may have
 // been sent before the start or the pause, but a starting node asks the peer.
 func (m *Machine) onReport(from string, active version.Version) {
 	if m.catchUp.phase != phaseStarting || m.view.member(from) == nil {
@@ -256,19 +255,19 @@
 	m.catchUp.note(m.view, from, active, false)
 	known := m.catchUp.reports[from]
 	if !known.answered || (!known.counts() && !active.IsZero()) {
-		m.catchUp.told = from
+		m.catchUp.confirm = from
 	}
 }
 
 // confirmGossip asks the peer whose gossip came in this step, unless a pull that
-// it got asks it too. It holds the version told of, and so sends no more than
+// it got asks it too. It holds the version reported, and so sends no more than
 // what came after that.
 func (m *Machine) confirmGossip() {
-	peer := m.catchUp.told
+	peer := m.catchUp.confirm
 	if peer == "" {
 		return
 	}
-	m.catchUp.told = ""
+	m.catchUp.confirm = ""
 	if m.catchUp.phase == phaseStarting {
 		m.ask(peer, m.catchUp.reports[peer].active)
 	}
--- a/internal/distribution/catchup_test.go
+++ b/internal/distribution/catchup_test.go
@@ -31,8 +31,8 @@
 	return Received{wire.Envelope{From: peer, Accepted: &wire.Accepted{Version: active, Number: number}}}
 }
 
-// told gives a peer's gossip and then its answer to the question that it causes.
-func told(t *testing.T, machine *Machine, peer string, active version.Version, now time.Time) []Effect {
+// reported gives a peer's gossip and then its answer to the question that it causes.
+func reported(t *testing.T, machine *Machine, peer string, active version.Version, now time.Time) []Effect {
 	asked, number := questions(machine.Step(gossipOf(peer, active), now))
 	must.SliceContains(t, asked, peer, must.Sprint("word by gossip is not confirmed"))
 	return machine.Step(answerOf(peer, active, number), now)
@@ -52,12 +52,12 @@
 	machine.Step(gossipOf("peer-a", old.Version()), now)
 	machine.Step(pushOf(snapshot.Empty(), old, "peer-a", ""), now)
 	machine.Step(answerOf("peer-a", old.Version(), before), now)
-	must.False(t, machine.Status().Fresh, must.Sprint("freshness guard: words from before the pause were believed"))
+	must.False(t, machine.Status().Fresh, must.Sprint("freshness guard: reports from before the pause were believed"))
 	must.True(t, machine.Active().Version().IsZero())
 	machine.Step(Tick{}, now.Add(time.Second))
 	machine.Step(Tick{}, now.Add(2*time.Second))
 	machine.Step(Tick{}, now.Add(DefaultConfig().CatchUpTimeout))
-	must.False(t, machine.Status().Fresh, must.Sprint("freshness guard: the wait ended with words from before the pause"))
+	must.False(t, machine.Status().Fresh, must.Sprint("freshness guard: the wait ended with reports from before the pause"))
 
 	now = now.Add(DefaultConfig().CatchUpTimeout)
 	machine.Step(answerOf("peer-a", newest.Version(), number), now)
@@ -89,7 +89,7 @@
 	machine := single(now, peer("peer-a"))
 	old := edition{revision: 1}.set(t)
 	machine.Step(pushOf(snapshot.Empty(), old, "peer-a", ""), now)
-	told(t, machine, "peer-a", version.Version{}, now)
+	reported(t, machine, "peer-a", version.Version{}, now)
 	asked, number := questions(machine.Step(gossipOf("peer-a", old.Version()), now))
 	must.False(t, machine.Status().Fresh, must.Sprint("freshness guard: gossip after an empty answer was believed"))
 	must.True(t, slices.Contains(asked, "peer-a"))
--- a/internal/distribution/config.go
+++ b/internal/distribution/config.go
@@ -59,7 +59,7 @@
 	maxKnownAccepted = 4  // versions known to be accepted
 	maxPushes        = 2  // pushes to be passed on once their version is whole
 	maxSources       = 4  // peers known to hold a version that is to be pulled
-	maxNotices       = 32 // readers that told that they hold a version
+	maxNotices       = 32 // readers that reported holding a version
 	maxDeltas        = 8  // deltas kept for sharing
 	maxMissingAsked  = 64 // bodies asked for in one pull
 	maxBackoff       = 8  // the longest retry, in units of RetryInterval
--- a/internal/distribution/conformance_test.go
+++ b/internal/distribution/conformance_test.go
@@ -110,15 +110,15 @@
 		c.learn(node, n, event.Digests.Active)
 	case Received:
 		from, live := n.view[event.Message.From]
-		if word := event.Message.Staged; word != nil && live {
-			held := holding{from.Name, word.Version}
-			c.allow("report", c.holders[held], node, word.Version)
+		if message := event.Message.Staged; message != nil && live {
+			held := holding{from.Name, message.Version}
+			c.allow("report", c.holders[held], node, message.Version)
 			n.reports[held] = true
 		}
-		if word := event.Message.Accepted; word != nil {
-			c.learn(node, n, word.Version)
-			if n.asked[word.Number] && live && n.phase != phaseCaughtUp {
-				n.answers[from.Name] = word.Version
+		if message := event.Message.Accepted; message != nil {
+			c.learn(node, n, message.Version)
+			if n.asked[message.Number] && live && n.phase != phaseCaughtUp {
+				n.answers[from.Name] = message.Version
 			}
 		}
 	}
--- a/internal/distribution/event.go
+++ b/internal/distribution/event.go
@@ -87,7 +87,7 @@
 	LogActivated    = "version.activated"    // the version is in force here
 	LogWaiting      = "version.waiting"      // the version lacks bodies
 	LogBadDelta     = "peer.delta-refused"   // a peer sent a delta that does not add up
-	LogAlone        = "catchup.alone"        // started from the source without word from any peer
+	LogAlone        = "catchup.alone"        // started from the source without a report from any peer
 	LogCaughtUp     = "catchup.done"         // caught up after a start or a pause
 	LogPaused       = "catchup.paused"       // the process was paused for longer than its lease
 )
--- a/internal/distribution/holding.go
+++ b/internal/distribution/holding.go
@@ -14,9 +14,9 @@
 	set   *snapshot.Set
 	since time.Time // when it was first held, whole or not
 	whole time.Time // when it was held whole
-	told  time.Time // when the leader was last told of it
+	noted time.Time // when the leader was last sent notice of it
 	root  string    // root of the tree that brought it, "" when read or pulled
-	// accepted is kept here too, so that no word of versions that never come
+	// accepted is kept here too, so that no reports of versions that never come
 	// can push it out of the bounded list.
 	accepted bool
 }
--- a/internal/distribution/machine.go
+++ b/internal/distribution/machine.go
@@ -143,7 +143,7 @@
 	m.forgetAbsent()
 }
 
-// forgetAbsent drops what members that have left or restarted told.
+// forgetAbsent drops the notices of members that have left or restarted.
 func (m *Machine) forgetAbsent() {
 	for name, known := range m.notices {
 		if member := m.view.member(name); member == nil || member.Start != known.start {
--- a/internal/distribution/machine_test.go
+++ b/internal/distribution/machine_test.go
@@ -123,9 +123,9 @@
 		return slices.DeleteFunc(effects, func(e Effect) bool { _, is := e.(Activate); return !is })
 	}
 	take := func(event Event) []Effect { return activations(machine.Step(event, now)) }
-	must.Len(t, 0, activations(told(t, machine, "peer-a", first.Version(), now)))
+	must.Len(t, 0, activations(reported(t, machine, "peer-a", first.Version(), now)))
 	must.Len(t, 0, take(pushOf(snapshot.Empty(), first, "peer-a", "")), must.Sprint("freshness guard: in force before other zones gave word"))
-	must.Len(t, 0, activations(told(t, machine, "peer-b", second.Version(), now)), must.Sprint("freshness guard: an older version than a peer's"))
+	must.Len(t, 0, activations(reported(t, machine, "peer-b", second.Version(), now)), must.Sprint("freshness guard: an older version than a peer's"))
 	must.Len(t, 1, take(pushOf(first, second, "peer-b", "")))
 	must.Eq(t, second.Version(), machine.Active().Version())
 	must.True(t, machine.Status().Fresh)
@@ -189,7 +189,7 @@
 	first := edition{revision: 1}.set(t)
 	machine.Step(Received{wire.Envelope{From: "peer-a", Accepted: &wire.Accepted{Version: first.Version()}}}, now)
 	machine.Step(pushOf(snapshot.Empty(), first, "peer-a", ""), now)
-	told(t, machine, "peer-a", first.Version(), now)
+	reported(t, machine, "peer-a", first.Version(), now)
 	must.True(t, machine.Status().Fresh)
 	must.True(t, machine.Status().Reader)
 
@@ -198,7 +198,7 @@
 	must.SliceContains(t, effects, Effect(Stale{}))
 	must.SliceContains(t, effects, Effect(Duty{Reader: false}))
 	machine.Step(Received{wire.Envelope{From: "peer-a", Accepted: &wire.Accepted{Version: first.Version()}}}, now)
-	must.False(t, machine.Status().Fresh, must.Sprint("freshness guard: words from before the pause were believed"))
+	must.False(t, machine.Status().Fresh, must.Sprint("freshness guard: reports from before the pause were believed"))
 
 	question := sends(effects)[0].Message.Pull
 	effects = machine.Step(Received{wire.Envelope{From: "peer-a", Accepted: &wire.Accepted{Version: first.Version(), Number: question.Number}}}, now)
@@ -262,7 +262,7 @@
 	must.Len(t, 2, sends(machine.Step(pull, now.Add(time.Second))))
 }
 
-func TestUselessAnswersDoNotCauseAStormOfPulls(t *testing.T) {
+func TestUselessAnswersDoNotCauseManyPulls(t *testing.T) {
 	now := time.Unix(1, 0)
 	machine := single(now, peer("peer-a"))
 	refused, next := edition{revision: 1, bad: true}.set(t), edition{revision: 2}.set(t)
@@ -403,7 +403,7 @@
 	now := time.Unix(1, 0)
 	machine := single(now, peer("peer-a"))
 	stale, newest := edition{revision: 1}.set(t), edition{revision: 3}.set(t)
-	told(t, machine, "peer-a", version.Version{}, now)
+	reported(t, machine, "peer-a", version.Version{}, now)
 	machine.Step(SourceRead{Set: stale}, now)
 	for _, holder := range []string{"peer-a", "peer-c", "peer-d"} {
 		machine.Step(Received{wire.Envelope{From: holder, Staged: &wire.Staged{Version: stale.Version(), Zone: "zone-0"}}}, now)
@@ -412,9 +412,9 @@
 	must.True(t, machine.Active().Version().IsZero())
 
 	machine.Step(Members{Live: []wire.Member{peer("node-000"), peer("peer-a"), peer("peer-b")}}, now)
-	told(t, machine, "peer-b", newest.Version(), now)
+	reported(t, machine, "peer-b", newest.Version(), now)
 	machine.Step(pushOf(snapshot.Empty(), newest, "peer-b", ""), now)
-	told(t, machine, "peer-a", newest.Version(), now)
+	reported(t, machine, "peer-a", newest.Version(), now)
 	must.Eq(t, newest.Version(), machine.Active().Version())
 }
 
@@ -455,7 +455,7 @@
 	machine := single(now, peer("peer-a"))
 	first, second := edition{revision: 1}.set(t), edition{revision: 2}.set(t)
 	machine.Step(pushOf(snapshot.Empty(), first, "peer-a", ""), now)
-	told(t, machine, "peer-a", first.Version(), now)
+	reported(t, machine, "peer-a", first.Version(), now)
 	machine.Step(Received{wire.Envelope{From: "peer-a", Staged: &wire.Staged{Version: second.Version(), Zone: "zone-0"}}}, now)
 	restarted := peer("peer-a")
 	restarted.Start = now.UnixMilli()
--- a/internal/distribution/push.go
+++ b/internal/distribution/push.go
@@ -113,13 +113,13 @@
 	m.want(v, from, 0)
 }
 
-// notice is a member's word that it holds a version.
+// notice is a member's report that it holds a version.
 type notice struct {
 	version version.Version
 	start   int64 // of the member's process
 }
 
-// keepNotice remembers the newest version that a member told it holds.
+// keepNotice remembers the newest version that a member reported holding.
 func (m *Machine) keepNotice(from string, v version.Version) {
 	if _, known := m.notices[from]; !known && len(m.notices) >= maxNotices {
 		return
@@ -130,7 +130,7 @@
 	}
 }
 
-// holdersNoticed returns the members that told that they hold a version.
+// holdersNoticed returns the members that reported holding a version.
 func (m *Machine) holdersNoticed(v version.Version) []string {
 	var names []string
 	for name, held := range m.notices {
--- a/internal/distribution/repair.go
+++ b/internal/distribution/repair.go
@@ -78,8 +78,8 @@
 	if m.catchUp.phase != phaseCaughtUp {
 		pull.Number = m.catchUp.number
 	}
-	if asked == m.catchUp.told {
-		m.catchUp.told = ""
+	if asked == m.catchUp.confirm {
+		m.catchUp.confirm = ""
 	}
 	m.send(asked, wire.Envelope{Pull: pull})
 }
@@ -119,8 +119,8 @@
 	return held
 }
 
-// sendDelta sends a repair. Whole sets are limited, so that a storm of started
-// nodes is spread over their peers.
+// sendDelta sends a repair. Whole sets are limited, so that the load of many
+// started nodes is spread over their peers.
 func (m *Machine) sendDelta(to string, from, target *snapshot.Set) {
 	if from.Len() == 0 && !m.deltas.allowWhole(m.now, m.config.MaxWholePerSec) {
 		return
--- a/internal/distribution/stage.go
+++ b/internal/distribution/stage.go
@@ -193,13 +193,13 @@
 	if !m.isReader() || whole.root != "" {
 		return
 	}
-	whole.told = m.now
+	whole.noted = m.now
 	m.send(m.view.leader(), wire.Envelope{Staged: &wire.Staged{Version: whole.version(), Zone: m.config.Self.Zone}})
 }
 
 // tellLeaderAgain repeats what may have been lost.
 func (m *Machine) tellLeaderAgain(whole *candidate) {
-	if m.now.Sub(whole.told) >= m.config.RetryInterval {
+	if m.now.Sub(whole.noted) >= m.config.RetryInterval {
 		m.tellLeader(whole)
 	}
 }
