Use the gossip literature's terms in membership and plain ones elsewhere

Cause: told, tellings, hearsay, doubt and herd are metaphors or the users' wording; memberlist and the SWIM paper speak of transmissions, retransmit limits and suspicion. Change: rumors.transmitted, retransmitLimit, syncProbeLimit, syncSuspicionFactor, suspectAndProbe, suspectFor; mass restart for herd and storm; classify for judge in lab/load. The fuzz action of the simulation is called joinAll, a name that sorts where the former one did, so that rapid draws the same cases as before with the same seed. Behaviour is unchanged. Run: go vet; go test ./internal/membership ./internal/claim ./internal/control ./internal/control/simulation ./lab/load ./lab/experiment passed.

--- a/internal/claim/doc.go
+++ b/internal/claim/doc.go
@@ -40,7 +40,7 @@
 //   - Start afresh when all members say that they remember nothing. Refused:
 //     it runs an order twice after every death of a whole group.
 //   - Refuse until an operator says that no old key will come. Safe, but a
-//     herd of restarts then stops orders until somebody is awake.
+//     mass restart then stops orders until somebody is awake.
 //   - Refuse for as long as records live. Then every vote lost is void. Safe
 //     and needs nobody; claims of the group are refused for KeyLife. This is
 //     the default, hence a modest KeyLife of ten minutes.
--- a/internal/claim/fuzz_test.go
+++ b/internal/claim/fuzz_test.go
@@ -185,9 +185,9 @@
 // restart ends a process and starts another for its worker, which may be
 // behind in its version.
 func (f *fuzzed) restart() {
-	const herdShare = 15 // one in so many restarts comes while others have not recovered
+	const massRestartShare = 15 // one in so many restarts comes while others have not recovered
 	p := f.processes[f.random.IntN(len(f.processes))]
-	if f.recovering() && f.random.IntN(herdShare) != 0 {
+	if f.recovering() && f.random.IntN(massRestartShare) != 0 {
 		return
 	}
 	f.kill(p)
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -8,8 +8,8 @@
 )
 
 // passMembers tells the other parts who is live, when that has changed. Each
-// time costs as much as the fleet is large, and in a storm every message brings
-// changes: so it is done no more often than views are published.
+// time costs as much as the fleet is large, and in a mass restart every message
+// brings changes: so it is done no more often than views are published.
 func (l *Loop) passMembers(now time.Time) {
 	if !l.membersChanged || now.Sub(l.membersPassed) < publishSpacing {
 		return
--- a/internal/control/members_test.go
+++ b/internal/control/members_test.go
@@ -10,9 +10,9 @@
 	"sliphead/internal/wire"
 )
 
-// TestStormOfMembersIsPassedOnceAPublishSpacing brings one new member with each
+// TestManyMemberChangesArePassedOnceAPublishSpacing brings one new member with each
 // message, all within one spacing, and counts how often the parts are told.
-func TestStormOfMembersIsPassedOnceAPublishSpacing(t *testing.T) {
+func TestManyMemberChangesArePassedOnceAPublishSpacing(t *testing.T) {
 	const newcomers = 100
 	p := newReady(t)
 	told := make(map[*map[string]string]bool)
--- a/internal/control/simulation/faults_test.go
+++ b/internal/control/simulation/faults_test.go
@@ -94,8 +94,8 @@
 
 func (p *faultPlan) restart(t *rapid.T) { p.node(t).start(drawOffset(t)) }
 
-// herd restarts the dead at once.
-func (p *faultPlan) herd(*rapid.T) {
+// joinAll restarts the dead at once.
+func (p *faultPlan) joinAll(*rapid.T) {
 	for _, n := range p.nodes {
 		if n.process == nil {
 			n.start(0)
--- a/internal/control/simulation/simulation_test.go
+++ b/internal/control/simulation/simulation_test.go
@@ -83,7 +83,7 @@
 			drawn.Repeat(map[string]func(*rapid.T){
 				"change": p.change, "race": p.race, "equivocate": p.equivocate, "restore": p.restore,
 				"staleSource": p.staleSource, "sourceOutage": p.sourceOutage, "secretLate": p.secretLate,
-				"kill": p.kill, "killReaders": p.killReaders, "restart": p.restart, "herd": p.herd,
+				"kill": p.kill, "killReaders": p.killReaders, "restart": p.restart, "joinAll": p.joinAll,
 				"freeze": p.freeze, "resume": p.resume, "drain": p.drain,
 				"cut": p.cut, "heal": p.heal, "degrade": p.degrade, "relist": p.relist,
 				"pass": p.pass, "passAgain": p.pass, "passOnceMore": p.pass, "passStill": p.pass,
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -35,11 +35,11 @@
 	GossipInterval time.Duration
 	// IndirectProbes is the number of helpers asked after a probe timed out.
 	IndirectProbes int
-	// GossipFanout is the number of peers told in one round.
+	// GossipFanout is the number of peers gossiped to in one round.
 	GossipFanout int
 	// MaxUpdates bounds the registers in one datagram, besides its size.
 	MaxUpdates int
-	// Retransmit is λ: a register is told up to λ·log2(n) times by each node.
+	// Retransmit is λ: each node transmits a register up to λ·log2(n) times.
 	Retransmit float64
 	// RepairAfter is how long all peers' view hashes must differ from ours
 	// before registers are compared by stream. RepairInterval is the least time
@@ -81,19 +81,19 @@
 
 // Bounds that are not settings.
 const (
-	datagramLimit      = 1200             // bytes, below the usual path MTU
-	burstProbes        = 8                // most probes in one interval while members fail in numbers
-	relayLimit         = 256              // probes on behalf of others under way
-	joinTargets        = 3                // most addresses asked in one attempt to join
-	joinBackoff        = time.Second      // first bound of the wait between attempts
-	joinBackoffLimit   = 10 * time.Second // last bound
-	repairObservations = 3                // peers that must differ before a repair
-	settledAfter       = 30 * time.Second // a register held so long is told without its constant part
-	backlog            = 64               // registers to tell that count as very many
-	backlogTellings    = 5                // how often each is told then
-	littleTellings     = 2                // how often what is no news is told
-	hearsayLimit       = 8                // deaths told by stream that are probed at once
-	hearsayPatience    = 4                // times the suspicion timeout, for more than these
-	memberLimit        = 8192             // registers held, against a peer that invents names
-	stallFactor        = 2                // a gap between ticks of this many probe timeouts is a pause
+	datagramLimit       = 1200             // bytes, below the usual path MTU
+	burstProbes         = 8                // most probes in one interval while members fail in numbers
+	relayLimit          = 256              // probes on behalf of others under way
+	joinTargets         = 3                // most addresses asked in one attempt to join
+	joinBackoff         = time.Second      // first bound of the wait between attempts
+	joinBackoffLimit    = 10 * time.Second // last bound
+	repairObservations  = 3                // peers that must differ before a repair
+	settledAfter        = 30 * time.Second // a register held so long is gossiped without its constant part
+	backlog             = 64               // registers to transmit that count as very many
+	backlogRetransmits  = 5                // how often each is transmitted then
+	minorRetransmits    = 2                // how often what is no news is transmitted
+	syncProbeLimit      = 8                // accusations by a sync that are probed at once
+	syncSuspicionFactor = 4                // times the suspicion timeout, at most, for more than these
+	memberLimit         = 8192             // registers held, against a peer that invents names
+	stallFactor         = 2                // a gap between ticks of this many probe timeouts is a pause
 )
--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -97,7 +97,7 @@
 
 // resume forgets what was under way before a pause: probes that could not be
 // answered accuse nobody, suspects get their full time again, accusations not
-// yet told are dropped. It then asks a few peers what they believe now.
+// yet gossiped are dropped. It then asks a few peers what they believe now.
 func (m *Machine) resume() {
 	m.lastTick = m.now
 	m.probes.waiting = nil
--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -31,7 +31,7 @@
 	}
 }
 
-// gossip tells a few random peers what is new, if anything is.
+// gossip sends a few random peers what is new, if anything is.
 func (m *Machine) gossip() {
 	if m.rumors.len() == 0 || m.now.Before(m.nextGossip) {
 		return
@@ -51,7 +51,7 @@
 
 // updatesFor chooses the registers for a datagram to a peer, within its size.
 // First come what the peer must know to clear itself, and this node's own
-// register where the peer may lack it; then what is told least.
+// register where the peer may lack it; then what was transmitted least.
 func (m *Machine) updatesFor(to string, digests wire.Digests, withSelf bool) []wire.Member {
 	packet := packet{
 		room:  datagramLimit - baseSize(m.config.Self.Name, digests),
@@ -69,17 +69,17 @@
 		if name == to || (withSelf && name == self) {
 			return true
 		}
-		return packet.add(m.told(name))
+		return packet.add(m.gossiped(name))
 	})
 	for _, member := range packet.members {
-		m.rumors.told(member.Name, m.tellings())
+		m.rumors.transmitted(member.Name, m.retransmitLimit())
 	}
 	return packet.members
 }
 
-// told returns a register as it is told: short when its process is known to
-// all for long.
-func (m *Machine) told(name string) wire.Member {
+// gossiped returns a register as it is gossiped: compact when it has been held
+// for long, since all then know its process.
+func (m *Machine) gossiped(name string) wire.Member {
 	held := m.table.records[name]
 	if m.now.Sub(held.learned) < settledAfter {
 		return held.member
--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -224,7 +224,7 @@
 	must.Len(t, 1, f.nodes[0].machine.Live())
 }
 
-// Found by BenchmarkFleet bytes/heal: suspicions by hearsay were handed on by the
+// Found by BenchmarkFleet bytes/heal: suspicions by a repair were handed on by the
 // next repair with the short wait of a failed probe, and live members died.
 func TestManySyncedSuspicionsGetALongWait(t *testing.T) {
 	f := newFleet(t, 24, 1, ProfileBytes)
@@ -247,8 +247,8 @@
 		return count
 	}
 	f.run(observer.suspicionTimeout() + DefaultConfig(f.profile).GossipInterval)
-	must.Eq(t, len(suspects), live(), must.Sprint("hearsay guard: dead before refutations can have come"))
-	f.run(hearsayPatience * observer.suspicionTimeout())
+	must.Eq(t, len(suspects), live(), must.Sprint("sync guard: dead before refutations can have come"))
+	f.run(syncSuspicionFactor * observer.suspicionTimeout())
 	must.Zero(t, live())
 }
 
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -64,14 +64,14 @@
 }
 
 // nextTarget takes the next live member of the round. Suspects, whose time runs
-// already, are passed over while there are members not yet doubted.
+// already, are passed over while there are members not yet suspected.
 func (m *Machine) nextTarget() (string, bool) {
-	for _, doubted := range [...]bool{false, false, true} {
+	for _, suspected := range [...]bool{false, false, true} {
 		for m.probes.next < len(m.probes.order) {
 			name := m.probes.order[m.probes.next]
 			m.probes.next++
 			_, suspect := m.table.suspects[name]
-			if m.table.isLive(name) && suspect == doubted && !m.probes.isWaitingFor(name) {
+			if m.table.isLive(name) && suspect == suspected && !m.probes.isWaitingFor(name) {
 				return name, true
 			}
 		}
--- a/internal/membership/rumor.go
+++ b/internal/membership/rumor.go
@@ -1,16 +1,16 @@
 package membership
 
-// rumors is the queue of changed registers still to be told. Those told least
-// often come first, and among these those told longest ago.
+// rumors is the queue of changed registers still to be transmitted. Those
+// transmitted least often come first, and among these the longest ago.
 type rumors struct {
 	current    map[string]rumor // by member name
-	levels     [][]queued       // by times told; entries no longer current are skipped
+	levels     [][]queued       // by transmissions; entries no longer current are skipped
 	generation uint64           // of the newest entry
 }
 
 type rumor struct {
-	generation uint64
-	told       int
+	generation    uint64
+	transmissions int
 }
 
 type queued struct {
@@ -24,37 +24,37 @@
 
 func (r *rumors) len() int { return len(r.current) }
 
-// add starts telling the member's register anew, as if it had been told so
-// often already.
-func (r *rumors) add(name string, told int) {
-	r.place(name, told)
+// add queues the member's register anew, as if it had been transmitted so often
+// already.
+func (r *rumors) add(name string, transmissions int) {
+	r.place(name, transmissions)
 }
 
-func (r *rumors) place(name string, told int) {
+func (r *rumors) place(name string, transmissions int) {
 	r.generation++
-	r.current[name] = rumor{generation: r.generation, told: told}
-	for len(r.levels) <= told {
+	r.current[name] = rumor{generation: r.generation, transmissions: transmissions}
+	for len(r.levels) <= transmissions {
 		r.levels = append(r.levels, nil)
 	}
-	r.levels[told] = append(r.levels[told], queued{name: name, generation: r.generation})
+	r.levels[transmissions] = append(r.levels[transmissions], queued{name: name, generation: r.generation})
 }
 
-// told counts one telling and ends the rumor at the limit.
-func (r *rumors) told(name string, limit int) {
+// transmitted counts one transmission and ends the rumor at the limit.
+func (r *rumors) transmitted(name string, limit int) {
 	entry, ok := r.current[name]
 	if !ok {
 		return
 	}
-	if entry.told+1 >= limit {
+	if entry.transmissions+1 >= limit {
 		delete(r.current, name)
 		return
 	}
-	r.place(name, entry.told+1)
+	r.place(name, entry.transmissions+1)
 }
 
 func (r *rumors) remove(name string) { delete(r.current, name) }
 
-// pick calls use for the names to tell next, in order, until it returns false.
+// pick calls use for the names to transmit next, in order, until it returns false.
 // use must not change the queue.
 func (r *rumors) pick(use func(name string) bool) {
 	for level := range r.levels {
@@ -69,7 +69,7 @@
 
 func (r *rumors) valid(entry queued, level int) bool {
 	current, ok := r.current[entry.name]
-	return ok && current.generation == entry.generation && current.told == level
+	return ok && current.generation == entry.generation && current.transmissions == level
 }
 
 // clean drops entries at the head of a level that are no longer current.
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -177,17 +177,17 @@
 		m.apply(member, spread)
 	}
 	for _, member := range accused {
-		if len(accused) > hearsayLimit {
-			m.doubtForLong(member, m.hearsayWait(member.Status, len(accused)))
+		if len(accused) > syncProbeLimit {
+			m.suspectFor(member, m.syncSuspicionTimeout(member.Status, len(accused)))
 			continue
 		}
-		m.doubt(member, spread)
+		m.suspectAndProbe(member, spread)
 	}
 }
 
-// doubt takes over one of few accusations. A death is not told on, and gets a
+// suspectAndProbe takes over one of few accusations. A death is not passed on, and gets a
 // short wait: the time for a refutation has passed elsewhere.
-func (m *Machine) doubt(member wire.Member, spread spread) {
+func (m *Machine) suspectAndProbe(member wire.Member, spread spread) {
 	if member.Status == wire.StatusDead {
 		member.Status = wire.StatusSuspect
 		m.apply(member, spreadNot)
@@ -195,16 +195,16 @@
 		return
 	}
 	m.apply(member, spread)
-	if _, doubted := m.table.suspects[member.Name]; doubted && !m.probes.isWaitingFor(member.Name) {
+	if _, suspected := m.table.suspects[member.Name]; suspected && !m.probes.isWaitingFor(member.Name) {
 		m.startProbe(member.Name)
 	}
 }
 
-// doubtForLong takes over one of many accusations, and tells nobody. The wait
+// suspectFor takes over one of many accusations and does not gossip it. The wait
 // runs once: the same accusations come again with each repair.
-func (m *Machine) doubtForLong(member wire.Member, wait time.Duration) {
+func (m *Machine) suspectFor(member wire.Member, wait time.Duration) {
 	member.Status = wire.StatusSuspect
-	if _, doubted := m.table.suspects[member.Name]; doubted {
+	if _, suspected := m.table.suspects[member.Name]; suspected {
 		return
 	}
 	m.apply(member, spreadNot)
@@ -213,15 +213,15 @@
 	}
 }
 
-// hearsayWait returns how long each of many accused members may take to refute.
-// For suspects it is the usual wait and the time in which gossip tells so many
-// registers.
-func (m *Machine) hearsayWait(status wire.Status, accused int) time.Duration {
-	longest := hearsayPatience * m.suspicionTimeout()
+// syncSuspicionTimeout returns how long each of many accused members may take to refute.
+// For suspects it is the usual wait and the time in which gossip transmits so
+// many registers.
+func (m *Machine) syncSuspicionTimeout(status wire.Status, accused int) time.Duration {
+	longest := syncSuspicionFactor * m.suspicionTimeout()
 	if status == wire.StatusDead {
 		return longest
 	}
-	rounds := accused * backlogTellings / max(1, m.config.GossipFanout*m.config.MaxUpdates)
+	rounds := accused * backlogRetransmits / max(1, m.config.GossipFanout*m.config.MaxUpdates)
 	return min(longest, m.suspicionTimeout()+time.Duration(rounds+1)*m.config.GossipInterval)
 }
 
--- a/internal/membership/update.go
+++ b/internal/membership/update.go
@@ -7,13 +7,13 @@
 	"sliphead/internal/wire"
 )
 
-// spread is how far a changed register is to be told from here.
+// spread is how often a changed register is to be gossiped from here.
 type spread int
 
 const (
 	spreadWidely spread = iota // news
 	spreadLittle               // what most others know or will find out themselves
-	spreadNot                  // what the others told
+	spreadNot                  // what the others gossip themselves
 )
 
 // apply joins a register received into the table.
@@ -35,13 +35,13 @@
 		m.change(merged, spread)
 		return
 	}
-	if sameWord(merged, update) {
-		m.rumors.told(update.Name, m.tellings()) // the sender knows it: one telling less is needed
+	if sameContent(merged, update) {
+		m.rumors.transmitted(update.Name, m.retransmitLimit()) // the sender knows it: one less is needed
 	}
 }
 
-// sameWord reports whether the update says just what the register does.
-func sameWord(held, update wire.Member) bool { return compact(held) == compact(update) }
+// sameContent reports whether the update says just what the register does.
+func sameContent(held, update wire.Member) bool { return compact(held) == compact(update) }
 
 // admit takes in a member not known. A dead one is not remembered: that would
 // hand tombstones from node to node for ever.
@@ -68,28 +68,28 @@
 		m.rumors.add(member.Name, 0)
 	case spreadLittle:
 		if m.rumors.len() <= backlog {
-			m.rumors.add(member.Name, max(0, m.tellings()-littleTellings))
+			m.rumors.add(member.Name, max(0, m.retransmitLimit()-minorRetransmits))
 		}
 	}
 	m.effects = append(m.effects, Changed{Member: member, Before: before})
 }
 
-// tellings returns how often each node tells a register: λ·log2(n). While very
+// retransmitLimit returns how often each node transmits a register: λ·log2(n). While very
 // many change it is less, and the few that are missed are left to repair, which
 // then takes fewer bytes.
-func (m *Machine) tellings() int {
+func (m *Machine) retransmitLimit() int {
 	size := float64(m.table.size())
 	limit := int(math.Ceil(m.config.Retransmit*math.Log2(size+1))) + 1
 	if m.rumors.len() > backlog {
-		return min(limit, backlogTellings)
+		return min(limit, backlogRetransmits)
 	}
 	return limit
 }
 
 // refute answers what a peer says of this node where that would win over its
-// own register. An accusation is refuted by a greater incarnation. Words that
-// this process never said, left over from a former process whose clock was
-// ahead, or forged, are outdone by a greater Start, under which nothing else has
+// own register. An accusation is refuted by a greater incarnation. Claims that
+// this process never made, left over from a former process whose clock was
+// ahead, or forged, are superseded by a greater Start, under which nothing else has
 // been said: the part at random keeps two such restarts in a row apart.
 func (m *Machine) refute(update wire.Member) {
 	self := m.Self()
@@ -189,7 +189,7 @@
 		return
 	}
 	if held.member.Status == wire.StatusLeaving {
-		m.awaitRefutation(held) // its own word outranks the accusation, which stays here
+		m.awaitRefutation(held) // its own register outranks the accusation, which stays here
 		m.startProbe(name)      // until the wait ends
 		return
 	}
--- a/lab/experiment/outcome.go
+++ b/lab/experiment/outcome.go
@@ -75,7 +75,7 @@
 	return sum
 }
 
-// finish audits the run and judges it.
+// finish audits the run and evaluates it.
 func (r *run) finish() (*Outcome, error) {
 	result := &Outcome{
 		Name:     r.spec.Name,
--- a/lab/load/audit.go
+++ b/lab/load/audit.go
@@ -43,7 +43,7 @@
 	}
 	for _, attempt := range attempts {
 		ran := byAttempt[submissionID{attempt.Nonce, strconv.Itoa(attempt.Number), attempt.Path}]
-		audit.judge(attempt, ran, byNonce[attempt.Nonce])
+		audit.classify(attempt, ran, byNonce[attempt.Nonce])
 	}
 	for key, runs := range byKey {
 		if len(runs) > 1 {
@@ -53,7 +53,7 @@
 	return audit
 }
 
-func (a *Audit) judge(attempt Attempt, ranAttempt, ranAtAll int) {
+func (a *Audit) classify(attempt Attempt, ranAttempt, ranAtAll int) {
 	name := fmt.Sprintf("%s attempt %d through %s", attempt.Nonce, attempt.Number, attempt.Edge)
 	if attempt.Once && ranAttempt > 1 {
 		a.RanTwice = append(a.RanTwice, fmt.Sprintf("%s ran %d times", name, ranAttempt))
--- a/lab/load/caller.go
+++ b/lab/load/caller.go
@@ -78,7 +78,7 @@
 	defer cancel()
 	response, err := c.send(ctx, submission)
 	if err == nil {
-		judge(&attempt, response, submission)
+		classify(&attempt, response, submission)
 	} else {
 		attempt.Ending = EndingFailed
 		attempt.Cause = err.Error()
@@ -172,8 +172,8 @@
 	return count, nil
 }
 
-// judge reads the response and decides how the attempt ended.
-func judge(attempt *Attempt, response *http.Response, submission Submission) {
+// classify reads the response and decides how the attempt ended.
+func classify(attempt *Attempt, response *http.Response, submission Submission) {
 	defer response.Body.Close()
 	attempt.Status = response.StatusCode
 	body, err := io.ReadAll(response.Body)
@@ -189,7 +189,7 @@
 		attempt.Ending = EndingUnknown
 		attempt.Cause = response.Header.Get(outcome.Remedy)
 	case outcome.Answered:
-		judgeAnswer(attempt, body, err, submission.expectation())
+		classifyAnswer(attempt, body, err, submission.expectation())
 	default:
 		attempt.Ending = EndingFailed
 		attempt.Cause = fmt.Sprintf("status %d without an outcome", response.StatusCode)
@@ -199,7 +199,7 @@
 // shownBytes is how much of a worker's error is kept as the cause.
 const shownBytes = 200
 
-func judgeAnswer(attempt *Attempt, body []byte, readError error, expected echo.Expectation) {
+func classifyAnswer(attempt *Attempt, body []byte, readError error, expected echo.Expectation) {
 	switch {
 	case readError != nil: // the caller can see that the answer was cut
 		attempt.Ending = EndingFailed
