Let one interruptible sleep and one setter of defaults serve all packages

Cause: the wait that a context ends stood five times (transport, source, lab/fleet, lab/link, lab/worker) and setDefault three times (claim, transport, traffic), each with the same statements. Change: internal/sleep.For and internal/defaults.Set. The four bounds differ (full jitter from 0, half to one and a half, at most the bound), so only the shape is alike. The setters over maps in source and worker stay too: they are typed tables.

--- a/internal/claim/config.go
+++ b/internal/claim/config.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"sliphead/internal/defaults"
 )
 
 // Default values of Config.
@@ -58,24 +60,17 @@
 
 // withDefaults returns the settings with zero values replaced.
 func (c Config) withDefaults() Config {
-	setDefault(&c.KeyLife, DefaultKeyLife)
-	setDefault(&c.MaxClaim, DefaultMaxClaim)
-	setDefault(&c.ClockSkew, DefaultClockSkew)
-	setDefault(&c.Retry, DefaultRetry)
-	setDefault(&c.GroupSize, DefaultGroupSize)
-	setDefault(&c.AnswerBytes, DefaultAnswerBytes)
-	setDefault(&c.AnswerBudget, DefaultAnswerBudget)
-	setDefault(&c.MaxKeys, DefaultMaxKeys)
-	setDefault(&c.MaxAttempts, DefaultMaxAttempts)
+	defaults.Set(&c.KeyLife, DefaultKeyLife)
+	defaults.Set(&c.MaxClaim, DefaultMaxClaim)
+	defaults.Set(&c.ClockSkew, DefaultClockSkew)
+	defaults.Set(&c.Retry, DefaultRetry)
+	defaults.Set(&c.GroupSize, DefaultGroupSize)
+	defaults.Set(&c.AnswerBytes, DefaultAnswerBytes)
+	defaults.Set(&c.AnswerBudget, DefaultAnswerBudget)
+	defaults.Set(&c.MaxKeys, DefaultMaxKeys)
+	defaults.Set(&c.MaxAttempts, DefaultMaxAttempts)
 	if c.Random == nil {
 		c.Random = rand.New(rand.NewPCG(1, 1))
 	}
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/source/poll.go
+++ b/internal/source/poll.go
@@ -9,6 +9,7 @@
 
 	"sliphead/internal/fault"
 	"sliphead/internal/logging"
+	"sliphead/internal/sleep"
 )
 
 // Due tells a poll whether to read the list now, and the middle of the wait
@@ -27,7 +28,7 @@
 		if read {
 			err = m.pollOnce(ctx, known, emit)
 		}
-		sleep(ctx, max(RetryAfter(err), jittered(random, interval)))
+		sleep.For(ctx, max(RetryAfter(err), jittered(random, interval)))
 	}
 }
 
@@ -49,16 +50,3 @@
 func jittered(random *rand.Rand, middle time.Duration) time.Duration {
 	return middle/2 + time.Duration(random.Int64N(int64(middle)+1))
 }
-
-// sleep waits for a duration or until ctx ends.
-func sleep(ctx context.Context, duration time.Duration) {
-	if duration <= 0 {
-		return
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/source/reader.go
+++ b/internal/source/reader.go
@@ -11,6 +11,7 @@
 	"sliphead/internal/declaration"
 	"sliphead/internal/fault"
 	"sliphead/internal/logging"
+	"sliphead/internal/sleep"
 )
 
 // Result is what one read brought: a document with the secrets held so far, or
@@ -129,7 +130,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		sleep(ctx, r.pause(news, err, time.Since(started)))
+		sleep.For(ctx, r.pause(news, err, time.Since(started)))
 	}
 }
 
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -19,6 +19,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"sliphead/internal/claim"
+	"sliphead/internal/defaults"
 	"sliphead/internal/snapshot"
 )
 
@@ -102,32 +103,25 @@
 
 // withDefaults fills the zero fields.
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.SmallBody, defaultSmall)
-	setDefault(&l.SmallAnswer, defaultSmall)
-	setDefault(&l.KeptAnswer, defaultKeptAnswer)
-	setDefault(&l.MaxDepth, defaultMaxDepth)
-	setDefault(&l.Slots, defaultSlots)
-	setDefault(&l.Connections, defaultConnections)
-	setDefault(&l.QueueLength, defaultQueueLength)
-	setDefault(&l.RetryRatio, defaultRetryRatio)
-	setDefault(&l.RetryBurst, defaultRetryBurst)
-	setDefault(&l.RetryBudget, defaultRetryBudget)
-	setDefault(&l.IdlePerNode, defaultIdlePerNode)
-	setDefault(&l.ConnectTimeout, defaultConnectTimeout)
-	setDefault(&l.HeaderTimeout, defaultHeaderTimeout)
-	setDefault(&l.IdleTimeout, defaultIdleTimeout)
-	setDefault(&l.BodyTimeout, defaultBodyTimeout)
-	setDefault(&l.MaxHeaderBytes, defaultMaxHeaderBytes)
+	defaults.Set(&l.SmallBody, defaultSmall)
+	defaults.Set(&l.SmallAnswer, defaultSmall)
+	defaults.Set(&l.KeptAnswer, defaultKeptAnswer)
+	defaults.Set(&l.MaxDepth, defaultMaxDepth)
+	defaults.Set(&l.Slots, defaultSlots)
+	defaults.Set(&l.Connections, defaultConnections)
+	defaults.Set(&l.QueueLength, defaultQueueLength)
+	defaults.Set(&l.RetryRatio, defaultRetryRatio)
+	defaults.Set(&l.RetryBurst, defaultRetryBurst)
+	defaults.Set(&l.RetryBudget, defaultRetryBudget)
+	defaults.Set(&l.IdlePerNode, defaultIdlePerNode)
+	defaults.Set(&l.ConnectTimeout, defaultConnectTimeout)
+	defaults.Set(&l.HeaderTimeout, defaultHeaderTimeout)
+	defaults.Set(&l.IdleTimeout, defaultIdleTimeout)
+	defaults.Set(&l.BodyTimeout, defaultBodyTimeout)
+	defaults.Set(&l.MaxHeaderBytes, defaultMaxHeaderBytes)
 	return l
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // withDefaults fills the zero fields.
 func (c Config) withDefaults() Config {
 	c.Limits = c.Limits.withDefaults()
--- a/internal/transport/config.go
+++ b/internal/transport/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"sliphead/internal/defaults"
 	"sliphead/internal/fault"
 	"sliphead/internal/logging"
 	"sliphead/internal/wire"
@@ -65,33 +66,25 @@
 
 // withDefaults fills the zero fields.
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.MaxStreams, 256)
-	setDefault(&l.StreamsPerSecond, 50)
-	setDefault(&l.StreamBurst, 100)
-	setDefault(&l.MaxLineBytes, wire.MaxLineBytes)
-	setDefault(&l.LongLineBytes, 2*wire.MaxLineBytes)
-	setDefault(&l.MessagesPerSecond, 5000)
-	setDefault(&l.MessageBurst, 10000)
-	setDefault(&l.QueueMessages, 256)
-	setDefault(&l.QueueBytes, 4<<20)
-	setDefault(&l.QueueAge, 5*time.Second)
-	setDefault(&l.IdleTimeout, 30*time.Second)
-	setDefault(&l.HandshakeTimeout, 5*time.Second)
-	setDefault(&l.WriteTimeout, 10*time.Second)
-	setDefault(&l.BackoffBase, 100*time.Millisecond)
-	setDefault(&l.BackoffMax, 5*time.Second)
-	setDefault(&l.RetryAfter, time.Second)
+	defaults.Set(&l.MaxStreams, 256)
+	defaults.Set(&l.StreamsPerSecond, 50)
+	defaults.Set(&l.StreamBurst, 100)
+	defaults.Set(&l.MaxLineBytes, wire.MaxLineBytes)
+	defaults.Set(&l.LongLineBytes, 2*wire.MaxLineBytes)
+	defaults.Set(&l.MessagesPerSecond, 5000)
+	defaults.Set(&l.MessageBurst, 10000)
+	defaults.Set(&l.QueueMessages, 256)
+	defaults.Set(&l.QueueBytes, 4<<20)
+	defaults.Set(&l.QueueAge, 5*time.Second)
+	defaults.Set(&l.IdleTimeout, 30*time.Second)
+	defaults.Set(&l.HandshakeTimeout, 5*time.Second)
+	defaults.Set(&l.WriteTimeout, 10*time.Second)
+	defaults.Set(&l.BackoffBase, 100*time.Millisecond)
+	defaults.Set(&l.BackoffMax, 5*time.Second)
+	defaults.Set(&l.RetryAfter, time.Second)
 	return l
 }
 
-// setDefault gives a zero field its default.
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // withDefaults checks the configuration and fills what is optional.
 func (c Config) withDefaults() (Config, error) {
 	if _, _, err := net.SplitHostPort(c.Bind); err != nil {
@@ -109,7 +102,7 @@
 	if c.Logger == nil {
 		c.Logger = logging.Discard()
 	}
-	setDefault(&c.Compression, CompressionDeflate)
+	defaults.Set(&c.Compression, CompressionDeflate)
 	if c.Compression != CompressionDeflate && c.Compression != CompressionNone {
 		return c, fault.New(fault.Settings, "use deflate or none", "compression %q is unknown", c.Compression)
 	}
--- a/internal/transport/datagram.go
+++ b/internal/transport/datagram.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"sliphead/internal/fault"
+	"sliphead/internal/sleep"
 	"sliphead/internal/wire"
 )
 
@@ -79,7 +80,7 @@
 		}
 		if err != nil {
 			t.limiter.log("transport.datagramRead", t.address, err)
-			pause(ctx, acceptPause)
+			sleep.For(ctx, acceptPause)
 			continue
 		}
 		t.totals.datagramBytesReceived.Add(uint64(count))
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"sliphead/internal/fault"
+	"sliphead/internal/sleep"
 	"sliphead/internal/wire"
 )
 
@@ -45,7 +46,7 @@
 		}
 		if err != nil {
 			t.limiter.log("transport.accept", t.address, err)
-			pause(ctx, acceptPause)
+			sleep.For(ctx, acceptPause)
 			continue
 		}
 		t.admit(&countedConn{Conn: raw, totals: &t.totals}, refusals)
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sliphead/internal/fault"
+	"sliphead/internal/sleep"
 	"sliphead/internal/wire"
 )
 
@@ -107,7 +108,7 @@
 
 // run keeps a stream while there is something to send.
 func (l *link) run(ctx context.Context) {
-	for pause(ctx, l.untilAllowed()) {
+	for sleep.For(ctx, l.untilAllowed()) {
 		started := time.Now()
 		err := l.session(ctx)
 		if l.finished(err, time.Since(started)) {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -9,7 +9,6 @@
 	"context"
 	"net"
 	"sync"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
@@ -186,18 +185,3 @@
 		}
 	}
 }
-
-// pause waits for a duration, and reports false when ctx ended before.
-func pause(ctx context.Context, duration time.Duration) bool {
-	if duration <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/lab/fleet/baseline.go
+++ b/lab/fleet/baseline.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sliphead/internal/declaration"
+	"sliphead/internal/sleep"
 	"sliphead/internal/snapshot"
 	"sliphead/internal/source"
 	"sliphead/internal/transport"
@@ -104,7 +105,7 @@
 func (b *baselineNode) poll(ctx context.Context) error {
 	client := b.configuration()
 	held := ""
-	pause(ctx, rand.N(pollEvery))
+	sleep.For(ctx, rand.N(pollEvery))
 	for ctx.Err() == nil {
 		if fetched, err := client.Fetch(ctx, held, 0); err == nil && fetched != nil {
 			held = fetched.ETag
@@ -112,7 +113,7 @@
 				b.apply(document, fetched.Revision)
 			}
 		}
-		pause(ctx, pollEvery)
+		sleep.For(ctx, pollEvery)
 	}
 	return nil
 }
@@ -245,7 +246,7 @@
 		return sum
 	}
 	idleBytes, idleBegan := bytes(), time.Now()
-	pause(ctx, idleSpan)
+	sleep.For(ctx, idleSpan)
 	each := 1 / float64(options.Nodes)
 	result.Fields["idle_bytes_per_node_per_second"] = round(float64(bytes()-idleBytes) * each / time.Since(idleBegan).Seconds())
 	before, began := bytes(), time.Now()
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"sliphead/internal/fault"
 	"sliphead/internal/node"
 	"sliphead/internal/settings"
+	"sliphead/internal/sleep"
 	"sliphead/internal/transport"
 	"sliphead/lab/machines"
 	"sliphead/lab/source"
@@ -68,7 +69,7 @@
 			return nil, err
 		}
 		if options.StartRate > 0 {
-			pause(ctx, time.Second/time.Duration(options.StartRate))
+			sleep.For(ctx, time.Second/time.Duration(options.StartRate))
 		}
 	}
 	return f, nil
--- a/lab/fleet/network.go
+++ b/lab/fleet/network.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"sliphead/internal/sleep"
 	"sliphead/internal/transport"
 )
 
@@ -60,7 +61,7 @@
 func (z *zoneNetwork) Dial(ctx context.Context, from, address string) (net.Conn, error) {
 	target := z.network.plan.zoneOf(address)
 	delay := z.network.plan.delay(z.zone, target)
-	if !pause(ctx, 2*delay) {
+	if !sleep.For(ctx, 2*delay) {
 		return nil, ctx.Err()
 	}
 	if z.network.severed(z.zone, target) {
@@ -121,18 +122,3 @@
 	}
 	return int(parsed.Addr().Unmap().As4()[1]) - p.octet
 }
-
-// pause waits and reports whether the wait ended before ctx did.
-func pause(ctx context.Context, duration time.Duration) bool {
-	if duration <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/lab/fleet/run.go
+++ b/lab/fleet/run.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"sliphead/internal/fault"
+	"sliphead/internal/sleep"
 	"sliphead/lab/source"
 )
 
@@ -78,7 +79,7 @@
 	result.Fields["start_source_readers"] = len(counts.Readers)
 	result.Fields["start_source_requests"] = counts.Requests
 	result.Fields["start_kb_per_node"] = int(f.measure().bytes) / f.options.Nodes / 1000
-	pause(ctx, settleTime)
+	sleep.For(ctx, settleTime)
 	return nil
 }
 
@@ -86,7 +87,7 @@
 func (f *Fleet) idle(ctx context.Context, memoryBefore uint64, result *Result) error {
 	held := memory()
 	earlier := f.measure()
-	pause(ctx, idleSpan)
+	sleep.For(ctx, idleSpan)
 	spent := f.measure().since(earlier, f.options.Nodes)
 	result.Fields["idle_bytes_per_node_per_second"] = round(spent.BytesPerSecond)
 	result.Fields["idle_messages_per_node_per_second"] = round(spent.MessagesPerSecond)
@@ -115,7 +116,7 @@
 			return err
 		}
 		delays = append(delays, f.recorder.delays(revision, since)...)
-		pause(ctx, changeSpacing)
+		sleep.For(ctx, changeSpacing)
 	}
 	later := f.measure()
 	spent := later.since(earlier, f.options.Nodes)
@@ -141,7 +142,7 @@
 		if err := f.startNode(ctx, victim); err != nil {
 			return err
 		}
-		pause(ctx, churnSpacing)
+		sleep.For(ctx, churnSpacing)
 	}
 	spent := f.measure().since(earlier, f.options.Nodes)
 	result.Fields["churn_restarts_per_second"] = round(1 / churnSpacing.Seconds())
@@ -159,7 +160,7 @@
 	if err != nil {
 		return err
 	}
-	pause(ctx, cutSpan)
+	sleep.For(ctx, cutSpan)
 	f.network.cut.Store(noZone)
 	healed := time.Now()
 	if err := f.awaitAgreement(ctx, revision, agreementBound); err != nil {
@@ -215,7 +216,7 @@
 	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	for !holds() {
-		if !pause(ctx, pollInterval) {
+		if !sleep.For(ctx, pollInterval) {
 			return fault.New(fault.Internal, "find the cause in the figures before", "%s did not come within %s: %s", what, bound, f.lag())
 		}
 	}
--- a/lab/link/stream.go
+++ b/lab/link/stream.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"sliphead/internal/sleep"
 )
 
 const (
@@ -204,21 +206,6 @@
 				return false
 			}
 		}
-		return sleepUntil(ctx, arrived.Add(conditions.Delay))
-	}
-}
-
-func sleepUntil(ctx context.Context, moment time.Time) bool {
-	wait := time.Until(moment)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
+		return sleep.For(ctx, time.Until(arrived.Add(conditions.Delay)))
 	}
 }
--- a/lab/worker/run.go
+++ b/lab/worker/run.go
@@ -14,6 +14,7 @@
 
 	"sliphead/internal/fault"
 	"sliphead/internal/outcome"
+	"sliphead/internal/sleep"
 	"sliphead/lab/echo"
 )
 
@@ -141,14 +142,7 @@
 	if misbehaviour == FaultSlow {
 		duration *= slowFactor
 	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleep.For(ctx, duration)
 }
 
 func (w *Worker) answerBody(request *http.Request, bodyBytes int64, bodyDigest, nested string) []byte {
