Give the wait for a link's next batch a function of its own

Cause: link.write held a loop in a loop, the longest function in internal/. Ruled out: splitting the others. Run: go vet; go test ./internal/transport ./internal/control ./internal/control/simulation passed.

--- a/internal/control/confirm.go
+++ b/internal/control/confirm.go
@@ -12,7 +12,7 @@
 const confirmRetry = 4 * time.Second
 
 // confirmation is what a node that was paused waits for before it serves: the
-// word of one peer, sent after the pause, that its endpoint states and version
+// report of one peer, sent after the pause, that its endpoint states and version
 // are not behind. What was queued during the pause proves nothing.
 type confirmation struct {
 	pending  bool
--- a/internal/transport/link.go
+++ b/internal/transport/link.go
@@ -223,20 +223,29 @@
 		if first {
 			l.transport.limiter.settled("transport.unreachable", l.address)
 		}
-		batch = l.take()
-		for len(batch) == 0 {
-			idle.Reset(limits.IdleTimeout)
-			select {
-			case <-l.wake:
-			case <-idle.C:
-				return nil
-			case err := <-ended:
-				ended <- err
-				return err
-			case <-ctx.Done():
-				return ctx.Err()
-			}
-			batch = l.take()
+		if batch, err = l.next(ctx, idle, ended); len(batch) == 0 {
+			return err
+		}
+	}
+}
+
+// next waits for queued messages. It returns none, and no error, once the link
+// has been idle for its timeout.
+func (l *link) next(ctx context.Context, idle *time.Timer, ended chan error) ([][]byte, error) {
+	for {
+		if batch := l.take(); len(batch) > 0 {
+			return batch, nil
+		}
+		idle.Reset(l.transport.config.Limits.IdleTimeout)
+		select {
+		case <-l.wake:
+		case <-idle.C:
+			return nil, nil
+		case err := <-ended:
+			ended <- err
+			return nil, err
+		case <-ctx.Done():
+			return nil, ctx.Err()
 		}
 	}
 }
