Leave when reader duty begins to distribution alone

Cause: the wait before a started node's duty stood twice: 1 or 2 s in control, and until the catch-up has ended in distribution, which is never shorter. Shown: TestMassStartReadsTheSourceFromFewNodes and the fleet simulation pass without it (internal/control/simulation, 3.6 s).

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -37,8 +37,7 @@
 	Configure(configuration claim.Configure)
 }
 
-// Config is what a loop is made of. All fields are required but OnReady and
-// OnReader.
+// Config is what a loop is made of. All fields are required but OnReader.
 type Config struct {
 	Membership   membership.Config
 	Distribution distribution.Config
@@ -69,8 +68,7 @@
 	listed       []membership.ListedMachine    // the platform's list
 	encoded      encodedPush
 	peerVersions map[string]version.Version // by live member, as it last said
-	duty         duty
-	lastSeen     time.Time // when the loop last handled anything
+	lastSeen     time.Time                  // when the loop last handled anything
 	confirmation confirmation
 	caughtUp     bool // by distribution
 	fresh        bool // whether the node may serve
@@ -91,7 +89,6 @@
 		clock:        newClockOffset(),
 		peerVersions: make(map[string]version.Version),
 		inputs:       make(chan any, inputQueue),
-		duty:         duty{started: now},
 		lastSeen:     now,
 
 		membersChanged: true, // from none to this node
--- a/internal/control/handle.go
+++ b/internal/control/handle.go
@@ -18,7 +18,6 @@
 		l.stepMembership(membership.Tick{}, now)
 		l.stepDistribution(distribution.Tick{}, now)
 		l.confirmInTime(now)
-		l.passDuty(now)
 		l.reportClock(now)
 	case transport.Received:
 		l.route(event.Envelope, now)
@@ -145,7 +144,7 @@
 		case distribution.Activate:
 			l.activate(effect, now)
 		case distribution.Duty:
-			l.dutyChanged(effect.Reader, now)
+			l.dutyChanged(effect.Reader)
 		case distribution.DigestsChanged:
 			l.stepMembership(membership.SetDigests{Active: effect.Active, Staged: effect.Staged}, now)
 		case distribution.Fresh:
@@ -215,3 +214,12 @@
 	}
 	logging.Event(l.config.Logger, event.Name, fields)
 }
+
+// dutyChanged passes the duty to read the source on. When it begins and ends is
+// distribution's to decide.
+func (l *Loop) dutyChanged(reader bool) {
+	logging.Event(l.config.Logger, "duty.changed", logging.Fields{"reader": reader})
+	if l.config.OnReader != nil {
+		l.config.OnReader(reader)
+	}
+}
