Decide a claim within half a second

Cause: where a node may coordinate but most of its group is still recovering, a keyed request waits out the bound of 2 s at each endpoint tried, and its caller gives up after 3 s. Ruled out: refusing when patience ends after prepares were sent: replicas that answer late may still have granted. Change: DefaultMaxClaim 500 ms (2 s before): ten asks, against a round trip of some 6 ms between regions.

--- a/internal/claim/config.go
+++ b/internal/claim/config.go
@@ -10,7 +10,7 @@
 // Default values of Config.
 const (
 	DefaultKeyLife      = 10 * time.Minute
-	DefaultMaxClaim     = 2 * time.Second
+	DefaultMaxClaim     = 500 * time.Millisecond
 	DefaultClockSkew    = 10 * time.Second
 	DefaultRetry        = 50 * time.Millisecond
 	DefaultGroupSize    = 5
