--- a/cmd/sliphead/main.go
+++ b/cmd/sliphead/main.go
@@ -14,6 +14,7 @@
 	"sliphead/internal/command/node"
 	"sliphead/internal/command/plan"
 	"sliphead/internal/command/status"
+	"sliphead/platform"
 )
 
 // grammar is the command line.
@@ -30,6 +31,8 @@
 	parsed := kong.Parse(&grammar{},
 		kong.Name("sliphead"),
 		kong.Description("Distributes configuration to the proxies of a service mesh and carries their requests."),
+		kong.Vars{"settings_variable": platform.SettingsVariable},
+		kong.Bind(platform.Adapter()),
 		kong.BindTo(os.Stdout, (*io.Writer)(nil)))
 	parsed.FatalIfErrorf(parsed.Run())
 }
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,80 @@
+// Package catalog holds what a node knows of the mesh when a linearizable
+// store serves it: the configuration in force and the worker instances, each
+// with the store revision of its last change. It is pure and knows neither
+// the store's format nor any transport.
+package catalog
+
+import (
+	"time"
+)
+
+// Configuration is one version of the operator's routes, whole.
+type Configuration struct {
+	Version  uint64             `json:"version"` // rises with each change, by uneven steps
+	Routes   []Route            `json:"routes"`
+	Services map[string]Service `json:"services"`
+	Limits   Limits             `json:"limits"`
+}
+
+// Route sends the requests of one host below one path prefix to services.
+type Route struct {
+	Name        string           `json:"name"`
+	Host        string           `json:"host"`
+	PathPrefix  string           `json:"pathPrefix"`            // begins and ends with a slash; the longest match wins
+	Targets     []WeightedTarget `json:"targets"`               // at least one
+	Repeatable  bool             `json:"repeatable,omitempty"`  // whether a request may run more than once
+	Upload      bool             `json:"upload,omitempty"`      // whether bodies are large
+	Priority    int              `json:"priority"`              // 0 is served first
+	MaxAttempts int              `json:"maxAttempts,omitempty"` // workers that one request may be sent to; 0: one
+	Timeout     time.Duration    `json:"timeout"`               // the longest that a request is held
+	Target      time.Duration    `json:"target"`                // the latency objective; 0: none
+}
+
+// WeightedTarget is a service that takes a share of a route's requests.
+type WeightedTarget struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
+}
+
+// Service holds the bounds that the operator sets for a service's workers.
+type Service struct {
+	MaxConnections int `json:"maxConnections,omitempty"` // open connections to one worker at most; 0: the default
+}
+
+// Limits bound what callers may send and how long they may take. Zero fields
+// leave the settings' limits in force.
+type Limits struct {
+	MaxHeaderBytes int           `json:"maxHeaderBytes,omitempty"`
+	MaxBodyBytes   int64         `json:"maxBodyBytes,omitempty"`
+	HeaderTimeout  time.Duration `json:"headerTimeout,omitempty"`
+	IdleTimeout    time.Duration `json:"idleTimeout,omitempty"`
+}
+
+// Instance is one start of one worker, as it was recorded in the store.
+type Instance struct {
+	ID            string        `json:"id"` // never used again
+	Service       string        `json:"service"`
+	Address       string        `json:"address"` // host:port, reached only from its own machine
+	Zone          string        `json:"zone"`
+	Capacity      int           `json:"capacity"`      // requests run at once
+	Draining      bool          `json:"draining"`      // takes no new requests
+	ColdRemaining time.Duration `json:"coldRemaining"` // how long it stays slow after its start, when it was written
+}
+
+// Change is one change of the store. Exactly one of Configuration, Instance
+// and Removed is set.
+type Change struct {
+	Revision      uint64         `json:"revision"`
+	Configuration *Configuration `json:"configuration,omitempty"`
+	Instance      *Instance      `json:"instance,omitempty"`
+	Removed       string         `json:"removed,omitempty"` // id of an instance whose record is gone
+}
+
+// Batch leads from one revision of the store to another. A whole batch states
+// everything that there is; others hold the changes after From.
+type Batch struct {
+	From    uint64   `json:"from"`
+	To      uint64   `json:"to"`
+	Whole   bool     `json:"whole,omitempty"`
+	Changes []Change `json:"changes,omitempty"`
+}
--- a/internal/command/node/node.go
+++ b/internal/command/node/node.go
@@ -19,9 +19,10 @@
 )
 
 // Command runs a node until it is told to stop. The first SIGTERM or SIGINT
-// begins a planned stop, the second ends the process at once.
+// begins a planned stop, the second ends the process at once. SIGHUP reads the
+// settings again.
 type Command struct {
-	Settings      string `required:"" type:"path" help:"The settings file (YAML)."`
+	Settings      string `required:"" type:"path" env:"${settings_variable}" help:"The settings file (YAML)."`
 	PrintSettings bool   `help:"Print the settings in force, with defaults, and exit."`
 	LogLevel      string `default:"info" enum:"debug,info,warn,error" help:"The least level that is logged."`
 
@@ -34,8 +35,15 @@
 	Admin    string `help:"Override listen.admin (IP:port)."`
 }
 
+// process is a running node, of either kind.
+type process interface {
+	Run(ctx context.Context) error
+	Stop()
+	InFlight() int
+}
+
 // Run implements the command.
-func (c *Command) Run(output io.Writer) error {
+func (c *Command) Run(output io.Writer, adapter systemnode.Adapter) error {
 	configured, err := settings.Load(c.Settings, c.override)
 	if err != nil {
 		return err
@@ -44,19 +52,29 @@
 		return configured.Print(output)
 	}
 	logger := logging.New(os.Stderr, log.MustParseLevel(c.LogLevel))
-	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	running, err := systemnode.New(configured, systemnode.Options{Logger: logger, Registry: registry, History: -1})
+	running, err := assemble(configured, adapter, logger)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	stopHandling := handleSignals(running, cancel, logger)
+	stopHandling := c.handleSignals(running, cancel, logger)
 	defer stopHandling()
 	return running.Run(ctx)
 }
 
+// assemble makes the kind of node that the settings ask for: one that a store
+// serves, or one with declarations and peers of its own.
+func assemble(configured *settings.Settings, adapter systemnode.Adapter, logger log.Interface) (process, error) {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	options := systemnode.Options{Logger: logger, Registry: registry, History: -1}
+	if configured.Source.Store != "" {
+		return systemnode.NewCatalog(configured, adapter, options)
+	}
+	return systemnode.New(configured, options)
+}
+
 // override applies the flags to the settings.
 func (c *Command) override(configured *settings.Settings) {
 	for target, value := range map[*string]string{
@@ -74,25 +92,41 @@
 	}
 }
 
-// handleSignals turns the first signal into a planned stop and the second into
-// an immediate one. It returns a function that ends the handling.
-func handleSignals(running *systemnode.Node, cancel context.CancelFunc, logger log.Interface) func() {
+// handleSignals turns the first SIGTERM or SIGINT into a planned stop and the
+// second into an immediate one, and SIGHUP into a reload. It returns a function
+// that ends the handling.
+func (c *Command) handleSignals(running process, cancel context.CancelFunc, logger log.Interface) func() {
 	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
-		if _, open := <-signals; !open {
-			return
-		}
-		running.Stop()
-		if _, open := <-signals; !open {
-			return
+		stopping := false
+		for received := range signals {
+			switch {
+			case received == syscall.SIGHUP:
+				c.reload(logger)
+			case !stopping:
+				stopping = true
+				running.Stop()
+			default:
+				logging.Problem(logger, "node.cut", fault.New(fault.Unready, "send one signal only and wait", "a second signal cut the planned stop"),
+					logging.Fields{"in_flight": running.InFlight()})
+				cancel()
+			}
 		}
-		logging.Problem(logger, "node.cut", fault.New(fault.Unready, "send one signal only and wait", "a second signal cut the planned stop"),
-			logging.Fields{"in_flight": running.InFlight()})
-		cancel()
 	}()
 	return func() {
 		signal.Stop(signals)
 		close(signals)
 	}
 }
+
+// reload checks the settings file again. A bad one changes nothing. Settings
+// are taken at the start of a process, so a good one says what a restart would
+// bring.
+func (c *Command) reload(logger log.Interface) {
+	if _, err := settings.Load(c.Settings, c.override); err != nil {
+		logging.Problem(logger, "settings.refused", err, logging.Fields{"file": c.Settings})
+		return
+	}
+	logging.Event(logger, "settings.checked", logging.Fields{"file": c.Settings})
+}
--- /dev/null
+++ b/internal/node/catalog.go
@@ -0,0 +1,244 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sliphead/internal/admin"
+	"sliphead/internal/catalog"
+	"sliphead/internal/fault"
+	"sliphead/internal/logging"
+	"sliphead/internal/replicator"
+	"sliphead/internal/settings"
+	"sliphead/internal/snapshot"
+	"sliphead/internal/traffic"
+)
+
+// Adapter speaks a platform's store, callers and workers for a catalog node.
+type Adapter struct {
+	// OpenStore returns a client of the store at host:port, called from a local
+	// IP address. Problem is told of items that can't be used.
+	OpenStore func(address, local string, problem func(error)) replicator.Store
+	Protocol  traffic.Protocol
+}
+
+// CatalogNode is one process of a mesh that a linearizable store serves:
+// replication in place of membership and distribution, no claims, no probes of
+// the worker.
+type CatalogNode struct {
+	settings   *settings.Settings
+	options    Options
+	holder     *snapshot.Holder
+	replicator *replicator.Replicator
+	inbound    *traffic.Inbound
+	outbound   *traffic.Outbound
+	servers    []*http.Server
+	stopping   chan struct{}
+	stop       func()
+	published  uint64 // version of the configuration in force
+}
+
+// leaseForever is for views that never end by themselves: a catalog's age is
+// watched by replication, and requests go on while the store is away.
+const leaseForever = 50 * 365 * 24 * time.Hour
+
+// NewCatalog assembles a node. It opens no socket.
+func NewCatalog(configured *settings.Settings, adapter Adapter, options Options) (*CatalogNode, error) {
+	n := &CatalogNode{settings: configured, options: options, holder: &snapshot.Holder{}, stopping: make(chan struct{})}
+	n.stop = onceClosed(n.stopping)
+	n.holder.Renew(time.Now().Add(leaseForever))
+	peer, err := netip.ParseAddrPort(configured.Listen.Peer)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Settings, "give listen.peer as IP:port", "read listen.peer")
+	}
+	address, port, _ := net.SplitHostPort(peer.String())
+	n.replicator = replicator.New(replicator.Config{
+		Address:   address,
+		Port:      port,
+		Zone:      configured.Zone,
+		Freshness: configured.Source.Freshness.Duration,
+		Store:     adapter.OpenStore(configured.Source.Store, address, n.itemRefused),
+		Logger:    options.Logger,
+		Changed:   n.publish,
+	})
+	config := n.trafficConfig(adapter.Protocol)
+	n.inbound = traffic.NewInbound(config)
+	n.outbound = traffic.NewOutbound(config)
+	n.outbound.UseLocal(n.inbound)
+	return n, nil
+}
+
+// Bounds of bodies that a catalog node holds whole, in bytes.
+const (
+	wholeBody   = 4 << 20
+	wholeAnswer = 256 << 10
+)
+
+// bodyPatience is how long a worker's node waits for more of a body that it has
+// asked for while a slot is held.
+const bodyPatience = 500 * time.Millisecond
+
+func (n *CatalogNode) trafficConfig(protocol traffic.Protocol) traffic.Config {
+	return traffic.Config{
+		Node:          n.settings.Name,
+		Zone:          n.settings.Zone,
+		Region:        n.settings.Region,
+		Service:       n.settings.Service,
+		Holder:        n.holder,
+		Worker:        n.settings.Worker.Name,
+		WorkerAddress: n.settings.Worker.Address,
+		Protocol:      protocol,
+		BytePrice:     n.settings.Profile.BytePrice(),
+		Registerer:    n.options.Registry,
+		Logger:        n.options.Logger,
+		Dial:          dialFrom(n.settings.Listen.Peer),
+		Seen:          n.replicator.Seen,
+		Limits: traffic.Limits{
+			SmallBody:      wholeBody,
+			SmallAnswer:    wholeAnswer,
+			RetryRatio:     n.settings.Retry.Ratio,
+			RetrySlack:     n.settings.Retry.Slack,
+			HeaderTimeout:  n.settings.Limits.HeaderTimeout.Duration,
+			IdleTimeout:    n.settings.Limits.IdleTimeout.Duration,
+			BodyTimeout:    bodyPatience,
+			ConnectTimeout: connectPatience,
+			MaxHeaderBytes: n.settings.Limits.MaxHeaderBytes,
+			QueueLength:    n.settings.Limits.QueueLength,
+		},
+	}
+}
+
+// connectPatience bounds opening a connection, so that time is left for another
+// node.
+const connectPatience = 250 * time.Millisecond
+
+// publish puts what the catalog says in force.
+func (n *CatalogNode) publish(state *catalog.State) {
+	_, port, _ := net.SplitHostPort(n.settings.Listen.Inbound)
+	view := snapshot.FromCatalog(state, snapshot.CatalogInput{
+		At:            time.Now(),
+		WorkerAddress: n.settings.Worker.Address,
+		InboundPort:   port,
+		Regions:       n.settings.Regions,
+	})
+	if view == nil {
+		return
+	}
+	before, _ := n.holder.Current(time.Now())
+	n.holder.Store(view)
+	n.logPublished(before, view, state.Revision())
+}
+
+// logPublished tells of a new version and of a change of the local worker.
+func (n *CatalogNode) logPublished(before, view *snapshot.View, revision uint64) {
+	if before == nil || before.Version != view.Version {
+		logging.Event(n.options.Logger, "version.activated", logging.Fields{"version": view.Version.Revision, "revision": revision, "routes": len(view.Routes)})
+	}
+	if before == nil || before.Local != view.Local {
+		logging.Event(n.options.Logger, "worker.recorded", logging.Fields{
+			"instance": view.Local.Instance, "service": view.Local.Service, "draining": view.Local.Draining, "slots": view.Local.Slots, "revision": revision,
+		})
+	}
+}
+
+// itemRefused tells of an item of the store that can't be used: the last good
+// one serves on.
+func (n *CatalogNode) itemRefused(err error) {
+	logging.Problem(n.options.Logger, "version.refused", err, nil)
+}
+
+// Run serves until ctx ends or a planned stop has finished.
+func (n *CatalogNode) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	logging.Event(n.options.Logger, "node.started", logging.Fields{"node": n.settings.Name, "zone": n.settings.Zone, "service": n.settings.Service})
+	group.Go(func() error { return n.replicator.Run(ctx) })
+	limits := n.trafficConfig(traffic.Protocol{}).Limits
+	n.serve(ctx, group, n.settings.Listen.Outbound, traffic.NewServer(n.outbound, limits))
+	n.serve(ctx, group, n.settings.Listen.Inbound, traffic.NewServer(n.inbound, limits))
+	n.serve(ctx, group, n.settings.Listen.Admin, &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: limits.HeaderTimeout})
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-n.stopping:
+			n.drain(ctx)
+			cancel()
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+// serve runs one listener until ctx ends.
+func (n *CatalogNode) serve(ctx context.Context, group *errgroup.Group, address string, server *http.Server) {
+	n.servers = append(n.servers, server)
+	group.Go(func() error { return serveUntil(ctx, address, server, traffic.NewListener) })
+}
+
+func (n *CatalogNode) adminHandler() http.Handler {
+	return admin.Handler(admin.Config{
+		Ready:    n.ready,
+		Status:   func() any { return n.Status(context.Background()) },
+		Drain:    n.Stop,
+		Registry: n.options.Registry,
+		Logger:   n.options.Logger,
+	})
+}
+
+// CatalogStatus is what a catalog node tells operators.
+type CatalogStatus struct {
+	Node        string            `json:"node"`
+	Zone        string            `json:"zone"`
+	Service     string            `json:"service"`
+	Ready       bool              `json:"ready"`
+	Reason      string            `json:"reason,omitempty"`
+	Replication replicator.Status `json:"replication"`
+	Slots       int               `json:"slotsInUse"`
+	Queued      int               `json:"queued"`
+	InFlight    int               `json:"inFlight"`
+	Off         []string          `json:"off"` // parts that the store makes needless
+}
+
+// partsOff are the parts of a node that a catalog node does without.
+func partsOff() []string {
+	return []string{"membership", "staging", "claims", "probes", "schedules", "peer encryption"}
+}
+
+// Status tells the state of now.
+func (n *CatalogNode) Status(ctx context.Context) CatalogStatus {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	ready, reason := n.ready()
+	return CatalogStatus{
+		Node: n.settings.Name, Zone: n.settings.Zone, Service: n.settings.Service,
+		Ready: ready, Reason: reason,
+		Replication: n.replicator.Status(ctx),
+		Slots:       n.inbound.Busy(), Queued: n.inbound.Queued(), InFlight: n.InFlight(),
+		Off: partsOff(),
+	}
+}
+
+// ready tells whether the node serves, and why not.
+func (n *CatalogNode) ready() (bool, string) {
+	select {
+	case <-n.stopping:
+		return false, "a planned stop is under way"
+	default:
+	}
+	if view, _ := n.holder.Current(time.Now()); view == nil {
+		return false, "no configuration is known yet: neither the store nor a peer has answered"
+	}
+	return true, ""
+}
+
+// InFlight counts the requests that run now.
+func (n *CatalogNode) InFlight() int { return n.inbound.InFlight() + n.outbound.InFlight() }
+
+// Stop begins a planned stop and returns at once.
+func (n *CatalogNode) Stop() { n.stop() }
--- /dev/null
+++ b/internal/node/catalog_stop.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sliphead/internal/logging"
+)
+
+// The phases of a planned stop, as parts of the time allowed. Callers look at
+// the readiness once a second and send on until they have seen it gone twice.
+const (
+	workerPhase = 0.3  // the local worker takes requests of other nodes for so long
+	callerPhase = 0.5  // callers are served for so long at least
+	lastPhase   = 0.92 // then the process ends whatever still runs
+)
+
+// quietFor is how long nothing may have run before the process ends.
+const quietFor = 300 * time.Millisecond
+
+// stopPoll is how often a stopping node looks whether it has ended.
+const stopPoll = 50 * time.Millisecond
+
+// drain carries out a planned stop: not ready at once; then no work for the
+// local worker; then, once callers have turned away and nothing runs, the end.
+func (n *CatalogNode) drain(ctx context.Context) {
+	began := time.Now()
+	logging.Event(n.options.Logger, "node.draining", logging.Fields{"in_flight": n.InFlight()})
+	for _, server := range n.servers {
+		server.SetKeepAlivesEnabled(false)
+	}
+	quietSince := began
+	for ctx.Err() == nil {
+		time.Sleep(stopPoll)
+		now := time.Now()
+		passed := now.Sub(began)
+		if n.InFlight() > 0 {
+			quietSince = now
+		}
+		if passed > n.stopPart(workerPhase) {
+			n.inbound.Drain()
+		}
+		ended := passed > n.stopPart(callerPhase) && now.Sub(quietSince) > quietFor
+		if ended || passed > n.stopPart(lastPhase) {
+			break
+		}
+	}
+	n.outbound.Drain()
+	logging.Event(n.options.Logger, "node.drained", logging.Fields{"took_ms": time.Since(began).Milliseconds(), "cut": n.InFlight()})
+}
+
+func (n *CatalogNode) stopPart(part float64) time.Duration {
+	return time.Duration(part * float64(n.settings.Drain.Timeout.Duration))
+}
+
+// onceClosed returns a function that closes a channel the first time.
+func onceClosed(channel chan struct{}) func() {
+	return sync.OnceFunc(func() { close(channel) })
+}
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -178,18 +178,21 @@
 // serve runs one listener, wrapped. What is still open when ctx ends is cut: a
 // planned stop has waited for it before.
 func (r *requests) serve(ctx context.Context, group *errgroup.Group, address string, server *http.Server, wrap func(net.Listener) net.Listener) {
-	group.Go(func() error {
-		plain, err := net.Listen("tcp", address)
-		if err != nil {
-			return fault.Wrap(err, fault.Settings, "free the address or change listen in the settings", "listen on %s", address)
-		}
-		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-		defer stop()
-		if err := server.Serve(wrap(plain)); ctx.Err() == nil {
-			return fault.Wrap(err, fault.Internal, "restart the node", "serve on %s", address)
-		}
-		return nil
-	})
+	group.Go(func() error { return serveUntil(ctx, address, server, wrap) })
+}
+
+// serveUntil runs one listener, wrapped, until ctx ends.
+func serveUntil(ctx context.Context, address string, server *http.Server, wrap func(net.Listener) net.Listener) error {
+	plain, err := net.Listen("tcp", address)
+	if err != nil {
+		return fault.Wrap(err, fault.Settings, "free the address or change listen in the settings", "listen on %s", address)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(wrap(plain)); ctx.Err() == nil {
+		return fault.Wrap(err, fault.Internal, "restart the node", "serve on %s", address)
+	}
+	return nil
 }
 
 // adminHandler serves operators.
--- /dev/null
+++ b/internal/replication/event.go
@@ -0,0 +1,93 @@
+package replication
+
+import (
+	"time"
+
+	"sliphead/internal/catalog"
+)
+
+// Event is an input of the machine.
+type Event interface{ event() }
+
+// Tick lets time pass. It is due every 50 to 100 ms.
+type Tick struct{}
+
+// StoreAnswered is the store's answer to the last Ask. Nothing newer was in
+// the store at ConfirmedAt.
+type StoreAnswered struct {
+	Batch       catalog.Batch
+	ConfirmedAt time.Time
+}
+
+// StoreFailed tells that the last Ask brought no answer. HistoryGone says that
+// the store no longer knows the changes that were asked for.
+type StoreFailed struct {
+	Err         error
+	HistoryGone bool
+}
+
+// News is what a followed node said: a batch, and how long ago the store
+// confirmed that nothing was newer.
+type News struct {
+	From  string
+	Batch catalog.Batch
+	Age   time.Duration
+}
+
+// PeerLost tells that the stream from a followed node has ended.
+type PeerLost struct{ Address string }
+
+// PeerSeen tells that another node has spoken to this one.
+type PeerSeen struct{ Address string }
+
+func (Tick) event()          {}
+func (StoreAnswered) event() {}
+func (StoreFailed) event()   {}
+func (News) event()          {}
+func (PeerLost) event()      {}
+func (PeerSeen) event()      {}
+
+// Effect is an output of the machine, carried out by its owner.
+type Effect interface{ effect() }
+
+// Ask puts a question to the store: for everything, or for the changes after a
+// revision, waiting for the first one up to a time. It is answered by
+// StoreAnswered or StoreFailed.
+type Ask struct {
+	Whole bool
+	After uint64
+	Wait  time.Duration
+}
+
+// Follow asks for the stream of another node, in place of the stream before;
+// "" for none.
+type Follow struct{ Address string }
+
+// Changed tells that the state has changed.
+type Changed struct{}
+
+// Log is an event for the log.
+type Log struct {
+	Event    LogEvent
+	Peer     string
+	Revision uint64
+	Duration time.Duration
+	Err      error
+}
+
+// LogEvent names an event of the log.
+type LogEvent string
+
+// The events of the log.
+const (
+	EventPaused        LogEvent = "replication.paused"         // the process stood still
+	EventStoreLost     LogEvent = "replication.store_lost"     // a question to the store failed
+	EventStoreRegained LogEvent = "replication.store_regained" // the store answers again
+	EventPeerLost      LogEvent = "replication.peer_lost"      // a followed node is given up
+	EventFollowing     LogEvent = "replication.following"      // another node is followed
+)
+
+func (Ask) effect()     {}
+func (Follow) effect()  {}
+func (Changed) effect() {}
+func (Log) effect()     {}
--- /dev/null
+++ b/internal/replication/machine.go
@@ -0,0 +1,314 @@
+// Package replication keeps one node's catalog fresh. One node in each zone
+// reads the store and passes on what it learns; the others follow it. Every
+// message carries how long ago its content was confirmed by the store, so each
+// node knows the age of its own knowledge. Whoever's knowledge grows old turns
+// to another node, and then to the store itself: no single reader, link or
+// path to the store has to work.
+//
+// The machine is pure: Step takes an event and the time and returns effects.
+package replication
+
+import (
+	"time"
+
+	"sliphead/internal/catalog"
+)
+
+// Config tunes one node's machine.
+type Config struct {
+	Self      string // IP address of this node
+	Zone      string // of this node
+	Freshness time.Duration
+}
+
+// Shares of Config.Freshness, the age within which a change has to be known.
+const (
+	readWaitShare   = 0.45 // how long a reader's question waits at the store for a change
+	switchShare     = 0.55 // age at which another node is followed
+	readShare       = 0.66 // age at which the store is asked whoever the reader is
+	staggerShare    = 0.01 // by which ranks spread their questions
+	silenceShare    = 0.32 // without a word, after which a followed node is given up
+	distrustShare   = 1.0  // how long a node that was given up is passed over
+	spacingShare    = 0.12 // between an answer that brought changes and the next question
+	firstRetryShare = 0.1
+	mostRetryShare  = 0.5
+)
+
+// perReader is how many nodes of a zone may fall back on the store within one
+// retry interval: in a larger zone, each waits longer.
+const perReader = 20
+
+// Machine is the replication state of one node. It is not safe for use by
+// several goroutines.
+type Machine struct {
+	config    Config
+	state     *catalog.State
+	confirmed time.Time // when the store was last known to have no newer revision
+	last      time.Time // of the step before
+	out       []Effect
+
+	ranked []peer // of this zone and then of others, best first
+	hints  map[string]bool
+
+	asking    bool
+	askedAt   time.Time
+	nextAsk   time.Time
+	failures  int // questions to the store that failed in a row
+	needWhole bool
+
+	following  string // address of the node that is followed, "" for none
+	heard      time.Time
+	distrusted map[string]time.Time // until when a node is passed over
+}
+
+// New returns the machine of a node that knows nothing.
+func New(config Config, now time.Time) *Machine {
+	return &Machine{
+		config:     config,
+		state:      catalog.NewState(),
+		last:       now,
+		hints:      map[string]bool{},
+		distrusted: map[string]time.Time{},
+	}
+}
+
+// State returns what the node knows. It must not be changed.
+func (m *Machine) State() *catalog.State { return m.state }
+
+// Age returns how long ago the store confirmed what is known, false when
+// nothing is known.
+func (m *Machine) Age(now time.Time) (time.Duration, bool) {
+	if m.state.Revision() == 0 {
+		return 0, false
+	}
+	return now.Sub(m.confirmed), true
+}
+
+// Following returns the address of the node that is followed, "" for none.
+func (m *Machine) Following() string { return m.following }
+
+// Reader reports whether this node has the duty to read the store.
+func (m *Machine) Reader(now time.Time) bool { return m.leader(now) == m.config.Self }
+
+// Step takes one event and returns the effects, to be carried out in order.
+func (m *Machine) Step(event Event, now time.Time) []Effect {
+	m.out = nil
+	m.noticePause(now)
+	switch event := event.(type) {
+	case Tick:
+	case StoreAnswered:
+		m.onAnswer(event, now)
+	case StoreFailed:
+		m.onFailure(event, now)
+	case News:
+		m.onNews(event, now)
+	case PeerLost:
+		m.onLost(event.Address, now)
+	case PeerSeen:
+		m.onSeen(event.Address)
+	}
+	m.follow(now)
+	m.ask(now)
+	return m.out
+}
+
+// noticePause forgets what the clock's gap makes doubtful: after a pause no
+// peer is known to be silent, and the store is asked at once.
+func (m *Machine) noticePause(now time.Time) {
+	gap := now.Sub(m.last)
+	m.last = now
+	if gap < m.share(silenceShare) {
+		return
+	}
+	m.heard = now
+	m.nextAsk = now
+	m.distrusted = map[string]time.Time{}
+	m.emit(Log{Event: EventPaused, Duration: gap})
+}
+
+func (m *Machine) onAnswer(event StoreAnswered, now time.Time) {
+	m.asking = false
+	if m.failures > 0 {
+		m.emit(Log{Event: EventStoreRegained, Revision: event.Batch.To})
+	}
+	m.failures = 0
+	m.nextAsk = now
+	if len(event.Batch.Changes) > 0 {
+		m.nextAsk = now.Add(m.share(spacingShare))
+	}
+	if event.Batch.Whole {
+		m.needWhole = false
+	}
+	m.join(event.Batch, event.ConfirmedAt)
+}
+
+// join takes a batch in and tells what it brought.
+func (m *Machine) join(batch catalog.Batch, confirmedAt time.Time) bool {
+	usable, changed := m.state.Join(batch)
+	if !usable {
+		m.needWhole = true
+		return false
+	}
+	if batch.To >= m.state.Revision() && confirmedAt.After(m.confirmed) {
+		m.confirmed = confirmedAt
+	}
+	if changed {
+		m.rank()
+		m.emit(Changed{})
+	}
+	return true
+}
+
+func (m *Machine) onFailure(event StoreFailed, now time.Time) {
+	m.asking = false
+	if event.HistoryGone {
+		m.needWhole = true
+		m.nextAsk = now
+		return
+	}
+	if m.failures == 0 {
+		m.emit(Log{Event: EventStoreLost, Err: event.Err})
+	}
+	m.nextAsk = now.Add(m.retryWait())
+	m.failures++
+}
+
+// retryWait grows with the failures in a row and with the size of the zone, so
+// that a fleet without a store does not flood it.
+func (m *Machine) retryWait() time.Duration {
+	wait := m.share(firstRetryShare) << min(m.failures, 4)
+	wait = min(wait, m.share(mostRetryShare))
+	return wait * time.Duration(1+m.zoneSize()/perReader)
+}
+
+func (m *Machine) onNews(event News, now time.Time) {
+	if event.From != m.following {
+		return
+	}
+	m.heard = now
+	if event.Batch.To == 0 {
+		return
+	}
+	if !m.join(event.Batch, now.Add(-event.Age)) {
+		m.emit(Follow{Address: m.following})
+	}
+}
+
+func (m *Machine) onLost(address string, now time.Time) {
+	if address == m.following {
+		m.distrust(address, now)
+	}
+}
+
+// onSeen notes a node that spoke to this one. While nothing is known, it can be
+// asked.
+func (m *Machine) onSeen(address string) {
+	if m.state.Revision() == 0 && address != m.config.Self {
+		m.hints[address] = true
+		m.rank()
+	}
+}
+
+func (m *Machine) distrust(address string, now time.Time) {
+	m.distrusted[address] = now.Add(m.share(distrustShare))
+	m.emit(Log{Event: EventPeerLost, Peer: address})
+}
+
+func (m *Machine) trusts(address string, now time.Time) bool {
+	return !now.Before(m.distrusted[address])
+}
+
+// leader returns the node that has the duty to read the store in this zone, as
+// far as this node can tell. A node whose own questions fail does not hold
+// itself for it.
+func (m *Machine) leader(now time.Time) string {
+	for _, candidate := range m.ranked {
+		if candidate.zone != m.config.Zone {
+			break
+		}
+		if candidate.address == m.config.Self && m.failures > 0 {
+			continue
+		}
+		if candidate.address == m.config.Self || m.trusts(candidate.address, now) {
+			return candidate.address
+		}
+	}
+	return m.config.Self
+}
+
+// follow chooses whom to follow: nobody while this node reads the store
+// itself, else the first by rank that is trusted.
+func (m *Machine) follow(now time.Time) {
+	m.giveUpSilent(now)
+	wanted := m.wanted(now)
+	if wanted == m.following {
+		return
+	}
+	m.following = wanted
+	m.heard = now
+	m.emit(Follow{Address: wanted})
+	m.emit(Log{Event: EventFollowing, Peer: wanted})
+}
+
+// giveUpSilent distrusts the followed node when it says nothing, or nothing
+// that is fresh.
+func (m *Machine) giveUpSilent(now time.Time) {
+	if m.following == "" || !m.trusts(m.following, now) {
+		return
+	}
+	since := now.Sub(m.heard)
+	age, known := m.Age(now)
+	silent := since > m.share(silenceShare)
+	stale := known && age > m.share(switchShare) && m.anotherTrusted(now)
+	if silent || stale {
+		m.distrust(m.following, now)
+	}
+}
+
+func (m *Machine) anotherTrusted(now time.Time) bool {
+	for _, candidate := range m.ranked {
+		if candidate.address != m.following && candidate.address != m.config.Self && m.trusts(candidate.address, now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) wanted(now time.Time) string {
+	if m.failures == 0 && m.state.Revision() > 0 && m.leader(now) == m.config.Self {
+		return ""
+	}
+	for _, candidate := range m.ranked {
+		if candidate.address != m.config.Self && m.trusts(candidate.address, now) {
+			return candidate.address
+		}
+	}
+	return ""
+}
+
+// ask puts a question to the store when this node has the duty, knows nothing,
+// or has old knowledge.
+func (m *Machine) ask(now time.Time) {
+	if m.asking || now.Before(m.nextAsk) {
+		return
+	}
+	reader := m.leader(now) == m.config.Self
+	age, known := m.Age(now)
+	old := known && age > m.share(readShare)+time.Duration(m.ownRank())*m.share(staggerShare)
+	if known && !reader && !old && !m.needWhole {
+		return
+	}
+	question := Ask{Whole: !known || m.needWhole, After: m.state.Revision()}
+	if reader && m.failures == 0 {
+		question.Wait = m.share(readWaitShare)
+	}
+	m.asking = true
+	m.askedAt = now
+	m.emit(question)
+}
+
+func (m *Machine) share(part float64) time.Duration {
+	return time.Duration(part * float64(m.config.Freshness))
+}
+
+func (m *Machine) emit(effect Effect) { m.out = append(m.out, effect) }
--- /dev/null
+++ b/internal/replication/rank.go
@@ -0,0 +1,71 @@
+package replication
+
+import (
+	"cmp"
+	"net"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// peer is a node that may be followed.
+type peer struct {
+	address string // IP address
+	zone    string
+	weight  uint64 // by rendezvous hashing: the highest reads the store
+}
+
+// rank orders the nodes that the catalog names, those of this zone first. Each
+// node of a zone comes to the same order.
+func (m *Machine) rank() {
+	zones := map[string]string{m.config.Self: m.config.Zone}
+	for _, instance := range m.state.Instances() {
+		if host, _, err := net.SplitHostPort(instance.Address); err == nil {
+			zones[host] = instance.Zone
+		}
+	}
+	for address := range m.hints {
+		if _, known := zones[address]; !known && m.state.Revision() == 0 {
+			zones[address] = ""
+		}
+	}
+	m.ranked = m.ranked[:0]
+	for address, zone := range zones {
+		m.ranked = append(m.ranked, peer{address: address, zone: zone, weight: xxhash.Sum64String(address)})
+	}
+	slices.SortFunc(m.ranked, m.compare)
+}
+
+func (m *Machine) compare(a, b peer) int {
+	return cmp.Or(
+		cmp.Compare(m.distance(a), m.distance(b)),
+		cmp.Compare(b.weight, a.weight),
+		cmp.Compare(a.address, b.address),
+	)
+}
+
+func (m *Machine) distance(of peer) int {
+	if of.zone == m.config.Zone {
+		return 0
+	}
+	return 1
+}
+
+// ownRank is this node's place among the nodes of its zone, from 0.
+func (m *Machine) ownRank() int {
+	for index, candidate := range m.ranked {
+		if candidate.address == m.config.Self {
+			return index
+		}
+	}
+	return 0
+}
+
+// zoneSize is the number of nodes in this zone, as far as known.
+func (m *Machine) zoneSize() int {
+	count := 0
+	for _, candidate := range m.ranked {
+		count += 1 - m.distance(candidate)
+	}
+	return count
+}
--- /dev/null
+++ b/internal/replicator/link.go
@@ -0,0 +1,217 @@
+package replicator
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"sliphead/internal/catalog"
+)
+
+// hello opens a stream: the follower tells what it holds.
+type hello struct {
+	Revision uint64 `json:"revision"`
+}
+
+// news is one line of a stream.
+type news struct {
+	Batch catalog.Batch `json:"batch"`
+	Age   time.Duration `json:"age"` // since the store confirmed that nothing was newer, in nanoseconds
+}
+
+// Bounds of streams.
+const (
+	maxHello      = 4 << 10
+	helloTimeout  = 2 * time.Second
+	writeTimeout  = 2 * time.Second
+	followerQueue = 16 // lines that wait for one follower; beyond, its stream ends
+	maxFollowers  = 256
+)
+
+// follower is a node that this one passes news on to.
+type follower struct {
+	conn    net.Conn
+	lines   chan []byte
+	sent    uint64 // revision up to which it was told
+	dropped bool
+}
+
+type followerLost struct{ follower *follower }
+
+// encodedNews is the last line, shared by all followers that hold the same.
+type encodedNews struct {
+	from, to uint64
+	line     []byte
+}
+
+// accept takes followers in until ctx ends.
+func (r *Replicator) accept(ctx context.Context, listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			time.Sleep(r.share(tickShare)) // out of descriptors, most likely
+			continue
+		}
+		go r.greet(ctx, conn)
+	}
+}
+
+// greet reads a follower's first line, then writes to it until it is lost.
+func (r *Replicator) greet(ctx context.Context, conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
+	reader := bufio.NewReaderSize(conn, maxHello)
+	line, err := reader.ReadSlice('\n')
+	var said hello
+	if err != nil || json.Unmarshal(line, &said) != nil {
+		return
+	}
+	_ = conn.SetReadDeadline(time.Time{})
+	mine := &follower{conn: conn, lines: make(chan []byte, followerQueue), sent: said.Revision}
+	r.submit(ctx, mine)
+	go r.watchEnd(ctx, mine, reader)
+	for line := range mine.lines {
+		_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := conn.Write(line); err != nil {
+			break
+		}
+	}
+	r.submit(ctx, followerLost{mine})
+}
+
+// watchEnd notices that a follower has closed its stream.
+func (r *Replicator) watchEnd(ctx context.Context, mine *follower, reader *bufio.Reader) {
+	_, _ = reader.ReadByte()
+	r.submit(ctx, followerLost{mine})
+}
+
+// admit takes a follower in and tells it at once what it lacks.
+func (r *Replicator) admit(mine *follower) {
+	if len(r.followers) >= maxFollowers {
+		close(mine.lines)
+		return
+	}
+	r.followers[mine] = struct{}{}
+	r.tell(mine)
+}
+
+// drop ends a follower's stream.
+func (r *Replicator) drop(mine *follower) {
+	delete(r.followers, mine)
+	if !mine.dropped {
+		mine.dropped = true
+		close(mine.lines)
+	}
+}
+
+func (r *Replicator) closeAll() {
+	for mine := range r.followers {
+		r.drop(mine)
+		_ = mine.conn.Close()
+	}
+	if r.stream != nil {
+		r.stream.cancel()
+	}
+}
+
+// beatIfDue tells followers how old this node's knowledge is.
+func (r *Replicator) beatIfDue() {
+	if time.Since(r.beat) >= r.share(beatShare) {
+		r.tellFollowers()
+	}
+}
+
+func (r *Replicator) tellFollowers() {
+	r.beat = time.Now()
+	r.encoded = encodedNews{}
+	for mine := range r.followers {
+		r.tell(mine)
+	}
+}
+
+// tell sends a follower what it lacks and the age of it. One that does not
+// take what it is sent is dropped: it will come back and say what it holds.
+func (r *Replicator) tell(mine *follower) {
+	state := r.machine.State()
+	if r.encoded.line == nil || r.encoded.from != mine.sent || r.encoded.to != state.Revision() {
+		age, _ := r.machine.Age(time.Now())
+		line, err := json.Marshal(news{Batch: state.Since(mine.sent), Age: age})
+		if err != nil {
+			return
+		}
+		r.encoded = encodedNews{from: mine.sent, to: state.Revision(), line: append(line, '\n')}
+	}
+	select {
+	case mine.lines <- r.encoded.line:
+		mine.sent = state.Revision()
+	default:
+		_ = mine.conn.Close()
+		r.drop(mine)
+	}
+}
+
+// stream is the node that is followed.
+type stream struct {
+	address string
+	cancel  context.CancelFunc
+}
+
+// streamMessage is what a stream brought, or that it is lost.
+type streamMessage struct {
+	stream *stream
+	news   news
+	lost   bool
+}
+
+// follow ends the stream before and opens the next, "" for none.
+func (r *Replicator) follow(ctx context.Context, address string) {
+	if r.stream != nil {
+		r.stream.cancel()
+		r.stream = nil
+	}
+	if address == "" {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	next := &stream{address: address, cancel: cancel}
+	r.stream = next
+	go r.consume(ctx, next, r.machine.State().Revision())
+}
+
+// consume reads one stream to its end.
+func (r *Replicator) consume(ctx context.Context, from *stream, held uint64) {
+	if err := r.readStream(ctx, from, held); err != nil && ctx.Err() == nil {
+		r.submit(ctx, streamMessage{stream: from, lost: true})
+	}
+}
+
+func (r *Replicator) readStream(ctx context.Context, from *stream, held uint64) error {
+	dialer := net.Dialer{Timeout: r.share(silence), LocalAddr: &net.TCPAddr{IP: net.ParseIP(r.config.Address)}}
+	conn, err := dialer.DialContext(ctx, "tcp", net.JoinHostPort(from.address, r.config.Port))
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	defer func() { _ = conn.Close() }()
+	encoder := json.NewEncoder(conn)
+	if err := encoder.Encode(hello{Revision: held}); err != nil {
+		return err
+	}
+	decoder := json.NewDecoder(conn)
+	for {
+		var said news
+		if err := decoder.Decode(&said); err != nil {
+			return err
+		}
+		r.submit(ctx, streamMessage{stream: from, news: said})
+	}
+}
+
+// silence bounds the time to open a stream; the machine watches it from then on.
+const silence = 0.3
--- /dev/null
+++ b/internal/replicator/replicator.go
@@ -0,0 +1,255 @@
+// Package replicator runs a node's replication: one goroutine owns the pure
+// machine, asks the store, follows another node and passes on to followers what
+// it learns. Nothing else writes that state.
+package replicator
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
+
+	"sliphead/internal/catalog"
+	"sliphead/internal/fault"
+	"sliphead/internal/logging"
+	"sliphead/internal/replication"
+)
+
+// ErrHistoryGone is what a Store's Changes returns when the store no longer
+// knows the changes after the revision that was asked for.
+var ErrHistoryGone = errors.New("the store has dropped its history")
+
+// Store is a linearizable store of which this system only reads.
+type Store interface {
+	// Whole returns everything that there is.
+	Whole(ctx context.Context) (catalog.Batch, error)
+	// Changes returns the changes after a revision, once there is one or the
+	// wait is over. The error is ErrHistoryGone when they are not known.
+	Changes(ctx context.Context, after uint64, wait time.Duration) (catalog.Batch, error)
+}
+
+// Config is what a replicator is made of. All fields are required.
+type Config struct {
+	Address   string        // this node's IP address
+	Port      string        // of the peer listener, the same on all nodes
+	Zone      string        //
+	Freshness time.Duration // the age within which a change has to be known
+	Store     Store
+	Logger    log.Interface
+	// Changed is called with the state after each change. The owner's goroutine
+	// waits for it, and the state must not be kept.
+	Changed func(*catalog.State)
+}
+
+// Shares of Config.Freshness.
+const (
+	tickShare    = 0.04
+	beatShare    = 0.12 // between two messages to a follower
+	patience     = 0.2  // for an answer of the store, beyond the wait asked for
+	wholeTimeout = 1.0  // for the whole
+)
+
+const inputQueue = 256
+
+// Replicator is one node's part in replication.
+type Replicator struct {
+	config    Config
+	machine   *replication.Machine
+	inputs    chan any
+	followers map[*follower]struct{}
+	beat      time.Time // when followers were last written to
+	stream    *stream   // the node that is followed, nil for none
+	encoded   encodedNews
+}
+
+// New returns a replicator that knows nothing yet.
+func New(config Config) *Replicator {
+	machine := replication.New(replication.Config{Self: config.Address, Zone: config.Zone, Freshness: config.Freshness}, time.Now())
+	return &Replicator{config: config, machine: machine, inputs: make(chan any, inputQueue), followers: map[*follower]struct{}{}}
+}
+
+// Status is what the replicator tells operators.
+type Status struct {
+	Revision  uint64  `json:"revision"`
+	Version   uint64  `json:"version"` // of the configuration in force
+	AgeS      float64 `json:"ageSeconds"`
+	Reader    bool    `json:"reader"`
+	Following string  `json:"following,omitempty"`
+	Followers int     `json:"followers"`
+	Instances int     `json:"instances"`
+}
+
+type statusRequest struct{ reply chan Status }
+
+// Status returns the state of now, the zero Status when ctx ends before.
+func (r *Replicator) Status(ctx context.Context) Status {
+	request := statusRequest{reply: make(chan Status, 1)}
+	r.submit(ctx, request)
+	select {
+	case status := <-request.reply:
+		return status
+	case <-ctx.Done():
+		return Status{}
+	}
+}
+
+// Seen tells that a node has spoken to this one. It does not wait.
+func (r *Replicator) Seen(address string) {
+	select {
+	case r.inputs <- replication.PeerSeen{Address: address}:
+	default:
+	}
+}
+
+// Run replicates until ctx ends.
+func (r *Replicator) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", net.JoinHostPort(r.config.Address, r.config.Port))
+	if err != nil {
+		return fault.Wrap(err, fault.Settings, "free the address or change listen.peer in the settings", "listen for peers")
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	group.Go(func() error { return r.accept(ctx, listener) })
+	group.Go(func() error {
+		r.own(ctx)
+		return nil
+	})
+	return group.Wait()
+}
+
+// own is the goroutine that owns the state.
+func (r *Replicator) own(ctx context.Context) {
+	ticker := time.NewTicker(r.share(tickShare))
+	defer ticker.Stop()
+	defer r.closeAll()
+	r.step(ctx, replication.Tick{})
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.step(ctx, replication.Tick{})
+			r.beatIfDue()
+		case input := <-r.inputs:
+			r.handle(ctx, input)
+		}
+	}
+}
+
+func (r *Replicator) handle(ctx context.Context, input any) {
+	switch input := input.(type) {
+	case replication.Event:
+		r.step(ctx, input)
+	case *follower:
+		r.admit(input)
+	case followerLost:
+		r.drop(input.follower)
+	case streamMessage:
+		r.receive(ctx, input)
+	case statusRequest:
+		input.reply <- r.status()
+	}
+}
+
+// receive passes on what the followed node said. What a former stream had left
+// in the queue is passed over.
+func (r *Replicator) receive(ctx context.Context, message streamMessage) {
+	if message.stream != r.stream {
+		return
+	}
+	if message.lost {
+		r.step(ctx, replication.PeerLost{Address: message.stream.address})
+		return
+	}
+	r.step(ctx, replication.News{From: message.stream.address, Batch: message.news.Batch, Age: message.news.Age})
+}
+
+func (r *Replicator) step(ctx context.Context, event replication.Event) {
+	for _, effect := range r.machine.Step(event, time.Now()) {
+		switch effect := effect.(type) {
+		case replication.Ask:
+			go r.question(ctx, effect)
+		case replication.Follow:
+			r.follow(ctx, effect.Address)
+		case replication.Changed:
+			r.config.Changed(r.machine.State())
+			r.tellFollowers()
+		case replication.Log:
+			r.log(effect)
+		}
+	}
+}
+
+// question asks the store and hands the answer to the owner.
+func (r *Replicator) question(ctx context.Context, ask replication.Ask) {
+	timeout := r.share(wholeTimeout)
+	if !ask.Whole {
+		timeout = ask.Wait + r.share(patience)
+	}
+	bounded, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	batch, err := r.read(bounded, ask)
+	if err != nil {
+		r.submit(ctx, replication.StoreFailed{Err: err, HistoryGone: errors.Is(err, ErrHistoryGone)})
+		return
+	}
+	r.submit(ctx, replication.StoreAnswered{Batch: batch, ConfirmedAt: time.Now()})
+}
+
+func (r *Replicator) read(ctx context.Context, ask replication.Ask) (catalog.Batch, error) {
+	if ask.Whole {
+		return r.config.Store.Whole(ctx)
+	}
+	return r.config.Store.Changes(ctx, ask.After, ask.Wait)
+}
+
+func (r *Replicator) status() Status {
+	now := time.Now()
+	age, _ := r.machine.Age(now)
+	status := Status{
+		Revision:  r.machine.State().Revision(),
+		AgeS:      age.Seconds(),
+		Reader:    r.machine.Reader(now),
+		Following: r.machine.Following(),
+		Followers: len(r.followers),
+		Instances: len(r.machine.State().Instances()),
+	}
+	if configuration := r.machine.State().Configuration(); configuration != nil {
+		status.Version = configuration.Version
+	}
+	return status
+}
+
+func (r *Replicator) log(event replication.Log) {
+	fields := logging.Fields{"revision": r.machine.State().Revision()}
+	if event.Peer != "" {
+		fields["peer"] = event.Peer
+	}
+	if event.Duration > 0 {
+		fields["gap_ms"] = event.Duration.Milliseconds()
+	}
+	if age, known := r.machine.Age(time.Now()); known {
+		fields["age_ms"] = age.Milliseconds()
+	}
+	if event.Err != nil {
+		logging.Problem(r.config.Logger, string(event.Event), event.Err, fields)
+		return
+	}
+	logging.Event(r.config.Logger, string(event.Event), fields)
+}
+
+// submit hands an input to the owner and waits for room.
+func (r *Replicator) submit(ctx context.Context, input any) {
+	select {
+	case r.inputs <- input:
+	case <-ctx.Done():
+	}
+}
+
+func (r *Replicator) share(part float64) time.Duration {
+	return time.Duration(part * float64(r.config.Freshness))
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,23 +22,25 @@
 
 // Settings are all settings of one node.
 type Settings struct {
-	Name         string       `yaml:"name" validate:"required,max=253,nodeName"`
-	Zone         string       `yaml:"zone" validate:"required,max=253"`
-	Region       string       `yaml:"region" validate:"required,max=253"`
-	Service      string       `yaml:"service,omitempty" validate:"max=253,required_with=Worker"` // "" at an edge
-	Profile      Profile      `yaml:"profile" validate:"oneof=convergence bytes"`
-	Worker       *Worker      `yaml:"worker,omitempty"` // nil at an edge
-	Listen       Listen       `yaml:"listen"`
-	Advertise    Advertise    `yaml:"advertise"`
-	Source       Source       `yaml:"source"`
-	Seeds        []string     `yaml:"seeds,omitempty" validate:"dive,address"`
-	Security     Security     `yaml:"security"`
-	Callers      Callers      `yaml:"callers,omitempty"`
-	Distribution Distribution `yaml:"distribution"`
-	Membership   Membership   `yaml:"membership"`
-	Claims       Claims       `yaml:"claims"`
-	Limits       Limits       `yaml:"limits"`
-	Drain        Drain        `yaml:"drain"`
+	Name         string            `yaml:"name" validate:"required,max=253,nodeName"`
+	Zone         string            `yaml:"zone" validate:"required,max=253"`
+	Region       string            `yaml:"region" validate:"required,max=253"`
+	Service      string            `yaml:"service,omitempty" validate:"max=253,required_with=Worker"` // "" at an edge
+	Profile      Profile           `yaml:"profile" validate:"oneof=convergence bytes"`
+	Worker       *Worker           `yaml:"worker,omitempty"` // nil at an edge
+	Listen       Listen            `yaml:"listen"`
+	Advertise    Advertise         `yaml:"advertise"`
+	Source       Source            `yaml:"source"`
+	Seeds        []string          `yaml:"seeds,omitempty" validate:"dive,address"`
+	Security     Security          `yaml:"security"`
+	Callers      Callers           `yaml:"callers,omitempty"`
+	Distribution Distribution      `yaml:"distribution"`
+	Membership   Membership        `yaml:"membership"`
+	Claims       Claims            `yaml:"claims"`
+	Limits       Limits            `yaml:"limits"`
+	Drain        Drain             `yaml:"drain"`
+	Retry        Retry             `yaml:"retry"`
+	Regions      map[string]string `yaml:"regions,omitempty"` // by zone; where a store serves the mesh
 }
 
 // Worker is the back end beside the node.
@@ -65,7 +67,9 @@
 
 // Source says where the platform's configuration service and machine list are.
 type Source struct {
-	Configuration    string   `yaml:"configuration" validate:"http_url"`
+	Configuration    string   `yaml:"configuration,omitempty" validate:"required_without=Store,omitempty,http_url"`
+	Store            string   `yaml:"store,omitempty" validate:"excluded_with=Configuration,omitempty,address"` // IP:port of a linearizable store, in place of configuration and machines
+	Freshness        Duration `yaml:"freshness" validate:"atLeast=200ms,atMost=1m"`                             // with a store: the time within which a change is in force
 	Machines         string   `yaml:"machines,omitempty" validate:"omitempty,http_url"`
 	Readers          int      `yaml:"readers" validate:"min=1,max=1000"`          // at most so many nodes read, fleet-wide
 	LongPoll         Duration `yaml:"longPoll" validate:"atLeast=0s,atMost=5m"`   // 0 asks without waiting
@@ -124,6 +128,12 @@
 	MaxConnections  int      `yaml:"maxConnections" validate:"min=1,max=1000000"`
 }
 
+// Retry bounds repeated arrivals at workers, with a store.
+type Retry struct {
+	Ratio float64 `yaml:"ratio" validate:"min=0,max=1"`    // of the requests
+	Slack int     `yaml:"slack" validate:"min=0,max=1000"` // beside the ratio, for the whole mesh
+}
+
 // Drain tunes the planned stop.
 type Drain struct {
 	Timeout Duration `yaml:"timeout" validate:"atLeast=1s,atMost=24h"` // after it, requests in flight are cut
@@ -143,12 +153,27 @@
 	return gossipForConvergence
 }
 
+// BytePrice returns what a kilobyte sent to another zone costs, in parts of what
+// a request is worth that is answered in time.
+func (p Profile) BytePrice() float64 {
+	if p == ProfileBytes {
+		return bytePriceForBytes
+	}
+	return bytePriceForConvergence
+}
+
+// The prices of a kilobyte to another zone, by profile.
+const (
+	bytePriceForConvergence = 0.012
+	bytePriceForBytes       = 0.086
+)
+
 // Default returns the settings of a node before its file is read. Names,
 // addresses, the source and security have no default.
 func Default() *Settings {
 	return &Settings{
 		Profile:      ProfileConvergence,
-		Source:       Source{Readers: 16, LongPoll: Duration{20 * time.Second}, MachinesInterval: Duration{10 * time.Second}, Timeout: Duration{5 * time.Second}},
+		Source:       Source{Freshness: Duration{2 * time.Second}, Readers: 16, LongPoll: Duration{20 * time.Second}, MachinesInterval: Duration{10 * time.Second}, Timeout: Duration{5 * time.Second}},
 		Distribution: Distribution{Holders: 3, Fanout: 8, ReadersPerZone: 2, Lease: Duration{2 * time.Second}, ScheduleOverlap: Duration{10 * time.Second}},
 		Membership:   Membership{ProbeInterval: Duration{time.Second}},
 		Claims:       Claims{KeyLife: Duration{10 * time.Minute}, GroupSize: 5, ClockSkew: Duration{10 * time.Second}},
@@ -161,6 +186,7 @@
 			MaxConnections:  4096,
 		},
 		Drain: Drain{Timeout: Duration{10 * time.Minute}},
+		Retry: Retry{Ratio: 0.2, Slack: 64},
 	}
 }
 
--- /dev/null
+++ b/internal/snapshot/catalog.go
@@ -0,0 +1,132 @@
+package snapshot
+
+import (
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"sliphead/internal/catalog"
+	"sliphead/internal/declaration"
+	"sliphead/internal/version"
+)
+
+// Target is a service that takes a share of a route's requests.
+type Target struct {
+	Service   string
+	Weight    int
+	Endpoints []Endpoint // sorted by worker; shared by all routes
+}
+
+// Local is the instance beside this node, as the catalog records it.
+type Local struct {
+	Instance    string // id
+	Service     string
+	Slots       int // requests that it runs at once
+	Connections int // open connections to it at most, 0: not told
+	Draining    bool
+}
+
+// CatalogInput is what a catalog is resolved with.
+type CatalogInput struct {
+	At            time.Time
+	WorkerAddress string            // host:port of the worker beside this node
+	InboundPort   string            // on which every node takes requests for its worker
+	Regions       map[string]string // by zone
+}
+
+// FromCatalog returns the view of a catalog, nil while it holds no
+// configuration. A draining instance is no endpoint.
+func FromCatalog(state *catalog.State, input CatalogInput) *View {
+	configuration := state.Configuration()
+	if configuration == nil {
+		return nil
+	}
+	instances := state.Instances()
+	endpoints := endpointsByService(instances, configuration, input)
+	storage := make([]Route, len(configuration.Routes))
+	routes := make([]*Route, len(configuration.Routes))
+	for index := range configuration.Routes {
+		storage[index] = catalogRoute(&configuration.Routes[index], endpoints)
+		routes[index] = &storage[index]
+	}
+	slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+	view := NewView(version.Version{Revision: configuration.Version}, input.At, routes)
+	view.indexHosts()
+	view.Limits = configuration.Limits
+	view.Nodes = len(instances)
+	view.Local = localInstance(instances, configuration, input.WorkerAddress)
+	return view
+}
+
+// endpointsByService returns the endpoints of instances that take requests.
+func endpointsByService(instances []catalog.Instance, configuration *catalog.Configuration, input CatalogInput) map[string][]Endpoint {
+	endpoints := make(map[string][]Endpoint)
+	for _, instance := range instances {
+		host, _, err := net.SplitHostPort(instance.Address)
+		if err != nil || instance.Draining {
+			continue
+		}
+		endpoints[instance.Service] = append(endpoints[instance.Service], Endpoint{
+			Worker:      instance.ID,
+			Node:        host,
+			Zone:        instance.Zone,
+			Region:      input.Regions[instance.Zone],
+			Address:     net.JoinHostPort(host, input.InboundPort),
+			Slots:       instance.Capacity,
+			Connections: configuration.Services[instance.Service].MaxConnections,
+			Local:       instance.Address == input.WorkerAddress,
+		})
+	}
+	return endpoints
+}
+
+func catalogRoute(from *catalog.Route, endpoints map[string][]Endpoint) Route {
+	route := Route{
+		Route: declaration.Route{
+			Name:       from.Name,
+			Host:       from.Host,
+			PathPrefix: from.PathPrefix,
+			Service:    from.Targets[0].Service,
+			Repeatable: from.Repeatable,
+			DeadlineMS: from.Timeout.Milliseconds(),
+		},
+		Rank:        from.Priority,
+		MaxAttempts: max(1, from.MaxAttempts),
+		Objective:   from.Target,
+		Upload:      from.Upload,
+	}
+	for _, target := range from.Targets {
+		if target.Weight > 0 {
+			route.Targets = append(route.Targets, Target{Service: target.Service, Weight: target.Weight, Endpoints: endpoints[target.Service]})
+		}
+	}
+	return route
+}
+
+// localInstance returns the newest instance at the worker's address.
+func localInstance(instances []catalog.Instance, configuration *catalog.Configuration, address string) Local {
+	var local Local
+	for _, instance := range instances {
+		if instance.Address != address || local.Instance != "" && instance.Draining {
+			continue
+		}
+		local = Local{
+			Instance:    instance.ID,
+			Service:     instance.Service,
+			Slots:       instance.Capacity,
+			Connections: configuration.Services[instance.Service].MaxConnections,
+			Draining:    instance.Draining,
+		}
+	}
+	return local
+}
+
+// indexHosts lets Match find the routes of one host without looking at others.
+func (v *View) indexHosts() {
+	v.byHost = make(map[string][]*Route)
+	for _, route := range v.Routes {
+		host := strings.ToLower(route.Host)
+		v.byHost[host] = append(v.byHost[host], route)
+	}
+}
--- a/internal/snapshot/match.go
+++ b/internal/snapshot/match.go
@@ -27,7 +27,11 @@
 // match returns the first route of that host in the order of the view. The
 // empty host stands for routes for any host.
 func (v *View) match(host, path, method string) *Route {
-	for _, route := range v.Routes {
+	routes := v.Routes
+	if v.byHost != nil {
+		routes = v.byHost[strings.ToLower(host)]
+	}
+	for _, route := range routes {
 		if strings.EqualFold(route.Host, host) && prefixMatches(route.PathPrefix, path) && methodMatches(route.Methods, method) {
 			return route
 		}
--- a/internal/snapshot/view.go
+++ b/internal/snapshot/view.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"sliphead/internal/catalog"
 	"sliphead/internal/declaration"
 	"sliphead/internal/version"
 )
@@ -18,6 +19,7 @@
 	Slots       int
 	Connections int
 	ReadySince  time.Time // when this node first saw it ready, for slow start
+	Local       bool      // whether the worker is the one beside this node
 }
 
 // Route is a declared route with all that it needs.
@@ -28,6 +30,13 @@
 	// Overlap holds whether the local worker is selected, or was until the
 	// schedule overlap ago: the last hop accepts such requests.
 	LocalAllowed bool
+
+	// What only a catalog tells.
+	Targets     []Target      // with their weights; Endpoints is unused then
+	Rank        int           // priority, 0 is served first
+	MaxAttempts int           // workers that one request may be sent to
+	Objective   time.Duration // the latency within which an answer is worth most; 0: none
+	Upload      bool          // whether bodies are large
 }
 
 // View is what traffic reads: one version, resolved at one moment for one
@@ -37,7 +46,11 @@
 	Version  version.Version
 	Resolved time.Time
 	Routes   []*Route // longest path prefix first
+	Nodes    int      // nodes that a catalog tells of
+	Local    Local    // the worker beside this node, as a catalog records it
+	Limits   catalog.Limits
 	byName   map[string]*Route
+	byHost   map[string][]*Route // by host in lower case; nil: not indexed
 }
 
 // NewView returns a view over routes sorted by the caller.
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -42,6 +42,11 @@
 	}
 }
 
+// ClassOfRank returns the class of a priority given as a number, 0 the first.
+func ClassOfRank(rank int) Class {
+	return min(max(Class(rank), Internal), Batch)
+}
+
 // Settings bound the queue.
 type Settings struct {
 	Slots     int           // requests that run at once
@@ -74,6 +79,7 @@
 	GiveUp     time.Time     // when queued: the last moment at which a grant is of use
 
 	class    Class
+	ahead    bool // whether it waits ahead of others of its class
 	arrived  time.Time
 	granted  time.Time
 	deadline time.Time
@@ -122,7 +128,17 @@
 // Arrive takes in a request. The ticket tells its verdict; decided are other
 // tickets that had to give way to it.
 func (q *Queue[W]) Arrive(class Class, deadline, now time.Time, waiter W) (ticket *Ticket[W], decided []*Ticket[W]) {
-	ticket = &Ticket[W]{Waiter: waiter, class: class, arrived: now, deadline: deadline}
+	return q.take(&Ticket[W]{Waiter: waiter, class: class, arrived: now, deadline: deadline}, now)
+}
+
+// Return takes in a request that comes back after a refusal: it waits ahead of
+// others of its class, so that it is not refused again.
+func (q *Queue[W]) Return(class Class, deadline, now time.Time, waiter W) (ticket *Ticket[W], decided []*Ticket[W]) {
+	return q.take(&Ticket[W]{Waiter: waiter, class: class, arrived: now, deadline: deadline, ahead: true}, now)
+}
+
+func (q *Queue[W]) take(ticket *Ticket[W], now time.Time) (_ *Ticket[W], decided []*Ticket[W]) {
+	class, deadline := ticket.class, ticket.deadline
 	if q.Free() {
 		q.grant(ticket, now)
 		return ticket, nil
@@ -170,7 +186,11 @@
 	margin := max(q.service[ticket.class].at(now)/2, ticket.deadline.Sub(now)/marginShare)
 	ticket.GiveUp = ticket.deadline.Add(-margin)
 	ticket.Verdict = Queued
-	ticket.element = q.waiting[ticket.class].PushBack(ticket)
+	if ticket.ahead {
+		ticket.element = q.waiting[ticket.class].PushFront(ticket)
+	} else {
+		ticket.element = q.waiting[ticket.class].PushBack(ticket)
+	}
 	q.length++
 }
 
--- a/internal/traffic/admission/estimate.go
+++ b/internal/traffic/admission/estimate.go
@@ -31,6 +31,15 @@
 	return e.mean
 }
 
+// Forecast returns the expected wait of a request of the class that arrives
+// now, and how long it is expected to run, 0 when that is not known.
+func (q *Queue[W]) Forecast(class Class, now time.Time) (wait, run time.Duration) {
+	if !q.Free() {
+		wait = q.predict(class, now)
+	}
+	return wait, q.service[class].at(now)
+}
+
 // predict returns the expected wait of a request of the class that arrives
 // now: the work queued ahead of it and half of the running work, over the slots.
 func (q *Queue[W]) predict(class Class, now time.Time) time.Duration {
--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -33,6 +34,7 @@
 		if refused != nil {
 			return *refused
 		}
+		x.giveSign()
 		if x.granted != nil {
 			a.wait(x, mine)
 		}
@@ -53,7 +55,7 @@
 	if refused := a.noWait(x); refused != nil {
 		return nil, refused
 	}
-	mine, decided := a.queue.Arrive(admission.ClassOf(x.route.Priority), x.deadline, time.Now(), x)
+	mine, decided := a.enter(x, time.Now())
 	if mine.Verdict == admission.Queued {
 		x.granted = make(chan struct{})
 	}
@@ -62,6 +64,27 @@
 	return mine, nil
 }
 
+// enter puts the request to the queue. With a catalog it is refused when it
+// can't be answered within its latency objective: one that comes back later is
+// then worth more than a late answer now.
+func (a *admitter) enter(x *exchange, now time.Time) (*ticket, []*ticket) {
+	if x.instance == "" {
+		return a.queue.Arrive(admission.ClassOf(x.route.Priority), x.deadline, now, x)
+	}
+	rank := admission.ClassOfRank(x.class.rank)
+	if x.class.returning || x.class.objective <= 0 {
+		return a.queue.Return(rank, x.deadline, now, x)
+	}
+	return a.queue.Arrive(rank, earlier(x.deadline, x.started.Add(x.class.objective)), now, x)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // wait returns when the ticket is decided.
 func (a *admitter) wait(x *exchange, mine *ticket) {
 	timer := time.NewTimer(time.Until(mine.GiveUp))
@@ -119,9 +142,23 @@
 	return a.queue.Waiting()
 }
 
-// load tells busy, slots and queued requests to callers' nodes.
-func (a *admitter) load() string {
+// load tells callers' nodes the busy, slots and queued requests and what a
+// request of the same class has to expect, in milliseconds: the wait and the run.
+func (a *admitter) load(x *exchange) string {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	return strconv.Itoa(a.queue.Running()) + "/" + strconv.Itoa(a.queue.Slots()) + "/" + strconv.Itoa(a.queue.Waiting())
+	told := strconv.Itoa(a.queue.Running()) + "/" + strconv.Itoa(a.queue.Slots()) + "/" + strconv.Itoa(a.queue.Waiting())
+	if x.instance == "" {
+		return told
+	}
+	wait, run := a.queue.Forecast(admission.ClassOfRank(x.class.rank), time.Now())
+	return told + "/" + strconv.FormatInt(wait.Milliseconds(), 10) + "/" + strconv.FormatInt(run.Milliseconds(), 10)
+}
+
+// giveSign tells the caller's node that the request has come: it is going to
+// wait, or to run for a while. A body that is asked for is sign enough.
+func (x *exchange) giveSign() {
+	if x.signal && (x.granted != nil || !x.bodyAwaited) {
+		x.writer.WriteHeader(http.StatusProcessing)
+	}
 }
--- a/internal/traffic/answer.go
+++ b/internal/traffic/answer.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 
 	"sliphead/internal/outcome"
@@ -23,6 +24,9 @@
 // receive takes an answer in. A small one is read whole, so that a short one
 // can still be turned into a failure.
 func receive(x *exchange, response *http.Response) (*answer, *result) {
+	if !framed(response) && x.wholeUnframed {
+		return receiveUnframed(x, response)
+	}
 	if !framed(response) {
 		_ = response.Body.Close()
 		failure := unknown(http.StatusBadGateway, causeUnframed, "let the worker send Content-Length or chunks, so that a short answer can be told from a whole one")
@@ -41,6 +45,22 @@
 	return &answer{response: response, whole: whole, isWhole: true}, nil
 }
 
+// maxUnframed bounds an answer without a length, which is read whole.
+const maxUnframed = 8 << 20
+
+// receiveUnframed takes in an answer that ends with its connection. It is whole
+// only when the connection was closed in order.
+func receiveUnframed(x *exchange, response *http.Response) (*answer, *result) {
+	whole, err := io.ReadAll(io.LimitReader(response.Body, maxUnframed))
+	_ = response.Body.Close()
+	if err != nil || len(whole) == maxUnframed {
+		failure := roundTripFailure(x, true)
+		return nil, &failure
+	}
+	response.ContentLength = int64(len(whole))
+	return &answer{response: response, whole: whole, isWhole: true}, nil
+}
+
 // framed reports whether the end of the answer can be told from a cut.
 func framed(response *http.Response) bool {
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Uncompressed ||
@@ -57,6 +77,9 @@
 	if x.request.Method != http.MethodHead && a.response.ContentLength < 0 {
 		delete(header, "Content-Length")
 	}
+	if a.isWhole {
+		fields.set("Content-Length", strconv.Itoa(len(a.whole)))
+	}
 	x.setOutcome(fields, outcome.Answered)
 	if a.replayed {
 		fields.set(replayedHeader, "1")
--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -39,8 +39,12 @@
 	}
 }
 
-// Load is what a worker's node told about it.
-type Load struct{ Busy, Slots, Queued int }
+// Load is what a worker's node told about it. Wait and Run are what a request
+// like the one that was answered has to expect there; 0: not told.
+type Load struct {
+	Busy, Slots, Queued int
+	Wait, Run           time.Duration
+}
 
 // Observation is what came of one request.
 type Observation struct {
--- /dev/null
+++ b/internal/traffic/balance/forecast.go
@@ -0,0 +1,141 @@
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"sliphead/internal/snapshot"
+)
+
+// Need is what a request asks of an endpoint.
+type Need struct {
+	Route     string
+	Objective time.Duration // within which an answer is worth most; 0: none
+	Kilobytes float64       // of the request and its answer
+	BytePrice float64       // of a kilobyte to another zone, in parts of a request's worth
+}
+
+// The parts of an endpoint's price, in parts of a request's worth.
+const (
+	finishWeight  = 0.3  // of an answer that just meets the objective
+	latePrice     = 0.7  // of an answer after the objective
+	crossingPrice = 0.02 // of leaving the zone, beside the bytes
+	queuePrice    = 0.05 // of a wait for a slot
+	failingPrice  = 100  // of an endpoint that is backed off
+	noise         = 0.02 // by which prices are blurred, so that nodes don't choose alike
+	objectiveRoom = 0.9  // of the objective, within which an answer is taken to be in time
+)
+
+// Choice is the endpoint chosen for a request.
+type Choice struct {
+	Index   int  // of the endpoint, -1 when there is none
+	Another bool // whether another one, with a free slot, would cost less than a wait at this one
+}
+
+// Cheapest returns the endpoint at which a request is expected to cost least,
+// and counts it as in flight there until Ended. Excluded indices are passed
+// over.
+func (b *Balancer) Cheapest(now time.Time, need Need, endpoints []snapshot.Endpoint, excluded []int) Choice {
+	choice := Choice{Index: -1}
+	best, second := math.Inf(1), math.Inf(1)
+	for index := range endpoints {
+		if slices.Contains(excluded, index) {
+			continue
+		}
+		price, free := b.price(now, need, endpoints[index])
+		if price < best {
+			if free || choice.Index >= 0 && b.hasFreeSlot(endpoints[choice.Index], now) {
+				second = min(second, best)
+			}
+			choice.Index, best = index, price
+		} else if free {
+			second = min(second, price)
+		}
+	}
+	if choice.Index < 0 {
+		return choice
+	}
+	held := b.stateOf(endpoints[choice.Index], now)
+	choice.Another = second < best+b.waitPrice(held, need, endpoints[choice.Index], now)
+	held.inFlight++
+	held.used = now
+	b.prune(now)
+	return choice
+}
+
+// price is what a request is expected to cost at an endpoint.
+func (b *Balancer) price(now time.Time, need Need, endpoint snapshot.Endpoint) (price float64, free bool) {
+	held := b.stateOf(endpoint, now)
+	free = b.occupied(held, now) < float64(max(1, endpoint.Slots))
+	run := b.run(held, need, now)
+	finish := run
+	if !free {
+		finish += b.queueWait(held, endpoint, run, now)
+		price += queuePrice
+	}
+	price += lateness(finish, need.Objective)
+	if endpoint.Zone != b.settings.Zone {
+		price += crossingPrice + need.Kilobytes*need.BytePrice
+	}
+	if now.Before(held.backoffUntil) {
+		price += failingPrice
+		free = false
+	}
+	if !endpoint.Local {
+		price += noise * b.random.Float64()
+	}
+	return price, free
+}
+
+// lateness is the price of an answer that takes a time.
+func lateness(finish, objective time.Duration) float64 {
+	if objective <= 0 {
+		return finish.Seconds()
+	}
+	part := float64(finish) / float64(objective)
+	price := finishWeight * min(part, 2)
+	if part > objectiveRoom {
+		price += latePrice
+	}
+	return price
+}
+
+// waitPrice is what a wait for one slot adds to the price of an endpoint.
+func (b *Balancer) waitPrice(held *state, need Need, endpoint snapshot.Endpoint, now time.Time) float64 {
+	run := b.run(held, need, now)
+	wait := run / time.Duration(max(1, endpoint.Slots))
+	return queuePrice + lateness(run+wait, need.Objective) - lateness(run, need.Objective)
+}
+
+// occupied is the number of requests that hold or wait for a slot there: the
+// ones of this node, and what was last reported of others', fading.
+func (b *Balancer) occupied(held *state, now time.Time) float64 {
+	return float64(held.inFlight) + b.reported(held, now)
+}
+
+func (b *Balancer) hasFreeSlot(endpoint snapshot.Endpoint, now time.Time) bool {
+	held := b.stateOf(endpoint, now)
+	return b.occupied(held, now) < float64(max(1, endpoint.Slots)) && !now.Before(held.backoffUntil)
+}
+
+// run is how long the endpoint is expected to take: what it reported of such
+// requests, else what is typical for the route.
+func (b *Balancer) run(held *state, need Need, now time.Time) time.Duration {
+	if held.load.Run > 0 && now.Sub(held.loadAt) < runLife {
+		return held.load.Run
+	}
+	return time.Duration(float64(b.typical[need.Route]) * held.slownessAt(now))
+}
+
+// runLife is how long a reported time of runs counts.
+const runLife = 3 * time.Second
+
+// queueWait is the expected wait for a slot.
+func (b *Balancer) queueWait(held *state, endpoint snapshot.Endpoint, run time.Duration, now time.Time) time.Duration {
+	slots := float64(max(1, endpoint.Slots))
+	ahead := b.occupied(held, now) - slots + 1
+	estimated := time.Duration(ahead / slots * float64(run))
+	told := held.load.Wait - now.Sub(held.loadAt)
+	return max(estimated, told, 0)
+}
--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -29,6 +29,37 @@
 	}
 }
 
+// mostWhole bounds the bodies that are held whole with a catalog, in bytes.
+const mostWhole = 4 << 20
+
+// readWholeBody opens the request's body and reads it whole, also one of
+// unknown length: it may then be offered to several nodes.
+func readWholeBody(limits *Limits) filter {
+	known := *limits
+	known.SmallBody = mostWhole
+	open := readBody(&known)
+	return func(next stage) stage {
+		withLength := open(next)
+		return func(x *exchange) result {
+			if bound := x.view.Limits.MaxBodyBytes; bound > 0 && x.request.ContentLength > bound {
+				return reject(http.StatusRequestEntityTooLarge, causeLimits, "send a shorter body")
+			}
+			if x.request.ContentLength >= 0 {
+				return withLength(x)
+			}
+			whole, err := io.ReadAll(io.LimitReader(x.request.Body, mostWhole+1))
+			if err != nil {
+				return reject(http.StatusBadRequest, causeMalformed, "send the whole body")
+			}
+			if len(whole) > mostWhole {
+				return reject(http.StatusRequestEntityTooLarge, causeLimits, "send a shorter body, or its length")
+			}
+			x.body = body{present: true, length: int64(len(whole)), whole: whole}
+			return next(x)
+		}
+	}
+}
+
 // body is a request's body. A small one is held whole and can be sent again;
 // any other streams and can be sent again only while nothing of it was read.
 type body struct {
--- a/internal/traffic/choose.go
+++ b/internal/traffic/choose.go
@@ -132,11 +132,19 @@
 	return foreign()
 }
 
-// parseLoad reads "busy/slots/queued".
+// milliseconds reads a count of them, 0 when it is none.
+func milliseconds(text string) time.Duration {
+	count, _ := strconv.ParseInt(text, 10, 64)
+	return time.Duration(count) * time.Millisecond
+}
+
+// parseLoad reads "busy/slots/queued", and "/wait/run" in milliseconds behind it.
 func parseLoad(text string) (balance.Load, bool) {
 	busy, rest, _ := strings.Cut(text, "/")
-	slots, queued, found := strings.Cut(rest, "/")
-	var load balance.Load
+	slots, rest, found := strings.Cut(rest, "/")
+	queued, forecast, _ := strings.Cut(rest, "/")
+	wait, run, _ := strings.Cut(forecast, "/")
+	load := balance.Load{Wait: milliseconds(wait), Run: milliseconds(run)}
 	var err error
 	if load.Busy, err = strconv.Atoi(busy); err != nil || !found {
 		return balance.Load{}, false
--- a/internal/traffic/elsewhere.go
+++ b/internal/traffic/elsewhere.go
@@ -44,7 +44,7 @@
 	}
 	var refused result
 	switch {
-	case hasHeader(x.request.Header, elsewhereHeader):
+	case x.elsewhere:
 		newFields(x.writer.Header()).set(elsewhereHeader, "1")
 		refused = refuse(causeFull, 0, "send it to another worker, this one is full")
 	case a.heldByCallers(x):
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -25,9 +25,21 @@
 	depth    int // level in the call tree, from 0
 	body     body
 
-	smallAnswer int64         // answers up to this many bytes are read whole
-	load        func() string // the local worker's load; nil at outbound
-	granted     chan struct{} // closed when the wait for a slot is decided
+	// With a catalog.
+	noRetry     bool   // whether the budget for retries was spent
+	instance    string // id of the instance that is to run the request
+	caller      string // service beside the node that took the request
+	class       class
+	protocol    *Protocol // of the callers; nil: sliphead's own
+	elsewhere   bool      // whether the caller's node knows of another endpoint that seems to be free
+	bodyAwaited bool      // whether the body is still to be asked for
+	signal      bool      // whether the caller's node waits for a sign that the request has come
+
+	wholeUnframed  bool          // whether an answer without a length is taken, once it has ended in order
+	concurrentBody bool          // whether a long whole body is written while the answer is read
+	smallAnswer    int64         // answers up to this many bytes are read whole
+	load           func() string // the local worker's load; nil at outbound
+	granted        chan struct{} // closed when the wait for a slot is decided
 }
 
 // result is how a request ended. A result that was not passed on yet becomes
@@ -41,6 +53,7 @@
 	sent       bool    // whether the answer's header was passed on
 	cut        bool    // whether the answer has to be cut because it is not whole
 	final      bool    // whether a level below has already spent its retries
+	arrived    bool    // whether it reached a worker, which then refused it
 	answer     *answer // a whole answer that is still to be passed on
 }
 
@@ -68,6 +81,9 @@
 	causeForeign    cause = "foreign"
 	causeUnframed   cause = "unframed"
 	causeCallerGone cause = "caller-gone"
+	causeSilent     cause = "silent"
+	causeLimits     cause = "limits"
+	causeShed       cause = "shed"
 )
 
 // stage handles an exchange; filter puts a step in front of a stage.
--- a/internal/traffic/forward.go
+++ b/internal/traffic/forward.go
@@ -45,8 +45,14 @@
 	address   string  // host:port
 	fields    []field // in place of the caller's of the same name
 	expect    bool    // whether a streamed body waits for 100 Continue
+	protocol  *Protocol
+	offer     bool          // whether a whole body waits for 100 Continue, so that a request that is refused or meets silence has not run
+	silence   time.Duration // within which the other side has to give a sign; 0: the deadline
 }
 
+// foreignTo reports whether the other side has headers of its own.
+func (h *hop) foreignTo() bool { return h.protocol != nil && !h.protocol.own() }
+
 // sets reports whether the hop sets a header.
 func (h *hop) sets(name string) bool {
 	return slices.ContainsFunc(h.fields, func(each field) bool { return each.name == name })
@@ -58,7 +64,7 @@
 
 // send makes one try. It returns the answer, or how the try failed.
 func send(x *exchange, to *hop, check func(*http.Response) *result) (*answer, *result) {
-	if x.body.stream == nil && x.body.length <= directBody {
+	if x.body.stream == nil && (x.body.length <= directBody || x.concurrentBody) {
 		if got, failure, done := sendDirect(x, to, check); done {
 			return got, failure
 		}
@@ -122,6 +128,14 @@
 	return &failure
 }
 
+// silence is the failure of a try to which the other side gave no sign in time.
+func silence(left bool) result {
+	if left {
+		return unknown(http.StatusBadGateway, causeSilent, "check whether it ran before sending it again, the next hop is silent")
+	}
+	return refuse(causeSilent, time.Second, "send it again later, the next hop is silent")
+}
+
 // roundTripFailure tells what a failed try came to.
 func roundTripFailure(x *exchange, left bool) result {
 	deadlinePassed := x.context.Err() != nil && !time.Now().Before(x.deadline)
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -29,9 +29,28 @@
 	in.worker = newWorkerLink(config)
 	in.metrics = newMetrics(config, "inbound", gauges{inFlight: in.gate.count, queued: in.admitter.waiting})
 	in.handle = pipe(in.forward, in.classify, limitDepth(config.Limits.MaxDepth), limitTime, readBody(&in.config.Limits), in.admitter.admit, in.claim)
+	if !config.Protocol.own() {
+		in.handle = pipe(in.forward, in.classify, limitTime, in.admitter.admit, readBody(&in.config.Limits))
+	}
 	return in
 }
 
+// serveLocal runs a request of the outbound handler of the same node.
+func (in *Inbound) serveLocal(x *exchange) result {
+	if !in.gate.enter() {
+		return refuse(causeDraining, time.Second, "send it again, another worker will take it")
+	}
+	defer in.gate.leave()
+	x.load = func() string { return in.admitter.load(x) }
+	x.wholeUnframed = true
+	if refused := in.checkLocal(x); refused != nil {
+		return *refused
+	}
+	ended := in.admitter.admit(in.forward)(x)
+	in.metrics.count(x, ended)
+	return ended
+}
+
 // ServeHTTP implements http.Handler.
 func (in *Inbound) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	x := &exchange{
@@ -44,7 +63,16 @@
 		budget:      number(request.Header, outcome.RetryBudget, 0),
 		depth:       number(request.Header, outcome.Depth, 0),
 		smallAnswer: in.config.Limits.SmallAnswer,
-		load:        in.admitter.load,
+		elsewhere:   hasHeader(request.Header, elsewhereHeader),
+		signal:      hasHeader(request.Header, signalHeader),
+		bodyAwaited: request.Header.Get("Expect") != "",
+
+		concurrentBody: !in.config.Protocol.own(),
+		wholeUnframed:  !in.config.Protocol.own(),
+	}
+	x.load = func() string { return in.admitter.load(x) }
+	if in.config.Seen != nil {
+		in.config.Seen(remoteHost(request))
 	}
 	if !in.gate.enter() {
 		in.metrics.conclude(x, refuse(causeDraining, time.Second, "send it again, another worker will take it"))
@@ -83,6 +111,9 @@
 		if !current {
 			return refuse(causeLease, time.Second, "send it again, this node has no confirmed configuration")
 		}
+		if !in.config.Protocol.own() {
+			return in.classifyInstance(x, view, next)
+		}
 		route := view.Route(get(x.request.Header, outcome.Route))
 		if route == nil || !route.LocalAllowed {
 			return refuse(causeNotLocal, time.Second, "send it again, the worker of this node does not take this route now")
@@ -94,15 +125,23 @@
 	}
 }
 
+// workerFields are the headers that the worker is sent.
+func (in *Inbound) workerFields(x *exchange) []field {
+	if in.config.Protocol.own() {
+		return append(x.contextFields(), field{attemptHeader, x.attempt})
+	}
+	return in.config.Protocol.workerFields(x)
+}
+
 // forward runs the request at the worker.
 func (in *Inbound) forward(x *exchange) result {
-	fields := append(x.contextFields(), field{attemptHeader, x.attempt})
+	fields := in.workerFields(x)
 	if x.route.Credential != "" {
 		fields = append(fields, field{"Authorization", "Bearer " + x.route.Credential})
 	}
 	in.config.Calls.begin(x.id)
 	direct, transport := in.worker.connections()
-	to := hop{pool: direct, transport: transport, address: in.config.WorkerAddress, fields: fields}
+	to := hop{pool: direct, transport: transport, address: in.config.WorkerAddress, fields: fields, protocol: &in.config.Protocol}
 	got, failure := send(x, &to, func(response *http.Response) *result { return in.checkWorker(x, response) })
 	callFailed := in.config.Calls.end(x.id)
 	ended := result{outcome: outcome.Answered, cause: causeNone, answer: got}
@@ -140,6 +179,9 @@
 // for. Without naming the try it may be a copy of what another service told
 // the worker.
 func (in *Inbound) checkWorker(x *exchange, response *http.Response) *result {
+	if !in.config.Protocol.own() {
+		return in.checkInstance(x, response)
+	}
 	echoed := get(response.Header, attemptHeader)
 	named := get(response.Header, outcome.RequestID)
 	missing := in.config.WorkerEchoes && echoed == "" && named == ""
--- /dev/null
+++ b/internal/traffic/instance.go
@@ -0,0 +1,90 @@
+package traffic
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"sliphead/internal/declaration"
+	"sliphead/internal/outcome"
+	"sliphead/internal/snapshot"
+)
+
+// classifyInstance takes a request for the local worker where views come from
+// a catalog. The caller's node names the instance that is to run it and how the
+// request is to be treated, since its view may be newer than this node's.
+func (in *Inbound) classifyInstance(x *exchange, view *snapshot.View, next stage) result {
+	x.instance = get(x.request.Header, instanceHeader)
+	x.caller = get(x.request.Header, callerHeader)
+	told, ok := decodeClass(get(x.request.Header, classHeader))
+	if !ok || x.instance == "" {
+		return reject(http.StatusBadRequest, causeMalformed, "send requests through a node's outbound listener")
+	}
+	x.view = view
+	x.class = told
+	x.route = routeOf(get(x.request.Header, outcome.Route), told)
+	if refused := in.checkLocal(x); refused != nil {
+		return *refused
+	}
+	return next(x)
+}
+
+// routeOf is as much of a route as a worker's node needs to know. The deadline
+// is the one that the caller's node tells.
+func routeOf(name string, told class) *snapshot.Route {
+	return &snapshot.Route{
+		Route: declaration.Route{Name: name, Repeatable: told.repeatable, DeadlineMS: maxDeadline.Milliseconds()},
+		Rank:  told.rank,
+	}
+}
+
+// maxDeadline bounds what a caller's node may tell.
+const maxDeadline = time.Hour
+
+// checkLocal refuses a request for an instance that is not beside this node, or
+// that leaves.
+func (in *Inbound) checkLocal(x *exchange) *result {
+	local := x.view.Local
+	if local.Instance != x.instance || local.Draining {
+		refused := refuse(causeNotLocal, time.Second, "send it again, the worker of this node does not take it now")
+		return &refused
+	}
+	in.adjustTo(local)
+	return nil
+}
+
+// adjustTo takes the worker's slots and connections from the catalog.
+func (in *Inbound) adjustTo(local snapshot.Local) {
+	if local.Slots > 0 {
+		in.admitter.resize(local.Slots)
+	}
+	if local.Connections > 0 {
+		in.worker.bound(local.Connections)
+	}
+}
+
+// checkInstance tells a worker's answer from one that is none, where callers
+// and workers have headers of their own.
+func (in *Inbound) checkInstance(x *exchange, response *http.Response) *result {
+	protocol := &in.config.Protocol
+	if id := get(response.Header, protocol.RequestID); id != "" && id != x.id {
+		return foreign()
+	}
+	if protocol.workerRefused(response) {
+		refused := refuse(causeShed, time.Second, "send it again later, the worker does not take it")
+		refused.arrived = true
+		return &refused
+	}
+	success := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
+	unsigned := get(response.Header, protocol.Signature) == "" || get(response.Header, protocol.RequestID) == ""
+	if response.StatusCode == http.StatusSwitchingProtocols || success && unsigned {
+		return foreign()
+	}
+	return nil
+}
+
+// remoteHost is the IP address that a request came from.
+func remoteHost(request *http.Request) string {
+	host, _, _ := net.SplitHostPort(request.RemoteAddr)
+	return host
+}
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -66,6 +66,12 @@
 
 // conclude counts an exchange and gives its final answer.
 func (m *metrics) conclude(x *exchange, ended result) {
+	m.count(x, ended)
+	conclude(x, ended)
+}
+
+// count counts an exchange.
+func (m *metrics) count(x *exchange, ended result) {
 	route := ""
 	if x.route != nil {
 		route = x.route.Name
@@ -81,5 +87,4 @@
 			"cause": string(ended.cause), "status": ended.status, "remedy": ended.remedy,
 		}).Warn("request.unknown")
 	}
-	conclude(x, ended)
 }
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -24,6 +24,25 @@
 	retries   *retryBucket
 	metrics   *metrics
 	handle    stage
+
+	// With a catalog.
+	local    *Inbound // beside this handler, nil if there is none
+	weights  weights
+	budget   *serviceBudget
+	refusals *refusals
+}
+
+// UseLocal lets the handler reach the worker beside it without a connection
+// between nodes. It is called before the first request.
+func (out *Outbound) UseLocal(local *Inbound) { out.local = local }
+
+// nodes is the number of nodes in the mesh, as far as the catalog tells.
+func (out *Outbound) nodes() int {
+	view, _ := out.config.Holder.Current(time.Now())
+	if view == nil {
+		return 1
+	}
+	return max(1, view.Nodes)
 }
 
 // NewOutbound returns the handler of the outbound listener.
@@ -35,7 +54,13 @@
 	out.chooser = &chooser{balancer: balance.New(balance.DefaultSettings(config.Zone, config.Region), rand.New(config.Random))}
 	out.retries = newRetryBucket(config.Limits)
 	out.metrics = newMetrics(config, "outbound", gauges{inFlight: out.gate.count})
+	out.weights = weights{credits: map[string][]int{}}
+	out.budget = newServiceBudget(config.Limits)
+	out.refusals = newRefusals()
 	out.handle = pipe(out.choose, out.classify, limitDepth(config.Limits.MaxDepth), limitTime, readBody(&out.config.Limits))
+	if !config.Protocol.own() {
+		out.handle = pipe(out.dispatch, out.classifyCatalog, limitTime, readWholeBody(&out.config.Limits))
+	}
 	return out
 }
 
@@ -51,6 +76,9 @@
 	if ended.outcome != outcome.Answered {
 		out.config.Calls.fail(x.id)
 	}
+	if !out.config.Protocol.own() && ended.outcome == outcome.NotRun && ended.status == http.StatusServiceUnavailable {
+		out.refusals.note(x, time.Now())
+	}
 	out.metrics.conclude(x, ended)
 }
 
@@ -65,6 +93,10 @@
 		budget:      out.config.Limits.RetryBudget,
 		smallAnswer: out.config.Limits.SmallAnswer,
 	}
+	if !out.config.Protocol.own() {
+		out.beginCatalog(x)
+		return x
+	}
 	if !validID(x.id) {
 		x.id = out.newID()
 	}
@@ -111,3 +143,50 @@
 		return next(x)
 	}
 }
+
+// beginCatalog reads the request's context where callers have headers of their
+// own.
+func (out *Outbound) beginCatalog(x *exchange) {
+	protocol := &out.config.Protocol
+	x.id = get(x.request.Header, protocol.RequestID)
+	protocol.acceptCaller(x.request.Header)
+	x.caller = out.config.Service
+	x.concurrentBody = true
+	x.protocol = protocol
+}
+
+// classifyCatalog finds the route in a view that comes from a catalog.
+func (out *Outbound) classifyCatalog(next stage) stage {
+	return func(x *exchange) result {
+		if fix := malformed(x.request); fix != "" {
+			return reject(http.StatusBadRequest, causeMalformed, fix)
+		}
+		if !validID(x.id) {
+			return reject(http.StatusBadRequest, causeMalformed, "name the request by a short id in "+out.config.Protocol.RequestID)
+		}
+		view, current := out.config.Holder.Current(x.started)
+		if !current {
+			return unready()
+		}
+		x.view = view
+		x.route = view.Match(hostOf(x.request), x.request.URL.Path, x.request.Method)
+		if x.route == nil {
+			return reject(http.StatusNotFound, causeRoute, "check host and path, no route is declared for them")
+		}
+		x.class = class{
+			rank:       x.route.Rank,
+			repeatable: x.route.Repeatable,
+			objective:  x.route.Objective,
+			returning:  out.refusals.returns(x, x.started),
+		}
+		return next(x)
+	}
+}
+
+// unready is the refusal of a node that knows no configuration yet.
+func unready() result {
+	const soon = 200 * time.Millisecond
+	refused := refuse(causeLease, 0, "send it again, this node has no configuration yet")
+	refused.retryAfter = soon
+	return refused
+}
--- a/internal/traffic/outcome.go
+++ b/internal/traffic/outcome.go
@@ -40,10 +40,16 @@
 	x.limitWriting(time.Now())
 	header := newFields(x.writer.Header())
 	x.setOutcome(header, ended.outcome)
+	if x.protocol != nil && validID(x.id) {
+		header.set(x.protocol.RequestID, x.id)
+	}
+	if ended.arrived {
+		header.set(workerHeader, "1")
+	}
 	header.set(outcome.Remedy, ended.remedy)
 	header.set("Content-Type", "text/plain; charset=utf-8")
 	if ended.retryAfter > 0 {
-		header.set("Retry-After", seconds(ended.retryAfter))
+		header.set("Retry-After", x.retryAfter(ended.retryAfter))
 	}
 	if ended.final && x.attempt != "" {
 		header.set(finalHeader, "1")
@@ -66,6 +72,14 @@
 	_ = controller.SetWriteDeadline(deadline.Add(writeGrace)) // not offered by all writers
 }
 
+// retryAfter tells a wait: to the millisecond where callers understand it.
+func (x *exchange) retryAfter(wait time.Duration) string {
+	if x.protocol == nil {
+		return seconds(wait)
+	}
+	return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
+}
+
 // seconds rounds up to whole seconds, at least one.
 func seconds(wait time.Duration) string {
 	return strconv.Itoa(max(1, int(math.Ceil(wait.Seconds()))))
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -43,7 +43,7 @@
 		if conn == nil {
 			return p.connect(ctx, address)
 		}
-		if time.Since(conn.idleSince) < idleLife && conn.quiet() {
+		if conn.mayBeIdle(time.Since(conn.idleSince)) && conn.quiet() {
 			return conn, nil
 		}
 		conn.close()
--- a/internal/traffic/pooled.go
+++ b/internal/traffic/pooled.go
@@ -6,6 +6,9 @@
 	"io"
 	"math"
 	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"sliphead/internal/fault"
@@ -23,6 +26,10 @@
 	idleSince   time.Time
 	interrupter func() // interrupt, made once
 	stop        func() bool
+	silent      atomic.Bool   // whether the other side gave no sign in time
+	started     bool          // whether the body is being sent
+	body        chan struct{} // closed when a body that is sent beside the answer has gone out; nil: none is
+	idleLife    time.Duration // for which the other side keeps the connection idle; 0: not told
 }
 
 // Bounds of an answer's header, as the transport of net/http has them.
@@ -59,7 +66,7 @@
 // finish gives the connection back after a whole answer. One that was
 // interrupted, or on which more came than was asked for, is closed.
 func (c *pooledConn) finish(reusable bool) {
-	if !c.stop() || !reusable || c.reader.Buffered() > 0 {
+	if !c.stop() || !reusable || c.reader.Buffered() > 0 || !c.bodySent() {
 		c.close()
 		return
 	}
@@ -77,25 +84,90 @@
 	c.pool.release()
 }
 
-// roundTrip sends a request and reads the answer's header.
+// roundTrip sends a request and reads the answer's header. With an offer, the
+// body goes out once the other side asks for it.
 func (c *pooledConn) roundTrip(x *exchange, to *hop) (*http.Response, error) {
+	c.started = false
+	c.body = nil
+	sign := c.awaitSign(to.silence)
+	defer sign.Stop()
 	if err := writeRequest(c.writer, x, to); err != nil {
 		return nil, err
 	}
+	if !to.offers(x) {
+		if err := c.writeBody(x); err != nil {
+			return nil, err
+		}
+	}
 	c.limit = maxAnswerHeader
 	for range maxInformational {
 		response, err := http.ReadResponse(c.reader, x.request)
 		if err != nil {
 			return nil, err
 		}
+		sign.Stop()
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
 			c.limit = math.MaxInt64
 			return response, nil
 		}
+		if response.StatusCode == http.StatusContinue && to.offers(x) && !c.started {
+			if err := c.writeBody(x); err != nil {
+				return nil, err
+			}
+		}
 	}
 	return nil, fault.New(fault.Worker, "answer with a final status", "more than %d informational answers", maxInformational)
 }
 
+// next passes over an answer that came late to another request, and reads the
+// one behind it.
+func (c *pooledConn) next(x *exchange, late *http.Response) (*http.Response, error) {
+	if !framed(late) {
+		return nil, fault.New(fault.Worker, "answer each request once", "a late answer has no end")
+	}
+	if _, err := io.Copy(io.Discard, late.Body); err != nil {
+		return nil, err
+	}
+	c.limit = maxAnswerHeader
+	response, err := http.ReadResponse(c.reader, x.request)
+	c.limit = math.MaxInt64
+	return response, err
+}
+
+// noteIdleLife reads for how long the other side keeps the connection.
+func (c *pooledConn) noteIdleLife(response *http.Response) {
+	_, told, found := strings.Cut(get(response.Header, "Keep-Alive"), "timeout=")
+	if !found {
+		return
+	}
+	told, _, _ = strings.Cut(told, ",")
+	if whole, err := strconv.Atoi(strings.TrimSpace(told)); err == nil && whole > 0 {
+		c.idleLife = time.Duration(whole) * time.Second
+	}
+}
+
+// mayBeIdle reports whether the other side still keeps a connection that has
+// been idle for a time, with a margin for the way.
+func (c *pooledConn) mayBeIdle(idle time.Duration) bool {
+	const marginShare = 4
+	if c.idleLife > 0 && idle >= c.idleLife-c.idleLife/marginShare {
+		return false
+	}
+	return idle < idleLife
+}
+
+// tripFailure tells what a failed try came to. A body that was offered and not
+// asked for was never there to be run.
+func (c *pooledConn) tripFailure(x *exchange, to *hop, left bool) result {
+	if to.offers(x) && !c.started {
+		left = false
+	}
+	if c.silent.Load() && x.context.Err() == nil {
+		return silence(left)
+	}
+	return roundTripFailure(x, left)
+}
+
 // skip passes over the body of an answer that is not passed on, so that the
 // connection can be used again. It reports whether it could.
 func (c *pooledConn) skip(response *http.Response) bool {
@@ -152,16 +224,75 @@
 	return got, failure, true
 }
 
+// awaitSign interrupts the connection unless the other side gives a sign in time.
+func (c *pooledConn) awaitSign(within time.Duration) *time.Timer {
+	c.silent.Store(false)
+	if within <= 0 {
+		within = math.MaxInt64
+	}
+	return time.AfterFunc(within, func() {
+		c.silent.Store(true)
+		c.interrupt()
+	})
+}
+
+// writeBody sends a whole body: a short one now, a long one while the answer
+// is read, because the other side may answer before it has read it all.
+func (c *pooledConn) writeBody(x *exchange) error {
+	c.started = true
+	if x.body.length <= directBody {
+		_, _ = c.writer.Write(x.body.whole) // Flush tells its error
+		return c.writer.Flush()
+	}
+	if err := c.writer.Flush(); err != nil {
+		return err
+	}
+	sent := make(chan struct{})
+	c.body = sent
+	go func() {
+		defer close(sent)
+		_, _ = c.sealedConn.Write(x.body.whole) // the answer, or its lack, tells of an error
+	}()
+	return nil
+}
+
+// bodySent reports whether all of the body has gone out.
+func (c *pooledConn) bodySent() bool {
+	if c.body == nil {
+		return true
+	}
+	select {
+	case <-c.body:
+		return true
+	default:
+		return false
+	}
+}
+
+// mostForeign is how many answers that belong to other requests are passed
+// over on one connection.
+const mostForeign = 2
+
 // exchange makes one try. It returns the answer, or how the try failed.
 func (c *pooledConn) exchange(x *exchange, to *hop, check func(*http.Response) *result) (*answer, *result) {
 	watch := sending{conn: c.sealedConn, base: c.count()}
 	c.begin(x.context)
 	response, err := c.roundTrip(x, to)
+	for range mostForeign {
+		if err != nil || !to.foreignTo() || !to.protocol.belongsElsewhere(x, response) {
+			break
+		}
+		response, err = c.next(x, response)
+	}
 	if err != nil {
-		failure := roundTripFailure(x, watch.left())
+		failure := c.tripFailure(x, to, watch.left())
 		c.abandon()
 		return nil, &failure
 	}
+	if !c.bodySent() {
+		response.Close = true
+	}
+	c.noteIdleLife(response)
 	failure := check(response)
 	switch {
 	case failure != nil && failure.cause == causeForeign:
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -11,12 +11,16 @@
 	"sliphead/internal/fault"
 )
 
-// writeRequest writes the request of the next hop. Its body is whole.
+// writeRequest writes the header of the next hop's request. It is flushed when
+// the body is only offered.
 func writeRequest(writer *bufio.Writer, x *exchange, to *hop) error {
 	if err := to.validate(); err != nil {
 		return err
 	}
 	writeStrings(writer, x.request.Method, " ", x.request.URL.RequestURI(), " HTTP/1.1\r\nHost: ", x.request.Host, "\r\n")
+	if to.offers(x) {
+		writeStrings(writer, "Expect: 100-continue\r\n")
+	}
 	writeEndToEnd(writer, x.request.Header, to)
 	for _, each := range to.fields {
 		writeStrings(writer, each.name, ": ", each.value, "\r\n")
@@ -26,10 +30,15 @@
 		writeStrings(writer, "Content-Length: ", string(length), "\r\n")
 	}
 	writeStrings(writer, "\r\n")
-	_, _ = writer.Write(x.body.whole) // Flush tells its error
-	return writer.Flush()
+	if to.offers(x) {
+		return writer.Flush()
+	}
+	return nil
 }
 
+// offers reports whether the request goes out without its body at first.
+func (h *hop) offers(x *exchange) bool { return h.offer && x.body.length > 0 }
+
 func writeStrings(writer *bufio.Writer, texts ...string) {
 	for _, text := range texts {
 		_, _ = writer.WriteString(text) // Flush tells its error
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -50,11 +50,22 @@
 	// only so can an answer that comes late on a connection be told apart.
 	WorkerEchoes bool
 	Edge         bool // whether callers are outside the mesh: their internal headers are stripped
-	Limits       Limits
-	Registerer   prometheus.Registerer // nil: metrics are kept but not registered
-	Logger       log.Interface         // nil: log.Log
-	Dial         DialFunc              // nil: net.Dialer
-	Random       rand.Source           // nil: seeded from the clock
+	// Protocol names the headers of callers and workers, the zero one for
+	// sliphead's own. With another one, views come from a catalog.
+	Protocol Protocol
+	// Service is the service of the local worker, told to the workers that its
+	// calls and its machine's callers reach.
+	Service string
+	// BytePrice is what a kilobyte sent to another zone costs, in parts of what
+	// a request in time is worth.
+	BytePrice float64
+	// Seen is told the IP address of each node that a request came from.
+	Seen       func(address string)
+	Limits     Limits
+	Registerer prometheus.Registerer // nil: metrics are kept but not registered
+	Logger     log.Interface         // nil: log.Log
+	Dial       DialFunc              // nil: net.Dialer
+	Random     rand.Source           // nil: seeded from the clock
 	// Observe is told what requests met at the local worker: true for a whole
 	// answer, false for none that was the worker's doing. It must not block.
 	Observe func(succeeded bool)
@@ -74,6 +85,7 @@
 	RetryRatio     float64       // retries per request of this node, over time
 	RetryBurst     float64       // retries that may be saved up
 	RetryBudget    int           // retries of one call tree, in thousandths
+	RetrySlack     int           // with a catalog: arrivals beyond the first that the whole mesh may add within a window, beside RetryRatio
 	IdlePerNode    int           // idle connections kept to each node
 	ConnectTimeout time.Duration // to open a connection
 	HeaderTimeout  time.Duration // to read a request's header
@@ -93,6 +105,7 @@
 	defaultRetryRatio     = 0.1
 	defaultRetryBurst     = 10
 	defaultRetryBudget    = 2000
+	defaultRetrySlack     = 64
 	defaultIdlePerNode    = 32
 	defaultConnectTimeout = time.Second
 	defaultHeaderTimeout  = 5 * time.Second
@@ -113,6 +126,7 @@
 	defaults.Set(&l.RetryRatio, defaultRetryRatio)
 	defaults.Set(&l.RetryBurst, defaultRetryBurst)
 	defaults.Set(&l.RetryBudget, defaultRetryBudget)
+	defaults.Set(&l.RetrySlack, defaultRetrySlack)
 	defaults.Set(&l.IdlePerNode, defaultIdlePerNode)
 	defaults.Set(&l.ConnectTimeout, defaultConnectTimeout)
 	defaults.Set(&l.HeaderTimeout, defaultHeaderTimeout)
