Pass a worker's failure on once, when no other worker does better

Cause: deciding whether a failed offer may be followed by another evaluated the final answer at once, which wrote the kept failure to the caller; the second worker's answer then followed it and the connection was cut (rule LOST). Also: a connection on which a long body met an answer that is no success is not used again, as the worker may read the rest of the body later. Tests: TestDispatchAnswersOnceAfterAFailure, TestDispatchTakesAnEarlyAnswer and TestDispatchEndings failed before.

--- /dev/null
+++ b/internal/traffic/catalog_mesh_test.go
@@ -0,0 +1,292 @@
+package traffic
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"sliphead/internal/declaration"
+	"sliphead/internal/snapshot"
+	"sliphead/internal/version"
+)
+
+// testProtocol names the headers of the stand-in callers and workers.
+var testProtocol = Protocol{
+	RequestID:      "X-Test-Id",
+	Deadline:       "X-Test-Deadline",
+	CallerService:  "X-Test-Caller",
+	TargetInstance: "X-Test-Target",
+	NotExecuted:    "X-Test-Not-Executed",
+	Signature:      "X-Test-Signature",
+	Instance:       "X-Test-Instance",
+	WorkerLoad:     "X-Test-Load",
+}
+
+// instanceWorker is a stand-in worker of a catalog's mesh. It does what the
+// script says for each request in turn, then answers well.
+type instanceWorker struct {
+	id       string
+	listener net.Listener
+
+	mutex  sync.Mutex
+	script []string
+	ran    []string // ids of requests that ran
+	got    []*http.Request
+	bodies []string
+	gate   chan struct{} // when set, "wait" answers once it is closed
+}
+
+func newInstanceWorker(t testing.TB, id string) *instanceWorker {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	w := &instanceWorker{id: id, listener: listener, gate: make(chan struct{})}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go w.serve(conn)
+		}
+	}()
+	return w
+}
+
+func (w *instanceWorker) address() string { return w.listener.Addr().String() }
+
+// next takes the next behaviour of the script.
+func (w *instanceWorker) next() string {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if len(w.script) == 0 {
+		return ""
+	}
+	first := w.script[0]
+	w.script = w.script[1:]
+	return first
+}
+
+func (w *instanceWorker) runs() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return len(w.ran)
+}
+
+func (w *instanceWorker) note(request *http.Request, body string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.ran = append(w.ran, request.Header.Get(testProtocol.RequestID))
+	w.got = append(w.got, request)
+	w.bodies = append(w.bodies, body)
+}
+
+func (w *instanceWorker) last() (*http.Request, string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.got[len(w.got)-1], w.bodies[len(w.bodies)-1]
+}
+
+func (w *instanceWorker) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		behaviour := w.next()
+		if behaviour == "early" { // answers while the body is still coming, and reads no more
+			w.note(request, "")
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 413 Long\r\n%s\r\nContent-Length: 4\r\n\r\nlong", w.headers(request))
+			<-w.gate
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil || !w.behave(behaviour, conn, request, string(body)) {
+			return
+		}
+	}
+}
+
+func (w *instanceWorker) headers(request *http.Request) string {
+	return fmt.Sprintf("%s: %s\r\n%s: signed", testProtocol.RequestID, request.Header.Get(testProtocol.RequestID), testProtocol.Signature)
+}
+
+func answerOf(request *http.Request) string {
+	return "answer to " + request.Header.Get(testProtocol.RequestID)
+}
+
+// behave answers one request, or not; false ends the connection.
+func (w *instanceWorker) behave(behaviour string, conn net.Conn, request *http.Request, body string) bool {
+	text := answerOf(request)
+	if request.Header.Get(testProtocol.TargetInstance) != w.id {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	if behaviour == "shed" {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Full\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", testProtocol.NotExecuted)
+		return true
+	}
+	w.note(request, body)
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s\r\nContent-Length: %d\r\n\r\n%s", w.headers(request), len(text), text)
+	late := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: other\r\n%s: signed\r\nContent-Length: 5\r\n\r\nother", testProtocol.RequestID, testProtocol.Signature)
+	switch behaviour {
+	case "wait":
+		<-w.gate
+	case "error":
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 500 Error\r\n%s\r\nContent-Length: 5\r\n\r\nerror", w.headers(request))
+		return true
+	case "close":
+		return false
+	case "reset":
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return false
+	case "garbage":
+		_, _ = io.WriteString(conn, "no answer at all\r\n\r\n")
+		return false
+	case "unsigned":
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake")
+		return true
+	case "half":
+		_, _ = io.WriteString(conn, whole[:len(whole)-4])
+		return false
+	case "late":
+		_, _ = io.WriteString(conn, late+whole)
+		return true
+	case "extra":
+		_, _ = io.WriteString(conn, whole+late)
+		return true
+	case "unframed":
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\nConnection: close\r\n\r\n%s", w.headers(request), text)
+		return false
+	case "unframed-reset":
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\nConnection: close\r\n\r\n%s", w.headers(request), text[:4])
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+	_, _ = io.WriteString(conn, whole)
+	return true
+}
+
+// catalogNode is one node of the mesh under test, with its worker.
+type catalogNode struct {
+	worker   *instanceWorker
+	holder   *snapshot.Holder
+	in       *Inbound
+	out      *Outbound
+	inbound  string
+	outbound string
+}
+
+// catalogMesh is nodes with a worker each, all of one service in one zone.
+type catalogMesh struct {
+	t      testing.TB
+	nodes  []*catalogNode
+	client *http.Client
+	serial int
+}
+
+// newCatalogMesh starts nodes. Requests go to the first.
+func newCatalogMesh(t testing.TB, count int) *catalogMesh {
+	m := &catalogMesh{t: t, client: &http.Client{Transport: &http.Transport{}}}
+	t.Cleanup(m.client.CloseIdleConnections)
+	for index := range count {
+		m.nodes = append(m.nodes, newCatalogNode(t, fmt.Sprintf("i-%d", index)))
+	}
+	m.publish(nil)
+	return m
+}
+
+func newCatalogNode(t testing.TB, id string) *catalogNode {
+	node := &catalogNode{worker: newInstanceWorker(t, id), holder: &snapshot.Holder{}}
+	node.holder.Renew(time.Now().Add(time.Hour))
+	config := Config{
+		Node: id, Zone: "z1", Region: "r1", Service: "shop", Holder: node.holder, Worker: id,
+		WorkerAddress: node.worker.address(), Protocol: testProtocol, Logger: quiet(),
+		Limits: Limits{SmallBody: 4 << 20, RetryRatio: 1},
+	}
+	node.in = NewInbound(config)
+	node.out = NewOutbound(config)
+	node.out.UseLocal(node.in)
+	inbound := serve(t, node.in, config.Limits)
+	outbound := serve(t, node.out, config.Limits)
+	t.Cleanup(func() { outbound.Close(); inbound.Close() })
+	node.inbound, node.outbound = address(inbound), outbound.URL
+	return node
+}
+
+// publish gives each node its view. Change may alter the route.
+func (m *catalogMesh) publish(change func(*snapshot.Route)) {
+	for own, node := range m.nodes {
+		var endpoints []snapshot.Endpoint
+		for index, other := range m.nodes {
+			endpoints = append(endpoints, snapshot.Endpoint{
+				Worker: other.worker.id, Node: other.worker.id, Zone: "z1", Region: "r1", Address: other.inbound, Slots: 2, Connections: 130, Local: index == own,
+			})
+		}
+		var routes []*snapshot.Route
+		for _, name := range []string{"lookup", "order"} {
+			route := &snapshot.Route{
+				Route:       declaration.Route{Name: name, Host: "shop.example", PathPrefix: "/" + name + "/", Service: "shop", Repeatable: name == "lookup", DeadlineMS: 60_000},
+				MaxAttempts: 2, Objective: 30 * time.Second,
+				Targets: []snapshot.Target{{Service: "shop", Weight: 1, Endpoints: endpoints}},
+			}
+			if change != nil {
+				change(route)
+			}
+			routes = append(routes, route)
+		}
+		view := snapshot.NewView(version.Version{Revision: 1}, time.Now(), routes)
+		view.Nodes = len(m.nodes)
+		view.Local = snapshot.Local{Instance: node.worker.id, Service: "shop", Slots: 2, Connections: 130}
+		node.holder.Store(view)
+	}
+}
+
+// call sends a request to the first node and reads the whole answer.
+func (m *catalogMesh) call(method, path, body string, headers ...string) (*http.Response, string, error) {
+	m.t.Helper()
+	m.serial++
+	request, err := http.NewRequest(method, m.nodes[0].outbound+path, strings.NewReader(body))
+	must.NoError(m.t, err)
+	request.Host = "shop.example"
+	request.Header.Set(testProtocol.RequestID, fmt.Sprintf("r-%d", m.serial))
+	request.Header.Set(testProtocol.Deadline, "20000")
+	for index := 0; index+1 < len(headers); index += 2 {
+		request.Header.Set(headers[index], headers[index+1])
+	}
+	response, err := m.client.Do(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return response, string(text), err
+}
+
+// runs counts the runs at all workers.
+func (m *catalogMesh) runs() int {
+	total := 0
+	for _, node := range m.nodes {
+		total += node.worker.runs()
+	}
+	return total
+}
+
+// script gives the same script to all workers.
+func (m *catalogMesh) script(behaviours ...string) {
+	for _, node := range m.nodes {
+		node.worker.mutex.Lock()
+		node.worker.script = append([]string(nil), behaviours...)
+		node.worker.mutex.Unlock()
+	}
+}
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -120,11 +120,17 @@
 		if failure.arrived {
 			d.attempts++
 		}
-		return d.giveUp(), failure.arrived && d.attempts >= d.x.route.MaxAttempts || failure.cause == causeCallerGone
+		if failure.arrived && d.attempts >= d.x.route.MaxAttempts || failure.cause == causeCallerGone {
+			return d.giveUp(), true
+		}
+		return result{}, false
 	}
 	d.attempts++
 	d.mayHaveRun = true
-	return d.giveUp(), !d.mayRepeat()
+	if d.mayRepeat() {
+		return result{}, false
+	}
+	return d.giveUp(), true
 }
 
 // mayRepeat reports whether a request that may have run may run again.
@@ -138,7 +144,8 @@
 	}
 }
 
-// giveUp is the final answer of a request that no worker has answered well.
+// giveUp is the final answer of a request that no worker has answered well. It
+// may write to the caller, so it is called once, at the end.
 func (d *dispatch) giveUp() result {
 	if d.answered != nil {
 		return d.answered.pass(d.x)
--- /dev/null
+++ b/internal/traffic/dispatch_test.go
@@ -0,0 +1,143 @@
+package traffic
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"sliphead/internal/snapshot"
+)
+
+// The request reaches a worker unchanged but for what the system sets, and the
+// answer comes back unchanged.
+func TestDispatchPassesRequestAndAnswer(t *testing.T) {
+	m := newCatalogMesh(t, 2)
+	response, text, err := m.call("POST", "/order/a?b=c", "wedding cards",
+		testProtocol.CallerService, "forged", testProtocol.TargetInstance, "forged", "Sliphead-Attempt", "forged", "X-Other", "kept")
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, response.StatusCode)
+	must.Eq(t, "answer to r-1", text)
+	must.Eq(t, "signed", response.Header.Get(testProtocol.Signature))
+	got, body := m.nodes[0].worker.last()
+	must.Eq(t, "wedding cards", body)
+	must.Eq(t, "/order/a?b=c", got.URL.RequestURI())
+	must.Eq(t, "shop", got.Header.Get(testProtocol.CallerService))
+	must.Eq(t, "i-0", got.Header.Get(testProtocol.TargetInstance))
+	must.Eq(t, "kept", got.Header.Get("X-Other"))
+	must.Eq(t, "", got.Header.Get("Sliphead-Attempt"))
+}
+
+// Whatever a worker does, a request that may not be repeated runs once at most,
+// a refusal means that it did not run, and a success is the worker's own.
+func TestDispatchEndings(t *testing.T) {
+	for _, behaviour := range []string{"", "shed", "error", "close", "reset", "garbage", "unsigned", "half", "late", "extra", "unframed", "unframed-reset"} {
+		for _, method := range []string{"GET", "POST", "POST-long"} {
+			for _, path := range []string{"/lookup/", "/order/"} {
+				t.Run(behaviour+method+path, func(t *testing.T) {
+					m := newCatalogMesh(t, 2)
+					m.script(behaviour, behaviour)
+					verb, long, _ := strings.Cut(method, "-")
+					body := "cards"
+					if verb == "GET" {
+						body = ""
+					}
+					if long != "" {
+						body = strings.Repeat("cards", directBody)
+					}
+					response, text, err := m.call(verb, path, body)
+					if path == "/order/" {
+						must.LessEq(t, 1, m.runs())
+					}
+					must.NoError(t, err)
+					switch response.StatusCode {
+					case http.StatusOK:
+						must.Eq(t, "answer to r-1", text)
+						must.Eq(t, "signed", response.Header.Get(testProtocol.Signature))
+					case http.StatusServiceUnavailable:
+						must.Zero(t, m.runs())
+						must.NotEq(t, "", response.Header.Get("Retry-After"))
+					case http.StatusInternalServerError:
+						must.Eq(t, "error", text)
+					default:
+						must.Eq(t, http.StatusBadGateway, response.StatusCode)
+						must.Eq(t, "", response.Header.Get(testProtocol.Signature))
+					}
+					if behaviour == "late" || behaviour == "unframed" || behaviour == "extra" {
+						must.Eq(t, http.StatusOK, response.StatusCode)
+					}
+				})
+			}
+		}
+	}
+}
+
+// A worker's own failure is kept back while another worker may do better, and
+// the caller gets one answer: at first, giving a failed try up wrote the kept
+// answer under the second worker's.
+func TestDispatchAnswersOnceAfterAFailure(t *testing.T) {
+	m := newCatalogMesh(t, 3)
+	m.nodes[0].worker.script = []string{"error"}
+	m.nodes[1].worker.script = []string{"close"}
+	m.nodes[2].worker.script = []string{"close"}
+	m.publish(func(route *snapshot.Route) { route.MaxAttempts = 3 })
+	for range 4 {
+		response, text, err := m.call("GET", "/lookup/", "")
+		must.NoError(t, err)
+		if response.StatusCode == http.StatusOK {
+			must.StrHasPrefix(t, "answer to ", text)
+		} else {
+			must.Eq(t, "error", text)
+		}
+	}
+}
+
+// An answer that comes before the body has gone out is passed on, and the
+// connection carries no other request.
+func TestDispatchTakesAnEarlyAnswer(t *testing.T) {
+	m := newCatalogMesh(t, 1)
+	defer close(m.nodes[0].worker.gate)
+	m.script("early")
+	response, text, err := m.call("POST", "/order/", strings.Repeat("artwork ", 1<<18))
+	must.NoError(t, err)
+	must.Eq(t, http.StatusRequestEntityTooLarge, response.StatusCode)
+	must.Eq(t, "long", text)
+	response, _, err = m.call("POST", "/order/", "cards")
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, response.StatusCode)
+}
+
+// A node whose worker has left refuses, and the request runs elsewhere.
+func TestDispatchPassesOverALeavingWorker(t *testing.T) {
+	m := newCatalogMesh(t, 2)
+	view, _ := m.nodes[0].holder.Current(time.Now())
+	leaving := *view
+	leaving.Local.Draining = true
+	m.nodes[0].holder.Store(&leaving)
+	response, _, err := m.call("POST", "/order/", "cards")
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, response.StatusCode)
+	must.Zero(t, m.nodes[0].worker.runs())
+}
+
+// A node that knows no configuration answers 503, never 404.
+func TestDispatchWithoutConfiguration(t *testing.T) {
+	m := newCatalogMesh(t, 1)
+	m.nodes[0].holder.Store(nil)
+	response, _, err := m.call("GET", "/lookup/", "")
+	must.NoError(t, err)
+	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+}
+
+// Each service gets its share of a route's requests.
+func TestWeightsKeepTheirShares(t *testing.T) {
+	w := weights{credits: map[string][]int{}}
+	route := &snapshot.Route{Targets: []snapshot.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	counts := map[string]int{}
+	for range 100 {
+		counts[w.order(route)[0].Service]++
+	}
+	must.Eq(t, map[string]int{"a": 90, "b": 10}, counts)
+}
--- a/internal/traffic/pooled.go
+++ b/internal/traffic/pooled.go
@@ -269,6 +269,12 @@
 	}
 }
 
+// mayBeEarly reports whether an answer may have come before the other side has
+// read the whole body: then the connection must not carry another request.
+func (c *pooledConn) mayBeEarly(response *http.Response) bool {
+	return c.body != nil && (response.StatusCode >= http.StatusMultipleChoices || !c.bodySent())
+}
+
 // mostForeign is how many answers that belong to other requests are passed
 // over on one connection.
 const mostForeign = 2
@@ -289,7 +295,7 @@
 		c.abandon()
 		return nil, &failure
 	}
-	if !c.bodySent() {
+	if c.mayBeEarly(response) {
 		response.Close = true
 	}
 	c.noteIdleLife(response)
