--- a/internal/traffic/admission/admission_test.go
+++ b/internal/traffic/admission/admission_test.go
@@ -43,6 +43,25 @@
 	must.Eq(t, 1, queue.Waiting())
 }
 
+// The first of several long runs ends long before half of their time has passed:
+// a short request of a higher class waits for that alone. It was refused on a
+// forecast of half of all running work.
+func TestShortRequestWaitsForTheFirstSlot(t *testing.T) {
+	const slots, run = 6, 840 * time.Millisecond
+	queue := New[string](Settings{Slots: slots, Length: 8})
+	far := start.Add(time.Minute)
+	warm, _ := queue.Arrive(Batch, far, start, "")
+	now := start.Add(run)
+	queue.Done(warm, now)
+	for range slots {
+		queue.Arrive(Batch, far, now, "")
+	}
+	urgent, _ := queue.Arrive(Interactive, now.Add(200*time.Millisecond), now, "")
+	must.Eq(t, Queued, urgent.Verdict)
+	wait, _ := queue.Forecast(Interactive, now)
+	must.Eq(t, run/(slots+1)+0, wait)
+}
+
 func TestFullQueueGivesWayToHigherClass(t *testing.T) {
 	queue := New[string](Settings{Slots: 1, Length: 1})
 	far := start.Add(time.Minute)
--- a/internal/traffic/admission/estimate.go
+++ b/internal/traffic/admission/estimate.go
@@ -41,15 +41,18 @@
 }
 
 // predict returns the expected wait of a request of the class that arrives
-// now: the work queued ahead of it and half of the running work, over the slots.
+// now: until the first of the running ones ends, which are taken to be evenly
+// spread over their time, and then the work queued ahead of it over the slots.
 func (q *Queue[W]) predict(class Class, now time.Time) time.Duration {
-	var work time.Duration
+	var ahead, running time.Duration
 	for other := range q.waiting {
 		mean := q.service[other].at(now)
 		if Class(other) <= class {
-			work += mean * time.Duration(q.waiting[other].Len())
+			ahead += mean * time.Duration(q.waiting[other].Len())
 		}
-		work += mean * time.Duration(q.busy[other]) / 2
+		running += mean * time.Duration(q.busy[other])
 	}
-	return work / time.Duration(max(1, q.settings.Slots))
+	slots := time.Duration(max(1, q.settings.Slots))
+	first := running / time.Duration(max(1, q.running)) / (slots + 1)
+	return first + ahead/slots
 }
