Let a stopping node take only the requests that end before it does

Ruled out: ending sooner; callers that have turned away cost nothing, the others are served as long as it goes well. Test: TestStoppingNodeTakesWhatEndsInTime failed before.

--- a/internal/node/catalog_stop.go
+++ b/internal/node/catalog_stop.go
@@ -13,6 +13,7 @@
 const (
 	workerPhase = 0.3  // the local worker takes requests of other nodes for so long
 	callerPhase = 0.5  // callers are served for so long at least
+	strictPhase = 0.45 // from then on, only requests are taken that end before the process does
 	lastPhase   = 0.92 // then the process ends whatever still runs
 )
 
@@ -30,6 +31,7 @@
 	for _, server := range n.servers {
 		server.SetKeepAlivesEnabled(false)
 	}
+	n.outbound.LeaveBy(began.Add(n.stopPart(strictPhase)), began.Add(n.stopPart(lastPhase)))
 	quietSince := began
 	for ctx.Err() == nil {
 		time.Sleep(stopPoll)
--- a/internal/traffic/dispatch_test.go
+++ b/internal/traffic/dispatch_test.go
@@ -131,6 +131,28 @@
 	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
 }
 
+// A stopping node takes what ends in time and refuses the rest as not run. It
+// took all, and cut what still ran at its end.
+func TestStoppingNodeTakesWhatEndsInTime(t *testing.T) {
+	m := newCatalogMesh(t, 1)
+	for _, step := range []struct {
+		strict, end time.Duration
+		status      int
+	}{
+		{time.Minute, time.Minute, http.StatusOK},                 // the objective fits
+		{time.Minute, time.Second, http.StatusServiceUnavailable}, // the objective does not fit
+		{0, time.Minute, http.StatusOK},                           // the caller's 20 s fit
+		{0, 10 * time.Second, http.StatusServiceUnavailable},      // they do not
+	} {
+		now := time.Now()
+		m.nodes[0].out.LeaveBy(now.Add(step.strict), now.Add(step.end))
+		response, _, err := m.call("GET", "/lookup/", "")
+		must.NoError(t, err)
+		must.Eq(t, step.status, response.StatusCode)
+	}
+	must.Eq(t, 2, m.runs())
+}
+
 // Each service gets its share of a route's requests.
 func TestWeightsKeepTheirShares(t *testing.T) {
 	w := weights{credits: map[string][]int{}}
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"sliphead/internal/outcome"
@@ -26,10 +27,11 @@
 	handle    stage
 
 	// With a catalog.
-	local    *Inbound // beside this handler, nil if there is none
-	weights  weights
-	budget   *serviceBudget
-	refusals *refusals
+	local     *Inbound // beside this handler, nil if there is none
+	weights   weights
+	budget    *serviceBudget
+	refusals  *refusals
+	departure atomic.Pointer[departure] // nil until the node stops
 }
 
 // UseLocal lets the handler reach the worker beside it without a connection
@@ -59,7 +61,7 @@
 	out.refusals = newRefusals()
 	out.handle = pipe(out.choose, out.classify, limitDepth(config.Limits.MaxDepth), limitTime, readBody(&out.config.Limits))
 	if !config.Protocol.own() {
-		out.handle = pipe(out.dispatch, out.classifyCatalog, limitTime, readWholeBody(&out.config.Limits))
+		out.handle = pipe(out.dispatch, out.classifyCatalog, limitTime, leaveInTime(&out.departure), readWholeBody(&out.config.Limits))
 	}
 	return out
 }
