Say less between nodes, and offer nothing that would be refused

Ruled out: control traffic (followers stay in their zone) and the store. Change: one short header carries what two nodes tell each other; refusals between nodes have no body; run times are learned by route, not by class; a node that told a wait beyond the objective is not asked again until that has passed; a request waits in its zone beyond its objective where another zone costs more than that; what comes back after a refusal (again on a new connection) waits ahead.

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -79,6 +79,7 @@
 	GiveUp     time.Time     // when queued: the last moment at which a grant is of use
 
 	class    Class
+	kind     kind
 	ahead    bool // whether it waits ahead of others of its class
 	arrived  time.Time
 	granted  time.Time
@@ -92,15 +93,21 @@
 	settings Settings
 	waiting  [classes]*list.List // of *Ticket[W], oldest first
 	length   int
-	busy     [classes]int
+	busy     map[kind]int // running requests
 	running  int
 	grants   int
-	service  [classes]estimate
+	service  map[kind]*estimate
+}
+
+// kind names requests that take like times.
+type kind struct {
+	class Class
+	name  string
 }
 
 // New returns an empty queue.
 func New[W any](settings Settings) *Queue[W] {
-	queue := &Queue[W]{settings: settings}
+	queue := &Queue[W]{settings: settings, busy: map[kind]int{}, service: map[kind]*estimate{}}
 	for class := range queue.waiting {
 		queue.waiting[class] = list.New()
 	}
@@ -128,23 +135,31 @@
 // Arrive takes in a request. The ticket tells its verdict; decided are other
 // tickets that had to give way to it.
 func (q *Queue[W]) Arrive(class Class, deadline, now time.Time, waiter W) (ticket *Ticket[W], decided []*Ticket[W]) {
-	return q.take(&Ticket[W]{Waiter: waiter, class: class, arrived: now, deadline: deadline}, now)
+	return q.Take(Arrival[W]{Class: class, Deadline: deadline, Waiter: waiter}, now)
 }
 
-// Return takes in a request that comes back after a refusal: it waits ahead of
-// others of its class, so that it is not refused again.
-func (q *Queue[W]) Return(class Class, deadline, now time.Time, waiter W) (ticket *Ticket[W], decided []*Ticket[W]) {
-	return q.take(&Ticket[W]{Waiter: waiter, class: class, arrived: now, deadline: deadline, ahead: true}, now)
+// Arrival is a request that is to be taken in.
+type Arrival[W any] struct {
+	Class    Class
+	Kind     string    // requests of one kind take like times; "" for the class's
+	Deadline time.Time // after which an answer is of no use
+	Ahead    bool      // whether it waits ahead of others of its class
+	Waiter   W         // whom to tell
 }
 
-func (q *Queue[W]) take(ticket *Ticket[W], now time.Time) (_ *Ticket[W], decided []*Ticket[W]) {
-	class, deadline := ticket.class, ticket.deadline
+// Take takes in a request, as Arrive does.
+func (q *Queue[W]) Take(arrival Arrival[W], now time.Time) (ticket *Ticket[W], decided []*Ticket[W]) {
+	class, deadline := arrival.Class, arrival.Deadline
+	ticket = &Ticket[W]{
+		Waiter: arrival.Waiter, class: class, kind: kind{class, arrival.Kind},
+		arrived: now, deadline: deadline, ahead: arrival.Ahead,
+	}
 	if q.Free() {
 		q.grant(ticket, now)
 		return ticket, nil
 	}
 	wait := q.predict(class, now)
-	if now.Add(wait + q.service[class].at(now)).After(deadline) {
+	if now.Add(wait + q.run(ticket.kind, now)).After(deadline) {
 		refuse(ticket, wait)
 		return ticket, nil
 	}
@@ -176,14 +191,14 @@
 // Done ends a granted request and returns the tickets that this decides.
 func (q *Queue[W]) Done(ticket *Ticket[W], now time.Time) []*Ticket[W] {
 	q.running--
-	q.busy[ticket.class]--
-	q.service[ticket.class].add(now.Sub(ticket.granted), now)
+	q.end(ticket.kind)
+	q.learn(ticket.kind, now.Sub(ticket.granted), now)
 	return q.fill(now)
 }
 
 func (q *Queue[W]) enqueue(ticket *Ticket[W], now time.Time) {
 	const marginShare = 20
-	margin := max(q.service[ticket.class].at(now)/2, ticket.deadline.Sub(now)/marginShare)
+	margin := max(q.run(ticket.kind, now)/2, ticket.deadline.Sub(now)/marginShare)
 	ticket.GiveUp = ticket.deadline.Add(-margin)
 	ticket.Verdict = Queued
 	if ticket.ahead {
@@ -204,7 +219,7 @@
 	ticket.Verdict = Granted
 	ticket.granted = now
 	q.running++
-	q.busy[ticket.class]++
+	q.busy[ticket.kind]++
 	q.grants++
 }
 
--- a/internal/traffic/admission/admission_test.go
+++ b/internal/traffic/admission/admission_test.go
@@ -58,7 +58,7 @@
 	}
 	urgent, _ := queue.Arrive(Interactive, now.Add(200*time.Millisecond), now, "")
 	must.Eq(t, Queued, urgent.Verdict)
-	wait, _ := queue.Forecast(Interactive, now)
+	wait, _ := queue.Forecast(Interactive, "", now)
 	must.Eq(t, run/(slots+1)+0, wait)
 }
 
--- a/internal/traffic/admission/estimate.go
+++ b/internal/traffic/admission/estimate.go
@@ -31,13 +31,45 @@
 	return e.mean
 }
 
-// Forecast returns the expected wait of a request of the class that arrives
-// now, and how long it is expected to run, 0 when that is not known.
-func (q *Queue[W]) Forecast(class Class, now time.Time) (wait, run time.Duration) {
+// maxKinds bounds the kinds whose times are remembered.
+const maxKinds = 512
+
+// learn takes in how long a request of a kind ran.
+func (q *Queue[W]) learn(of kind, ran time.Duration, now time.Time) {
+	held := q.service[of]
+	if held == nil {
+		if len(q.service) >= maxKinds {
+			clear(q.service)
+		}
+		held = &estimate{}
+		q.service[of] = held
+	}
+	held.add(ran, now)
+}
+
+// run returns how long requests of a kind take, 0 when that is not known.
+func (q *Queue[W]) run(of kind, now time.Time) time.Duration {
+	if held := q.service[of]; held != nil {
+		return held.at(now)
+	}
+	return 0
+}
+
+// end takes a request of a kind off those that run.
+func (q *Queue[W]) end(of kind) {
+	q.busy[of]--
+	if q.busy[of] == 0 {
+		delete(q.busy, of)
+	}
+}
+
+// Forecast returns the expected wait of a request of the class and kind that
+// arrives now, and how long it is expected to run, 0 when that is not known.
+func (q *Queue[W]) Forecast(class Class, name string, now time.Time) (wait, run time.Duration) {
 	if !q.Free() {
 		wait = q.predict(class, now)
 	}
-	return wait, q.service[class].at(now)
+	return wait, q.run(kind{class, name}, now)
 }
 
 // predict returns the expected wait of a request of the class that arrives
@@ -46,11 +78,15 @@
 func (q *Queue[W]) predict(class Class, now time.Time) time.Duration {
 	var ahead, running time.Duration
 	for other := range q.waiting {
-		mean := q.service[other].at(now)
-		if Class(other) <= class {
-			ahead += mean * time.Duration(q.waiting[other].Len())
+		if Class(other) > class {
+			break
+		}
+		for element := q.waiting[other].Front(); element != nil; element = element.Next() {
+			ahead += q.run(element.Value.(*Ticket[W]).kind, now)
 		}
-		running += mean * time.Duration(q.busy[other])
+	}
+	for of, count := range q.busy {
+		running += q.run(of, now) * time.Duration(count)
 	}
 	slots := time.Duration(max(1, q.settings.Slots))
 	first := running / time.Duration(max(1, q.running)) / (slots + 1)
--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -72,10 +72,11 @@
 		return a.queue.Arrive(admission.ClassOf(x.route.Priority), x.deadline, now, x)
 	}
 	rank := admission.ClassOfRank(x.class.rank)
-	if x.class.returning || x.class.objective <= 0 {
-		return a.queue.Return(rank, x.deadline, now, x)
+	arrival := admission.Arrival[*exchange]{Class: rank, Kind: x.route.Name, Deadline: x.deadline, Ahead: x.class.returning, Waiter: x}
+	if !x.class.patient && !x.class.returning && x.class.objective > 0 {
+		arrival.Deadline = earlier(x.deadline, x.started.Add(x.class.objective))
 	}
-	return a.queue.Arrive(rank, earlier(x.deadline, x.started.Add(x.class.objective)), now, x)
+	return a.queue.Take(arrival, now)
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -151,7 +152,7 @@
 	if x.instance == "" {
 		return told
 	}
-	wait, run := a.queue.Forecast(admission.ClassOfRank(x.class.rank), time.Now())
+	wait, run := a.queue.Forecast(admission.ClassOfRank(x.class.rank), x.route.Name, time.Now())
 	return told + "/" + strconv.FormatInt(wait.Milliseconds(), 10) + "/" + strconv.FormatInt(run.Milliseconds(), 10)
 }
 
--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -74,6 +74,7 @@
 	observed     time.Time
 	load         Load
 	loadAt       time.Time
+	forecasts    map[string]forecast // by route
 	used         time.Time
 }
 
--- a/internal/traffic/balance/forecast.go
+++ b/internal/traffic/balance/forecast.go
@@ -12,6 +12,8 @@
 type Need struct {
 	Route     string
 	Objective time.Duration // within which an answer is worth most; 0: none
+	Deadline  time.Duration // after which an answer is of no use
+	Firm      bool          // whether it is to wait to its deadline rather than be refused
 	Kilobytes float64       // of the request and its answer
 	BytePrice float64       // of a kilobyte to another zone, in parts of a request's worth
 }
@@ -31,6 +33,12 @@
 type Choice struct {
 	Index   int  // of the endpoint, -1 when there is none
 	Another bool // whether another one, with a free slot, would cost less than a wait at this one
+	// Patient says that the answer is expected late there, and that it would
+	// come in time elsewhere, at a higher price.
+	Patient bool
+	// Hopeless says that the endpoint's node told lately that it would refuse.
+	Hopeless bool
+	Wait     time.Duration // that the endpoint's node told, less the time since
 }
 
 // Cheapest returns the endpoint at which a request is expected to cost least,
@@ -39,11 +47,13 @@
 func (b *Balancer) Cheapest(now time.Time, need Need, endpoints []snapshot.Endpoint, excluded []int) Choice {
 	choice := Choice{Index: -1}
 	best, second := math.Inf(1), math.Inf(1)
+	inTimeElsewhere := false
 	for index := range endpoints {
 		if slices.Contains(excluded, index) {
 			continue
 		}
 		price, free := b.price(now, need, endpoints[index])
+		inTimeElsewhere = inTimeElsewhere || free && b.inTime(need, endpoints[index], now)
 		if price < best {
 			if free || choice.Index >= 0 && b.hasFreeSlot(endpoints[choice.Index], now) {
 				second = min(second, best)
@@ -57,6 +67,10 @@
 		return choice
 	}
 	held := b.stateOf(endpoints[choice.Index], now)
+	choice.Wait = held.toldWait(need.Route, now)
+	late := !b.inTime(need, endpoints[choice.Index], now)
+	choice.Patient = late && inTimeElsewhere
+	choice.Hopeless = b.refuses(held, need, endpoints[choice.Index], choice.Patient, now)
 	choice.Another = second < best+b.waitPrice(held, need, endpoints[choice.Index], now)
 	held.inFlight++
 	held.used = now
@@ -64,6 +78,30 @@
 	return choice
 }
 
+// inTime reports whether an answer is expected within the objective.
+func (b *Balancer) inTime(need Need, endpoint snapshot.Endpoint, now time.Time) bool {
+	held := b.stateOf(endpoint, now)
+	finish := b.run(held, need, now)
+	if b.occupied(held, now) >= float64(max(1, endpoint.Slots)) {
+		finish += b.queueWait(held, endpoint, need, finish, now)
+	}
+	return need.Objective <= 0 || float64(finish) <= objectiveRoom*float64(need.Objective)
+}
+
+// refuses reports whether the endpoint's node would refuse, by its own word. A
+// node beside this one is asked all the same: that costs nothing.
+func (b *Balancer) refuses(held *state, need Need, endpoint snapshot.Endpoint, patient bool, now time.Time) bool {
+	if endpoint.Local {
+		return false
+	}
+	allowed := need.Objective
+	if patient || need.Firm || allowed <= 0 {
+		allowed = need.Deadline
+	}
+	wait := held.toldWait(need.Route, now)
+	return wait > 0 && wait+b.run(held, need, now) > allowed
+}
+
 // price is what a request is expected to cost at an endpoint.
 func (b *Balancer) price(now time.Time, need Need, endpoint snapshot.Endpoint) (price float64, free bool) {
 	held := b.stateOf(endpoint, now)
@@ -71,7 +109,7 @@
 	run := b.run(held, need, now)
 	finish := run
 	if !free {
-		finish += b.queueWait(held, endpoint, run, now)
+		finish += b.queueWait(held, endpoint, need, run, now)
 		price += queuePrice
 	}
 	price += lateness(finish, need.Objective)
@@ -119,23 +157,45 @@
 	return b.occupied(held, now) < float64(max(1, endpoint.Slots)) && !now.Before(held.backoffUntil)
 }
 
-// run is how long the endpoint is expected to take: what it reported of such
+// forecast is what an endpoint's node told of requests of one route.
+type forecast struct {
+	wait, run time.Duration
+	at        time.Time
+}
+
+// maxForecasts bounds the routes that are remembered of one endpoint.
+const maxForecasts = 512
+
+func (s *state) tell(route string, load Load, now time.Time) {
+	if s.forecasts == nil || len(s.forecasts) >= maxForecasts {
+		s.forecasts = map[string]forecast{}
+	}
+	s.forecasts[route] = forecast{wait: load.Wait, run: load.Run, at: now}
+}
+
+// run is how long the endpoint is expected to take: what it told of such
 // requests, else what is typical for the route.
 func (b *Balancer) run(held *state, need Need, now time.Time) time.Duration {
-	if held.load.Run > 0 && now.Sub(held.loadAt) < runLife {
-		return held.load.Run
+	told := held.forecasts[need.Route]
+	if told.run > 0 && now.Sub(told.at) < runLife {
+		return told.run
 	}
 	return time.Duration(float64(b.typical[need.Route]) * held.slownessAt(now))
 }
 
-// runLife is how long a reported time of runs counts.
-const runLife = 3 * time.Second
+// runLife is how long a time of runs counts that was told.
+const runLife = 10 * time.Second
+
+// toldWait is what is left of the wait that the endpoint told for such requests.
+func (s *state) toldWait(route string, now time.Time) time.Duration {
+	told := s.forecasts[route]
+	return max(0, told.wait-now.Sub(told.at))
+}
 
 // queueWait is the expected wait for a slot.
-func (b *Balancer) queueWait(held *state, endpoint snapshot.Endpoint, run time.Duration, now time.Time) time.Duration {
+func (b *Balancer) queueWait(held *state, endpoint snapshot.Endpoint, need Need, run time.Duration, now time.Time) time.Duration {
 	slots := float64(max(1, endpoint.Slots))
 	ahead := b.occupied(held, now) - slots + 1
 	estimated := time.Duration(ahead / slots * float64(run))
-	told := held.load.Wait - now.Sub(held.loadAt)
-	return max(estimated, told, 0)
+	return max(estimated, held.toldWait(need.Route, now))
 }
--- a/internal/traffic/balance/observe.go
+++ b/internal/traffic/balance/observe.go
@@ -21,6 +21,7 @@
 	if seen.Loaded {
 		held.load = seen.Load
 		held.loadAt = now
+		held.tell(route, seen.Load, now)
 	}
 	if seen.Failed {
 		b.failed(held, now)
--- a/internal/traffic/budget.go
+++ b/internal/traffic/budget.go
@@ -57,14 +57,21 @@
 const refusalLife = 2 * time.Second
 
 // refusals remembers what was refused lately, by what a caller repeats: method,
-// host and path. The same again is taken for one that comes back.
+// host and path. The same again on a new connection is taken for one that comes
+// back.
 type refusals struct {
 	mutex sync.Mutex
-	until map[string]time.Time
+	held  map[string]refused
 	swept time.Time
 }
 
-func newRefusals() *refusals { return &refusals{until: map[string]time.Time{}} }
+// refused is what was refused under one key: how often, and until when it counts.
+type refused struct {
+	count int
+	until time.Time
+}
+
+func newRefusals() *refusals { return &refusals{held: map[string]refused{}} }
 
 func refusalKey(x *exchange) string {
 	return x.request.Method + " " + x.request.Host + x.request.URL.RequestURI()
@@ -74,14 +81,15 @@
 func (r *refusals) note(x *exchange, now time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.until[refusalKey(x)] = now.Add(refusalLife)
+	key := refusalKey(x)
+	r.held[key] = refused{count: r.held[key].count + 1, until: now.Add(refusalLife)}
 	if now.Sub(r.swept) < refusalLife {
 		return
 	}
 	r.swept = now
-	for key, until := range r.until {
-		if until.Before(now) {
-			delete(r.until, key)
+	for key, each := range r.held {
+		if each.until.Before(now) {
+			delete(r.held, key)
 		}
 	}
 }
@@ -91,7 +99,11 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	key := refusalKey(x)
-	until, known := r.until[key]
-	delete(r.until, key)
-	return known && now.Before(until)
+	each := r.held[key]
+	if each.count == 0 || now.After(each.until) {
+		return false
+	}
+	each.count--
+	r.held[key] = each
+	return true
 }
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -58,6 +59,12 @@
 			return result{}, false
 		}
 		excluded = append(excluded, choice.Index)
+		if choice.Hopeless {
+			d.out.chooser.ended(d.x, target.Endpoints[choice.Index], balance.Observation{})
+			d.noteWait(choice.Wait)
+			continue
+		}
+		d.x.class.patient = choice.Patient
 		if ended, done := d.try(target, choice); done {
 			return ended, true
 		}
@@ -70,7 +77,9 @@
 	const usualAnswer, kilo = 2500, 1000
 	return balance.Need{
 		Route:     d.x.route.Name,
-		Objective: d.x.route.Objective - time.Since(d.x.started),
+		Objective: max(time.Millisecond, d.x.route.Objective-time.Since(d.x.started)),
+		Deadline:  time.Until(d.x.deadline),
+		Firm:      d.x.returning,
 		Kilobytes: float64(d.x.body.length+usualAnswer) / kilo,
 		BytePrice: d.out.config.BytePrice,
 	}
@@ -166,27 +175,20 @@
 	if endpoint.Local && out.local != nil {
 		return out.offerLocal(x, endpoint)
 	}
-	attempt := out.newID()
-	fields := append(x.contextFields(),
-		field{outcome.Route, x.route.Name},
-		field{attemptHeader, attempt},
-		field{instanceHeader, endpoint.Worker},
-		field{callerHeader, x.caller},
-		field{classHeader, x.classLeft().encode()},
-		field{signalHeader, "1"})
-	if x.elsewhere {
-		fields = append(fields, field{elsewhereHeader, "1"})
+	told := hopRequest{attempt: out.newAttempt(), instance: endpoint.Worker, caller: x.caller, route: x.route.Name, class: x.classLeft(), elsewhere: x.elsewhere}
+	fields := []field{
+		{hopHeader, told.encode()},
+		{out.config.Protocol.Deadline, strconv.FormatInt(x.millisecondsLeft(), 10)},
 	}
 	seen := balance.Observation{}
 	began := time.Now()
-	arrived := false
 	check := func(response *http.Response) *result {
-		if failure := checkNode(x, attempt, response); failure != nil {
-			return failure
+		said := decodeHopAnswer(get(response.Header, hopHeader))
+		if said.attempt != told.attempt {
+			return foreign()
 		}
-		seen.Load, seen.Loaded = parseLoad(get(response.Header, outcome.Load))
-		arrived = hasHeader(response.Header, workerHeader)
-		return markFull(refusedByNode(response), response)
+		seen.Load, seen.Loaded = said.load, said.loaded
+		return said.refusal(response)
 	}
 	offered := !x.route.Repeatable || x.body.length > directBody
 	to := hop{pool: out.pool, transport: out.transport, address: endpoint.Address, fields: fields, expect: true, offer: offered, silence: x.patience()}
@@ -195,8 +197,6 @@
 		seen.Latency = time.Since(began)
 		return got, seen, nil
 	}
-	failure.arrived = arrived
-	failure.retryAfter = seen.Load.Wait
 	seen.Failed = blamesNode(failure, seen)
 	return nil, seen, failure
 }
@@ -237,6 +237,7 @@
 // classLeft is how the worker's node is to treat the request from now on.
 func (x *exchange) classLeft() class {
 	left := x.class
+	left.returning = x.returning
 	if left.objective > 0 {
 		left.objective = max(time.Millisecond, left.objective-time.Since(x.started))
 	}
--- a/internal/traffic/elsewhere.go
+++ b/internal/traffic/elsewhere.go
@@ -45,7 +45,9 @@
 	var refused result
 	switch {
 	case x.elsewhere:
-		newFields(x.writer.Header()).set(elsewhereHeader, "1")
+		if !x.between {
+			newFields(x.writer.Header()).set(elsewhereHeader, "1")
+		}
 		refused = refuse(causeFull, 0, "send it to another worker, this one is full")
 	case a.heldByCallers(x):
 		refused = refuse(causeNested, 0, "declare slots for the depth of calls, the callers of this one hold all slots of the worker")
--- /dev/null
+++ b/internal/traffic/hop.go
@@ -0,0 +1,157 @@
+package traffic
+
+import (
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"sliphead/internal/outcome"
+	"sliphead/internal/traffic/balance"
+)
+
+// hopHeader carries all that two nodes of a catalog's mesh tell each other about
+// one try: on the request a hopRequest, on the answer a hopAnswer. It is one
+// short header, since bytes between zones have a price.
+const hopHeader = "Sliphead-Hop"
+
+const hopSeparator = ";"
+
+// class is how a worker's node is to treat a request.
+type class struct {
+	rank       int           // priority, 0 is served first
+	repeatable bool          // whether it may run more than once
+	patient    bool          // whether it may wait to its deadline, not just for its objective
+	returning  bool          // whether it comes back after a refusal, and waits ahead of others
+	objective  time.Duration // left of the latency objective; 0: none
+}
+
+// hopRequest is what a caller's node tells a worker's node.
+type hopRequest struct {
+	attempt   string // names the try
+	instance  string // that is to run the request
+	caller    string // service beside the node that took the request
+	route     string
+	class     class
+	elsewhere bool // whether to refuse rather than to queue
+}
+
+// encode returns the fields, joined; texts are escaped.
+func (h hopRequest) encode() string {
+	flags := flag('r', h.class.repeatable) + flag('p', h.class.patient) + flag('b', h.class.returning) + flag('e', h.elsewhere)
+	return strings.Join([]string{
+		h.attempt, url.PathEscape(h.instance), url.PathEscape(h.caller), url.PathEscape(h.route),
+		strconv.Itoa(h.class.rank), flags, strconv.FormatInt(h.class.objective.Milliseconds(), 10),
+	}, hopSeparator)
+}
+
+func flag(name rune, set bool) string {
+	if set {
+		return string(name)
+	}
+	return ""
+}
+
+// decodeHopRequest reads what encode wrote.
+func decodeHopRequest(text string) (hopRequest, bool) {
+	const parts = 7
+	split := strings.Split(text, hopSeparator)
+	if len(split) != parts {
+		return hopRequest{}, false
+	}
+	rank, rankErr := strconv.Atoi(split[4])
+	objective, objectiveErr := strconv.ParseInt(split[6], 10, 64)
+	read := hopRequest{
+		attempt: split[0],
+		class: class{
+			rank:       rank,
+			repeatable: strings.Contains(split[5], "r"),
+			patient:    strings.Contains(split[5], "p"),
+			returning:  strings.Contains(split[5], "b"),
+			objective:  time.Duration(objective) * time.Millisecond,
+		},
+		elsewhere: strings.Contains(split[5], "e"),
+	}
+	var instanceErr, callerErr, routeErr error
+	read.instance, instanceErr = url.PathUnescape(split[1])
+	read.caller, callerErr = url.PathUnescape(split[2])
+	read.route, routeErr = url.PathUnescape(split[3])
+	sound := rankErr == nil && objectiveErr == nil && instanceErr == nil && callerErr == nil && routeErr == nil
+	return read, sound && validID(read.attempt) && read.instance != ""
+}
+
+// hopAnswer is what a worker's node tells the caller's node.
+type hopAnswer struct {
+	attempt string
+	outcome outcome.Outcome
+	arrived bool // whether the worker itself refused
+	full    bool // whether it was refused because another endpoint seemed to be free
+	load    balance.Load
+	loaded  bool
+}
+
+// encodeHopAnswer returns the header of an answer; load is as admitter.load
+// tells it.
+func encodeHopAnswer(x *exchange, told outcome.Outcome, ended *result) string {
+	flags := string(told[:1])
+	if ended != nil {
+		flags += flag('w', ended.arrived) + flag('f', ended.cause == causeFull)
+	}
+	return strings.Join([]string{x.attempt, flags, x.load()}, hopSeparator)
+}
+
+// decodeHopAnswer reads what encodeHopAnswer wrote.
+func decodeHopAnswer(text string) hopAnswer {
+	attempt, rest, _ := strings.Cut(text, hopSeparator)
+	flags, load, _ := strings.Cut(rest, hopSeparator)
+	read := hopAnswer{attempt: attempt, outcome: outcome.Unknown, arrived: strings.Contains(flags, "w"), full: strings.Contains(flags, "f")}
+	switch {
+	case strings.HasPrefix(flags, "a"):
+		read.outcome = outcome.Answered
+	case strings.HasPrefix(flags, "n"):
+		read.outcome = outcome.NotRun
+	}
+	read.load, read.loaded = parseLoad(load)
+	return read
+}
+
+// refusal is the failure that a node's answer tells of, nil if it passes a
+// worker's answer on.
+func (h hopAnswer) refusal(response *http.Response) *result {
+	if h.outcome == outcome.Answered {
+		return nil
+	}
+	refused := result{
+		outcome:    h.outcome,
+		status:     response.StatusCode,
+		cause:      causeRefused,
+		remedy:     "send it again later, the workers are busy or leave",
+		retryAfter: h.load.Wait,
+		arrived:    h.arrived,
+	}
+	if h.full {
+		refused.cause = causeFull
+	}
+	return &refused
+}
+
+// silenceHeaders keeps net/http from adding headers that no node reads.
+func silenceHeaders(header http.Header) {
+	header["Date"] = nil
+	if _, given := header["Content-Type"]; !given {
+		header["Content-Type"] = nil
+	}
+}
+
+// concludeBetween ends an exchange between nodes: a refusal is a header alone.
+func concludeBetween(x *exchange, ended result) {
+	header := x.writer.Header()
+	silenceHeaders(header)
+	header[hopHeader] = []string{encodeHopAnswer(x, ended.outcome, &ended)}
+	header["Content-Length"] = []string{"0"}
+	if x.unread() {
+		header["Connection"] = []string{"close"}
+	}
+	x.writer.WriteHeader(ended.status)
+}
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -64,13 +64,15 @@
 		depth:       number(request.Header, outcome.Depth, 0),
 		smallAnswer: in.config.Limits.SmallAnswer,
 		elsewhere:   hasHeader(request.Header, elsewhereHeader),
-		signal:      hasHeader(request.Header, signalHeader),
 		bodyAwaited: request.Header.Get("Expect") != "",
 
 		concurrentBody: !in.config.Protocol.own(),
 		wholeUnframed:  !in.config.Protocol.own(),
 	}
 	x.load = func() string { return in.admitter.load(x) }
+	if !in.config.Protocol.own() {
+		in.beginInstance(x)
+	}
 	if in.config.Seen != nil {
 		in.config.Seen(remoteHost(request))
 	}
--- a/internal/traffic/instance.go
+++ b/internal/traffic/instance.go
@@ -14,21 +14,33 @@
 // a catalog. The caller's node names the instance that is to run it and how the
 // request is to be treated, since its view may be newer than this node's.
 func (in *Inbound) classifyInstance(x *exchange, view *snapshot.View, next stage) result {
-	x.instance = get(x.request.Header, instanceHeader)
-	x.caller = get(x.request.Header, callerHeader)
-	told, ok := decodeClass(get(x.request.Header, classHeader))
-	if !ok || x.instance == "" {
-		return reject(http.StatusBadRequest, causeMalformed, "send requests through a node's outbound listener")
-	}
 	x.view = view
-	x.class = told
-	x.route = routeOf(get(x.request.Header, outcome.Route), told)
 	if refused := in.checkLocal(x); refused != nil {
 		return *refused
 	}
 	return next(x)
 }
 
+// beginInstance reads what the caller's node tells. Without it the exchange has
+// no attempt and is refused.
+func (in *Inbound) beginInstance(x *exchange) {
+	protocol := &in.config.Protocol
+	x.id = get(x.request.Header, protocol.RequestID)
+	x.between = true
+	x.signal = true
+	told, ok := decodeHopRequest(get(x.request.Header, hopHeader))
+	if !ok {
+		return
+	}
+	x.attempt = told.attempt
+	x.instance = told.instance
+	x.caller = told.caller
+	x.class = told.class
+	x.elsewhere = told.elsewhere
+	x.route = routeOf(told.route, told.class)
+	x.request.Header[outcome.Deadline] = x.request.Header[protocol.Deadline]
+}
+
 // routeOf is as much of a route as a worker's node needs to know. The deadline
 // is the one that the caller's node tells.
 func routeOf(name string, told class) *snapshot.Route {
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -117,6 +117,13 @@
 	return strconv.FormatUint(out.random.Uint64(), base) + strconv.FormatUint(out.random.Uint64(), base)
 }
 
+// newAttempt returns a short id for one try: it only has to differ from that of
+// the request before on the same connection.
+func (out *Outbound) newAttempt() string {
+	const base = 36
+	return strconv.FormatUint(uint64(out.random.Uint32()), base)
+}
+
 // Drain refuses new requests as not run from now on. The outbound handler
 // drains after the inbound one has ended: the worker may need it until then.
 func (out *Outbound) Drain() { out.gate.drain() }
@@ -153,6 +160,7 @@
 	x.id = get(x.request.Header, protocol.RequestID)
 	protocol.acceptCaller(x.request.Header)
 	x.caller = out.config.Service
+	x.first = firstOnConnection(x.request)
 	x.concurrentBody = true
 	x.protocol = protocol
 }
@@ -175,12 +183,8 @@
 		if x.route == nil {
 			return reject(http.StatusNotFound, causeRoute, "check host and path, no route is declared for them")
 		}
-		x.class = class{
-			rank:       x.route.Rank,
-			repeatable: x.route.Repeatable,
-			objective:  x.route.Objective,
-			returning:  out.refusals.returns(x, x.started),
-		}
+		x.class = class{rank: x.route.Rank, repeatable: x.route.Repeatable, objective: x.route.Objective}
+		x.returning = x.first && out.refusals.returns(x, x.started)
 		return next(x)
 	}
 }
--- a/internal/traffic/outcome.go
+++ b/internal/traffic/outcome.go
@@ -11,8 +11,15 @@
 
 // setOutcome writes the headers that every answer carries.
 func (x *exchange) setOutcome(to *fields, told outcome.Outcome) {
+	if x.between {
+		silenceHeaders(to.header)
+		to.set(hopHeader, encodeHopAnswer(x, told, nil))
+		return
+	}
 	to.set(outcome.Header, string(told))
-	to.set(outcome.RequestID, x.id)
+	if x.protocol == nil {
+		to.set(outcome.RequestID, x.id)
+	}
 	if x.attempt != "" {
 		to.set(attemptHeader, x.attempt)
 	}
@@ -38,14 +45,15 @@
 		return
 	}
 	x.limitWriting(time.Now())
+	if x.between {
+		concludeBetween(x, ended)
+		return
+	}
 	header := newFields(x.writer.Header())
 	x.setOutcome(header, ended.outcome)
 	if x.protocol != nil && validID(x.id) {
 		header.set(x.protocol.RequestID, x.id)
 	}
-	if ended.arrived {
-		header.set(workerHeader, "1")
-	}
 	header.set(outcome.Remedy, ended.remedy)
 	header.set("Content-Type", "text/plain; charset=utf-8")
 	if ended.retryAfter > 0 {
--- a/internal/traffic/protocol.go
+++ b/internal/traffic/protocol.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"sliphead/internal/outcome"
 )
@@ -70,49 +69,3 @@
 func (p *Protocol) workerRefused(response *http.Response) bool {
 	return response.StatusCode == http.StatusMisdirectedRequest || hasHeader(response.Header, p.NotExecuted)
 }
-
-// Headers between two nodes of a catalog's mesh.
-const (
-	instanceHeader = "Sliphead-Instance" // the instance that is to run the request
-	callerHeader   = "Sliphead-Caller"   // the service beside the node that took the request
-	classHeader    = "Sliphead-Class"    // how it is to be treated, see class
-	signalHeader   = "Sliphead-Signal"   // asks for a sign at once that the request has come
-	workerHeader   = "Sliphead-Worker"   // on refusals: the worker itself refused
-)
-
-// class is how a worker's node is to treat a request.
-type class struct {
-	rank       int           // priority, 0 is served first
-	repeatable bool          // whether it may run more than once
-	objective  time.Duration // left of the latency objective; 0: none
-	returning  bool          // whether it comes back after a refusal
-}
-
-// encode returns rank, flags and milliseconds, joined by slashes.
-func (c class) encode() string {
-	return strconv.Itoa(c.rank) + "/" + flag(c.repeatable) + flag(c.returning) + "/" + strconv.FormatInt(c.objective.Milliseconds(), 10)
-}
-
-func flag(set bool) string {
-	if set {
-		return "1"
-	}
-	return "0"
-}
-
-// decodeClass reads what encode wrote.
-func decodeClass(text string) (class, bool) {
-	const parts = 3
-	split := strings.Split(text, "/")
-	if len(split) != parts || len(split[1]) != 2 {
-		return class{}, false
-	}
-	rank, rankErr := strconv.Atoi(split[0])
-	objective, objectiveErr := strconv.ParseInt(split[2], 10, 64)
-	return class{
-		rank:       rank,
-		repeatable: split[1][0] == '1',
-		returning:  split[1][1] == '1',
-		objective:  time.Duration(objective) * time.Millisecond,
-	}, rankErr == nil && objectiveErr == nil
-}
