--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
 	"sliphead/internal/admin"
@@ -40,7 +41,6 @@
 	servers    []*http.Server
 	stopping   chan struct{}
 	stop       func()
-	published  uint64 // version of the configuration in force
 }
 
 // leaseForever is for views that never end by themselves: a catalog's age is
@@ -49,6 +49,9 @@
 
 // NewCatalog assembles a node. It opens no socket.
 func NewCatalog(configured *settings.Settings, adapter Adapter, options Options) (*CatalogNode, error) {
+	if options.Registry == nil {
+		options.Registry = prometheus.NewRegistry()
+	}
 	n := &CatalogNode{settings: configured, options: options, holder: &snapshot.Holder{}, stopping: make(chan struct{})}
 	n.stop = onceClosed(n.stopping)
 	n.holder.Renew(time.Now().Add(leaseForever))
--- a/internal/replication/event.go
+++ b/internal/replication/event.go
@@ -80,11 +80,11 @@
 
 // The events of the log.
 const (
-	EventPaused        LogEvent = "replication.paused"         // the process stood still
-	EventStoreLost     LogEvent = "replication.store_lost"     // a question to the store failed
-	EventStoreRegained LogEvent = "replication.store_regained" // the store answers again
-	EventPeerLost      LogEvent = "replication.peer_lost"      // a followed node is given up
-	EventFollowing     LogEvent = "replication.following"      // another node is followed
+	EventPaused        LogEvent = "replication.paused"        // the process stood still
+	EventStoreLost     LogEvent = "replication.storeLost"     // a question to the store failed
+	EventStoreRegained LogEvent = "replication.storeRegained" // the store answers again
+	EventPeerLost      LogEvent = "replication.peerLost"      // a followed node is given up
+	EventFollowing     LogEvent = "replication.following"     // another node is followed
 )
 
 func (Ask) effect()     {}
--- /dev/null
+++ b/internal/replication/fleet_test.go
@@ -0,0 +1,360 @@
+package replication
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"sliphead/internal/catalog"
+)
+
+// The fleet runs machines in virtual time, in steps of tickStep.
+const (
+	freshness = 2 * time.Second
+	tickStep  = 20 * time.Millisecond
+	beat      = 240 * time.Millisecond
+	storeTime = 20 * time.Millisecond
+)
+
+var (
+	errRefused = errors.New("refused")
+	start      = time.Unix(1_000_000, 0)
+)
+
+// storeAccess is how the store treats one node.
+type storeAccess int
+
+const (
+	serves  storeAccess = iota
+	refuses             // at once
+	silent              // the question is never answered
+)
+
+// question is one that waits at the store.
+type question struct {
+	ask   Ask
+	since time.Time
+}
+
+// simNode is one node of the fleet.
+type simNode struct {
+	address, zone string
+	machine       *Machine
+	up            bool
+	frozen        bool
+	cut           bool // from all nodes
+	access        storeAccess
+	question      *question
+	following     string
+	sent          uint64 // revision up to which the followed node has told it
+	told          time.Time
+	confirmed     time.Time // what the followed node had confirmed when it told
+	problemSince  time.Time // since when it is in touch: now less this is how long
+}
+
+// fleet is a store and its nodes.
+type fleet struct {
+	now       time.Time
+	store     *catalog.State
+	revision  uint64
+	changedAt map[uint64]time.Time
+	nodes     []*simNode
+	calls     int
+}
+
+func newFleet(zones, perZone int) *fleet {
+	f := &fleet{now: start, store: catalog.NewState(), changedAt: map[uint64]time.Time{}}
+	f.store.Join(catalog.Batch{Whole: true, To: 1, Changes: []catalog.Change{configured(1)}})
+	f.revision = 1
+	for zone := range zones {
+		for index := range perZone {
+			node := &simNode{address: fmt.Sprintf("10.%d.0.%d", zone, index), zone: fmt.Sprintf("z%d", zone), up: true}
+			f.nodes = append(f.nodes, node)
+			f.change(catalog.Change{Instance: &catalog.Instance{ID: "i-" + node.address, Zone: node.zone, Address: node.address + ":80"}})
+			f.start(node)
+		}
+	}
+	return f
+}
+
+func configured(version uint64) catalog.Change {
+	return catalog.Change{Revision: version, Configuration: &catalog.Configuration{Version: version}}
+}
+
+func (f *fleet) start(node *simNode) {
+	node.machine = New(Config{Self: node.address, Zone: node.zone, Freshness: freshness}, f.now)
+	node.question, node.following = nil, ""
+	node.problemSince = f.now
+}
+
+// change writes to the store.
+func (f *fleet) change(change catalog.Change) {
+	f.revision++
+	change.Revision = f.revision
+	if change.Configuration != nil {
+		change.Configuration.Version = f.revision
+	}
+	f.store.Join(catalog.Batch{From: f.revision - 1, To: f.revision, Changes: []catalog.Change{change}})
+	f.changedAt[f.revision] = f.now
+}
+
+func (f *fleet) configure() { f.change(catalog.Change{Configuration: &catalog.Configuration{}}) }
+
+func (f *fleet) node(address string) *simNode {
+	for _, node := range f.nodes {
+		if node.address == address {
+			return node
+		}
+	}
+	return nil
+}
+
+func (f *fleet) step(node *simNode, event Event) {
+	for _, effect := range node.machine.Step(event, f.now) {
+		switch effect := effect.(type) {
+		case Ask:
+			f.calls++
+			node.question = &question{ask: effect, since: f.now}
+		case Follow:
+			node.following, node.sent, node.told = effect.Address, node.machine.State().Revision(), time.Time{}
+		}
+	}
+}
+
+// answer lets the store answer a node's question, or not.
+func (f *fleet) answer(node *simNode) {
+	asked := node.question
+	if asked == nil {
+		return
+	}
+	waited := f.now.Sub(asked.since)
+	limit := asked.ask.Wait + freshness/5
+	if asked.ask.Whole {
+		limit = freshness
+	}
+	switch {
+	case node.access == silent && waited >= limit:
+		node.question = nil
+		f.step(node, StoreFailed{Err: errRefused})
+	case node.access == refuses && waited >= storeTime:
+		node.question = nil
+		f.step(node, StoreFailed{Err: errRefused})
+	case node.access == serves && waited >= storeTime:
+		changed := f.store.Revision() > asked.ask.After
+		if !asked.ask.Whole && !changed && waited < asked.ask.Wait {
+			return
+		}
+		node.question = nil
+		after := asked.ask.After
+		if asked.ask.Whole {
+			after = 0
+		}
+		f.step(node, StoreAnswered{Batch: f.store.Since(after), ConfirmedAt: f.now})
+	}
+}
+
+// push lets the followed node tell its news.
+func (f *fleet) push(node *simNode) {
+	if node.following == "" {
+		return
+	}
+	from := f.node(node.following)
+	if from == nil || !from.up {
+		f.step(node, PeerLost{Address: node.following})
+		return
+	}
+	if from.frozen || from.cut || node.cut {
+		return
+	}
+	state := from.machine.State()
+	if state.Revision() <= node.sent && f.now.Sub(node.told) < beat && !from.machine.Confirmed().After(node.confirmed) {
+		return
+	}
+	batch := state.Since(node.sent)
+	node.sent, node.told, node.confirmed = state.Revision(), f.now, from.machine.Confirmed()
+	age, _ := from.machine.Age(f.now)
+	f.step(node, News{From: node.following, Batch: batch, Age: age})
+}
+
+// run lets time pass.
+func (f *fleet) run(duration time.Duration) {
+	for end := f.now.Add(duration); f.now.Before(end); {
+		f.now = f.now.Add(tickStep)
+		for _, node := range f.nodes {
+			if !node.up || node.frozen {
+				continue
+			}
+			f.step(node, Tick{})
+			f.answer(node)
+			f.push(node)
+		}
+	}
+}
+
+// late returns the nodes that have been in touch with the store for long enough
+// and lack a change that is older than the bound.
+func (f *fleet) late() []string {
+	var late []string
+	for _, node := range f.nodes {
+		inTouch := node.up && !node.frozen && !node.cut && node.access == serves && f.now.Sub(node.problemSince) >= 3*time.Second
+		if !inTouch {
+			continue
+		}
+		for revision := node.machine.State().Revision() + 1; revision <= f.revision; revision++ {
+			if f.now.Sub(f.changedAt[revision]) > freshness {
+				late = append(late, fmt.Sprintf("%s lacks %d of %d", node.address, revision, f.revision))
+				break
+			}
+		}
+	}
+	return late
+}
+
+func TestChangeReachesAll(t *testing.T) {
+	f := newFleet(4, 3)
+	f.run(5 * time.Second)
+	f.configure()
+	f.run(300 * time.Millisecond)
+	for _, node := range f.nodes {
+		must.Eq(t, f.revision, node.machine.State().Revision(), must.Sprint(node.address))
+	}
+}
+
+// In calm, the calls to the store don't grow with the nodes of a zone.
+func TestCallsDoNotGrowWithTheZone(t *testing.T) {
+	calls := map[int]int{}
+	for _, perZone := range []int{3, 30} {
+		f := newFleet(2, perZone)
+		f.run(5 * time.Second)
+		f.calls = 0
+		f.run(30 * time.Second)
+		calls[perZone] = f.calls
+	}
+	const zones, seconds = 2, 30
+	must.Less(t, zones*(seconds/readWaitShare/freshness.Seconds()+1), float64(calls[3]))
+	must.Eq(t, calls[3], calls[30])
+}
+
+// A zone whose reader is killed, frozen, cut off or no longer served by the
+// store learns of a change in time all the same.
+func TestReaderFails(t *testing.T) {
+	for name, fail := range map[string]func(*simNode){
+		"killed":  func(node *simNode) { node.up = false },
+		"frozen":  func(node *simNode) { node.frozen = true },
+		"cut":     func(node *simNode) { node.cut, node.access = true, silent },
+		"silent":  func(node *simNode) { node.access = silent },
+		"refused": func(node *simNode) { node.access = refuses },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(1, 4)
+			f.run(5 * time.Second)
+			for _, node := range f.nodes {
+				if node.machine.Reader(f.now) {
+					fail(node)
+					node.problemSince = f.now
+					break
+				}
+			}
+			f.configure()
+			f.run(freshness + tickStep)
+			must.SliceEmpty(t, f.late())
+		})
+	}
+}
+
+// A node that the store refuses lives on its peers' news.
+func TestRefusedNodeLivesOnPeers(t *testing.T) {
+	f := newFleet(2, 2)
+	f.run(5 * time.Second)
+	f.nodes[0].access, f.nodes[1].access = refuses, refuses // a whole zone
+	f.configure()
+	f.run(5 * time.Second)
+	for _, node := range f.nodes {
+		must.Eq(t, f.revision, node.machine.State().Revision(), must.Sprint(node.address))
+	}
+}
+
+// A node that starts while the store is away takes what peers hold, once one of
+// them has spoken to it.
+func TestStartWithoutStore(t *testing.T) {
+	f := newFleet(1, 3)
+	f.run(5 * time.Second)
+	for _, node := range f.nodes {
+		node.access = silent
+	}
+	f.start(f.nodes[0])
+	f.step(f.nodes[0], PeerSeen{Address: f.nodes[1].address})
+	f.run(3 * time.Second)
+	must.Eq(t, f.revision, f.nodes[0].machine.State().Revision())
+}
+
+// Whatever fails and comes back, a node in touch knows each change within the
+// bound, and no node's knowledge goes back within one life.
+func TestFleetStaysFresh(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(1, 3).Draw(t, "zones"), rapid.IntRange(1, 4).Draw(t, "perZone"))
+		f.run(4 * time.Second)
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			node := f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(t, "node")]
+			disturb(t, f, node)
+			if rapid.Bool().Draw(t, "change") {
+				f.configure()
+			}
+			held := f.held()
+			f.run(time.Duration(rapid.IntRange(1, 60).Draw(t, "ticks")) * 5 * tickStep)
+			if late := f.late(); len(late) > 0 {
+				t.Fatalf("late: %v", late)
+			}
+			f.checkForward(t, held)
+		}
+	})
+}
+
+// disturb changes what one node meets.
+func disturb(t *rapid.T, f *fleet, node *simNode) {
+	node.problemSince = f.now
+	switch rapid.SampledFrom([]string{"kill", "start", "freeze", "wake", "cut", "heal", "refuse", "silence", "serve"}).Draw(t, "disturbance") {
+	case "kill":
+		node.up = false
+	case "start":
+		if !node.up {
+			node.up = true
+			f.start(node)
+		}
+	case "freeze":
+		node.frozen = true
+	case "wake":
+		node.frozen = false
+	case "cut":
+		node.cut, node.access = true, silent
+	case "heal":
+		node.cut, node.access = false, serves
+	case "refuse":
+		node.access = refuses
+	case "silence":
+		node.access = silent
+	case "serve":
+		node.access = serves
+	}
+}
+
+// held is what each running node knows.
+func (f *fleet) held() map[*Machine]uint64 {
+	held := map[*Machine]uint64{}
+	for _, node := range f.nodes {
+		held[node.machine] = node.machine.State().Revision()
+	}
+	return held
+}
+
+func (f *fleet) checkForward(t *rapid.T, held map[*Machine]uint64) {
+	for _, node := range f.nodes {
+		if now := node.machine.State().Revision(); now < held[node.machine] {
+			t.Fatalf("%s went back from %d to %d", node.address, held[node.machine], now)
+		}
+	}
+}
--- a/internal/replication/machine.go
+++ b/internal/replication/machine.go
@@ -24,8 +24,8 @@
 // Shares of Config.Freshness, the age within which a change has to be known.
 const (
 	readWaitShare   = 0.45 // how long a reader's question waits at the store for a change
-	switchShare     = 0.55 // age at which another node is followed
-	readShare       = 0.66 // age at which the store is asked whoever the reader is
+	switchShare     = 0.6  // age at which another node is followed
+	readShare       = 0.7  // age at which the store is asked whoever the reader is
 	staggerShare    = 0.01 // by which ranks spread their questions
 	silenceShare    = 0.32 // without a word, after which a followed node is given up
 	distrustShare   = 1.0  // how long a node that was given up is passed over
@@ -84,6 +84,10 @@
 	return now.Sub(m.confirmed), true
 }
 
+// Confirmed returns when the store was last known to have nothing newer, the
+// zero time when nothing is known.
+func (m *Machine) Confirmed() time.Time { return m.confirmed }
+
 // Following returns the address of the node that is followed, "" for none.
 func (m *Machine) Following() string { return m.following }
 
--- a/internal/replicator/link.go
+++ b/internal/replicator/link.go
@@ -10,9 +10,11 @@
 	"sliphead/internal/catalog"
 )
 
-// hello opens a stream: the follower tells what it holds.
+// hello opens a stream: the follower tells what it holds. A knock only says that
+// the other node is there.
 type hello struct {
 	Revision uint64 `json:"revision"`
+	Knock    bool   `json:"knock,omitempty"`
 }
 
 // news is one line of a stream.
@@ -72,6 +74,10 @@
 		return
 	}
 	_ = conn.SetReadDeadline(time.Time{})
+	if said.Knock {
+		r.seen(ctx, conn)
+		return
+	}
 	mine := &follower{conn: conn, lines: make(chan []byte, followerQueue), sent: said.Revision}
 	r.submit(ctx, mine)
 	go r.watchEnd(ctx, mine, reader)
@@ -100,6 +106,18 @@
 	r.tell(mine)
 }
 
+// lost ends the stream of a follower that is gone, and knocks at its node: it
+// may start again while the store is away.
+func (r *Replicator) lost(ctx context.Context, mine *follower) {
+	if _, held := r.followers[mine]; !held {
+		return
+	}
+	r.drop(mine)
+	if host, _, err := net.SplitHostPort(mine.conn.RemoteAddr().String()); err == nil {
+		r.knockLater(ctx, host)
+	}
+}
+
 // drop ends a follower's stream.
 func (r *Replicator) drop(mine *follower) {
 	delete(r.followers, mine)
@@ -191,8 +209,7 @@
 }
 
 func (r *Replicator) readStream(ctx context.Context, from *stream, held uint64) error {
-	dialer := net.Dialer{Timeout: r.share(silence), LocalAddr: &net.TCPAddr{IP: net.ParseIP(r.config.Address)}}
-	conn, err := dialer.DialContext(ctx, "tcp", net.JoinHostPort(from.address, r.config.Port))
+	conn, err := r.dial(ctx, from.address)
 	if err != nil {
 		return err
 	}
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -63,12 +63,13 @@
 	beat      time.Time // when followers were last written to
 	stream    *stream   // the node that is followed, nil for none
 	encoded   encodedNews
+	knocking  map[string]bool // by address: nodes that are knocked at
 }
 
 // New returns a replicator that knows nothing yet.
 func New(config Config) *Replicator {
 	machine := replication.New(replication.Config{Self: config.Address, Zone: config.Zone, Freshness: config.Freshness}, time.Now())
-	return &Replicator{config: config, machine: machine, inputs: make(chan any, inputQueue), followers: map[*follower]struct{}{}}
+	return &Replicator{config: config, machine: machine, inputs: make(chan any, inputQueue), followers: map[*follower]struct{}{}, knocking: map[string]bool{}}
 }
 
 // Status is what the replicator tells operators.
@@ -143,11 +144,15 @@
 func (r *Replicator) handle(ctx context.Context, input any) {
 	switch input := input.(type) {
 	case replication.Event:
+		before := r.machine.Confirmed()
 		r.step(ctx, input)
+		r.passConfirmation(before)
 	case *follower:
 		r.admit(input)
 	case followerLost:
-		r.drop(input.follower)
+		r.lost(ctx, input.follower)
+	case knocked:
+		delete(r.knocking, input.address)
 	case streamMessage:
 		r.receive(ctx, input)
 	case statusRequest:
@@ -162,12 +167,21 @@
 		return
 	}
 	if message.lost {
+		r.knockLater(ctx, message.stream.address)
 		r.step(ctx, replication.PeerLost{Address: message.stream.address})
 		return
 	}
 	r.step(ctx, replication.News{From: message.stream.address, Batch: message.news.Batch, Age: message.news.Age})
 }
 
+// passConfirmation tells followers at once that the store has confirmed what
+// they know: else their knowledge would seem older by the time between beats.
+func (r *Replicator) passConfirmation(before time.Time) {
+	if r.machine.Confirmed().After(before) {
+		r.tellFollowers()
+	}
+}
+
 func (r *Replicator) step(ctx context.Context, event replication.Event) {
 	for _, effect := range r.machine.Step(event, time.Now()) {
 		switch effect := effect.(type) {
