--- a/cmd/sliphead/main.go
+++ b/cmd/sliphead/main.go
@@ -14,6 +14,7 @@
 	"sliphead/internal/command/node"
 	"sliphead/internal/command/plan"
 	"sliphead/internal/command/status"
+	"sliphead/internal/command/trace"
 	"sliphead/platform"
 )
 
@@ -24,6 +25,7 @@
 	Plan    plan.Command    `cmd:"" help:"Show which routes gain or lose which workers by a change, now and over the coming week."`
 	Explain explain.Command `cmd:"" help:"Say for each worker of a route why it takes traffic or not."`
 	Status  status.Command  `cmd:"" help:"Show what a node knows: versions, readers, members, what waits and why."`
+	Trace   trace.Command   `cmd:"" help:"Follow one request through the logs of several nodes."`
 	Drain   drain.Command   `cmd:"" help:"Begin a node's planned stop."`
 }
 
--- a/internal/command/node/node.go
+++ b/internal/command/node/node.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
@@ -35,6 +36,9 @@
 	Admin    string `help:"Override listen.admin (IP:port)."`
 }
 
+// flushTime is how long the last lines of the log may take to be written.
+const flushTime = 200 * time.Millisecond
+
 // process is a running node, of either kind.
 type process interface {
 	Run(ctx context.Context) error
@@ -51,7 +55,9 @@
 	if c.PrintSettings {
 		return configured.Print(output)
 	}
-	logger := logging.New(os.Stderr, log.MustParseLevel(c.LogLevel))
+	queue := logging.NewQueue(os.Stdout)
+	defer queue.Flush(flushTime)
+	logger := &log.Logger{Handler: queue, Level: log.MustParseLevel(c.LogLevel)}
 	running, err := assemble(configured, adapter, logger)
 	if err != nil {
 		return err
--- a/internal/command/status/status.go
+++ b/internal/command/status/status.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"sliphead/internal/fault"
@@ -36,6 +37,10 @@
 		_, err = output.Write(body)
 		return err
 	}
+	var catalog node.CatalogStatus
+	if err := json.Unmarshal(body, &catalog); err == nil && len(catalog.Off) > 0 {
+		return writeCatalog(output, catalog)
+	}
 	var status node.Status
 	if err := json.Unmarshal(body, &status); err != nil {
 		return fault.Wrap(err, fault.Peer, "use the same release as the node", "the status of %s can't be read", c.Node)
@@ -91,6 +96,26 @@
 	return nil
 }
 
+// writeCatalog prints the status of a node that a store serves.
+func writeCatalog(output io.Writer, status node.CatalogStatus) error {
+	role := "reads the store"
+	if !status.Replication.Reader {
+		role = "follows " + cmp.Or(status.Replication.Following, "nobody")
+	}
+	_, err := fmt.Fprintf(output, `node       %s in zone %s, service %s
+ready      %t %s
+version    %d in force, store revision %d, confirmed %.2f s ago
+news       %s, passes them on to %d nodes
+instances  %d recorded
+requests   %d in flight, %d slots in use, %d queued
+off        %s
+`, status.Node, status.Zone, status.Service, status.Ready, status.Reason,
+		status.Replication.Version, status.Replication.Revision, status.Replication.AgeS,
+		role, status.Replication.Followers, status.Replication.Instances,
+		status.InFlight, status.Slots, status.Queued, strings.Join(status.Off, ", "))
+	return err
+}
+
 // fleetVersions returns the lowest and highest version in force that the node
 // has heard of, and the members below the highest.
 func fleetVersions(status node.Status) (lowest, highest version.Version, behind []string) {
--- a/internal/node/catalog_stop.go
+++ b/internal/node/catalog_stop.go
@@ -14,12 +14,15 @@
 	workerPhase = 0.3  // the local worker takes requests of other nodes for so long
 	callerPhase = 0.5  // callers are served for so long at least
 	strictPhase = 0.45 // from then on, only requests are taken that end before the process does
-	lastPhase   = 0.92 // then the process ends whatever still runs
+	lastPhase   = 0.9  // then the process ends whatever still runs
 )
 
 // quietFor is how long nothing may have run before the process ends.
 const quietFor = 300 * time.Millisecond
 
+// answerTime is what the last answers have to be sent.
+const answerTime = 200 * time.Millisecond
+
 // stopPoll is how often a stopping node looks whether it has ended.
 const stopPoll = 50 * time.Millisecond
 
@@ -49,9 +52,18 @@
 		}
 	}
 	n.outbound.Drain()
+	n.endRequests(ctx)
 	logging.Event(n.options.Logger, "node.drained", logging.Fields{"took_ms": time.Since(began).Milliseconds(), "cut": n.InFlight()})
 }
 
+// endRequests gives what still runs its final answer and a moment to send it.
+func (n *CatalogNode) endRequests(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	n.outbound.End()
+	_ = n.outbound.Wait(bounded) // its only error is the bound; what is left is counted as cut
+}
+
 func (n *CatalogNode) stopPart(part float64) time.Duration {
 	return time.Duration(part * float64(n.settings.Drain.Timeout.Duration))
 }
--- /dev/null
+++ b/internal/traffic/decision.go
@@ -0,0 +1,69 @@
+package traffic
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"sliphead/internal/logging"
+	"sliphead/internal/outcome"
+)
+
+// tellEnd logs how a request ended that was not answered: what decided it, how
+// old that knowledge was, and what the caller was told. Requests that were
+// answered are counted, not logged.
+func (m *metrics) tellEnd(x *exchange, ended result) {
+	fields := x.decisionFields(m.side)
+	fields["cause"] = string(ended.cause)
+	fields["status"] = ended.status
+	fields["remedy"] = ended.remedy
+	switch {
+	case ended.outcome == outcome.Unknown:
+		m.logger.WithFields(fields).Warn("request.unknown")
+	case ended.outcome == outcome.Answered:
+	case x.between && (ended.cause == causeFull || ended.cause == causeQueue):
+		// The caller's node goes on to another; it logs the end if there is none.
+	case ended.status == http.StatusServiceUnavailable:
+		fields["retry_after_ms"] = ended.retryAfter.Milliseconds()
+		m.logger.WithFields(fields).Info("request.refused")
+	default:
+		m.logger.WithFields(fields).Info("request.rejected")
+	}
+}
+
+// tellRetry logs that a try failed which may be followed by another.
+func (d *dispatch) tellRetry(failure *result) {
+	if failure.cause == causeFull || failure.cause == causeQueue || failure.cause == causeRefused && !failure.arrived {
+		return // nothing but an offer was lost
+	}
+	fields := d.x.decisionFields("outbound")
+	fields["cause"] = string(failure.cause)
+	fields["outcome"] = string(failure.outcome)
+	fields["may_repeat"] = d.mayRepeat()
+	d.out.config.Logger.WithFields(fields).Info("request.retried")
+}
+
+// decisionFields name the request and what the node goes by.
+func (x *exchange) decisionFields(side string) log.Fields {
+	fields := logging.Fields{"side": side, "request": x.id, "held_ms": time.Since(x.started).Milliseconds()}
+	if x.route != nil {
+		fields["route"] = x.route.Name
+	}
+	if x.view != nil {
+		fields["version"] = x.view.Version.Revision
+		fields["view_age_ms"] = x.started.Sub(x.view.Resolved).Milliseconds()
+	}
+	if !x.deadline.IsZero() {
+		fields["left_ms"] = x.millisecondsLeft()
+	}
+	if x.instance != "" {
+		fields["instance"] = x.instance
+	}
+	if x.offers > 0 {
+		fields["offers"] = x.offers
+		fields["attempts"] = x.attempts
+		fields["returning"] = x.returning
+	}
+	return fields
+}
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -88,11 +88,11 @@
 // try makes one offer. It reports whether the request has ended.
 func (d *dispatch) try(target snapshot.Target, choice balance.Choice) (result, bool) {
 	if d.attempts > 0 && !d.out.budget.take(target.Service, d.out.nodes()) {
-		d.x.noRetry = true
 		return d.giveUp(), true
 	}
 	endpoint := target.Endpoints[choice.Index]
 	d.offers++
+	d.x.offers, d.x.instance = d.offers, endpoint.Worker
 	d.x.elsewhere = choice.Another && d.offers < mostOffers
 	got, seen, failure := d.out.offer(d.x, endpoint)
 	d.out.chooser.ended(d.x, endpoint, seen)
@@ -102,7 +102,12 @@
 	if failure == nil {
 		return d.accept(got)
 	}
-	return d.refused(failure)
+	ended, done := d.refused(failure)
+	d.x.attempts = d.attempts
+	if !done {
+		d.tellRetry(failure)
+	}
+	return ended, done
 }
 
 // accept passes an answer on. A worker's own failure is kept back while another
--- a/internal/traffic/dispatch_test.go
+++ b/internal/traffic/dispatch_test.go
@@ -153,6 +153,25 @@
 	must.Eq(t, 2, m.runs())
 }
 
+// A node that ends gives what still runs its final answer: it cut the connection.
+func TestEndingNodeAnswers(t *testing.T) {
+	m := newCatalogMesh(t, 1)
+	defer close(m.nodes[0].worker.gate)
+	m.script("wait")
+	statuses := make(chan int, 1)
+	go func() {
+		response, _, err := m.call("POST", "/order/", "cards")
+		if err != nil {
+			statuses <- 0
+			return
+		}
+		statuses <- response.StatusCode
+	}()
+	waitFor(t, func() bool { return m.runs() == 1 })
+	m.nodes[0].out.End()
+	must.Eq(t, http.StatusBadGateway, <-statuses)
+}
+
 // Each service gets its share of a route's requests.
 func TestWeightsKeepTheirShares(t *testing.T) {
 	w := weights{credits: map[string][]int{}}
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -26,7 +26,8 @@
 	body     body
 
 	// With a catalog.
-	noRetry     bool   // whether the budget for retries was spent
+	offers      int    // nodes that it was offered to
+	attempts    int    // workers that it was sent to
 	instance    string // id of the instance that is to run the request
 	caller      string // service beside the node that took the request
 	class       class
--- a/internal/traffic/leave.go
+++ b/internal/traffic/leave.go
@@ -1,7 +1,7 @@
 package traffic
 
 import (
-	"sync/atomic"
+	"context"
 	"time"
 )
 
@@ -18,20 +18,26 @@
 	out.departure.Store(&departure{strict: strict, end: end})
 }
 
-// leaveInTime refuses what a stopping node could not finish.
-func leaveInTime(leaving *atomic.Pointer[departure]) filter {
-	return func(next stage) stage {
-		return func(x *exchange) result {
-			if until := leaving.Load(); until != nil && !until.allows(x) {
-				refused := refuse(causeDraining, 0, "send it again through another node")
-				refused.retryAfter = leastWait
-				return refused
-			}
-			return next(x)
+// leaveInTime refuses what a stopping node could not finish, and ends what still
+// runs at its end.
+func (out *Outbound) leaveInTime(next stage) stage {
+	return func(x *exchange) result {
+		if until := out.departure.Load(); until != nil && !until.allows(x) {
+			refused := refuse(causeDraining, 0, "send it again through another node")
+			refused.retryAfter = leastWait
+			return refused
 		}
+		bounded, cancel := context.WithCancel(x.context)
+		defer cancel()
+		defer context.AfterFunc(out.ending, cancel)()
+		x.context = bounded
+		return next(x)
 	}
 }
 
+// End gives each request that still runs its final answer now.
+func (out *Outbound) End() { out.end() }
+
 func (d *departure) allows(x *exchange) bool {
 	if x.started.Before(d.strict) {
 		return x.started.Add(x.route.Objective).Before(d.end)
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -6,7 +6,6 @@
 	"github.com/apex/log"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"sliphead/internal/logging"
 	"sliphead/internal/outcome"
 )
 
@@ -81,10 +80,7 @@
 	if ended.cause != causeNone {
 		m.failures.WithLabelValues(string(ended.cause)).Inc()
 	}
-	if ended.outcome == outcome.Unknown {
-		m.logger.WithFields(logging.Fields{
-			"side": m.side, "route": route, "request": x.id,
-			"cause": string(ended.cause), "status": ended.status, "remedy": ended.remedy,
-		}).Warn("request.unknown")
+	if ended.outcome != outcome.Answered {
+		m.tellEnd(x, ended)
 	}
 }
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -32,6 +32,8 @@
 	budget    *serviceBudget
 	refusals  *refusals
 	departure atomic.Pointer[departure] // nil until the node stops
+	ending    context.Context           // ends when the node does
+	end       context.CancelFunc
 }
 
 // UseLocal lets the handler reach the worker beside it without a connection
@@ -59,9 +61,10 @@
 	out.weights = weights{credits: map[string][]int{}}
 	out.budget = newServiceBudget(config.Limits)
 	out.refusals = newRefusals()
+	out.ending, out.end = context.WithCancel(context.Background())
 	out.handle = pipe(out.choose, out.classify, limitDepth(config.Limits.MaxDepth), limitTime, readBody(&out.config.Limits))
 	if !config.Protocol.own() {
-		out.handle = pipe(out.dispatch, out.classifyCatalog, limitTime, leaveInTime(&out.departure), readWholeBody(&out.config.Limits))
+		out.handle = pipe(out.dispatch, out.classifyCatalog, limitTime, out.leaveInTime, readWholeBody(&out.config.Limits))
 	}
 	return out
 }
--- a/lab/mesh/process.go
+++ b/lab/mesh/process.go
@@ -56,16 +56,16 @@
 	isDone  bool
 }
 
-// startProcess runs a program. Each line of its standard error goes to onLine
+// startProcess runs a program. Each line that it writes goes to onLine
 // and to the log.
 func (l *launcher) startProcess(name string, log io.Writer, onLine func(string), program string, args ...string) (*process, error) {
 	command := exec.Command(program, args...)
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
-	command.Stdout = log
 	reader, writer, err := os.Pipe()
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "end other programs that hold many files", "open a pipe for %s", name)
 	}
+	command.Stdout = writer
 	command.Stderr = writer
 	err = l.start(command)
 	_ = writer.Close()
