Give a followed node a chance before it is given up as stale

Cause: while the store served nobody, each node ran through all others within milliseconds in search of fresh news (19 streams a second and node in the fleet test); with many nodes that is a storm. Test: TestOutageMakesNoStorm failed before.

--- a/internal/replication/fleet_test.go
+++ b/internal/replication/fleet_test.go
@@ -64,6 +64,7 @@
 	changedAt map[uint64]time.Time
 	nodes     []*simNode
 	calls     int
+	follows   int
 }
 
 func newFleet(zones, perZone int) *fleet {
@@ -120,6 +121,7 @@
 			f.calls++
 			node.question = &question{ask: effect, since: f.now}
 		case Follow:
+			f.follows++
 			node.following, node.sent, node.told = effect.Address, node.machine.State().Revision(), time.Time{}
 		}
 	}
@@ -278,6 +280,23 @@
 	}
 }
 
+// While the store serves nobody, nodes don't run through all others in search of
+// fresh news: they did so within some milliseconds each.
+func TestOutageMakesNoStorm(t *testing.T) {
+	f := newFleet(2, 20)
+	f.run(5 * time.Second)
+	for _, node := range f.nodes {
+		node.access = refuses
+	}
+	f.run(2 * time.Second)
+	f.follows, f.calls = 0, 0
+	const seconds = 10
+	f.run(seconds * time.Second)
+	perNode := float64(f.follows) / float64(len(f.nodes)) / seconds
+	must.Less(t, 1/(chanceShare*freshness.Seconds()), perNode)
+	must.Less(t, 2*len(f.nodes)*seconds, f.calls)
+}
+
 // A node that starts while the store is away takes what peers hold, once one of
 // them has spoken to it.
 func TestStartWithoutStore(t *testing.T) {
--- a/internal/replication/machine.go
+++ b/internal/replication/machine.go
@@ -28,6 +28,7 @@
 	readShare       = 0.7  // age at which the store is asked whoever the reader is
 	staggerShare    = 0.01 // by which ranks spread their questions
 	silenceShare    = 0.32 // without a word, after which a followed node is given up
+	chanceShare     = 0.1  // for which a node is followed before it may be given up as stale
 	distrustShare   = 1.0  // how long a node that was given up is passed over
 	spacingShare    = 0.12 // between an answer that brought changes and the next question
 	firstRetryShare = 0.1
@@ -58,6 +59,7 @@
 
 	following  string // address of the node that is followed, "" for none
 	heard      time.Time
+	followed   time.Time            // since when
 	distrusted map[string]time.Time // until when a node is passed over
 }
 
@@ -250,6 +252,7 @@
 	}
 	m.following = wanted
 	m.heard = now
+	m.followed = now
 	m.emit(Follow{Address: wanted})
 	m.emit(Log{Event: EventFollowing, Peer: wanted})
 }
@@ -263,7 +266,8 @@
 	since := now.Sub(m.heard)
 	age, known := m.Age(now)
 	silent := since > m.share(silenceShare)
-	stale := known && age > m.share(switchShare) && m.anotherTrusted(now)
+	chance := now.Sub(m.followed) > m.share(chanceShare)
+	stale := known && chance && age > m.share(switchShare) && m.anotherTrusted(now)
 	if silent || stale {
 		m.distrust(m.following, now)
 	}
--- a/internal/traffic/decision.go
+++ b/internal/traffic/decision.go
@@ -22,7 +22,7 @@
 	case ended.outcome == outcome.Unknown:
 		m.logger.WithFields(fields).Warn("request.unknown")
 	case ended.outcome == outcome.Answered:
-	case x.between && (ended.cause == causeFull || ended.cause == causeQueue):
+	case m.side == "inbound" && (ended.cause == causeFull || ended.cause == causeQueue):
 		// The caller's node goes on to another; it logs the end if there is none.
 	case ended.status == http.StatusServiceUnavailable:
 		fields["retry_after_ms"] = ended.retryAfter.Milliseconds()
