Refuse what waits for a worker that leaves, and treat all tries alike

Change: the queue is cleared when the local worker changes, and a granted request is checked again; returning requests wait as others, the code for them is gone. Test: TestDispatchLeavesTheQueueOfALeavingWorker failed before.

--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -134,6 +134,9 @@
 	}
 	before, _ := n.holder.Current(time.Now())
 	n.holder.Store(view)
+	if before != nil && before.Local != view.Local {
+		n.inbound.LocalChanged()
+	}
 	n.logPublished(before, view, state.Revision())
 }
 
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -80,7 +80,6 @@
 
 	class    Class
 	kind     kind
-	ahead    bool // whether it waits ahead of others of its class
 	arrived  time.Time
 	granted  time.Time
 	deadline time.Time
@@ -143,7 +142,6 @@
 	Class    Class
 	Kind     string    // requests of one kind take like times; "" for the class's
 	Deadline time.Time // after which an answer is of no use
-	Ahead    bool      // whether it waits ahead of others of its class
 	Waiter   W         // whom to tell
 }
 
@@ -152,7 +150,7 @@
 	class, deadline := arrival.Class, arrival.Deadline
 	ticket = &Ticket[W]{
 		Waiter: arrival.Waiter, class: class, kind: kind{class, arrival.Kind},
-		arrived: now, deadline: deadline, ahead: arrival.Ahead,
+		arrived: now, deadline: deadline,
 	}
 	if q.Free() {
 		q.grant(ticket, now)
@@ -188,6 +186,20 @@
 	return true
 }
 
+// Clear refuses all requests that wait, and returns their tickets.
+func (q *Queue[W]) Clear(now time.Time) []*Ticket[W] {
+	var decided []*Ticket[W]
+	for class := range q.waiting {
+		for front := q.waiting[class].Front(); front != nil; front = q.waiting[class].Front() {
+			ticket := front.Value.(*Ticket[W])
+			q.remove(ticket)
+			refuse(ticket, 0)
+			decided = append(decided, ticket)
+		}
+	}
+	return decided
+}
+
 // Done ends a granted request and returns the tickets that this decides.
 func (q *Queue[W]) Done(ticket *Ticket[W], now time.Time) []*Ticket[W] {
 	q.running--
@@ -201,11 +213,7 @@
 	margin := max(q.run(ticket.kind, now)/2, ticket.deadline.Sub(now)/marginShare)
 	ticket.GiveUp = ticket.deadline.Add(-margin)
 	ticket.Verdict = Queued
-	if ticket.ahead {
-		ticket.element = q.waiting[ticket.class].PushFront(ticket)
-	} else {
-		ticket.element = q.waiting[ticket.class].PushBack(ticket)
-	}
+	ticket.element = q.waiting[ticket.class].PushBack(ticket)
 	q.length++
 }
 
--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -72,8 +72,8 @@
 		return a.queue.Arrive(admission.ClassOf(x.route.Priority), x.deadline, now, x)
 	}
 	rank := admission.ClassOfRank(x.class.rank)
-	arrival := admission.Arrival[*exchange]{Class: rank, Kind: x.route.Name, Deadline: x.deadline, Ahead: x.class.returning, Waiter: x}
-	if !x.class.patient && !x.class.returning && x.class.objective > 0 {
+	arrival := admission.Arrival[*exchange]{Class: rank, Kind: x.route.Name, Deadline: x.deadline, Waiter: x}
+	if !x.class.patient && x.class.objective > 0 {
 		arrival.Deadline = earlier(x.deadline, x.started.Add(x.class.objective))
 	}
 	return a.queue.Take(arrival, now)
@@ -108,6 +108,13 @@
 	a.tell(a.queue.Done(mine, time.Now()))
 }
 
+// clear refuses all that wait.
+func (a *admitter) clear() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.tell(a.queue.Clear(time.Now()))
+}
+
 func (a *admitter) resize(slots int) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
--- a/internal/traffic/balance/forecast.go
+++ b/internal/traffic/balance/forecast.go
@@ -13,7 +13,6 @@
 	Route     string
 	Objective time.Duration // within which an answer is worth most; 0: none
 	Deadline  time.Duration // after which an answer is of no use
-	Firm      bool          // whether it is to wait to its deadline rather than be refused
 	Kilobytes float64       // of the request and its answer
 	BytePrice float64       // of a kilobyte to another zone, in parts of a request's worth
 }
@@ -95,7 +94,7 @@
 		return false
 	}
 	allowed := need.Objective
-	if patient || need.Firm || allowed <= 0 {
+	if patient || allowed <= 0 {
 		allowed = need.Deadline
 	}
 	wait := held.toldWait(need.Route, now)
--- a/internal/traffic/budget.go
+++ b/internal/traffic/budget.go
@@ -1,9 +1,6 @@
 package traffic
 
-import (
-	"sync"
-	"time"
-)
+import "sync"
 
 // serviceBudget bounds, for each service, the arrivals at workers beyond the
 // first of each request to a share of the requests, with a small allowance that
@@ -52,58 +49,3 @@
 	defer b.mutex.Unlock()
 	b.tokens[service]++
 }
-
-// refusalLife is how long a node remembers a refusal.
-const refusalLife = 2 * time.Second
-
-// refusals remembers what was refused lately, by what a caller repeats: method,
-// host and path. The same again on a new connection is taken for one that comes
-// back.
-type refusals struct {
-	mutex sync.Mutex
-	held  map[string]refused
-	swept time.Time
-}
-
-// refused is what was refused under one key: how often, and until when it counts.
-type refused struct {
-	count int
-	until time.Time
-}
-
-func newRefusals() *refusals { return &refusals{held: map[string]refused{}} }
-
-func refusalKey(x *exchange) string {
-	return x.request.Method + " " + x.request.Host + x.request.URL.RequestURI()
-}
-
-// note remembers a refusal.
-func (r *refusals) note(x *exchange, now time.Time) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	key := refusalKey(x)
-	r.held[key] = refused{count: r.held[key].count + 1, until: now.Add(refusalLife)}
-	if now.Sub(r.swept) < refusalLife {
-		return
-	}
-	r.swept = now
-	for key, each := range r.held {
-		if each.until.Before(now) {
-			delete(r.held, key)
-		}
-	}
-}
-
-// returns reports whether a request comes back after a refusal, once for each.
-func (r *refusals) returns(x *exchange, now time.Time) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	key := refusalKey(x)
-	each := r.held[key]
-	if each.count == 0 || now.After(each.until) {
-		return false
-	}
-	each.count--
-	r.held[key] = each
-	return true
-}
--- a/internal/traffic/catalog_mesh_test.go
+++ b/internal/traffic/catalog_mesh_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -192,7 +193,7 @@
 	t      testing.TB
 	nodes  []*catalogNode
 	client *http.Client
-	serial int
+	serial atomic.Int64
 }
 
 // newCatalogMesh starts nodes. Requests go to the first.
@@ -252,14 +253,21 @@
 	}
 }
 
+// onlyLocal leaves the first node its own worker alone.
+func (m *catalogMesh) onlyLocal() {
+	view, _ := m.nodes[0].holder.Current(time.Now())
+	for _, route := range view.Routes {
+		route.Targets[0].Endpoints = route.Targets[0].Endpoints[:1]
+	}
+}
+
 // call sends a request to the first node and reads the whole answer.
 func (m *catalogMesh) call(method, path, body string, headers ...string) (*http.Response, string, error) {
 	m.t.Helper()
-	m.serial++
 	request, err := http.NewRequest(method, m.nodes[0].outbound+path, strings.NewReader(body))
 	must.NoError(m.t, err)
 	request.Host = "shop.example"
-	request.Header.Set(testProtocol.RequestID, fmt.Sprintf("r-%d", m.serial))
+	request.Header.Set(testProtocol.RequestID, fmt.Sprintf("r-%d", m.serial.Add(1)))
 	request.Header.Set(testProtocol.Deadline, "20000")
 	for index := 0; index+1 < len(headers); index += 2 {
 		request.Header.Set(headers[index], headers[index+1])
--- a/internal/traffic/decision.go
+++ b/internal/traffic/decision.go
@@ -63,7 +63,6 @@
 	if x.offers > 0 {
 		fields["offers"] = x.offers
 		fields["attempts"] = x.attempts
-		fields["returning"] = x.returning
 	}
 	return fields
 }
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -79,7 +79,6 @@
 		Route:     d.x.route.Name,
 		Objective: max(time.Millisecond, d.x.route.Objective-time.Since(d.x.started)),
 		Deadline:  time.Until(d.x.deadline),
-		Firm:      d.x.returning,
 		Kilobytes: float64(d.x.body.length+usualAnswer) / kilo,
 		BytePrice: d.out.config.BytePrice,
 	}
@@ -242,7 +241,6 @@
 // classLeft is how the worker's node is to treat the request from now on.
 func (x *exchange) classLeft() class {
 	left := x.class
-	left.returning = x.returning
 	if left.objective > 0 {
 		left.objective = max(time.Millisecond, left.objective-time.Since(x.started))
 	}
--- a/internal/traffic/dispatch_test.go
+++ b/internal/traffic/dispatch_test.go
@@ -122,6 +122,34 @@
 	must.Zero(t, m.nodes[0].worker.runs())
 }
 
+// A request that waits for a slot while its worker leaves runs elsewhere. It was
+// granted the slot of a worker that had left more than two seconds before.
+func TestDispatchLeavesTheQueueOfALeavingWorker(t *testing.T) {
+	m := newCatalogMesh(t, 2)
+	m.nodes[0].worker.script = []string{"wait", "wait"}
+	m.onlyLocal() // both slots of the first worker are taken, and one request waits
+	statuses := make(chan int, 3)
+	for sent := range 3 {
+		go func() {
+			response, _, err := m.call("POST", "/order/", "cards")
+			must.NoError(t, err)
+			statuses <- response.StatusCode
+		}()
+		waitFor(t, func() bool { return m.nodes[0].in.Busy()+m.nodes[0].in.Queued() == sent+1 })
+	}
+	m.publish(nil)
+	view, _ := m.nodes[0].holder.Current(time.Now())
+	leaving := *view
+	leaving.Local.Draining = true
+	m.nodes[0].holder.Store(&leaving)
+	m.nodes[0].in.LocalChanged()
+	must.Eq(t, http.StatusServiceUnavailable, <-statuses) // its view knew of no other worker
+	close(m.nodes[0].worker.gate)
+	must.Eq(t, http.StatusOK, <-statuses)
+	must.Eq(t, http.StatusOK, <-statuses)
+	must.Eq(t, 2, m.nodes[0].worker.runs())
+}
+
 // A node that knows no configuration answers 503, never 404.
 func TestDispatchWithoutConfiguration(t *testing.T) {
 	m := newCatalogMesh(t, 1)
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -33,8 +33,6 @@
 	class       class
 	protocol    *Protocol // of the callers; nil: sliphead's own
 	between     bool      // whether it came from another node of a catalog's mesh
-	first       bool      // whether it is the first on its caller's connection
-	returning   bool      // whether it comes back after a refusal
 	elsewhere   bool      // whether the caller's node knows of another endpoint that seems to be free
 	bodyAwaited bool      // whether the body is still to be asked for
 	signal      bool      // whether the caller's node waits for a sign that the request has come
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -30,7 +30,7 @@
 	in.metrics = newMetrics(config, "inbound", gauges{inFlight: in.gate.count, queued: in.admitter.waiting})
 	in.handle = pipe(in.forward, in.classify, limitDepth(config.Limits.MaxDepth), limitTime, readBody(&in.config.Limits), in.admitter.admit, in.claim)
 	if !config.Protocol.own() {
-		in.handle = pipe(in.forward, in.classify, limitTime, in.admitter.admit, readBody(&in.config.Limits))
+		in.handle = pipe(in.forward, in.classify, limitTime, in.admitter.admit, in.stillLocal, readBody(&in.config.Limits))
 	}
 	return in
 }
@@ -46,7 +46,7 @@
 	if refused := in.checkLocal(x); refused != nil {
 		return *refused
 	}
-	ended := in.admitter.admit(in.forward)(x)
+	ended := in.admitter.admit(in.stillLocal(in.forward))(x)
 	in.metrics.count(x, ended)
 	return ended
 }
--- a/internal/traffic/instance.go
+++ b/internal/traffic/instance.go
@@ -65,6 +65,24 @@
 	return nil
 }
 
+// stillLocal refuses a request whose instance has left while it waited.
+func (in *Inbound) stillLocal(next stage) stage {
+	return func(x *exchange) result {
+		if view, _ := in.config.Holder.Current(time.Now()); view != nil {
+			x.view = view
+		}
+		if refused := in.checkLocal(x); refused != nil {
+			return *refused
+		}
+		return next(x)
+	}
+}
+
+// LocalChanged is to be called when the view says something else of the local
+// worker: what waits for one that has left is refused at once, so that it can
+// run elsewhere in time.
+func (in *Inbound) LocalChanged() { in.admitter.clear() }
+
 // adjustTo takes the worker's slots and connections from the catalog.
 func (in *Inbound) adjustTo(local snapshot.Local) {
 	if local.Slots > 0 {
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -30,7 +30,6 @@
 	local     *Inbound // beside this handler, nil if there is none
 	weights   weights
 	budget    *serviceBudget
-	refusals  *refusals
 	departure atomic.Pointer[departure] // nil until the node stops
 	ending    context.Context           // ends when the node does
 	end       context.CancelFunc
@@ -60,7 +59,6 @@
 	out.metrics = newMetrics(config, "outbound", gauges{inFlight: out.gate.count})
 	out.weights = weights{credits: map[string][]int{}}
 	out.budget = newServiceBudget(config.Limits)
-	out.refusals = newRefusals()
 	out.ending, out.end = context.WithCancel(context.Background())
 	out.handle = pipe(out.choose, out.classify, limitDepth(config.Limits.MaxDepth), limitTime, readBody(&out.config.Limits))
 	if !config.Protocol.own() {
@@ -81,9 +79,6 @@
 	if ended.outcome != outcome.Answered {
 		out.config.Calls.fail(x.id)
 	}
-	if !out.config.Protocol.own() && ended.outcome == outcome.NotRun && ended.status == http.StatusServiceUnavailable {
-		out.refusals.note(x, time.Now())
-	}
 	out.metrics.conclude(x, ended)
 }
 
@@ -163,7 +158,6 @@
 	x.id = get(x.request.Header, protocol.RequestID)
 	protocol.acceptCaller(x.request.Header)
 	x.caller = out.config.Service
-	x.first = firstOnConnection(x.request)
 	x.concurrentBody = true
 	x.protocol = protocol
 }
@@ -187,7 +181,6 @@
 			return reject(http.StatusNotFound, causeRoute, "check host and path, no route is declared for them")
 		}
 		x.class = class{rank: x.route.Rank, repeatable: x.route.Repeatable, objective: x.route.Objective}
-		x.returning = x.first && out.refusals.returns(x, x.started)
 		return next(x)
 	}
 }
--- a/internal/traffic/strict.go
+++ b/internal/traffic/strict.go
@@ -34,24 +34,6 @@
 	net.Conn
 	mutex sync.Mutex
 	scan  headScan
-	taken bool // whether a request was taken from the connection
-}
-
-// firstRequest reports whether no request was taken from the connection before,
-// and notes that one is.
-func (c *strictConn) firstRequest() bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	first := !c.taken
-	c.taken = true
-	return first
-}
-
-// firstOnConnection reports whether a request is the first on its connection.
-// It is asked once for each request.
-func firstOnConnection(request *http.Request) bool {
-	strict, ok := request.Context().Value(strictKey{}).(*strictConn)
-	return ok && strict.firstRequest()
 }
 
 // Read implements net.Conn.
