Admit by mean and deviation of run times

Cause: in overload a third of the runs ended after their objective; half of the runs take longer than their mean, by which a wait was judged.

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -157,7 +157,7 @@
 		return ticket, nil
 	}
 	wait := q.predict(class, now)
-	if now.Add(wait + q.run(ticket.kind, now)).After(deadline) {
+	if now.Add(wait + q.most(ticket.kind, now)).After(deadline) {
 		refuse(ticket, wait)
 		return ticket, nil
 	}
--- a/internal/traffic/admission/estimate.go
+++ b/internal/traffic/admission/estimate.go
@@ -6,8 +6,9 @@
 // was observed for a while: else a class that is refused on a bad estimate
 // could never correct it.
 type estimate struct {
-	mean  time.Duration
-	since time.Time
+	mean      time.Duration
+	deviation time.Duration // mean absolute one, as of RFC 6298
+	since     time.Time
 }
 
 const (
@@ -18,7 +19,9 @@
 func (e *estimate) add(observed time.Duration, now time.Time) {
 	if e.at(now) == 0 {
 		e.mean = observed
+		e.deviation = 0
 	} else {
+		e.deviation += ((observed - e.mean).Abs() - e.deviation) / estimateWeight
 		e.mean += (observed - e.mean) / estimateWeight
 	}
 	e.since = now
@@ -55,6 +58,15 @@
 	return 0
 }
 
+// most returns how long most requests of a kind take at most.
+func (q *Queue[W]) most(of kind, now time.Time) time.Duration {
+	run := q.run(of, now)
+	if run == 0 {
+		return 0
+	}
+	return run + q.service[of].deviation
+}
+
 // end takes a request of a kind off those that run.
 func (q *Queue[W]) end(of kind) {
 	q.busy[of]--
