Ask other zones less when they are busy

Change: a wait told by another zone's node is taken to last for 150 ms, and a request is offered to three nodes of other zones at most. In the own zone nothing changes, questions there cost nothing.

--- a/internal/traffic/balance/forecast.go
+++ b/internal/traffic/balance/forecast.go
@@ -66,7 +66,7 @@
 		return choice
 	}
 	held := b.stateOf(endpoints[choice.Index], now)
-	choice.Wait = held.toldWait(need.Route, now)
+	choice.Wait = b.toldWait(held, need.Route, endpoints[choice.Index], now)
 	late := !b.inTime(need, endpoints[choice.Index], now)
 	choice.Patient = late && inTimeElsewhere
 	choice.Hopeless = b.refuses(held, need, endpoints[choice.Index], choice.Patient, now)
@@ -97,7 +97,7 @@
 	if patient || allowed <= 0 {
 		allowed = need.Deadline
 	}
-	wait := held.toldWait(need.Route, now)
+	wait := b.toldWait(held, need.Route, endpoint, now)
 	return wait > 0 && wait+b.run(held, need, now) > allowed
 }
 
@@ -186,15 +186,24 @@
 const runLife = 10 * time.Second
 
 // toldWait is what is left of the wait that the endpoint told for such requests.
-func (s *state) toldWait(route string, now time.Time) time.Duration {
-	told := s.forecasts[route]
-	return max(0, told.wait-now.Sub(told.at))
+// Another zone's endpoint that is busy is taken to stay so for a while: asking it
+// again costs bytes.
+func (b *Balancer) toldWait(held *state, route string, endpoint snapshot.Endpoint, now time.Time) time.Duration {
+	told := held.forecasts[route]
+	age := now.Sub(told.at)
+	if endpoint.Zone != b.settings.Zone {
+		age -= steadyFor
+	}
+	return max(0, told.wait-max(0, age))
 }
 
+// steadyFor is how long a wait in another zone is taken to stay as it was told.
+const steadyFor = 150 * time.Millisecond
+
 // queueWait is the expected wait for a slot.
 func (b *Balancer) queueWait(held *state, endpoint snapshot.Endpoint, need Need, run time.Duration, now time.Time) time.Duration {
 	slots := float64(max(1, endpoint.Slots))
 	ahead := b.occupied(held, now) - slots + 1
 	estimated := time.Duration(ahead / slots * float64(run))
-	return max(estimated, held.toldWait(need.Route, now))
+	return max(estimated, b.toldWait(held, need.Route, endpoint, now))
 }
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -14,12 +14,13 @@
 
 // Bounds of one request's way through a catalog's mesh.
 const (
-	mostOffers  = 6                      // nodes that a request is offered to
-	leastWait   = 20 * time.Millisecond  // told as Retry-After
-	mostWait    = time.Second            // told as Retry-After
-	firstSilent = 80 * time.Millisecond  // without a sign, after which a node is given up
-	mostSilent  = 300 * time.Millisecond // the same, where there is time
-	silentShare = 6                      // part of the time left that is spent on a silent node
+	mostCrossing = 3                      // of these, in other zones
+	mostOffers   = 6                      // nodes that a request is offered to
+	leastWait    = 20 * time.Millisecond  // told as Retry-After
+	mostWait     = time.Second            // told as Retry-After
+	firstSilent  = 80 * time.Millisecond  // without a sign, after which a node is given up
+	mostSilent   = 300 * time.Millisecond // the same, where there is time
+	silentShare  = 6                      // part of the time left that is spent on a silent node
 )
 
 // dispatch takes a request to a worker where views come from a catalog: it
@@ -45,6 +46,7 @@
 	mayHaveRun bool
 	attempts   int // workers that the request was sent to
 	offers     int
+	crossing   int           // offers to other zones
 	soonest    time.Duration // the shortest wait that a refusing node told; 0: none
 }
 
@@ -59,6 +61,10 @@
 			return result{}, false
 		}
 		excluded = append(excluded, choice.Index)
+		if d.tooFar(target.Endpoints[choice.Index]) {
+			d.out.chooser.ended(d.x, target.Endpoints[choice.Index], balance.Observation{})
+			continue
+		}
 		if choice.Hopeless {
 			d.out.chooser.ended(d.x, target.Endpoints[choice.Index], balance.Observation{})
 			d.noteWait(choice.Wait)
@@ -72,6 +78,12 @@
 	return result{}, false
 }
 
+// tooFar reports whether an endpoint in another zone is not to be asked, since
+// enough others were: each question costs bytes between zones.
+func (d *dispatch) tooFar(endpoint snapshot.Endpoint) bool {
+	return endpoint.Zone != d.out.config.Zone && d.crossing >= mostCrossing
+}
+
 // need is what the request asks of an endpoint.
 func (d *dispatch) need() balance.Need {
 	const usualAnswer, kilo = 2500, 1000
@@ -91,6 +103,9 @@
 	}
 	endpoint := target.Endpoints[choice.Index]
 	d.offers++
+	if endpoint.Zone != d.out.config.Zone {
+		d.crossing++
+	}
 	d.x.offers, d.x.instance = d.offers, endpoint.Worker
 	d.x.elsewhere = choice.Another && d.offers < mostOffers
 	got, seen, failure := d.out.offer(d.x, endpoint)
