--- a/internal/command/node/node.go
+++ b/internal/command/node/node.go
@@ -58,7 +58,7 @@
 	queue := logging.NewQueue(os.Stdout)
 	defer queue.Flush(flushTime)
 	logger := &log.Logger{Handler: queue, Level: log.MustParseLevel(c.LogLevel)}
-	running, err := assemble(configured, adapter, logger)
+	running, err := assemble(configured, adapter, logger, queue.Dropped)
 	if err != nil {
 		return err
 	}
@@ -71,10 +71,10 @@
 
 // assemble makes the kind of node that the settings ask for: one that a store
 // serves, or one with declarations and peers of its own.
-func assemble(configured *settings.Settings, adapter systemnode.Adapter, logger log.Interface) (process, error) {
+func assemble(configured *settings.Settings, adapter systemnode.Adapter, logger log.Interface, dropped func() uint64) (process, error) {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	options := systemnode.Options{Logger: logger, Registry: registry, History: -1}
+	options := systemnode.Options{Logger: logger, Registry: registry, History: -1, DroppedLines: dropped}
 	if configured.Source.Store != "" {
 		return systemnode.NewCatalog(configured, adapter, options)
 	}
--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -73,6 +73,7 @@
 	n.inbound = traffic.NewInbound(config)
 	n.outbound = traffic.NewOutbound(config)
 	n.outbound.UseLocal(n.inbound)
+	options.Registry.MustRegister(catalogState{node: n})
 	return n, nil
 }
 
@@ -166,9 +167,10 @@
 	logging.Event(n.options.Logger, "node.started", logging.Fields{"node": n.settings.Name, "zone": n.settings.Zone, "service": n.settings.Service})
 	group.Go(func() error { return n.replicator.Run(ctx) })
 	limits := n.trafficConfig(traffic.Protocol{}).Limits
-	n.serve(ctx, group, n.settings.Listen.Outbound, traffic.NewServer(n.outbound, limits))
-	n.serve(ctx, group, n.settings.Listen.Inbound, traffic.NewServer(n.inbound, limits))
-	n.serve(ctx, group, n.settings.Listen.Admin, &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: limits.HeaderTimeout})
+	n.serveRequests(ctx, group, "outbound", n.settings.Listen.Outbound, n.outbound)
+	n.serveRequests(ctx, group, "inbound", n.settings.Listen.Inbound, n.inbound)
+	operators := &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: limits.HeaderTimeout}
+	n.serve(ctx, group, n.settings.Listen.Admin, operators, traffic.NewListener)
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -181,10 +183,20 @@
 	return group.Wait()
 }
 
-// serve runs one listener until ctx ends.
-func (n *CatalogNode) serve(ctx context.Context, group *errgroup.Group, address string, server *http.Server) {
+// serveRequests runs a listener for requests with its connections bounded.
+func (n *CatalogNode) serveRequests(ctx context.Context, group *errgroup.Group, side, address string, handler http.Handler) {
+	limit := newConnectionLimit(n.settings.Limits.MaxConnections)
+	limit.register(n.options.Registry, side)
+	server := traffic.NewServer(limit.guard(handler), n.trafficConfig(traffic.Protocol{}).Limits)
+	n.serve(ctx, group, address, server, func(plain net.Listener) net.Listener {
+		return traffic.NewListener(limit.listener(plain))
+	})
+}
+
+// serve runs one listener, wrapped, until ctx ends.
+func (n *CatalogNode) serve(ctx context.Context, group *errgroup.Group, address string, server *http.Server, wrap func(net.Listener) net.Listener) {
 	n.servers = append(n.servers, server)
-	group.Go(func() error { return serveUntil(ctx, address, server, traffic.NewListener) })
+	group.Go(func() error { return serveUntil(ctx, address, server, wrap) })
 }
 
 func (n *CatalogNode) adminHandler() http.Handler {
--- /dev/null
+++ b/internal/node/catalog_metrics.go
@@ -0,0 +1,54 @@
+package node
+
+import (
+	"context"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// catalogState is what a catalog node's own metrics are read from when they are
+// collected.
+type catalogState struct{ node *CatalogNode }
+
+// The metrics of a catalog node.
+var (
+	ageMetric       = describe("sliphead_catalog_age_seconds", "Time since the store was last known to have nothing newer.")
+	storeMetric     = describe("sliphead_catalog_revision", "The store's revision up to which everything is known.")
+	callsMetric     = describe("sliphead_store_calls_total", "Questions to the store, by what became of them.", "result")
+	followersMetric = describe("sliphead_catalog_followers", "Nodes that this one passes news on to.")
+	instancesMetric = describe("sliphead_catalog_instances", "Instances that the store records.")
+	linesMetric     = describe("sliphead_log_lines_dropped_total", "Lines of the log that were left out.")
+)
+
+// Describe implements prometheus.Collector.
+func (catalogState) Describe(descriptions chan<- *prometheus.Desc) {
+	for _, description := range []*prometheus.Desc{
+		readyMetric, readerMetric, revisionMetric, ageMetric, storeMetric, callsMetric, followersMetric, instancesMetric, linesMetric,
+	} {
+		descriptions <- description
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (s catalogState) Collect(metrics chan<- prometheus.Metric) {
+	sink := sink{metrics}
+	ready, _ := s.node.ready()
+	sink.gauge(readyMetric, number(ready))
+	if s.node.options.DroppedLines != nil {
+		sink.counter(linesMetric, s.node.options.DroppedLines())
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	status := s.node.replicator.Status(ctx)
+	if status.Revision == 0 {
+		return
+	}
+	sink.gauge(readerMetric, number(status.Reader))
+	sink.gauge(revisionMetric, float64(status.Version))
+	sink.gauge(ageMetric, status.AgeS)
+	sink.gauge(storeMetric, float64(status.Revision))
+	sink.gauge(followersMetric, float64(status.Followers))
+	sink.gauge(instancesMetric, float64(status.Instances))
+	sink.counter(callsMetric, status.Answered, "answered")
+	sink.counter(callsMetric, status.Failed, "failed")
+}
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -56,14 +56,15 @@
 
 // Replicator is one node's part in replication.
 type Replicator struct {
-	config    Config
-	machine   *replication.Machine
-	inputs    chan any
-	followers map[*follower]struct{}
-	beat      time.Time // when followers were last written to
-	stream    *stream   // the node that is followed, nil for none
-	encoded   encodedNews
-	knocking  map[string]bool // by address: nodes that are knocked at
+	config           Config
+	machine          *replication.Machine
+	inputs           chan any
+	followers        map[*follower]struct{}
+	beat             time.Time // when followers were last written to
+	stream           *stream   // the node that is followed, nil for none
+	encoded          encodedNews
+	answered, failed uint64          // questions to the store
+	knocking         map[string]bool // by address: nodes that are knocked at
 }
 
 // New returns a replicator that knows nothing yet.
@@ -81,6 +82,8 @@
 	Following string  `json:"following,omitempty"`
 	Followers int     `json:"followers"`
 	Instances int     `json:"instances"`
+	Answered  uint64  `json:"storeAnswers"`  // questions to the store that were answered
+	Failed    uint64  `json:"storeFailures"` // and that were not
 }
 
 type statusRequest struct{ reply chan Status }
@@ -144,6 +147,7 @@
 func (r *Replicator) handle(ctx context.Context, input any) {
 	switch input := input.(type) {
 	case replication.Event:
+		r.count(input)
 		before := r.machine.Confirmed()
 		r.step(ctx, input)
 		r.passConfirmation(before)
@@ -160,6 +164,16 @@
 	}
 }
 
+// count counts the questions to the store.
+func (r *Replicator) count(event replication.Event) {
+	switch event.(type) {
+	case replication.StoreAnswered:
+		r.answered++
+	case replication.StoreFailed:
+		r.failed++
+	}
+}
+
 // receive passes on what the followed node said. What a former stream had left
 // in the queue is passed over.
 func (r *Replicator) receive(ctx context.Context, message streamMessage) {
@@ -230,6 +244,8 @@
 		Reader:    r.machine.Reader(now),
 		Following: r.machine.Following(),
 		Followers: len(r.followers),
+		Answered:  r.answered,
+		Failed:    r.failed,
 		Instances: len(r.machine.State().Instances()),
 	}
 	if configuration := r.machine.State().Configuration(); configuration != nil {
--- a/internal/traffic/dispatch_test.go
+++ b/internal/traffic/dispatch_test.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -109,6 +110,22 @@
 	must.Eq(t, http.StatusOK, response.StatusCode)
 }
 
+// A body of unknown length reaches the worker whole.
+func TestDispatchTakesAChunkedBody(t *testing.T) {
+	m := newCatalogMesh(t, 2)
+	text := strings.Repeat("artwork ", 1<<14)
+	request, err := http.NewRequest("POST", m.nodes[0].outbound+"/order/", io.MultiReader(strings.NewReader(text)))
+	must.NoError(t, err)
+	request.Host = "shop.example"
+	request.Header.Set(testProtocol.RequestID, "r-chunked")
+	response, err := m.client.Do(request)
+	must.NoError(t, err)
+	must.NoError(t, response.Body.Close())
+	must.Eq(t, http.StatusOK, response.StatusCode)
+	_, body := m.nodes[0].worker.last()
+	must.True(t, body == text)
+}
+
 // A node whose worker has left refuses, and the request runs elsewhere.
 func TestDispatchPassesOverALeavingWorker(t *testing.T) {
 	m := newCatalogMesh(t, 2)
