Leave nodes alone that give no sign of life; keep idle connections at a stop

Tests: TestFailedEndpointIsTriedByOneRequest, TestUnreachableNodeIsLeftAlone, TestWholePathStopKeepsIdleConnections failed before.

--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -38,7 +38,6 @@
 	replicator *replicator.Replicator
 	inbound    *traffic.Inbound
 	outbound   *traffic.Outbound
-	servers    []*http.Server
 	stopping   chan struct{}
 	stop       func()
 }
@@ -195,7 +194,6 @@
 
 // serve runs one listener, wrapped, until ctx ends.
 func (n *CatalogNode) serve(ctx context.Context, group *errgroup.Group, address string, server *http.Server, wrap func(net.Listener) net.Listener) {
-	n.servers = append(n.servers, server)
 	group.Go(func() error { return serveUntil(ctx, address, server, wrap) })
 }
 
--- a/internal/node/catalog_stop.go
+++ b/internal/node/catalog_stop.go
@@ -31,9 +31,6 @@
 func (n *CatalogNode) drain(ctx context.Context) {
 	began := time.Now()
 	logging.Event(n.options.Logger, "node.draining", logging.Fields{"in_flight": n.InFlight()})
-	for _, server := range n.servers {
-		server.SetKeepAlivesEnabled(false)
-	}
 	n.outbound.LeaveBy(began.Add(n.stopPart(strictPhase)), began.Add(n.stopPart(lastPhase)))
 	quietSince := began
 	for ctx.Err() == nil {
--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -48,10 +48,12 @@
 
 // Observation is what came of one request.
 type Observation struct {
-	Failed  bool
-	Latency time.Duration // 0: not to be counted
-	Load    Load
-	Loaded  bool // whether Load was told
+	Failed bool
+	// Unreachable says that the endpoint's node itself gave no sign of life.
+	Unreachable bool
+	Latency     time.Duration // 0: not to be counted
+	Load        Load
+	Loaded      bool // whether Load was told
 }
 
 // Balancer chooses among endpoints. It is not safe for use by several
@@ -68,7 +70,8 @@
 // state is what this node has seen of an endpoint.
 type state struct {
 	inFlight     int
-	failures     int // in a row
+	failures     int  // in a row
+	unreachable  bool // whether the last one was the node's
 	backoffUntil time.Time
 	slowness     float64 // answer times relative to the route's typical one
 	observed     time.Time
--- a/internal/traffic/balance/balance_test.go
+++ b/internal/traffic/balance/balance_test.go
@@ -84,6 +84,38 @@
 	must.Positive(t, counts["b"]) // it is tried again now and then
 }
 
+// An endpoint that has failed is tried by one request at a time once its back-off
+// is over: all that came until the first of them had failed were lost.
+func TestFailedEndpointIsTriedByOneRequest(t *testing.T) {
+	b := newBalancer()
+	endpoints := []snapshot.Endpoint{endpoint("a", "z1", "r1"), endpoint("b", "z2", "r1")}
+	need := Need{Route: "route", Objective: time.Second}
+	first := b.Cheapest(start, need, endpoints, nil)
+	must.Eq(t, 0, first.Index)
+	b.Ended(start, "route", endpoints[0], Observation{Failed: true})
+	later := start.Add(time.Minute)
+	must.Eq(t, 0, b.Cheapest(later, need, endpoints, nil).Index)
+	must.Eq(t, 1, b.Cheapest(later, need, endpoints, nil).Index)
+	b.Ended(later, "route", endpoints[0], Observation{Latency: time.Millisecond})
+	must.Eq(t, 0, b.Cheapest(later, need, endpoints, nil).Index)
+}
+
+// A node that gave no sign of life gets no request at all until its back-off is
+// over, and then one: also when all others refuse. Requests spent their time on it.
+func TestUnreachableNodeIsLeftAlone(t *testing.T) {
+	b := newBalancer()
+	endpoints := []snapshot.Endpoint{endpoint("a", "z1", "r1")}
+	need := Need{Route: "route", Objective: time.Second}
+	must.Eq(t, 0, b.Cheapest(start, need, endpoints, nil).Index)
+	b.Ended(start, "route", endpoints[0], Observation{Failed: true, Unreachable: true})
+	must.Eq(t, -1, b.Cheapest(start, need, endpoints, nil).Index)
+	later := start.Add(time.Minute)
+	must.Eq(t, 0, b.Cheapest(later, need, endpoints, nil).Index)
+	must.Eq(t, -1, b.Cheapest(later, need, endpoints, nil).Index)
+	b.Ended(later, "route", endpoints[0], Observation{Failed: true}) // it lives, its worker failed
+	must.Eq(t, 0, b.Cheapest(later, need, endpoints, nil).Index)
+}
+
 func TestSlowEndpointIsUsedLess(t *testing.T) {
 	counts := share(newBalancer(), three(), 1000, func(worker string) Observation {
 		if worker == "b" {
--- a/internal/traffic/balance/forecast.go
+++ b/internal/traffic/balance/forecast.go
@@ -42,7 +42,7 @@
 
 // Cheapest returns the endpoint at which a request is expected to cost least,
 // and counts it as in flight there until Ended. Excluded indices are passed
-// over.
+// over, and nodes that gave no sign of life, but for one trial now and then.
 func (b *Balancer) Cheapest(now time.Time, need Need, endpoints []snapshot.Endpoint, excluded []int) Choice {
 	choice := Choice{Index: -1}
 	best, second := math.Inf(1), math.Inf(1)
@@ -51,6 +51,9 @@
 		if slices.Contains(excluded, index) {
 			continue
 		}
+		if b.unreachable(endpoints[index], now) {
+			continue
+		}
 		price, free := b.price(now, need, endpoints[index])
 		inTimeElsewhere = inTimeElsewhere || free && b.inTime(need, endpoints[index], now)
 		if price < best {
@@ -115,7 +118,7 @@
 	if endpoint.Zone != b.settings.Zone {
 		price += crossingPrice + need.Kilobytes*need.BytePrice
 	}
-	if now.Before(held.backoffUntil) {
+	if held.leftAlone(now) {
 		price += failingPrice
 		free = false
 	}
@@ -125,6 +128,19 @@
 	return price, free
 }
 
+// leftAlone reports whether the endpoint is backed off, or has failed last and is
+// being tried by another request just now: one is enough to find out.
+func (s *state) leftAlone(now time.Time) bool {
+	return now.Before(s.backoffUntil) || s.failures > 0 && s.inFlight > 0
+}
+
+// unreachable reports whether the endpoint's node gave no sign of life and is not
+// to be tried now: a request that goes there loses the time that it has.
+func (b *Balancer) unreachable(endpoint snapshot.Endpoint, now time.Time) bool {
+	held := b.stateOf(endpoint, now)
+	return held.unreachable && held.leftAlone(now)
+}
+
 // lateness is the price of an answer that takes a time.
 func lateness(finish, objective time.Duration) float64 {
 	if objective <= 0 {
@@ -153,7 +169,7 @@
 
 func (b *Balancer) hasFreeSlot(endpoint snapshot.Endpoint, now time.Time) bool {
 	held := b.stateOf(endpoint, now)
-	return b.occupied(held, now) < float64(max(1, endpoint.Slots)) && !now.Before(held.backoffUntil)
+	return b.occupied(held, now) < float64(max(1, endpoint.Slots)) && !held.leftAlone(now)
 }
 
 // forecast is what an endpoint's node told of requests of one route.
--- a/internal/traffic/balance/observe.go
+++ b/internal/traffic/balance/observe.go
@@ -23,6 +23,7 @@
 		held.loadAt = now
 		held.tell(route, seen.Load, now)
 	}
+	held.unreachable = seen.Failed && seen.Unreachable
 	if seen.Failed {
 		b.failed(held, now)
 		return
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -217,6 +217,7 @@
 		return got, seen, nil
 	}
 	seen.Failed = blamesNode(failure, seen)
+	seen.Unreachable = failure.cause == causeConnect || failure.cause == causeSilent
 	return nil, seen, failure
 }
 
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -26,6 +26,7 @@
 	body     body
 
 	// With a catalog.
+	closing     bool   // whether the caller's connection ends with the answer
 	offers      int    // nodes that it was offered to
 	attempts    int    // workers that it was sent to
 	instance    string // id of the instance that is to run the request
--- a/internal/traffic/leave.go
+++ b/internal/traffic/leave.go
@@ -11,7 +11,8 @@
 	end    time.Time // when what still runs is cut
 }
 
-// LeaveBy has the handler take only what is going to end in time: until strict,
+// LeaveBy has the handler close each caller's connection with its next answer;
+// idle ones stay open, since a request may be on its way. It has it take only what is going to end in time: until strict,
 // requests whose latency objective ends before end; from then on, those whose
 // deadline does. Others are refused as not run, so that callers go elsewhere.
 func (out *Outbound) LeaveBy(strict, end time.Time) {
@@ -22,7 +23,9 @@
 // runs at its end.
 func (out *Outbound) leaveInTime(next stage) stage {
 	return func(x *exchange) result {
-		if until := out.departure.Load(); until != nil && !until.allows(x) {
+		until := out.departure.Load()
+		x.closing = until != nil
+		if until != nil && !until.allows(x) {
 			refused := refuse(causeDraining, 0, "send it again through another node")
 			refused.retryAfter = leastWait
 			return refused
--- a/internal/traffic/outcome.go
+++ b/internal/traffic/outcome.go
@@ -23,7 +23,7 @@
 	if x.attempt != "" {
 		to.set(attemptHeader, x.attempt)
 	}
-	if x.unread() {
+	if x.closing || x.unread() {
 		to.set("Connection", "close")
 	}
 	if x.load != nil {
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -36,8 +36,14 @@
 	return &pool{dial: dial, bound: bound, idle: idle, kept: map[string][]*pooledConn{}}
 }
 
-// take returns an idle connection that is still open, or opens one.
-func (p *pool) take(ctx context.Context, address string) (*pooledConn, error) {
+// take returns an idle connection that is still open, or opens one within a time,
+// 0 for that of the pool's dialer.
+func (p *pool) take(ctx context.Context, address string, within time.Duration) (*pooledConn, error) {
+	if within > 0 {
+		bounded, cancel := context.WithTimeout(ctx, within)
+		defer cancel()
+		ctx = bounded
+	}
 	for {
 		conn := p.pop(address)
 		if conn == nil {
--- a/internal/traffic/pooled.go
+++ b/internal/traffic/pooled.go
@@ -212,7 +212,7 @@
 
 // sendDirect makes one try on a pooled connection, false if none is free.
 func sendDirect(x *exchange, to *hop, check func(*http.Response) *result) (*answer, *result, bool) {
-	conn, err := to.pool.take(x.context, to.address)
+	conn, err := to.pool.take(x.context, to.address, to.silence)
 	if err == errPoolFull {
 		return nil, nil, false
 	}
