--- /dev/null
+++ b/internal/replication/follow.go
@@ -0,0 +1,73 @@
+package replication
+
+import "time"
+
+// leader returns the node that has the duty to read the store in this zone, as
+// far as this node can tell. A node whose own questions fail does not hold
+// itself for it.
+func (m *Machine) leader(now time.Time) string {
+	for _, candidate := range m.ranked {
+		if candidate.zone != m.config.Zone {
+			break
+		}
+		if candidate.address == m.config.Self && m.failures > 0 {
+			continue
+		}
+		if candidate.address == m.config.Self || m.trusts(candidate.address, now) {
+			return candidate.address
+		}
+	}
+	return m.config.Self
+}
+
+// follow chooses whom to follow: nobody while this node reads the store
+// itself, else the first by rank that is trusted.
+func (m *Machine) follow(now time.Time) {
+	m.giveUpSilent(now)
+	wanted := m.wanted(now)
+	if wanted == m.following {
+		return
+	}
+	m.following = wanted
+	m.heard = now
+	m.followed = now
+	m.emit(Follow{Address: wanted})
+	m.emit(Log{Event: EventFollowing, Peer: wanted})
+}
+
+// giveUpSilent distrusts the followed node when it says nothing, or nothing
+// that is fresh.
+func (m *Machine) giveUpSilent(now time.Time) {
+	if m.following == "" || !m.trusts(m.following, now) {
+		return
+	}
+	since := now.Sub(m.heard)
+	age, known := m.Age(now)
+	silent := since > m.share(silenceShare)
+	chance := now.Sub(m.followed) > m.share(chanceShare)
+	stale := known && chance && age > m.share(switchShare) && m.anotherTrusted(now)
+	if silent || stale {
+		m.distrust(m.following, now)
+	}
+}
+
+func (m *Machine) anotherTrusted(now time.Time) bool {
+	for _, candidate := range m.ranked {
+		if candidate.address != m.following && candidate.address != m.config.Self && m.trusts(candidate.address, now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) wanted(now time.Time) string {
+	if m.failures == 0 && m.state.Revision() > 0 && m.leader(now) == m.config.Self {
+		return ""
+	}
+	for _, candidate := range m.ranked {
+		if candidate.address != m.config.Self && m.trusts(candidate.address, now) {
+			return candidate.address
+		}
+	}
+	return ""
+}
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -2,9 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
-	"strconv"
-	"sync"
 	"time"
 
 	"sliphead/internal/outcome"
@@ -189,125 +186,9 @@
 	return ended
 }
 
-// offer sends the request to the node beside an endpoint, which may be this one.
-func (out *Outbound) offer(x *exchange, endpoint snapshot.Endpoint) (*answer, balance.Observation, *result) {
-	if endpoint.Local && out.local != nil {
-		return out.offerLocal(x, endpoint)
-	}
-	told := hopRequest{attempt: out.newAttempt(), instance: endpoint.Worker, caller: x.caller, route: x.route.Name, class: x.classLeft(), elsewhere: x.elsewhere}
-	fields := []field{
-		{hopHeader, told.encode()},
-		{out.config.Protocol.Deadline, strconv.FormatInt(x.millisecondsLeft(), 10)},
-	}
-	seen := balance.Observation{}
-	began := time.Now()
-	check := func(response *http.Response) *result {
-		said := decodeHopAnswer(get(response.Header, hopHeader))
-		if said.attempt != told.attempt {
-			return foreign()
-		}
-		seen.Load, seen.Loaded = said.load, said.loaded
-		return said.refusal(response)
-	}
-	offered := !x.route.Repeatable || x.body.length > directBody
-	to := hop{pool: out.pool, transport: out.transport, address: endpoint.Address, fields: fields, expect: true, offer: offered, silence: x.patience()}
-	got, failure := send(x, &to, check)
-	if failure == nil {
-		seen.Latency = time.Since(began)
-		return got, seen, nil
-	}
-	seen.Failed = blamesNode(failure, seen)
-	seen.Unreachable = failure.cause == causeConnect || failure.cause == causeSilent
-	return nil, seen, failure
-}
-
-// offerLocal runs the request at the worker beside this node.
-func (out *Outbound) offerLocal(x *exchange, endpoint snapshot.Endpoint) (*answer, balance.Observation, *result) {
-	inner := *x
-	inner.attempt = ""
-	inner.instance = endpoint.Worker
-	inner.class = x.classLeft()
-	inner.granted = nil
-	ended := out.local.serveLocal(&inner)
-	load, _ := parseLoad(out.local.admitter.load(&inner))
-	seen := balance.Observation{Load: load, Loaded: true}
-	switch {
-	case ended.answer != nil:
-		return ended.answer, seen, nil
-	case ended.sent:
-		return nil, seen, &ended
-	}
-	ended.retryAfter = load.Wait
-	seen.Failed = blamesNode(&ended, seen)
-	return nil, seen, &ended
-}
-
-// blamesNode reports whether a failure speaks against an endpoint.
-func blamesNode(failure *result, seen balance.Observation) bool {
-	switch failure.cause {
-	case causeCallerGone, causeFull, causeQueue, causeDeadline, causeNested:
-		return false
-	case causeRefused:
-		return !seen.Loaded || seen.Load.Busy < seen.Load.Slots
-	default:
-		return true
-	}
-}
-
-// classLeft is how the worker's node is to treat the request from now on.
-func (x *exchange) classLeft() class {
-	left := x.class
-	if left.objective > 0 {
-		left.objective = max(time.Millisecond, left.objective-time.Since(x.started))
-	}
-	return left
-}
-
-// patience is how long a node may give no sign before it is given up.
-func (x *exchange) patience() time.Duration {
-	return min(max(time.Until(x.deadline)/silentShare, firstSilent), mostSilent)
-}
-
 // cheapest chooses an endpoint.
 func (c *chooser) cheapest(need balance.Need, endpoints []snapshot.Endpoint, excluded []int) balance.Choice {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.balancer.Cheapest(time.Now(), need, endpoints, excluded)
 }
-
-// weights deals the requests of each route to its services in turn, so that
-// each gets its share over any longer stretch (smooth weighted round robin).
-type weights struct {
-	mutex   sync.Mutex
-	credits map[string][]int // by route, in the order of its targets
-}
-
-// order returns the route's targets, the one whose turn it is first.
-func (w *weights) order(route *snapshot.Route) []snapshot.Target {
-	if len(route.Targets) <= 1 {
-		return route.Targets
-	}
-	first := w.next(route)
-	ordered := []snapshot.Target{route.Targets[first]}
-	return append(ordered, slices.Delete(slices.Clone(route.Targets), first, first+1)...)
-}
-
-func (w *weights) next(route *snapshot.Route) int {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	credits := w.credits[route.Name]
-	if len(credits) != len(route.Targets) {
-		credits = make([]int, len(route.Targets))
-		w.credits[route.Name] = credits
-	}
-	total, first := 0, 0
-	for index, target := range route.Targets {
-		credits[index] += target.Weight
-		total += target.Weight
-		if credits[index] > credits[first] {
-			first = index
-		}
-	}
-	credits[first] -= total
-	return first
-}
--- /dev/null
+++ b/internal/traffic/offer.go
@@ -0,0 +1,89 @@
+package traffic
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"sliphead/internal/snapshot"
+	"sliphead/internal/traffic/balance"
+)
+
+// offer sends the request to the node beside an endpoint, which may be this one.
+func (out *Outbound) offer(x *exchange, endpoint snapshot.Endpoint) (*answer, balance.Observation, *result) {
+	if endpoint.Local && out.local != nil {
+		return out.offerLocal(x, endpoint)
+	}
+	told := hopRequest{attempt: out.newAttempt(), instance: endpoint.Worker, caller: x.caller, route: x.route.Name, class: x.classLeft(), elsewhere: x.elsewhere}
+	fields := []field{
+		{hopHeader, told.encode()},
+		{out.config.Protocol.Deadline, strconv.FormatInt(x.millisecondsLeft(), 10)},
+	}
+	seen := balance.Observation{}
+	began := time.Now()
+	check := func(response *http.Response) *result {
+		said := decodeHopAnswer(get(response.Header, hopHeader))
+		if said.attempt != told.attempt {
+			return foreign()
+		}
+		seen.Load, seen.Loaded = said.load, said.loaded
+		return said.refusal(response)
+	}
+	offered := !x.route.Repeatable || x.body.length > directBody
+	to := hop{pool: out.pool, transport: out.transport, address: endpoint.Address, fields: fields, expect: true, offer: offered, silence: x.patience()}
+	got, failure := send(x, &to, check)
+	if failure == nil {
+		seen.Latency = time.Since(began)
+		return got, seen, nil
+	}
+	seen.Failed = blamesNode(failure, seen)
+	seen.Unreachable = failure.cause == causeConnect || failure.cause == causeSilent
+	return nil, seen, failure
+}
+
+// offerLocal runs the request at the worker beside this node.
+func (out *Outbound) offerLocal(x *exchange, endpoint snapshot.Endpoint) (*answer, balance.Observation, *result) {
+	inner := *x
+	inner.attempt = ""
+	inner.instance = endpoint.Worker
+	inner.class = x.classLeft()
+	inner.granted = nil
+	ended := out.local.serveLocal(&inner)
+	load, _ := parseLoad(out.local.admitter.load(&inner))
+	seen := balance.Observation{Load: load, Loaded: true}
+	switch {
+	case ended.answer != nil:
+		return ended.answer, seen, nil
+	case ended.sent:
+		return nil, seen, &ended
+	}
+	ended.retryAfter = load.Wait
+	seen.Failed = blamesNode(&ended, seen)
+	return nil, seen, &ended
+}
+
+// blamesNode reports whether a failure speaks against an endpoint.
+func blamesNode(failure *result, seen balance.Observation) bool {
+	switch failure.cause {
+	case causeCallerGone, causeFull, causeQueue, causeDeadline, causeNested:
+		return false
+	case causeRefused:
+		return !seen.Loaded || seen.Load.Busy < seen.Load.Slots
+	default:
+		return true
+	}
+}
+
+// classLeft is how the worker's node is to treat the request from now on.
+func (x *exchange) classLeft() class {
+	left := x.class
+	if left.objective > 0 {
+		left.objective = max(time.Millisecond, left.objective-time.Since(x.started))
+	}
+	return left
+}
+
+// patience is how long a node may give no sign before it is given up.
+func (x *exchange) patience() time.Duration {
+	return min(max(time.Until(x.deadline)/silentShare, firstSilent), mostSilent)
+}
