Tell followers what has changed of a configuration, not all of it

Cause: a zone's reader sent 80 kB to each follower for a change of one route; at the size we build for that is 13 MB a change, over the bytes that a node may spend. Change: a follower says which version it holds; it is sent the difference from that version while it is kept (eight), else the whole. Ruled out: telling by the store's revision which version a follower holds; it may have learned a version elsewhere that this node never saw. Tests: TestDifferencesLeadToTheConfiguration (any former version, also through JSON), TestDifferenceIsSmall (one route of 300 is sent).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -61,11 +61,12 @@
 	ColdRemaining time.Duration `json:"coldRemaining"` // how long it stays slow after its start, when it was written
 }
 
-// Change is one change of the store. Exactly one of Configuration, Instance
-// and Removed is set.
+// Change is one change of the store. Exactly one of Configuration, Difference,
+// Instance and Removed is set.
 type Change struct {
 	Revision      uint64         `json:"revision"`
 	Configuration *Configuration `json:"configuration,omitempty"`
+	Difference    *Difference    `json:"difference,omitempty"` // to the configuration that is held
 	Instance      *Instance      `json:"instance,omitempty"`
 	Removed       string         `json:"removed,omitempty"` // id of an instance whose record is gone
 }
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -5,6 +5,9 @@
 	"slices"
 )
 
+// maxFormer bounds the configurations that are kept to tell differences from.
+const maxFormer = 8
+
 // maxRemoved bounds the removals that are remembered for peers that are behind.
 const maxRemoved = 1024
 
@@ -14,7 +17,8 @@
 	revision      uint64 // the store's revision that is known whole
 	floor         uint64 // changes after this one are known one by one
 	configuration *Configuration
-	configuredAt  uint64 // revision of the configuration
+	configuredAt  uint64           // revision of the configuration
+	former        []*Configuration // those before it, oldest first
 	instances     map[string]record
 	removed       []removal // oldest first
 }
@@ -61,7 +65,13 @@
 		return false, false
 	}
 	for _, change := range batch.Changes {
-		if change.Revision > s.revision && s.apply(change) {
+		if change.Revision <= s.revision {
+			continue
+		}
+		if !s.resolve(&change) {
+			return false, changed
+		}
+		if s.apply(change) {
 			changed = true
 		}
 	}
@@ -84,6 +94,16 @@
 	return true
 }
 
+// resolve turns a difference into the configuration that it leads to. It reports
+// false when the difference starts from another one than is held.
+func (s *State) resolve(change *Change) bool {
+	if change.Difference == nil {
+		return true
+	}
+	change.Configuration = change.Difference.applyTo(s.configuration)
+	return change.Configuration != nil
+}
+
 // apply takes one change in, in the order of revisions, and reports whether it
 // changed anything that matters.
 func (s *State) apply(change Change) bool {
@@ -108,11 +128,34 @@
 		return false
 	}
 	fresh := s.configuration == nil || change.Configuration.Version > s.configuration.Version
+	s.remember()
 	s.configuration = change.Configuration
 	s.configuredAt = change.Revision
 	return fresh
 }
 
+// remember keeps the configuration that is about to be replaced.
+func (s *State) remember() {
+	if s.configuration == nil || slices.Contains(s.former, s.configuration) {
+		return
+	}
+	s.former = append(s.former, s.configuration)
+	if len(s.former) > maxFormer {
+		s.former = s.former[1:]
+	}
+}
+
+// configurationAfter tells the newest configuration to a peer that holds a
+// version: what has changed, if that version is still kept here.
+func (s *State) configurationAfter(version uint64) Change {
+	for _, held := range s.former {
+		if held.Version == version {
+			return Change{Revision: s.configuredAt, Difference: differenceOf(held, s.configuration)}
+		}
+	}
+	return Change{Revision: s.configuredAt, Configuration: s.configuration}
+}
+
 func (s *State) remove(change Change) bool {
 	_, known := s.instances[change.Removed]
 	delete(s.instances, change.Removed)
@@ -124,16 +167,33 @@
 	return known
 }
 
-// Since returns the batch that leads from a revision to what is known: the
+// Position is what a node holds: the store's revision up to which it knows
+// everything, and the version of its configuration; 0 for none.
+type Position struct {
+	Revision uint64 `json:"revision"`
+	Version  uint64 `json:"version"`
+}
+
+// Position returns what is held here.
+func (s *State) Position() Position {
+	position := Position{Revision: s.revision}
+	if s.configuration != nil {
+		position.Version = s.configuration.Version
+	}
+	return position
+}
+
+// Since returns the batch that leads from what a peer holds to what is known: the
 // changes after it where they are known one by one, else the whole.
-func (s *State) Since(revision uint64) Batch {
+func (s *State) Since(held Position) Batch {
+	revision := held.Revision
 	batch := Batch{From: revision, To: s.revision}
 	if revision < s.floor || revision == 0 {
 		batch = Batch{To: s.revision, Whole: true}
-		revision = 0
+		revision, held = 0, Position{}
 	}
 	if s.configuration != nil && s.configuredAt > revision {
-		batch.Changes = append(batch.Changes, Change{Revision: s.configuredAt, Configuration: s.configuration})
+		batch.Changes = append(batch.Changes, s.configurationAfter(held.Version))
 	}
 	for _, held := range s.instances {
 		if held.revision > revision {
--- a/internal/catalog/state_test.go
+++ b/internal/catalog/state_test.go
@@ -1,6 +1,10 @@
 package catalog
 
 import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -42,7 +46,7 @@
 		truth := NewState()
 		truth.Join(Batch{Whole: true, To: 1})
 		behind := NewState()
-		behind.Join(truth.Since(0))
+		behind.Join(truth.Since(Position{}))
 		var sent []Batch
 		for revision := uint64(2); revision < 30; revision++ {
 			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
@@ -51,7 +55,7 @@
 				change = Change{Revision: revision, Removed: id}
 			}
 			truth.Join(Batch{From: revision - 1, To: revision, Changes: []Change{change}})
-			sent = append(sent, truth.Since(behind.Revision()))
+			sent = append(sent, truth.Since(behind.Position()))
 			if rapid.Bool().Draw(t, "deliver") {
 				behind.Join(rapid.SampledFrom(sent).Draw(t, "batch"))
 			}
@@ -59,7 +63,7 @@
 		if behind.Revision() > truth.Revision() {
 			t.Fatalf("the follower is ahead")
 		}
-		behind.Join(truth.Since(behind.Revision()))
+		behind.Join(truth.Since(behind.Position()))
 		must.Eq(t, truth.Instances(), behind.Instances())
 	})
 }
@@ -87,3 +91,87 @@
 		must.ErrorContains(t, bad.Validate(), name)
 	}
 }
+
+// drawConfiguration draws routes with names from a small set.
+func drawConfiguration(t *rapid.T, version uint64) *Configuration {
+	configuration := &Configuration{Version: version, Services: map[string]Service{}}
+	for _, service := range []string{"shop", "press"} {
+		if rapid.Bool().Draw(t, "declared") {
+			configuration.Services[service] = Service{MaxConnections: rapid.IntRange(1, 2).Draw(t, "connections")}
+		}
+	}
+	for _, name := range []string{"a", "b", "c", "d"} {
+		if rapid.Bool().Draw(t, "there") {
+			configuration.Routes = append(configuration.Routes, Route{
+				Name: name, Priority: rapid.IntRange(0, 1).Draw(t, "priority"),
+				Targets: []WeightedTarget{{Service: "shop", Weight: rapid.IntRange(1, 2).Draw(t, "weight")}},
+			})
+		}
+	}
+	return configuration
+}
+
+// byName sorts routes, whose order means nothing.
+func byName(routes []Route) []Route {
+	sorted := slices.Clone(routes)
+	slices.SortFunc(sorted, func(a, b Route) int { return strings.Compare(a.Name, b.Name) })
+	return sorted
+}
+
+// A peer that holds any former version, also one that it learned elsewhere, comes
+// to the same configuration by what it is told.
+func TestDifferencesLeadToTheConfiguration(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		truth, elsewhere := NewState(), NewState()
+		for revision := uint64(1); revision < 14; revision++ {
+			change := Change{Revision: revision, Configuration: drawConfiguration(t, revision)}
+			batch := Batch{From: revision - 1, To: revision, Whole: revision == 1, Changes: []Change{change}}
+			elsewhere.Join(batch)
+			if revision == 1 || rapid.Bool().Draw(t, "seen") {
+				truth.Join(elsewhere.Since(Position{Revision: truth.Revision()})) // whole configurations, some missed
+			}
+			peer := NewState()
+			peer.Join(elsewhere.Since(Position{}))
+			if truth.Revision() < peer.Revision() {
+				continue
+			}
+			for next := revision + 1; next < revision+4; next++ {
+				truth.Join(Batch{From: next - 1, To: next, Changes: []Change{{Revision: next, Configuration: drawConfiguration(t, next)}}})
+			}
+			usable, _ := peer.Join(sent(t, truth.Since(peer.Position())))
+			must.True(t, usable)
+			must.Eq(t, byName(truth.Configuration().Routes), byName(peer.Configuration().Routes))
+			must.Eq(t, truth.Configuration().Services, peer.Configuration().Services)
+			must.Eq(t, truth.Configuration().Version, peer.Configuration().Version)
+			return
+		}
+	})
+}
+
+// sent is a batch after its way between two nodes.
+func sent(t *rapid.T, batch Batch) Batch {
+	line, err := json.Marshal(batch)
+	must.NoError(t, err)
+	var received Batch
+	must.NoError(t, json.Unmarshal(line, &received))
+	return received
+}
+
+// A change of one route carries that route alone.
+func TestDifferenceIsSmall(t *testing.T) {
+	s := NewState()
+	first := &Configuration{Version: 1, Services: map[string]Service{"shop": {}}}
+	for index := range 300 {
+		first.Routes = append(first.Routes, Route{Name: fmt.Sprint(index), Host: "shop.example"})
+	}
+	second := &Configuration{Version: 2, Services: map[string]Service{"shop": {}}, Routes: slices.Clone(first.Routes)}
+	second.Routes[7].Priority = 1
+	s.Join(Batch{Whole: true, To: 1, Changes: []Change{{Revision: 1, Configuration: first}}})
+	held := s.Position()
+	s.Join(Batch{From: 1, To: 2, Changes: []Change{{Revision: 2, Configuration: second}}})
+	batch := s.Since(held)
+	must.Len(t, 1, batch.Changes)
+	must.Len(t, 1, batch.Changes[0].Difference.Put)
+	must.SliceEmpty(t, batch.Changes[0].Difference.Remove)
+	must.MapEmpty(t, batch.Changes[0].Difference.Services)
+}
--- a/internal/replication/fleet_test.go
+++ b/internal/replication/fleet_test.go
@@ -50,7 +50,7 @@
 	access        storeAccess
 	question      *question
 	following     string
-	sent          uint64 // revision up to which the followed node has told it
+	sent          catalog.Position // what the followed node has told it
 	told          time.Time
 	confirmed     time.Time // what the followed node had confirmed when it told
 	problemSince  time.Time // since when it is in touch: now less this is how long
@@ -122,7 +122,7 @@
 			node.question = &question{ask: effect, since: f.now}
 		case Follow:
 			f.follows++
-			node.following, node.sent, node.told = effect.Address, node.machine.State().Revision(), time.Time{}
+			node.following, node.sent, node.told = effect.Address, node.machine.State().Position(), time.Time{}
 		}
 	}
 }
@@ -151,9 +151,9 @@
 			return
 		}
 		node.question = nil
-		after := asked.ask.After
+		after := catalog.Position{Revision: asked.ask.After} // the store knows no differences
 		if asked.ask.Whole {
-			after = 0
+			after = catalog.Position{}
 		}
 		f.step(node, StoreAnswered{Batch: f.store.Since(after), ConfirmedAt: f.now})
 	}
@@ -173,11 +173,11 @@
 		return
 	}
 	state := from.machine.State()
-	if state.Revision() <= node.sent && f.now.Sub(node.told) < beat && !from.machine.Confirmed().After(node.confirmed) {
+	if state.Revision() <= node.sent.Revision && f.now.Sub(node.told) < beat && !from.machine.Confirmed().After(node.confirmed) {
 		return
 	}
 	batch := state.Since(node.sent)
-	node.sent, node.told, node.confirmed = state.Revision(), f.now, from.machine.Confirmed()
+	node.sent, node.told, node.confirmed = state.Position(), f.now, from.machine.Confirmed()
 	age, _ := from.machine.Age(f.now)
 	f.step(node, News{From: node.following, Batch: batch, Age: age})
 }
--- a/internal/replicator/link.go
+++ b/internal/replicator/link.go
@@ -13,8 +13,8 @@
 // hello opens a stream: the follower tells what it holds. A knock only says that
 // the other node is there.
 type hello struct {
-	Revision uint64 `json:"revision"`
-	Knock    bool   `json:"knock,omitempty"`
+	Held  catalog.Position `json:"held"`
+	Knock bool             `json:"knock,omitempty"`
 }
 
 // news is one line of a stream.
@@ -36,7 +36,7 @@
 type follower struct {
 	conn    net.Conn
 	lines   chan []byte
-	sent    uint64 // revision up to which it was told
+	sent    catalog.Position // what it holds once it has read what it was told
 	dropped bool
 }
 
@@ -44,8 +44,9 @@
 
 // encodedNews is the last line, shared by all followers that hold the same.
 type encodedNews struct {
-	from, to uint64
-	line     []byte
+	from catalog.Position
+	to   uint64
+	line []byte
 }
 
 // accept takes followers in until ctx ends.
@@ -78,7 +79,7 @@
 		r.seen(ctx, conn)
 		return
 	}
-	mine := &follower{conn: conn, lines: make(chan []byte, followerQueue), sent: said.Revision}
+	mine := &follower{conn: conn, lines: make(chan []byte, followerQueue), sent: said.Held}
 	r.submit(ctx, mine)
 	go r.watchEnd(ctx, mine, reader)
 	for line := range mine.lines {
@@ -166,7 +167,7 @@
 	}
 	select {
 	case mine.lines <- r.encoded.line:
-		mine.sent = state.Revision()
+		mine.sent = state.Position()
 	default:
 		_ = mine.conn.Close()
 		r.drop(mine)
@@ -198,17 +199,17 @@
 	ctx, cancel := context.WithCancel(ctx)
 	next := &stream{address: address, cancel: cancel}
 	r.stream = next
-	go r.consume(ctx, next, r.machine.State().Revision())
+	go r.consume(ctx, next, r.machine.State().Position())
 }
 
 // consume reads one stream to its end.
-func (r *Replicator) consume(ctx context.Context, from *stream, held uint64) {
+func (r *Replicator) consume(ctx context.Context, from *stream, held catalog.Position) {
 	if err := r.readStream(ctx, from, held); err != nil && ctx.Err() == nil {
 		r.submit(ctx, streamMessage{stream: from, lost: true})
 	}
 }
 
-func (r *Replicator) readStream(ctx context.Context, from *stream, held uint64) error {
+func (r *Replicator) readStream(ctx context.Context, from *stream, held catalog.Position) error {
 	conn, err := r.dial(ctx, from.address)
 	if err != nil {
 		return err
@@ -217,7 +218,7 @@
 	defer stop()
 	defer func() { _ = conn.Close() }()
 	encoder := json.NewEncoder(conn)
-	if err := encoder.Encode(hello{Revision: held}); err != nil {
+	if err := encoder.Encode(hello{Held: held}); err != nil {
 		return err
 	}
 	decoder := json.NewDecoder(conn)
