Take a choice back to which no request was sent

Ruled out: the same at offers that were made; each ends by Ended. Tests: TestDispatchLeavesNothingInFlight and TestReleasedChoiceLeavesNoTrace; the first fails without the release.

--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -220,5 +220,13 @@
 	}
 }
 
+// InFlight returns the number of requests of this node at an endpoint.
+func (b *Balancer) InFlight(endpoint snapshot.Endpoint) int {
+	if held := b.endpoints[keyOf(endpoint)]; held != nil {
+		return held.inFlight
+	}
+	return 0
+}
+
 // Len returns the number of endpoints that are remembered.
 func (b *Balancer) Len() int { return len(b.endpoints) }
--- a/internal/traffic/balance/balance_test.go
+++ b/internal/traffic/balance/balance_test.go
@@ -116,6 +116,21 @@
 	must.Eq(t, 0, b.Cheapest(later, need, endpoints, nil).Index)
 }
 
+// A choice to which no request was sent leaves no trace: neither a place taken,
+// nor word that an endpoint that had failed is well again.
+func TestReleasedChoiceLeavesNoTrace(t *testing.T) {
+	b := newBalancer()
+	endpoints := []snapshot.Endpoint{endpoint("a", "z1", "r1")}
+	need := Need{Route: "route", Objective: time.Second}
+	b.Cheapest(start, need, endpoints, nil)
+	b.Ended(start, "route", endpoints[0], Observation{Failed: true, Unreachable: true})
+	later := start.Add(time.Minute)
+	must.Eq(t, 0, b.Cheapest(later, need, endpoints, nil).Index)
+	b.Release(later, endpoints[0])
+	must.Eq(t, 0, b.Cheapest(later, need, endpoints, nil).Index)  // the trial is free again
+	must.Eq(t, -1, b.Cheapest(later, need, endpoints, nil).Index) // and still one at a time
+}
+
 func TestSlowEndpointIsUsedLess(t *testing.T) {
 	counts := share(newBalancer(), three(), 1000, func(worker string) Observation {
 		if worker == "b" {
--- a/internal/traffic/balance/forecast.go
+++ b/internal/traffic/balance/forecast.go
@@ -104,6 +104,13 @@
 	return wait > 0 && wait+b.run(held, need, now) > allowed
 }
 
+// Release takes back a choice to which no request was sent: it says nothing of
+// the endpoint.
+func (b *Balancer) Release(now time.Time, endpoint snapshot.Endpoint) {
+	held := b.stateOf(endpoint, now)
+	held.inFlight = max(0, held.inFlight-1)
+}
+
 // price is what a request is expected to cost at an endpoint.
 func (b *Balancer) price(now time.Time, need Need, endpoint snapshot.Endpoint) (price float64, free bool) {
 	held := b.stateOf(endpoint, now)
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -59,11 +59,11 @@
 		}
 		excluded = append(excluded, choice.Index)
 		if d.tooFar(target.Endpoints[choice.Index]) {
-			d.out.chooser.ended(d.x, target.Endpoints[choice.Index], balance.Observation{})
+			d.out.chooser.release(target.Endpoints[choice.Index])
 			continue
 		}
 		if choice.Hopeless {
-			d.out.chooser.ended(d.x, target.Endpoints[choice.Index], balance.Observation{})
+			d.out.chooser.release(target.Endpoints[choice.Index])
 			d.noteWait(choice.Wait)
 			continue
 		}
@@ -95,10 +95,11 @@
 
 // try makes one offer. It reports whether the request has ended.
 func (d *dispatch) try(target snapshot.Target, choice balance.Choice) (result, bool) {
+	endpoint := target.Endpoints[choice.Index]
 	if d.attempts > 0 && !d.out.budget.take(target.Service, d.out.nodes()) {
+		d.out.chooser.release(endpoint)
 		return d.giveUp(), true
 	}
-	endpoint := target.Endpoints[choice.Index]
 	d.offers++
 	if endpoint.Zone != d.out.config.Zone {
 		d.crossing++
@@ -186,6 +187,13 @@
 	return ended
 }
 
+// release takes back a choice to which no request was sent.
+func (c *chooser) release(endpoint snapshot.Endpoint) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.balancer.Release(time.Now(), endpoint)
+}
+
 // cheapest chooses an endpoint.
 func (c *chooser) cheapest(need balance.Need, endpoints []snapshot.Endpoint, excluded []int) balance.Choice {
 	c.mutex.Lock()
--- a/internal/traffic/dispatch_test.go
+++ b/internal/traffic/dispatch_test.go
@@ -110,6 +110,24 @@
 	must.Eq(t, http.StatusOK, response.StatusCode)
 }
 
+// Whatever becomes of a request, no endpoint is taken to be busy with it
+// afterwards: those given up for lack of retry budget were counted for good.
+func TestDispatchLeavesNothingInFlight(t *testing.T) {
+	m := newCatalogMesh(t, 3)
+	for _, node := range m.nodes {
+		node.out.budget = newServiceBudget(Limits{}) // no retries at all
+	}
+	for range 30 {
+		m.script("error", "close", "shed")
+		_, _, err := m.call("GET", "/lookup/", "")
+		must.NoError(t, err)
+	}
+	view, _ := m.nodes[0].holder.Current(time.Now())
+	for _, endpoint := range view.Routes[0].Targets[0].Endpoints {
+		must.Zero(t, m.nodes[0].out.chooser.balancer.InFlight(endpoint))
+	}
+}
+
 // A body of unknown length reaches the worker whole.
 func TestDispatchTakesAChunkedBody(t *testing.T) {
 	m := newCatalogMesh(t, 2)
