--- a/internal/replication/fleet_test.go
+++ b/internal/replication/fleet_test.go
@@ -241,6 +241,47 @@
 	must.Eq(t, calls[3], calls[30])
 }
 
+// In calm, no node has more followers than a link can carry a large change to,
+// and a change reaches all of a large zone in time.
+func TestZoneIsATree(t *testing.T) {
+	f := newFleet(2, 80)
+	f.run(5 * time.Second)
+	followers := map[string]int{}
+	for _, node := range f.nodes {
+		followers[node.following]++
+	}
+	delete(followers, "")
+	for address, count := range followers {
+		must.LessEq(t, fanOut, count, must.Sprint(address))
+	}
+	f.configure()
+	f.run(freshness / 4)
+	for _, node := range f.nodes {
+		must.Eq(t, f.revision, node.machine.State().Revision(), must.Sprint(node.address))
+	}
+}
+
+// The nodes below one that passes news on, and fails, learn of a change in time.
+func TestNodeInTheTreeFails(t *testing.T) {
+	for name, fail := range map[string]func(*simNode){
+		"killed": func(node *simNode) { node.up = false },
+		"frozen": func(node *simNode) { node.frozen = true },
+		"cut":    func(node *simNode) { node.cut, node.access = true, silent },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(1, 3*fanOut)
+			f.run(5 * time.Second)
+			between := f.node(f.node(f.nodes[0].machine.ranked[2*fanOut].address).following)
+			must.False(t, between.machine.Reader(f.now))
+			fail(between)
+			between.problemSince = f.now
+			f.configure()
+			f.run(freshness + tickStep)
+			must.SliceEmpty(t, f.late())
+		})
+	}
+}
+
 // A zone whose reader is killed, frozen, cut off or no longer served by the
 // store learns of a change in time all the same.
 func TestReaderFails(t *testing.T) {
@@ -315,7 +356,7 @@
 // bound, and no node's knowledge goes back within one life.
 func TestFleetStaysFresh(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := newFleet(rapid.IntRange(1, 3).Draw(t, "zones"), rapid.IntRange(1, 4).Draw(t, "perZone"))
+		f := newFleet(rapid.IntRange(1, 3).Draw(t, "zones"), rapid.SampledFrom([]int{1, 2, 3, 4, 2*fanOut + 3}).Draw(t, "perZone"))
 		f.run(4 * time.Second)
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
 			node := f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(t, "node")]
--- a/internal/replication/follow.go
+++ b/internal/replication/follow.go
@@ -21,7 +21,7 @@
 }
 
 // follow chooses whom to follow: nobody while this node reads the store
-// itself, else the first by rank that is trusted.
+// itself, else the nearest node above it in the zone's tree that is trusted.
 func (m *Machine) follow(now time.Time) {
 	m.giveUpSilent(now)
 	wanted := m.wanted(now)
@@ -60,10 +60,25 @@
 	return false
 }
 
+// fanOut is how many nodes of its zone follow one node in calm times. A link
+// carries a change so often at most, however large the zone is.
+const fanOut = 8
+
+// parent is the rank of the node that the node of a rank above 0 follows.
+func parent(rank int) int { return (rank - 1) / fanOut }
+
+// wanted is the node to follow: the parent in the zone's tree, or the nearest
+// node above it that is trusted, else the first of all by rank.
 func (m *Machine) wanted(now time.Time) string {
 	if m.failures == 0 && m.state.Revision() > 0 && m.leader(now) == m.config.Self {
 		return ""
 	}
+	for rank := m.ownRank(); rank > 0; {
+		rank = parent(rank)
+		if above := m.ranked[rank].address; m.trusts(above, now) {
+			return above
+		}
+	}
 	for _, candidate := range m.ranked {
 		if candidate.address != m.config.Self && m.trusts(candidate.address, now) {
 			return candidate.address
--- a/internal/replicator/link.go
+++ b/internal/replicator/link.go
@@ -19,8 +19,8 @@
 
 // news is one line of a stream.
 type news struct {
-	Batch catalog.Batch `json:"batch"`
-	Age   time.Duration `json:"age"` // since the store confirmed that nothing was newer, in nanoseconds
+	Batch catalog.Batch
+	Age   time.Duration // since the store confirmed that nothing was newer
 }
 
 // Bounds of streams.
