Hand the duty to read over on proof, and read where watches hear nothing

Knowledge grew 1.5 to 2.4 s old again and again. Besides, while the store's watches are deaf a question for changes met silence, and the next was one for changes again, after up to 2.5 s in a zone of 20 nodes. Ruled out: links (packed news, nothing queued), the operator's pace. Change: news tells which node's question confirmed it; a reader reads on until another one's confirmation reaches it. After silence the next question is for everything, at once, and questions wait shorter for a while. Waits of failed questions grow with the rank in the zone, not with its size. A node that was gone again and again is passed over longer. Tests: TestDutyIsHandedOverOnProof (fails with the duty given back unasked), TestDeafWatch, deaf stores in the random fleet.

Also: a stopping node says so in its answers before it is seen not ready.

--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -38,8 +39,9 @@
 	replicator *replicator.Replicator
 	inbound    *traffic.Inbound
 	outbound   *traffic.Outbound
-	stopping   chan struct{}
-	stop       func()
+	stopping   chan struct{} // closed when a planned stop begins
+	stop       func()        // begins it
+	stopBegan  time.Time     // set before stopping is closed
 }
 
 // leaseForever is for views that never end by themselves: a catalog's age is
@@ -52,7 +54,7 @@
 		options.Registry = prometheus.NewRegistry()
 	}
 	n := &CatalogNode{settings: configured, options: options, holder: &snapshot.Holder{}, stopping: make(chan struct{})}
-	n.stop = onceClosed(n.stopping)
+	n.stop = sync.OnceFunc(n.beginStop)
 	n.holder.Renew(time.Now().Add(leaseForever))
 	peer, err := netip.ParseAddrPort(configured.Listen.Peer)
 	if err != nil {
--- a/internal/node/catalog_stop.go
+++ b/internal/node/catalog_stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"sliphead/internal/logging"
@@ -26,12 +25,20 @@
 // stopPoll is how often a stopping node looks whether it has ended.
 const stopPoll = 50 * time.Millisecond
 
-// drain carries out a planned stop: not ready at once; then no work for the
-// local worker; then, once callers have turned away and nothing runs, the end.
+// beginStop makes the node leave. Whoever sees that it is not ready any more
+// already gets answers that close their connection.
+func (n *CatalogNode) beginStop() {
+	n.stopBegan = time.Now()
+	n.outbound.LeaveBy(n.stopBegan.Add(n.stopPart(strictPhase)), n.stopBegan.Add(n.stopPart(lastPhase)))
+	close(n.stopping)
+}
+
+// drain carries out a planned stop that has begun: not ready at once; then no
+// work for the local worker; then, once callers have turned away and nothing
+// runs, the end.
 func (n *CatalogNode) drain(ctx context.Context) {
-	began := time.Now()
+	began := n.stopBegan
 	logging.Event(n.options.Logger, "node.draining", logging.Fields{"in_flight": n.InFlight()})
-	n.outbound.LeaveBy(began.Add(n.stopPart(strictPhase)), began.Add(n.stopPart(lastPhase)))
 	quietSince := began
 	for ctx.Err() == nil {
 		time.Sleep(stopPoll)
@@ -64,8 +71,3 @@
 func (n *CatalogNode) stopPart(part float64) time.Duration {
 	return time.Duration(part * float64(n.settings.Drain.Timeout.Duration))
 }
-
-// onceClosed returns a function that closes a channel the first time.
-func onceClosed(channel chan struct{}) func() {
-	return sync.OnceFunc(func() { close(channel) })
-}
--- a/internal/replication/event.go
+++ b/internal/replication/event.go
@@ -19,19 +19,20 @@
 	ConfirmedAt time.Time
 }
 
-// StoreFailed tells that the last Ask brought no answer. HistoryGone says that
-// the store no longer knows the changes that were asked for.
+// StoreFailed tells that the last Ask brought no answer.
 type StoreFailed struct {
 	Err         error
-	HistoryGone bool
+	HistoryGone bool // whether the store no longer knows the changes that were asked for
+	Silent      bool // whether the store said nothing within the time
 }
 
-// News is what a followed node said: a batch, and how long ago the store
-// confirmed that nothing was newer.
+// News is what a followed node said: a batch, how long ago the store confirmed
+// that nothing was newer, and to which node it did.
 type News struct {
-	From  string
-	Batch catalog.Batch
-	Age   time.Duration
+	From   string
+	Reader string // address of the node whose question the store answered
+	Batch  catalog.Batch
+	Age    time.Duration
 }
 
 // PeerLost tells that the stream from a followed node has ended.
--- a/internal/replication/fleet_test.go
+++ b/internal/replication/fleet_test.go
@@ -22,6 +22,7 @@
 
 var (
 	errRefused = errors.New("refused")
+	errSilent  = errors.New("silent")
 	start      = time.Unix(1_000_000, 0)
 )
 
@@ -32,6 +33,7 @@
 	serves  storeAccess = iota
 	refuses             // at once
 	silent              // the question is never answered
+	deaf                // only questions for everything are answered
 )
 
 // question is one that waits at the store.
@@ -136,16 +138,16 @@
 	waited := f.now.Sub(asked.since)
 	limit := asked.ask.Wait + freshness/5
 	if asked.ask.Whole {
-		limit = freshness
+		limit = freshness * 3 / 5
 	}
 	switch {
-	case node.access == silent && waited >= limit:
+	case (node.access == silent || node.access == deaf && !asked.ask.Whole) && waited >= limit:
 		node.question = nil
-		f.step(node, StoreFailed{Err: errRefused})
+		f.step(node, StoreFailed{Err: errSilent, Silent: true})
 	case node.access == refuses && waited >= storeTime:
 		node.question = nil
 		f.step(node, StoreFailed{Err: errRefused})
-	case node.access == serves && waited >= storeTime:
+	case (node.access == serves || node.access == deaf && asked.ask.Whole) && waited >= storeTime:
 		changed := f.store.Revision() > asked.ask.After
 		if !asked.ask.Whole && !changed && waited < asked.ask.Wait {
 			return
@@ -179,7 +181,7 @@
 	batch := state.Since(node.sent)
 	node.sent, node.told, node.confirmed = state.Position(), f.now, from.machine.Confirmed()
 	age, _ := from.machine.Age(f.now)
-	f.step(node, News{From: node.following, Batch: batch, Age: age})
+	f.step(node, News{From: node.following, Reader: from.machine.ConfirmedBy(), Batch: batch, Age: age})
 }
 
 // run lets time pass.
@@ -309,6 +311,64 @@
 	}
 }
 
+// oldest is the age of the oldest knowledge of all nodes.
+func (f *fleet) oldest() time.Duration {
+	var oldest time.Duration
+	for _, node := range f.nodes {
+		age, _ := node.machine.Age(f.now)
+		oldest = max(oldest, age)
+	}
+	return oldest
+}
+
+// Two nodes each held the other for the reader: one whose question had failed
+// long ago, and one that stood in for it and then gave the duty back unasked.
+// Knowledge grew old again and again, though the store served everybody.
+func TestDutyIsHandedOverOnProof(t *testing.T) {
+	for _, perZone := range []int{2, 3, 2*fanOut + 3} {
+		f := newFleet(1, perZone)
+		f.run(5 * time.Second)
+		reader := f.reader()
+		reader.access = refuses
+		f.run(freshness)
+		reader.access = serves
+		f.run(freshness / 2)
+		for range 500 {
+			f.run(tickStep)
+			must.LessEq(t, time.Duration(switchShare*float64(freshness)), f.oldest(), must.Sprint(perZone))
+		}
+	}
+}
+
+// reader is a node that reads the store, nil if there is none.
+func (f *fleet) reader() *simNode {
+	for _, node := range f.nodes {
+		if node.up && node.machine.Reader(f.now) {
+			return node
+		}
+	}
+	return nil
+}
+
+// While watches hear nothing, reads still tell what has changed.
+func TestDeafWatch(t *testing.T) {
+	f := newFleet(2, 4)
+	f.run(5 * time.Second)
+	for _, node := range f.nodes {
+		node.access = deaf
+	}
+	for range 10 {
+		f.configure()
+		changed := f.now
+		for f.now.Sub(changed) < freshness {
+			f.run(tickStep)
+		}
+		for _, node := range f.nodes {
+			must.LessEq(t, node.machine.State().Revision(), f.revision, must.Sprint(node.address))
+		}
+	}
+}
+
 // A node that the store refuses lives on its peers' news.
 func TestRefusedNodeLivesOnPeers(t *testing.T) {
 	f := newFleet(2, 2)
@@ -377,7 +437,7 @@
 // disturb changes what one node meets.
 func disturb(t *rapid.T, f *fleet, node *simNode) {
 	node.problemSince = f.now
-	switch rapid.SampledFrom([]string{"kill", "start", "freeze", "wake", "cut", "heal", "refuse", "silence", "serve"}).Draw(t, "disturbance") {
+	switch rapid.SampledFrom([]string{"kill", "start", "freeze", "wake", "cut", "heal", "refuse", "silence", "serve", "deafen"}).Draw(t, "disturbance") {
 	case "kill":
 		node.up = false
 	case "start":
@@ -399,6 +459,8 @@
 		node.access = silent
 	case "serve":
 		node.access = serves
+	case "deafen":
+		node.access = deaf
 	}
 }
 
--- a/internal/replication/follow.go
+++ b/internal/replication/follow.go
@@ -20,6 +20,15 @@
 	return m.config.Self
 }
 
+// takeDuty makes this node read the store once it is the first of its zone, as
+// far as it can tell. It reads on after another node has become the first, until
+// that one is proven to read: see believe.
+func (m *Machine) takeDuty(now time.Time) {
+	if m.failures == 0 && m.state.Revision() > 0 && m.leader(now) == m.config.Self {
+		m.reading = true
+	}
+}
+
 // follow chooses whom to follow: nobody while this node reads the store
 // itself, else the nearest node above it in the zone's tree that is trusted.
 func (m *Machine) follow(now time.Time) {
@@ -47,7 +56,7 @@
 	chance := now.Sub(m.followed) > m.share(chanceShare)
 	stale := known && chance && age > m.share(switchShare) && m.anotherTrusted(now)
 	if silent || stale {
-		m.distrust(m.following, now)
+		m.giveUp(m.following, now, silent)
 	}
 }
 
@@ -70,7 +79,7 @@
 // wanted is the node to follow: the parent in the zone's tree, or the nearest
 // node above it that is trusted, else the first of all by rank.
 func (m *Machine) wanted(now time.Time) string {
-	if m.failures == 0 && m.state.Revision() > 0 && m.leader(now) == m.config.Self {
+	if m.reading && m.leader(now) == m.config.Self {
 		return ""
 	}
 	for rank := m.ownRank(); rank > 0; {
--- a/internal/replication/machine.go
+++ b/internal/replication/machine.go
@@ -24,53 +24,69 @@
 // Shares of Config.Freshness, the age within which a change has to be known.
 const (
 	readWaitShare   = 0.45 // how long a reader's question waits at the store for a change
-	switchShare     = 0.6  // age at which another node is followed
+	waryWaitShare   = 0.15 // the same after a question that met silence
+	waryForShare    = 3.0  // for how long after it
+	switchShare     = 0.68 // age at which another node is followed
 	readShare       = 0.7  // age at which the store is asked whoever the reader is
 	staggerShare    = 0.01 // by which ranks spread their questions
 	silenceShare    = 0.32 // without a word, after which a followed node is given up
 	chanceShare     = 0.1  // for which a node is followed before it may be given up as stale
-	distrustShare   = 1.0  // how long a node that was given up is passed over
+	distrustShare   = 1.0  // how long a node that was given up is passed over, at first
 	spacingShare    = 0.12 // between an answer that brought changes and the next question
 	firstRetryShare = 0.1
 	mostRetryShare  = 0.5
 )
 
 // perReader is how many nodes of a zone may fall back on the store within one
-// retry interval: in a larger zone, each waits longer.
+// retry interval: in a larger zone, those of lower rank wait longer.
 const perReader = 20
 
+// mostDoublings bounds by how much longer a node is passed over that was given
+// up again and again.
+const mostDoublings = 2
+
 // Machine is the replication state of one node. It is not safe for use by
 // several goroutines.
 type Machine struct {
-	config    Config
-	state     *catalog.State
-	confirmed time.Time // when the store was last known to have no newer revision
-	last      time.Time // of the step before
-	out       []Effect
+	config      Config
+	state       *catalog.State
+	confirmed   time.Time // when the store was last known to have no newer revision
+	confirmedBy string    // the node whose question told so
+	last        time.Time // of the step before
+	out         []Effect
 
 	ranked []peer // of this zone and then of others, best first
 	hints  map[string]bool
 
-	asking    bool
-	askedAt   time.Time
-	nextAsk   time.Time
-	failures  int // questions to the store that failed in a row
-	needWhole bool
+	reading    bool // whether this node reads the store for its zone
+	asking     bool
+	askedWhole bool // whether the last question was for everything
+	nextAsk    time.Time
+	failures   int       // questions to the store that failed in a row
+	needWhole  bool      // because changes are missing
+	deaf       bool      // because a question for changes met silence, which one for everything may not
+	waryUntil  time.Time // until when the store's silence is expected again
+
+	following string // address of the node that is followed, "" for none
+	heard     time.Time
+	followed  time.Time        // since when
+	doubts    map[string]doubt // by address: nodes that were given up
+}
 
-	following  string // address of the node that is followed, "" for none
-	heard      time.Time
-	followed   time.Time            // since when
-	distrusted map[string]time.Time // until when a node is passed over
+// doubt is held of a node that was given up.
+type doubt struct {
+	until time.Time // when it may be followed again
+	times int       // that it was lost or silent since its last news
 }
 
 // New returns the machine of a node that knows nothing.
 func New(config Config, now time.Time) *Machine {
 	return &Machine{
-		config:     config,
-		state:      catalog.NewState(),
-		last:       now,
-		hints:      map[string]bool{},
-		distrusted: map[string]time.Time{},
+		config: config,
+		state:  catalog.NewState(),
+		last:   now,
+		hints:  map[string]bool{},
+		doubts: map[string]doubt{},
 	}
 }
 
@@ -93,8 +109,14 @@
 // Following returns the address of the node that is followed, "" for none.
 func (m *Machine) Following() string { return m.following }
 
+// ConfirmedBy returns the address of the node whose question to the store
+// confirmed what is known, "" when nothing is known.
+func (m *Machine) ConfirmedBy() string { return m.confirmedBy }
+
 // Reader reports whether this node has the duty to read the store.
-func (m *Machine) Reader(now time.Time) bool { return m.leader(now) == m.config.Self }
+func (m *Machine) Reader(now time.Time) bool {
+	return m.reading || m.leader(now) == m.config.Self
+}
 
 // Step takes one event and returns the effects, to be carried out in order.
 func (m *Machine) Step(event Event, now time.Time) []Effect {
@@ -113,6 +135,7 @@
 	case PeerSeen:
 		m.onSeen(event.Address)
 	}
+	m.takeDuty(now)
 	m.follow(now)
 	m.ask(now)
 	return m.out
@@ -128,7 +151,7 @@
 	}
 	m.heard = now
 	m.nextAsk = now
-	m.distrusted = map[string]time.Time{}
+	m.doubts = map[string]doubt{}
 	m.emit(Log{Event: EventPaused, Duration: gap})
 }
 
@@ -138,6 +161,7 @@
 		m.emit(Log{Event: EventStoreRegained, Revision: event.Batch.To})
 	}
 	m.failures = 0
+	m.deaf = false
 	m.nextAsk = now
 	if len(event.Batch.Changes) > 0 {
 		m.nextAsk = now.Add(m.share(spacingShare))
@@ -145,11 +169,12 @@
 	if event.Batch.Whole {
 		m.needWhole = false
 	}
-	m.join(event.Batch, event.ConfirmedAt)
+	m.join(event.Batch, event.ConfirmedAt, m.config.Self)
 }
 
-// join takes a batch in and tells what it brought.
-func (m *Machine) join(batch catalog.Batch, confirmedAt time.Time) bool {
+// join takes a batch in that a reader's question brought, and tells what is new.
+// It reports false when the batch starts after what is known.
+func (m *Machine) join(batch catalog.Batch, confirmedAt time.Time, reader string) bool {
 	usable, changed := m.state.Join(batch)
 	if !usable {
 		m.needWhole = true
@@ -157,6 +182,7 @@
 	}
 	if batch.To >= m.state.Revision() && confirmedAt.After(m.confirmed) {
 		m.confirmed = confirmedAt
+		m.confirmedBy = reader
 	}
 	if changed {
 		m.rank()
@@ -175,16 +201,24 @@
 	if m.failures == 0 {
 		m.emit(Log{Event: EventStoreLost, Err: event.Err})
 	}
+	m.deaf = event.Silent && !m.askedWhole
+	if m.deaf {
+		m.waryUntil = now.Add(m.share(waryForShare))
+	}
+	m.reading = false
 	m.nextAsk = now.Add(m.retryWait())
+	if m.deaf {
+		m.nextAsk = now
+	}
 	m.failures++
 }
 
-// retryWait grows with the failures in a row and with the size of the zone, so
-// that a fleet without a store does not flood it.
+// retryWait grows with the failures in a row and with this node's rank in its
+// zone, so that a large fleet without a store does not flood it.
 func (m *Machine) retryWait() time.Duration {
 	wait := m.share(firstRetryShare) << min(m.failures, 4)
 	wait = min(wait, m.share(mostRetryShare))
-	return wait * time.Duration(1+m.zoneSize()/perReader)
+	return wait * time.Duration(1+m.ownRank()/perReader)
 }
 
 func (m *Machine) onNews(event News, now time.Time) {
@@ -195,14 +229,28 @@
 	if event.Batch.To == 0 {
 		return
 	}
-	if !m.join(event.Batch, now.Add(-event.Age)) {
+	before := m.confirmed
+	if !m.join(event.Batch, now.Add(-event.Age), event.Reader) {
 		m.emit(Follow{Address: m.following})
+		return
+	}
+	if m.confirmed.After(before) {
+		m.believe(event)
+	}
+}
+
+// believe notes that a followed node has told something fresh. If another node
+// has read it, this one needs to read no longer, unless it is the zone's first.
+func (m *Machine) believe(event News) {
+	delete(m.doubts, event.From)
+	if event.Reader != m.config.Self {
+		m.reading = false
 	}
 }
 
 func (m *Machine) onLost(address string, now time.Time) {
 	if address == m.following {
-		m.distrust(address, now)
+		m.giveUp(address, now, true)
 	}
 }
 
@@ -215,13 +263,19 @@
 	}
 }
 
-func (m *Machine) distrust(address string, now time.Time) {
-	m.distrusted[address] = now.Add(m.share(distrustShare))
+// giveUp passes a node over for a while: the longer, the more often it was gone.
+func (m *Machine) giveUp(address string, now time.Time, gone bool) {
+	held := m.doubts[address]
+	held.until = now.Add(m.share(distrustShare) << min(held.times, mostDoublings))
+	if gone {
+		held.times++
+	}
+	m.doubts[address] = held
 	m.emit(Log{Event: EventPeerLost, Peer: address})
 }
 
 func (m *Machine) trusts(address string, now time.Time) bool {
-	return !now.Before(m.distrusted[address])
+	return !now.Before(m.doubts[address].until)
 }
 
 // ask puts a question to the store when this node has the duty, knows nothing,
@@ -230,21 +284,30 @@
 	if m.asking || now.Before(m.nextAsk) {
 		return
 	}
-	reader := m.leader(now) == m.config.Self
+	reader := m.Reader(now)
 	age, known := m.Age(now)
 	old := known && age > m.share(readShare)+time.Duration(m.ownRank())*m.share(staggerShare)
-	if known && !reader && !old && !m.needWhole {
+	if known && !reader && !old && !m.needWhole && !m.deaf {
 		return
 	}
-	question := Ask{Whole: !known || m.needWhole, After: m.state.Revision()}
+	question := Ask{Whole: !known || m.needWhole || m.deaf, After: m.state.Revision()}
 	if reader && m.failures == 0 {
-		question.Wait = m.share(readWaitShare)
+		question.Wait = m.readWait(now)
 	}
 	m.asking = true
-	m.askedAt = now
+	m.askedWhole = question.Whole
 	m.emit(question)
 }
 
+// readWait is how long a reader's question waits at the store: while the store
+// may say nothing of a change, not for long.
+func (m *Machine) readWait(now time.Time) time.Duration {
+	if now.Before(m.waryUntil) {
+		return m.share(waryWaitShare)
+	}
+	return m.share(readWaitShare)
+}
+
 func (m *Machine) share(part float64) time.Duration {
 	return time.Duration(part * float64(m.config.Freshness))
 }
--- a/internal/replicator/link.go
+++ b/internal/replicator/link.go
@@ -19,8 +19,9 @@
 
 // news is one line of a stream.
 type news struct {
-	Batch catalog.Batch
-	Age   time.Duration // since the store confirmed that nothing was newer
+	Batch  catalog.Batch
+	Age    time.Duration // since the store confirmed that nothing was newer
+	Reader string        // address of the node to which it did
 }
 
 // Bounds of streams.
@@ -159,7 +160,7 @@
 	state := r.machine.State()
 	if r.encoded.line == nil || r.encoded.from != mine.sent || r.encoded.to != state.Revision() {
 		age, _ := r.machine.Age(time.Now())
-		line, err := json.Marshal(news{Batch: state.Since(mine.sent), Age: age})
+		line, err := json.Marshal(news{Batch: state.Since(mine.sent), Age: age, Reader: r.machine.ConfirmedBy()})
 		if err != nil {
 			return
 		}
--- a/internal/replicator/packing.go
+++ b/internal/replicator/packing.go
@@ -25,6 +25,7 @@
 	Batch  json.RawMessage `json:"batch,omitempty"`
 	Packed []byte          `json:"packed,omitempty"` // the batch as JSON, deflated
 	Age    int64           `json:"age"`              // in nanoseconds
+	Reader string          `json:"reader,omitempty"`
 }
 
 // MarshalJSON implements json.Marshaler.
@@ -33,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	wire := packedNews{Age: int64(n.Age)}
+	wire := packedNews{Age: int64(n.Age), Reader: n.Reader}
 	if len(batch) <= packAbove {
 		wire.Batch = batch
 	} else if wire.Packed, err = pack(batch); err != nil {
@@ -49,6 +50,7 @@
 		return err
 	}
 	n.Age = time.Duration(wire.Age)
+	n.Reader = wire.Reader
 	batch := []byte(wire.Batch)
 	if wire.Packed != nil {
 		unpacked, err := unpack(wire.Packed)
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -49,7 +49,8 @@
 	tickShare    = 0.04
 	beatShare    = 0.12 // between two messages to a follower
 	patience     = 0.2  // for an answer of the store, beyond the wait asked for
-	wholeTimeout = 1.0  // for the whole
+	wholeTimeout = 0.6  // for the whole
+	firstTimeout = 1.0  // for the whole while nothing is known
 )
 
 const inputQueue = 256
@@ -185,7 +186,7 @@
 		r.step(ctx, replication.PeerLost{Address: message.stream.address})
 		return
 	}
-	r.step(ctx, replication.News{From: message.stream.address, Batch: message.news.Batch, Age: message.news.Age})
+	r.step(ctx, replication.News{From: message.stream.address, Reader: message.news.Reader, Batch: message.news.Batch, Age: message.news.Age})
 }
 
 // passConfirmation tells followers at once that the store has confirmed what
@@ -214,20 +215,28 @@
 
 // question asks the store and hands the answer to the owner.
 func (r *Replicator) question(ctx context.Context, ask replication.Ask) {
-	timeout := r.share(wholeTimeout)
-	if !ask.Whole {
-		timeout = ask.Wait + r.share(patience)
-	}
-	bounded, cancel := context.WithTimeout(ctx, timeout)
+	bounded, cancel := context.WithTimeout(ctx, r.timeout(ask))
 	defer cancel()
 	batch, err := r.read(bounded, ask)
 	if err != nil {
-		r.submit(ctx, replication.StoreFailed{Err: err, HistoryGone: errors.Is(err, ErrHistoryGone)})
+		r.submit(ctx, replication.StoreFailed{Err: err, HistoryGone: errors.Is(err, ErrHistoryGone), Silent: errors.Is(err, context.DeadlineExceeded)})
 		return
 	}
 	r.submit(ctx, replication.StoreAnswered{Batch: batch, ConfirmedAt: time.Now()})
 }
 
+// timeout bounds a question to the store.
+func (r *Replicator) timeout(ask replication.Ask) time.Duration {
+	switch {
+	case !ask.Whole:
+		return ask.Wait + r.share(patience)
+	case ask.After == 0:
+		return r.share(firstTimeout)
+	default:
+		return r.share(wholeTimeout)
+	}
+}
+
 func (r *Replicator) read(ctx context.Context, ask replication.Ask) (catalog.Batch, error) {
 	if ask.Whole {
 		return r.config.Store.Whole(ctx)
