Wait for a silent node where a request can go nowhere else

Change: such a try waits for half of the time left, at a stopping node for all. An offer whose body was not asked for is given up as before: it has not run. Test: TestDispatchWaitsWhereItCanGoNowhereElse, 502 before.

--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -106,6 +106,7 @@
 	}
 	d.x.offers, d.x.instance = d.offers, endpoint.Worker
 	d.x.elsewhere = choice.Another && d.offers < mostOffers
+	d.x.lastTry = !d.x.offersBody() && !d.mayFollow(target.Service)
 	got, seen, failure := d.out.offer(d.x, endpoint)
 	d.out.chooser.ended(d.x, endpoint, seen)
 	if d.attempts > 0 && failure != nil && failure.outcome == outcome.NotRun && !failure.arrived {
@@ -164,6 +165,12 @@
 	return d.x.route.Repeatable && d.attempts < d.x.route.MaxAttempts && d.x.context.Err() == nil && d.x.request.Context().Err() == nil
 }
 
+// mayFollow reports whether, if the try that is to be made may have run, another
+// one may follow.
+func (d *dispatch) mayFollow(service string) bool {
+	return d.x.route.Repeatable && d.attempts+1 < d.x.route.MaxAttempts && d.out.budget.allows(service, d.out.nodes())
+}
+
 func (d *dispatch) noteWait(told time.Duration) {
 	if told > 0 && (d.soonest == 0 || told < d.soonest) {
 		d.soonest = told
--- a/internal/traffic/dispatch_test.go
+++ b/internal/traffic/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -264,3 +265,62 @@
 	}
 	must.Eq(t, map[string]int{"a": 90, "b": 10}, counts)
 }
+
+// heldLink stands in front of a node and passes nothing on before its release:
+// a link whose queue is long.
+func heldLink(t *testing.T, to string, release <-chan struct{}) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer near.Close()
+				<-release
+				far, err := net.Dial("tcp", to)
+				if err != nil {
+					return
+				}
+				defer far.Close()
+				go func() { _, _ = io.Copy(far, near) }()
+				_, _ = io.Copy(near, far)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// A request that can go to no second worker waits for a node that says nothing
+// for a while: it was answered 502 though its answer was on the way, and a
+// worker was cut off at its work.
+func TestDispatchWaitsWhereItCanGoNowhereElse(t *testing.T) {
+	for name, change := range map[string]func(*snapshot.Route){
+		"attempts": func(route *snapshot.Route) { route.MaxAttempts = 1 },
+		"budget":   func(*snapshot.Route) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newCatalogMesh(t, 2)
+			if name == "budget" {
+				m.nodes[0].out.budget = newServiceBudget(Limits{})
+			}
+			release := make(chan struct{})
+			slow := heldLink(t, m.nodes[1].inbound, release)
+			m.publish(func(route *snapshot.Route) {
+				change(route)
+				far := route.Targets[0].Endpoints[1]
+				far.Address, far.Local = slow, false
+				route.Targets[0].Endpoints = []snapshot.Endpoint{far}
+			})
+			time.AfterFunc(2*mostSilent, func() { close(release) })
+			response, text, err := m.call("GET", "/lookup/", "")
+			must.NoError(t, err)
+			must.Eq(t, http.StatusOK, response.StatusCode)
+			must.Eq(t, "answer to r-1", text)
+			must.Eq(t, 1, m.runs())
+		})
+	}
+}
--- a/internal/traffic/offer.go
+++ b/internal/traffic/offer.go
@@ -29,8 +29,7 @@
 		seen.Load, seen.Loaded = said.load, said.loaded
 		return said.refusal(response)
 	}
-	offered := !x.route.Repeatable || x.body.length > directBody
-	to := hop{pool: out.pool, transport: out.transport, address: endpoint.Address, fields: fields, expect: true, offer: offered, silence: x.patience()}
+	to := hop{pool: out.pool, transport: out.transport, address: endpoint.Address, fields: fields, expect: true, offer: x.offersBody(), silence: x.patience()}
 	got, failure := send(x, &to, check)
 	if failure == nil {
 		seen.Latency = time.Since(began)
@@ -83,7 +82,23 @@
 	return left
 }
 
-// patience is how long a node may give no sign before it is given up.
+// offersBody reports whether the body goes out only once the node has asked for
+// it: silence then proves that the request has not run.
+func (x *exchange) offersBody() bool {
+	return x.body.length > 0 && (!x.route.Repeatable || x.body.length > directBody)
+}
+
+// patience is how long a node may give no sign before it is given up: not for
+// long while the request can go elsewhere. One that can't waits for half of its
+// time, and to its end where the node stops: a worker may be at it.
 func (x *exchange) patience() time.Duration {
-	return min(max(time.Until(x.deadline)/silentShare, firstSilent), mostSilent)
+	left := time.Until(x.deadline)
+	switch {
+	case !x.lastTry:
+		return min(max(left/silentShare, firstSilent), mostSilent)
+	case x.closing:
+		return left
+	default:
+		return max(left/2, firstSilent)
+	}
 }
