--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -62,8 +62,9 @@
 	}
 	address, port, _ := net.SplitHostPort(peer.String())
 	n.replicator = replicator.New(replicator.Config{
-		Address:   address,
+		Address:   advertisedHost(configured, address),
 		Port:      port,
+		Listen:    address,
 		Zone:      configured.Zone,
 		Freshness: configured.Source.Freshness.Duration,
 		Store:     adapter.OpenStore(configured.Source.Store, address, n.itemRefused),
@@ -78,6 +79,15 @@
 	return n, nil
 }
 
+// advertisedHost is the IP address by which other nodes reach this one.
+func advertisedHost(configured *settings.Settings, listen string) string {
+	advertised, err := netip.ParseAddrPort(configured.Advertise.Peer)
+	if err != nil {
+		return listen
+	}
+	return advertised.Addr().String()
+}
+
 // Bounds of bodies that a catalog node holds whole, in bytes.
 const (
 	wholeBody   = 4 << 20
--- a/internal/replicator/knock.go
+++ b/internal/replicator/knock.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"net"
 	"time"
-
-	"sliphead/internal/replication"
 )
 
 // A node that starts while the store is away knows no other node. Whoever had a
@@ -57,18 +55,11 @@
 		return false
 	}
 	defer func() { _ = conn.Close() }()
-	return json.NewEncoder(conn).Encode(hello{Knock: true}) == nil
+	return json.NewEncoder(conn).Encode(hello{From: r.config.Address, Knock: true}) == nil
 }
 
 // dial opens a connection to another node's peer listener.
 func (r *Replicator) dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: r.share(silence), LocalAddr: &net.TCPAddr{IP: net.ParseIP(r.config.Address)}}
+	dialer := net.Dialer{Timeout: r.share(silence), LocalAddr: &net.TCPAddr{IP: net.ParseIP(r.config.Listen)}}
 	return dialer.DialContext(ctx, "tcp", net.JoinHostPort(address, r.config.Port))
 }
-
-// seen passes on that a node has spoken to this one.
-func (r *Replicator) seen(ctx context.Context, conn net.Conn) {
-	if host, _, err := net.SplitHostPort(conn.RemoteAddr().String()); err == nil {
-		r.submit(ctx, replication.PeerSeen{Address: host})
-	}
-}
--- a/internal/replicator/link.go
+++ b/internal/replicator/link.go
@@ -8,11 +8,13 @@
 	"time"
 
 	"sliphead/internal/catalog"
+	"sliphead/internal/replication"
 )
 
 // hello opens a stream: the follower tells what it holds. A knock only says that
 // the other node is there.
 type hello struct {
+	From  string           `json:"from"` // address by which the sender is reached
 	Held  catalog.Position `json:"held"`
 	Knock bool             `json:"knock,omitempty"`
 }
@@ -35,6 +37,7 @@
 
 // follower is a node that this one passes news on to.
 type follower struct {
+	address string // by which its node is reached
 	conn    net.Conn
 	lines   chan []byte
 	sent    catalog.Position // what it holds once it has read what it was told
@@ -72,15 +75,15 @@
 	reader := bufio.NewReaderSize(conn, maxHello)
 	line, err := reader.ReadSlice('\n')
 	var said hello
-	if err != nil || json.Unmarshal(line, &said) != nil {
+	if err != nil || json.Unmarshal(line, &said) != nil || net.ParseIP(said.From) == nil {
 		return
 	}
 	_ = conn.SetReadDeadline(time.Time{})
 	if said.Knock {
-		r.seen(ctx, conn)
+		r.submit(ctx, replication.PeerSeen{Address: said.From})
 		return
 	}
-	mine := &follower{conn: conn, lines: make(chan []byte, followerQueue), sent: said.Held}
+	mine := &follower{address: said.From, conn: conn, lines: make(chan []byte, followerQueue), sent: said.Held}
 	r.submit(ctx, mine)
 	go r.watchEnd(ctx, mine, reader)
 	for line := range mine.lines {
@@ -115,9 +118,7 @@
 		return
 	}
 	r.drop(mine)
-	if host, _, err := net.SplitHostPort(mine.conn.RemoteAddr().String()); err == nil {
-		r.knockLater(ctx, host)
-	}
+	r.knockLater(ctx, mine.address)
 }
 
 // drop ends a follower's stream.
@@ -219,7 +220,7 @@
 	defer stop()
 	defer func() { _ = conn.Close() }()
 	encoder := json.NewEncoder(conn)
-	if err := encoder.Encode(hello{Held: held}); err != nil {
+	if err := encoder.Encode(hello{From: r.config.Address, Held: held}); err != nil {
 		return err
 	}
 	decoder := json.NewDecoder(conn)
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -33,8 +33,9 @@
 
 // Config is what a replicator is made of. All fields are required.
 type Config struct {
-	Address   string        // this node's IP address
+	Address   string        // IP address by which other nodes reach this one
 	Port      string        // of the peer listener, the same on all nodes
+	Listen    string        // IP address of the peer listener and of this node's connections
 	Zone      string        //
 	Freshness time.Duration // the age within which a change has to be known
 	Store     Store
@@ -111,7 +112,7 @@
 
 // Run replicates until ctx ends.
 func (r *Replicator) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", net.JoinHostPort(r.config.Address, r.config.Port))
+	listener, err := net.Listen("tcp", net.JoinHostPort(r.config.Listen, r.config.Port))
 	if err != nil {
 		return fault.Wrap(err, fault.Settings, "free the address or change listen.peer in the settings", "listen for peers")
 	}
--- a/lab/link/network.go
+++ b/lab/link/network.go
@@ -123,6 +123,22 @@
 	n.changed = make(chan struct{})
 }
 
+// Reset breaks the streams that are open now to or from a zone, with a reset to
+// both ends.
+func (n *Network) Reset(zone string) {
+	n.mutex.Lock()
+	var broken []*stream
+	for each := range n.connected {
+		if each.pair.From == zone || each.pair.To == zone {
+			broken = append(broken, each)
+		}
+	}
+	n.mutex.Unlock()
+	for _, each := range broken {
+		each.reset()
+	}
+}
+
 // Counts returns what was carried so far.
 func (n *Network) Counts() Counts {
 	return Counts{
--- a/lab/link/stream.go
+++ b/lab/link/stream.go
@@ -20,6 +20,7 @@
 // stream is one forwarded connection.
 type stream struct {
 	network *Network
+	pair    Pair
 	near    *net.TCPConn // to the one who dialled
 	far     *net.TCPConn // to the real address
 	ctx     context.Context
@@ -58,7 +59,7 @@
 	source := near.RemoteAddr().(*net.TCPAddr).AddrPort().Addr()
 	pair := Pair{From: n.zoneOf(source), To: zone}
 	ctx, cancel := context.WithCancel(context.Background())
-	connected := &stream{network: n, near: near, ctx: ctx, cancel: cancel}
+	connected := &stream{network: n, pair: pair, near: near, ctx: ctx, cancel: cancel}
 	if !n.register(connected) {
 		connected.close()
 		return
--- a/lab/mesh/mesh.go
+++ b/lab/mesh/mesh.go
@@ -15,6 +15,7 @@
 	"sliphead/internal/fault"
 	"sliphead/lab/link"
 	"sliphead/lab/machines"
+	"sliphead/lab/process"
 	"sliphead/lab/source"
 )
 
@@ -43,7 +44,7 @@
 
 	options  Options
 	layout   layout
-	launcher *launcher
+	launcher *process.Launcher
 	servers  []*http.Server
 	reserved net.Listener
 	closing  sync.Once
@@ -65,7 +66,7 @@
 		options:  options,
 		layout:   layout{octet: octet, zones: zoneNames(plan), plain: options.WithoutLinks},
 		reserved: reserved,
-		launcher: newLauncher(),
+		launcher: process.NewLauncher(),
 	}
 	if err := started.startAll(); err != nil {
 		started.Close()
@@ -282,7 +283,7 @@
 		for _, server := range m.servers {
 			_ = server.Close()
 		}
-		m.launcher.close()
+		m.launcher.Close()
 		_ = m.reserved.Close()
 	})
 }
--- a/lab/mesh/node.go
+++ b/lab/mesh/node.go
@@ -11,6 +11,7 @@
 
 	"sliphead/internal/fault"
 	"sliphead/lab/machines"
+	"sliphead/lab/process"
 )
 
 // Node is a node's process, which may be ended and started again.
@@ -19,7 +20,7 @@
 	mesh     *Mesh
 	settings string
 	mutex    sync.Mutex
-	running  *process // nil when it has never been started
+	running  *process.Process // nil when it has never been started
 	log      *os.File
 }
 
@@ -52,7 +53,7 @@
 	}
 	life := n.mesh.Record.started(n.Name)
 	onLine := func(text string) { n.mesh.Record.line(n.Name, life, text) }
-	running, err := n.mesh.launcher.startProcess(n.Name, n.log, onLine, n.mesh.options.NodeBinary, "node", "--settings", n.settings)
+	running, err := n.mesh.launcher.Start(n.Name, n.log, onLine, nil, n.mesh.options.NodeBinary, "node", "--settings", n.settings)
 	if err != nil {
 		return err
 	}
@@ -60,7 +61,7 @@
 	return nil
 }
 
-func (n *Node) process() *process {
+func (n *Node) process() *process.Process {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	return n.running
@@ -69,7 +70,7 @@
 // Kill ends the process at once (SIGKILL), and returns when it has gone.
 func (n *Node) Kill() {
 	if running := n.process(); running != nil {
-		running.kill()
+		running.Kill()
 	}
 }
 
@@ -81,7 +82,7 @@
 
 func (n *Node) signal(kind syscall.Signal) {
 	if running := n.process(); running != nil {
-		running.signal(kind)
+		running.Signal(kind)
 	}
 }
 
@@ -95,7 +96,7 @@
 // WaitExit waits for the process's end and returns its exit code, and false
 // when it still runs after the bound.
 func (n *Node) WaitExit(bound time.Duration) (int, bool) {
-	return n.process().waitFor(bound)
+	return n.process().WaitFor(bound)
 }
 
 // Running reports whether the process has not ended.
@@ -105,7 +106,7 @@
 		return false
 	}
 	select {
-	case <-running.ended:
+	case <-running.Ended():
 		return false
 	default:
 		return true
@@ -128,7 +129,7 @@
 		}
 		select {
 		case <-ticker.C:
-		case <-n.process().ended:
+		case <-n.process().Ended():
 			return fault.New(fault.Unready, "read its log in the lab's directory", "node %s ended before it was ready", n.Name)
 		case <-ctx.Done():
 			return fault.New(fault.Unready, "read its log in the lab's directory", "node %s did not become ready in time", n.Name)
--- a/lab/mesh/worker.go
+++ b/lab/mesh/worker.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sliphead/internal/fault"
+	"sliphead/lab/process"
 	"sliphead/lab/worker"
 )
 
@@ -16,7 +17,7 @@
 	PlannedWorker
 	mesh     *Mesh
 	outbound string
-	running  *process
+	running  *process.Process
 }
 
 // start starts the process and waits until it listens.
@@ -25,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	running, err := w.mesh.launcher.startProcess(w.Name, log, func(string) {}, w.mesh.options.LabBinary, w.arguments()...)
+	running, err := w.mesh.launcher.Start(w.Name, log, func(string) {}, nil, w.mesh.options.LabBinary, w.arguments()...)
 	if err != nil {
 		return err
 	}
@@ -74,7 +75,7 @@
 		}
 		select {
 		case <-ticker.C:
-		case <-w.running.ended:
+		case <-w.running.Ended():
 			return fault.New(fault.Worker, "read its log in the lab's directory", "worker %s ended at its start", w.Name)
 		case <-bound:
 			return fault.New(fault.Worker, "read its log in the lab's directory", "worker %s does not listen", w.Name)
@@ -84,7 +85,7 @@
 
 func (w *Worker) kill() {
 	if w.running != nil {
-		w.running.kill()
+		w.running.Kill()
 	}
 }
 
--- a/lab/mesh/process.go
+++ b/lab/process/process.go
@@ -1,4 +1,6 @@
-package mesh
+// Package process starts real processes for the lab, lets faults reach them by
+// signals, and sees to it that none outlives the lab.
+package process
 
 import (
 	"bufio"
@@ -14,15 +16,16 @@
 	"sliphead/internal/fault"
 )
 
-// launcher starts processes from one operating system thread, so that the
+// Launcher starts processes from one operating system thread, so that the
 // kernel ends them if the lab dies (PR_SET_PDEATHSIG follows the thread).
-type launcher struct {
+type Launcher struct {
 	work chan func()
 	done chan struct{}
 }
 
-func newLauncher() *launcher {
-	l := &launcher{work: make(chan func()), done: make(chan struct{})}
+// NewLauncher returns a launcher. Close it when no more processes are started.
+func NewLauncher() *Launcher {
+	l := &Launcher{work: make(chan func()), done: make(chan struct{})}
 	go func() {
 		runtime.LockOSThread()
 		for {
@@ -38,16 +41,17 @@
 	return l
 }
 
-func (l *launcher) start(command *exec.Cmd) error {
+func (l *Launcher) start(command *exec.Cmd) error {
 	result := make(chan error, 1)
 	l.work <- func() { result <- command.Start() }
 	return <-result
 }
 
-func (l *launcher) close() { close(l.done) }
+// Close ends the launcher. Processes that run are killed by the kernel.
+func (l *Launcher) Close() { close(l.done) }
 
-// process is one started process.
-type process struct {
+// Process is one started process.
+type Process struct {
 	name    string
 	command *exec.Cmd
 	mutex   sync.Mutex
@@ -56,10 +60,11 @@
 	isDone  bool
 }
 
-// startProcess runs a program. Each line that it writes goes to onLine
-// and to the log.
-func (l *launcher) startProcess(name string, log io.Writer, onLine func(string), program string, args ...string) (*process, error) {
+// Start runs a program with variables added to the environment. Each line that
+// it writes goes to onLine and to the log.
+func (l *Launcher) Start(name string, log io.Writer, onLine func(string), environment []string, program string, args ...string) (*Process, error) {
 	command := exec.Command(program, args...)
+	command.Env = append(os.Environ(), environment...)
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	reader, writer, err := os.Pipe()
 	if err != nil {
@@ -73,13 +78,13 @@
 		_ = reader.Close()
 		return nil, fault.Wrap(err, fault.Settings, "build the program first (make build) and name its path", "start %s for %s", program, name)
 	}
-	started := &process{name: name, command: command, ended: make(chan struct{})}
+	started := &Process{name: name, command: command, ended: make(chan struct{})}
 	go started.collect(reader, log, onLine)
 	return started, nil
 }
 
 // collect reads the process's lines until it ends.
-func (p *process) collect(reader *os.File, log io.Writer, onLine func(string)) {
+func (p *Process) collect(reader *os.File, log io.Writer, onLine func(string)) {
 	const longestLine = 1 << 20
 	scanner := bufio.NewScanner(reader)
 	scanner.Buffer(nil, longestLine)
@@ -97,8 +102,8 @@
 	close(p.ended)
 }
 
-// signal sends a signal, unless the process has ended.
-func (p *process) signal(kind syscall.Signal) {
+// Signal sends a signal, unless the process has ended.
+func (p *Process) Signal(kind syscall.Signal) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if !p.isDone {
@@ -106,15 +111,15 @@
 	}
 }
 
-// kill ends the process at once and waits until it has gone.
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
+// Kill ends the process at once and waits until it has gone.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
 	<-p.ended
 }
 
-// waitFor waits for the process's end and returns its exit code, and false
+// WaitFor waits for the process's end and returns its exit code, and false
 // when it still runs after the bound.
-func (p *process) waitFor(bound time.Duration) (int, bool) {
+func (p *Process) WaitFor(bound time.Duration) (int, bool) {
 	select {
 	case <-p.ended:
 		return p.code, true
@@ -122,3 +127,6 @@
 		return 0, false
 	}
 }
+
+// Ended is closed once the process has ended.
+func (p *Process) Ended() <-chan struct{} { return p.ended }
--- a/lab/store/store.go
+++ b/lab/store/store.go
@@ -30,6 +30,7 @@
 	Refuse             // refuses at once: unavailable
 	Silence            // never answers
 	Garbage            // answers with what is no answer
+	Deaf               // answers reads, but no watch
 )
 
 // Store is the stand-in. Make one with New.
