Let a stopping node wait for direct tries to their end

Ruled out: the deadline (574 ms were left). Change: while a node stops, a request that was sent whole is not given up for silence. Test: TestDispatchWaits.../stopping, 502 before.

--- a/internal/traffic/dispatch_test.go
+++ b/internal/traffic/dispatch_test.go
@@ -301,19 +301,24 @@
 	for name, change := range map[string]func(*snapshot.Route){
 		"attempts": func(route *snapshot.Route) { route.MaxAttempts = 1 },
 		"budget":   func(*snapshot.Route) {},
+		"stopping": func(*snapshot.Route) {},
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := newCatalogMesh(t, 2)
 			if name == "budget" {
 				m.nodes[0].out.budget = newServiceBudget(Limits{})
 			}
+			if name == "stopping" { // where a given up try counts as cut
+				m.nodes[0].out.LeaveBy(time.Now().Add(time.Hour), time.Now().Add(time.Hour))
+			}
 			release := make(chan struct{})
 			slow := heldLink(t, m.nodes[1].inbound, release)
 			m.publish(func(route *snapshot.Route) {
 				change(route)
 				far := route.Targets[0].Endpoints[1]
 				far.Address, far.Local = slow, false
-				route.Targets[0].Endpoints = []snapshot.Endpoint{far}
+				route.Targets[0].Endpoints = []snapshot.Endpoint{far, far}
+				route.Targets[0].Endpoints[1].Worker, route.Targets[0].Endpoints[1].Zone = "i-none", "z2"
 			})
 			time.AfterFunc(2*mostSilent, func() { close(release) })
 			response, text, err := m.call("GET", "/lookup/", "")
