Decide in the product what counts of the store's items

The adapter chose the newest configuration of an answer, checked it and left out what it could not read. Now it translates each item, and catalog.Answer decides: the newest sound configuration counts, and each bad item is told once. Records that can't be read were passed over in silence; they are told too.

--- /dev/null
+++ b/internal/catalog/reading.go
@@ -0,0 +1,58 @@
+package catalog
+
+import "slices"
+
+// Item is one item as a client of the store has read it. Exactly one of
+// Configuration, Instance, Removed and Err is set.
+type Item struct {
+	Revision      uint64
+	Configuration func() (*Configuration, error) // decodes a configuration, which is long
+	Instance      *Instance
+	Removed       string // id of an instance whose record is gone
+	Err           error  // why the item can't be used
+}
+
+// Answer is what a client of the store has read, in the order of revisions.
+type Answer struct {
+	From, To uint64
+	Whole    bool
+	Items    []Item
+}
+
+// Batch returns what an answer brings. An item that can't be used spoils no
+// other: the problem is told, and the item left out. Of several configurations
+// the newest that is sound counts; those before it are not decoded.
+func (a *Answer) Batch(problem func(error)) Batch {
+	batch := Batch{From: a.From, To: a.To, Whole: a.Whole}
+	configured := false
+	for _, item := range slices.Backward(a.Items) {
+		change := Change{Revision: item.Revision, Instance: item.Instance, Removed: item.Removed}
+		switch {
+		case item.Err != nil:
+			problem(item.Err)
+			continue
+		case item.Configuration != nil && configured:
+			continue
+		case item.Configuration != nil:
+			configuration, err := item.sound()
+			if err != nil {
+				problem(err)
+				continue
+			}
+			configured = true
+			change.Configuration = configuration
+		}
+		batch.Changes = append(batch.Changes, change)
+	}
+	slices.Reverse(batch.Changes)
+	return batch
+}
+
+// sound decodes a configuration and checks it.
+func (i *Item) sound() (*Configuration, error) {
+	configuration, err := i.Configuration()
+	if err != nil {
+		return nil, err
+	}
+	return configuration, configuration.Validate()
+}
--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -24,8 +24,8 @@
 // Adapter speaks a platform's store, callers and workers for a catalog node.
 type Adapter struct {
 	// OpenStore returns a client of the store at host:port, called from a local
-	// IP address. Problem is told of items that can't be used.
-	OpenStore func(address, local string, problem func(error)) replicator.Store
+	// IP address.
+	OpenStore func(address, local string) replicator.Store
 	Protocol  traffic.Protocol
 }
 
@@ -67,7 +67,8 @@
 		Listen:    address,
 		Zone:      configured.Zone,
 		Freshness: configured.Source.Freshness.Duration,
-		Store:     adapter.OpenStore(configured.Source.Store, address, n.itemRefused),
+		Store:     adapter.OpenStore(configured.Source.Store, address),
+		Problem:   n.itemRefused,
 		Logger:    options.Logger,
 		Changed:   n.publish,
 	})
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -25,10 +25,10 @@
 // Store is a linearizable store of which this system only reads.
 type Store interface {
 	// Whole returns everything that there is.
-	Whole(ctx context.Context) (catalog.Batch, error)
+	Whole(ctx context.Context) (catalog.Answer, error)
 	// Changes returns the changes after a revision, once there is one or the
 	// wait is over. The error is ErrHistoryGone when they are not known.
-	Changes(ctx context.Context, after uint64, wait time.Duration) (catalog.Batch, error)
+	Changes(ctx context.Context, after uint64, wait time.Duration) (catalog.Answer, error)
 }
 
 // Config is what a replicator is made of. All fields are required.
@@ -39,6 +39,7 @@
 	Zone      string        //
 	Freshness time.Duration // the age within which a change has to be known
 	Store     Store
+	Problem   func(error) // told of items of the store that can't be used
 	Logger    log.Interface
 	// Changed is called with the state after each change. The owner's goroutine
 	// waits for it, and the state must not be kept.
@@ -239,6 +240,14 @@
 }
 
 func (r *Replicator) read(ctx context.Context, ask replication.Ask) (catalog.Batch, error) {
+	answer, err := r.ask(ctx, ask)
+	if err != nil {
+		return catalog.Batch{}, err
+	}
+	return answer.Batch(r.config.Problem), nil
+}
+
+func (r *Replicator) ask(ctx context.Context, ask replication.Ask) (catalog.Answer, error) {
 	if ask.Whole {
 		return r.config.Store.Whole(ctx)
 	}
