Let requests that outrank others wait to their deadline

Price checks, more urgent and of 15 ms, were refused at once because the first free slot was 43 to 77 ms away and their objective is 60 ms; the lookups that had made them failed with their work done. Change: a request that outranks something that runs or waits at the worker is admitted by its deadline, and the worker's node tells callers' nodes so. The least urgent give way first. Also: decisions tell the route's rank.

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -125,6 +125,22 @@
 // Free reports whether a request that arrives now would be granted at once.
 func (q *Queue[W]) Free() bool { return q.running < q.settings.Slots && q.length == 0 }
 
+// Outranks reports whether a less urgent request than one of the class runs or
+// waits: then the next slots that free are the class's.
+func (q *Queue[W]) Outranks(class Class) bool {
+	for of := range q.busy {
+		if of.class > class {
+			return true
+		}
+	}
+	for lower := class + 1; lower < classes; lower++ {
+		if q.waiting[lower].Len() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Resize changes the number of slots and returns the tickets that this decides.
 func (q *Queue[W]) Resize(slots int, now time.Time) []*Ticket[W] {
 	q.settings.Slots = slots
--- a/internal/traffic/admission/admission_test.go
+++ b/internal/traffic/admission/admission_test.go
@@ -196,3 +196,19 @@
 	}
 	must.GreaterEq(t, total[1]*90/100, total[5])
 }
+
+// A class outranks what is less urgent, running or waiting, and nothing else.
+func TestOutranks(t *testing.T) {
+	now := time.Unix(0, 0)
+	queue := New[int](Settings{Slots: 1, Length: 10})
+	must.False(t, queue.Outranks(Internal))
+	running, _ := queue.Take(Arrival[int]{Class: Upload, Deadline: now.Add(time.Hour)}, now)
+	must.True(t, queue.Outranks(Interactive))
+	must.False(t, queue.Outranks(Upload))
+	queue.Take(Arrival[int]{Class: Batch, Deadline: now.Add(time.Hour)}, now)
+	must.True(t, queue.Outranks(Upload))
+	must.False(t, queue.Outranks(Batch))
+	queue.Clear(now)
+	queue.Done(running, now)
+	must.False(t, queue.Outranks(Internal))
+}
--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -66,14 +66,15 @@
 
 // enter puts the request to the queue. With a catalog it is refused when it
 // can't be answered within its latency objective: one that comes back later is
-// then worth more than a late answer now.
+// then worth more than a late answer now. But one that outranks others waits to
+// its deadline: the next slots are its own, and the least urgent give way first.
 func (a *admitter) enter(x *exchange, now time.Time) (*ticket, []*ticket) {
 	if x.instance == "" {
 		return a.queue.Arrive(admission.ClassOf(x.route.Priority), x.deadline, now, x)
 	}
 	rank := admission.ClassOfRank(x.class.rank)
 	arrival := admission.Arrival[*exchange]{Class: rank, Kind: x.route.Name, Deadline: x.deadline, Waiter: x}
-	if !x.class.patient && x.class.objective > 0 {
+	if !x.class.patient && x.class.objective > 0 && !a.queue.Outranks(rank) {
 		arrival.Deadline = earlier(x.deadline, x.started.Add(x.class.objective))
 	}
 	return a.queue.Take(arrival, now)
@@ -150,8 +151,13 @@
 	return a.queue.Waiting()
 }
 
+// waitsToDeadline ends a told load: a request of the same class waits to its
+// deadline here.
+const waitsToDeadline = "/d"
+
 // load tells callers' nodes the busy, slots and queued requests and what a
-// request of the same class has to expect, in milliseconds: the wait and the run.
+// request of the same class has to expect, in milliseconds: the wait and the run,
+// and whether it waits beyond its objective.
 func (a *admitter) load(x *exchange) string {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -159,8 +165,13 @@
 	if x.instance == "" {
 		return told
 	}
-	wait, run := a.queue.Forecast(admission.ClassOfRank(x.class.rank), x.route.Name, time.Now())
-	return told + "/" + strconv.FormatInt(wait.Milliseconds(), 10) + "/" + strconv.FormatInt(run.Milliseconds(), 10)
+	rank := admission.ClassOfRank(x.class.rank)
+	wait, run := a.queue.Forecast(rank, x.route.Name, time.Now())
+	told += "/" + strconv.FormatInt(wait.Milliseconds(), 10) + "/" + strconv.FormatInt(run.Milliseconds(), 10)
+	if a.queue.Outranks(rank) {
+		told += waitsToDeadline
+	}
+	return told
 }
 
 // giveSign tells the caller's node that the request has come: it is going to
--- a/internal/traffic/balance/forecast.go
+++ b/internal/traffic/balance/forecast.go
@@ -97,7 +97,7 @@
 		return false
 	}
 	allowed := need.Objective
-	if patient || allowed <= 0 {
+	if patient || allowed <= 0 || held.forecasts[need.Route].patient {
 		allowed = need.Deadline
 	}
 	wait := b.toldWait(held, need.Route, endpoint, now)
@@ -182,6 +182,7 @@
 // forecast is what an endpoint's node told of requests of one route.
 type forecast struct {
 	wait, run time.Duration
+	patient   bool
 	at        time.Time
 }
 
@@ -192,7 +193,7 @@
 	if s.forecasts == nil || len(s.forecasts) >= maxForecasts {
 		s.forecasts = map[string]forecast{}
 	}
-	s.forecasts[route] = forecast{wait: load.Wait, run: load.Run, at: now}
+	s.forecasts[route] = forecast{wait: load.Wait, run: load.Run, patient: load.Patient, at: now}
 }
 
 // run is how long the endpoint is expected to take: what it told of such
--- a/internal/traffic/decision.go
+++ b/internal/traffic/decision.go
@@ -49,6 +49,7 @@
 	fields := logging.Fields{"side": side, "request": x.id, "held_ms": time.Since(x.started).Milliseconds()}
 	if x.route != nil {
 		fields["route"] = x.route.Name
+		fields["rank"] = x.route.Rank
 	}
 	if x.view != nil {
 		fields["version"] = x.view.Version.Revision
--- a/internal/traffic/dispatch_test.go
+++ b/internal/traffic/dispatch_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"sliphead/internal/snapshot"
+	"sliphead/internal/traffic/admission"
 )
 
 // The request reaches a worker unchanged but for what the system sets, and the
@@ -329,3 +330,31 @@
 		})
 	}
 }
+
+// A request that outranks what holds the slots waits for one to its deadline:
+// while long runs of a less urgent route held them all, short calls between
+// services were refused, and what had made them failed.
+func TestOutrankingRequestWaitsToItsDeadline(t *testing.T) {
+	for rank, status := range map[int]int{1: http.StatusOK, 3: http.StatusServiceUnavailable} {
+		m := newCatalogMesh(t, 1)
+		m.publish(func(route *snapshot.Route) {
+			route.Objective = time.Millisecond
+			route.Rank = rank
+			route.MaxAttempts = 1
+		})
+		in := m.nodes[0].in
+		in.admitter.resize(1)
+		view, _ := m.nodes[0].holder.Current(time.Now())
+		view.Local.Slots = 1
+		long := admission.Arrival[*exchange]{Class: admission.Batch, Kind: "long", Deadline: time.Now().Add(time.Hour), Waiter: &exchange{}}
+		earlier, _ := in.admitter.queue.Take(long, time.Now().Add(-time.Second))
+		in.admitter.queue.Done(earlier, time.Now())
+		held, _ := in.admitter.queue.Take(long, time.Now())
+		if status == http.StatusOK {
+			time.AfterFunc(50*time.Millisecond, func() { in.admitter.done(held) })
+		}
+		response, _, err := m.call("GET", "/lookup/", "")
+		must.NoError(t, err)
+		must.Eq(t, status, response.StatusCode, must.Sprint(rank))
+	}
+}
