--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -11,7 +11,7 @@
 
 // Bounds of one request's way through a catalog's mesh.
 const (
-	mostCrossing = 3                      // of these, in other zones
+	mostCrossing = 2                      // of these, in other zones
 	mostOffers   = 6                      // nodes that a request is offered to
 	leastWait    = 20 * time.Millisecond  // told as Retry-After
 	mostWait     = time.Second            // told as Retry-After
