Judge a silent node when its silence is noticed; learn of forgotten connections

Whether to wait on was decided when the try began. Now it is asked when the time for a sign is over. Ruled out: the retry (no budget was left), a dead node (it answered 48 ms later).

--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -106,7 +106,7 @@
 	}
 	d.x.offers, d.x.instance = d.offers, endpoint.Worker
 	d.x.elsewhere = choice.Another && d.offers < mostOffers
-	d.x.lastTry = !d.x.offersBody() && (d.x.closing || !d.mayFollow(target.Service))
+	d.x.lastTry = !d.x.offersBody() && !d.mayFollow(target.Service)
 	got, seen, failure := d.out.offer(d.x, endpoint)
 	d.out.chooser.ended(d.x, endpoint, seen)
 	if d.attempts > 0 && failure != nil && failure.outcome == outcome.NotRun && !failure.arrived {
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -29,7 +29,7 @@
 	closing     bool   // whether the caller's connection ends with the answer
 	offers      int    // nodes that it was offered to
 	attempts    int    // workers that it was sent to
-	lastTry     bool   // whether it is to go nowhere else if this try may have run
+	lastTry     bool   // whether it can go nowhere else if this try may have run
 	instance    string // id of the instance that is to run the request
 	caller      string // service beside the node that took the request
 	class       class
--- a/internal/traffic/leave.go
+++ b/internal/traffic/leave.go
@@ -12,13 +12,17 @@
 }
 
 // LeaveBy has the handler close each caller's connection with its next answer;
-// idle ones stay open, since a request may be on its way. It has it take only what is going to end in time: until strict,
-// requests whose latency objective ends before end; from then on, those whose
-// deadline does. Others are refused as not run, so that callers go elsewhere.
+// idle ones stay open, since a request may be on its way. It has it take only
+// what is going to end in time: until strict, requests whose latency objective
+// ends before end; from then on, those whose deadline does. Others are refused as
+// not run, so that callers go elsewhere.
 func (out *Outbound) LeaveBy(strict, end time.Time) {
 	out.departure.Store(&departure{strict: strict, end: end})
 }
 
+// leaving reports whether a planned stop has begun.
+func (out *Outbound) leaving() bool { return out.departure.Load() != nil }
+
 // leaveInTime refuses what a stopping node could not finish, and ends what still
 // runs at its end.
 func (out *Outbound) leaveInTime(next stage) stage {
--- a/internal/traffic/offer.go
+++ b/internal/traffic/offer.go
@@ -30,6 +30,9 @@
 		return said.refusal(response)
 	}
 	to := hop{pool: out.pool, transport: out.transport, address: endpoint.Address, fields: fields, expect: true, offer: x.offersBody(), silence: x.patience()}
+	if !x.offersBody() {
+		to.endures = out.leaving // a worker may be at it: giving it up would cut it
+	}
 	got, failure := send(x, &to, check)
 	if failure == nil {
 		seen.Latency = time.Since(began)
@@ -90,15 +93,11 @@
 
 // patience is how long a node may give no sign before it is given up: not for
 // long while the request can go elsewhere. One that can't waits for half of its
-// time, and to its end where the node stops: a worker may be at it.
+// time.
 func (x *exchange) patience() time.Duration {
 	left := time.Until(x.deadline)
-	switch {
-	case !x.lastTry:
-		return min(max(left/silentShare, firstSilent), mostSilent)
-	case x.closing:
-		return left
-	default:
+	if x.lastTry {
 		return max(left/2, firstSilent)
 	}
+	return min(max(left/silentShare, firstSilent), mostSilent)
 }
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -22,6 +22,7 @@
 	open   int
 	closed bool
 	kept   map[string][]*pooledConn // idle, the latest used last
+	rests  map[string]restLimit     // by address
 	swept  time.Time
 }
 
@@ -49,7 +50,10 @@
 		if conn == nil {
 			return p.connect(ctx, address)
 		}
-		if conn.mayBeIdle(time.Since(conn.idleSince)) && conn.quiet() {
+		now := time.Now()
+		conn.rested = now.Sub(conn.idleSince)
+		if conn.mayBeIdle(conn.rested) && p.remembered(address, conn.rested, now) && conn.quiet() {
+			conn.heard = conn.received.Load()
 			return conn, nil
 		}
 		conn.close()
--- a/internal/traffic/pool_test.go
+++ b/internal/traffic/pool_test.go
@@ -158,3 +158,95 @@
 	must.Eq(t, "not-run", response.Header.Get(outcome.Header))
 	must.Zero(t, worker.runs("a"))
 }
+
+// After a reset of a connection that had rested, others that have rested as long
+// are not used; those used lately are, and all are once that is long ago.
+func TestForgottenConnections(t *testing.T) {
+	for name, each := range map[string]struct {
+		rested, ago time.Duration
+		reused      bool
+	}{
+		"rested as long":  {rested: 300 * time.Millisecond, reused: false},
+		"used lately":     {rested: 10 * time.Millisecond, reused: true},
+		"long ago":        {rested: 300 * time.Millisecond, ago: remembersRest, reused: true},
+		"another address": {rested: 300 * time.Millisecond, ago: -1, reused: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dial, far := ends(t, "tcp")
+			p := newPool(sealedDial(dial, time.Minute), 2, 2)
+			defer p.close()
+			conn, err := p.take(t.Context(), "worker", 0)
+			must.NoError(t, err)
+			must.Zero(t, conn.rested)
+			defer func() { _ = (<-far).Close() }()
+			p.put(conn)
+			conn.idleSince = time.Now().Add(-each.rested)
+			address := "worker"
+			if each.ago < 0 {
+				address = "other"
+			}
+			p.noteForgotten(address, 400*time.Millisecond, time.Now().Add(-max(0, each.ago)))
+			again, err := p.take(t.Context(), "worker", 0)
+			must.NoError(t, err)
+			must.Eq(t, each.reused, again == conn)
+			again.close()
+		})
+	}
+}
+
+// A worker that forgets connections which have rested is found out by the first
+// reset, and orders that follow get their answers.
+func TestDispatchLearnsOfForgottenConnections(t *testing.T) {
+	m := newCatalogMesh(t, 1)
+	rest := func() {
+		direct, _ := m.nodes[0].in.worker.connections()
+		direct.mutex.Lock()
+		defer direct.mutex.Unlock()
+		for _, kept := range direct.kept {
+			for _, conn := range kept {
+				conn.idleSince = time.Now().Add(-time.Second)
+			}
+		}
+	}
+	_, _, err := m.call("POST", "/order/", "cards")
+	must.NoError(t, err)
+	rest()
+	m.script("close")
+	response, _, err := m.call("POST", "/order/", "cards")
+	must.NoError(t, err)
+	must.Eq(t, http.StatusBadGateway, response.StatusCode)
+	rest()
+	direct, _ := m.nodes[0].in.worker.connections()
+	must.False(t, direct.remembered(m.nodes[0].worker.address(), time.Second, time.Now()))
+	response, _, err = m.call("POST", "/order/", "cards")
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, response.StatusCode)
+}
+
+// Whether silence is endured is asked when there was no sign in time, not when
+// the request began: a stop may have begun in between.
+func TestSilenceIsJudgedWhenItIsNoticed(t *testing.T) {
+	for _, endures := range []bool{false, true} {
+		dial, far := ends(t, "tcp")
+		p := newPool(sealedDial(dial, time.Minute), 1, 1)
+		conn, err := p.take(t.Context(), "", 0)
+		must.NoError(t, err)
+		other := <-far
+		asked := make(chan struct{})
+		conn.awaitSign(&hop{silence: time.Millisecond, endures: func() bool {
+			defer close(asked)
+			return endures
+		}})
+		<-asked
+		if endures {
+			_, err = other.Write([]byte("x"))
+			must.NoError(t, err)
+			_, err = conn.Read(make([]byte, 1)) // not interrupted
+			must.NoError(t, err)
+		} else {
+			waitFor(t, conn.silent.Load)
+		}
+		_ = other.Close()
+		conn.close()
+	}
+}
--- a/internal/traffic/pooled.go
+++ b/internal/traffic/pooled.go
@@ -24,7 +24,9 @@
 	limit       int64 // bytes that may still be read
 	probe       probe
 	idleSince   time.Time
-	interrupter func() // interrupt, made once
+	rested      time.Duration // before the request that it carries; 0: it is new
+	heard       int64         // bytes read on it before that request
+	interrupter func()        // interrupt, made once
 	stop        func() bool
 	silent      atomic.Bool   // whether the other side gave no sign in time
 	started     bool          // whether the body is being sent
--- a/internal/traffic/roundtrip.go
+++ b/internal/traffic/roundtrip.go
@@ -13,7 +13,7 @@
 func (c *pooledConn) roundTrip(x *exchange, to *hop) (*http.Response, error) {
 	c.started = false
 	c.body = nil
-	sign := c.awaitSign(to.silence)
+	sign := c.awaitSign(to)
 	defer sign.Stop()
 	if err := writeRequest(c.writer, x, to); err != nil {
 		return nil, err
@@ -57,13 +57,18 @@
 	return got, failure, true
 }
 
-// awaitSign interrupts the connection unless the other side gives a sign in time.
-func (c *pooledConn) awaitSign(within time.Duration) *time.Timer {
+// awaitSign interrupts the connection unless the other side gives a sign in
+// time, or silence is to be endured by then.
+func (c *pooledConn) awaitSign(to *hop) *time.Timer {
 	c.silent.Store(false)
+	within := to.silence
 	if within <= 0 {
 		within = math.MaxInt64
 	}
 	return time.AfterFunc(within, func() {
+		if to.endures != nil && to.endures() {
+			return
+		}
 		c.silent.Store(true)
 		c.interrupt()
 	})
@@ -124,6 +129,9 @@
 		response, err = c.next(x, response)
 	}
 	if err != nil {
+		if x.context.Err() == nil {
+			c.noteReset()
+		}
 		failure := c.tripFailure(x, to, watch.left())
 		c.abandon()
 		return nil, &failure
