Count one instance an address: the one recorded last

Cause (read, then measured): a worker that crashed and started again has two records until the first is removed, up to three heartbeats later. The node beside it took the one whose id sorts last for its worker; in half of the cases it refused what was sent to the one that runs ('not-local'), and callers' nodes offered requests for both. Ruled out: draining records (they were passed over already). Change: catalog.State tells of one instance an address, the one recorded last. Test: TestInstancesAtOneAddress.

--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -44,10 +44,18 @@
 // must not be changed.
 func (s *State) Configuration() *Configuration { return s.configuration }
 
-// Instances returns the recorded instances, sorted by id.
+// Instances returns the recorded instances, sorted by id. Of several at one
+// address only the one recorded last counts: the others have ended without a
+// word, and their records are still to be removed.
 func (s *State) Instances() []Instance {
-	instances := make([]Instance, 0, len(s.instances))
+	latest := make(map[string]record, len(s.instances))
 	for _, held := range s.instances {
+		if other, known := latest[held.instance.Address]; !known || held.revision > other.revision {
+			latest[held.instance.Address] = held
+		}
+	}
+	instances := make([]Instance, 0, len(latest))
+	for _, held := range latest {
 		instances = append(instances, held.instance)
 	}
 	slices.SortFunc(instances, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/catalog/state_test.go
+++ b/internal/catalog/state_test.go
@@ -175,3 +175,20 @@
 	must.SliceEmpty(t, batch.Changes[0].Difference.Remove)
 	must.MapEmpty(t, batch.Changes[0].Difference.Services)
 }
+
+// A worker that crashed and started again has two records until the first is
+// removed. The later one counts, whichever id sorts first: else the worker's node
+// refused what was sent to the worker that runs.
+func TestInstancesAtOneAddress(t *testing.T) {
+	for _, ids := range [][2]string{{"i-a", "i-b"}, {"i-b", "i-a"}} {
+		state := NewState()
+		crashed := Instance{ID: ids[0], Service: "s", Address: "10.0.0.1:80"}
+		started := Instance{ID: ids[1], Service: "s", Address: "10.0.0.1:80", Draining: true}
+		other := Instance{ID: "i-c", Service: "s", Address: "10.0.0.2:80"}
+		state.Join(Batch{Whole: true, To: 2, Changes: []Change{{Revision: 1, Instance: &crashed}, {Revision: 2, Instance: &other}}})
+		state.Join(Batch{From: 2, To: 3, Changes: []Change{{Revision: 3, Instance: &started}}})
+		must.Eq(t, []Instance{started, other}, state.Instances())
+		state.Join(Batch{From: 3, To: 4, Changes: []Change{{Revision: 4, Removed: ids[1]}}})
+		must.Eq(t, []Instance{crashed, other}, state.Instances())
+	}
+}
--- a/internal/snapshot/catalog.go
+++ b/internal/snapshot/catalog.go
@@ -104,22 +104,20 @@
 	return route
 }
 
-// localInstance returns the newest instance at the worker's address.
+// localInstance returns the instance at the worker's address.
 func localInstance(instances []catalog.Instance, configuration *catalog.Configuration, address string) Local {
-	var local Local
 	for _, instance := range instances {
-		if instance.Address != address || local.Instance != "" && instance.Draining {
-			continue
-		}
-		local = Local{
-			Instance:    instance.ID,
-			Service:     instance.Service,
-			Slots:       instance.Capacity,
-			Connections: configuration.Services[instance.Service].MaxConnections,
-			Draining:    instance.Draining,
+		if instance.Address == address {
+			return Local{
+				Instance:    instance.ID,
+				Service:     instance.Service,
+				Slots:       instance.Capacity,
+				Connections: configuration.Services[instance.Service].MaxConnections,
+				Draining:    instance.Draining,
+			}
 		}
 	}
-	return local
+	return Local{}
 }
 
 // indexHosts lets Match find the routes of one host without looking at others.
