Try other nodes beside a silent one instead of giving it up

Ruled out: patience alone (longer waits where no other try may follow mended only those), the judgment at the stop (still broken with it). Change: the silent try stays open beside the next one, the first answer counts. Where none may follow, open tries are waited for: half of the time left, all of it once the node has given a sign or this node stops. The rule of a last try is gone. Test: TestDispatchTakesTheFirstAnswerOfTwo (502 before).

--- a/internal/traffic/budget.go
+++ b/internal/traffic/budget.go
@@ -33,27 +33,14 @@
 func (b *serviceBudget) take(service string, nodes int) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	held, allowed := b.held(service, nodes)
-	if allowed {
-		held--
-	}
-	b.tokens[service] = held
-	return allowed
-}
-
-// allows reports whether take would allow one more arrival now.
-func (b *serviceBudget) allows(service string, nodes int) bool {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	_, allowed := b.held(service, nodes)
-	return allowed
-}
-
-// held returns the tokens of a service and whether they allow one more arrival.
-func (b *serviceBudget) held(service string, nodes int) (float64, bool) {
 	allowance := b.slack / float64(max(1, nodes))
 	held := min(b.tokens[service], allowance)
-	return held, held >= 1-allowance
+	if held < 1-allowance {
+		b.tokens[service] = held
+		return false
+	}
+	b.tokens[service] = held - 1
+	return true
 }
 
 // giveBack undoes a take whose request reached no worker.
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -25,7 +25,8 @@
 // costs nothing; a request that a worker has seen is sent again only within the
 // route's attempts and the retry budget.
 func (out *Outbound) dispatch(x *exchange) result {
-	d := dispatch{out: out, x: x, last: refuse(causeEndpoints, 0, "send it again later, no worker takes this route now")}
+	d := dispatch{out: out, x: x, ended: make(chan *openTry, mostOffers), last: refuse(causeEndpoints, 0, "send it again later, no worker takes this route now")}
+	defer d.close()
 	for _, target := range out.weights.order(x.route) {
 		if ended, done := d.offerTo(target); done {
 			return ended
@@ -45,6 +46,8 @@
 	offers     int
 	crossing   int           // offers to other zones
 	soonest    time.Duration // the shortest wait that a refusing node told; 0: none
+	open       []*openTry    // tries that have not ended
+	ended      chan *openTry // tries that have
 }
 
 // offerTo tries the endpoints of one service.
@@ -106,8 +109,15 @@
 	}
 	d.x.offers, d.x.instance = d.offers, endpoint.Worker
 	d.x.elsewhere = choice.Another && d.offers < mostOffers
-	d.x.lastTry = !d.x.offersBody() && !d.mayFollow(target.Service)
+	if !endpoint.Local && !d.x.offersBody() {
+		return d.tryOpenly(target, endpoint)
+	}
 	got, seen, failure := d.out.offer(d.x, endpoint)
+	return d.conclude(target, endpoint, got, seen, failure)
+}
+
+// conclude decides what follows a try. It reports whether the request has ended.
+func (d *dispatch) conclude(target snapshot.Target, endpoint snapshot.Endpoint, got *answer, seen balance.Observation, failure *result) (result, bool) {
 	d.out.chooser.ended(d.x, endpoint, seen)
 	if d.attempts > 0 && failure != nil && failure.outcome == outcome.NotRun && !failure.arrived {
 		d.out.budget.giveBack(target.Service)
@@ -165,12 +175,6 @@
 	return d.x.route.Repeatable && d.attempts < d.x.route.MaxAttempts && d.x.context.Err() == nil && d.x.request.Context().Err() == nil
 }
 
-// mayFollow reports whether, if the try that is to be made may have run, another
-// one may follow.
-func (d *dispatch) mayFollow(service string) bool {
-	return d.x.route.Repeatable && d.attempts+1 < d.x.route.MaxAttempts && d.out.budget.allows(service, d.out.nodes())
-}
-
 func (d *dispatch) noteWait(told time.Duration) {
 	if told > 0 && (d.soonest == 0 || told < d.soonest) {
 		d.soonest = told
@@ -180,6 +184,9 @@
 // giveUp is the final answer of a request that no worker has answered well. It
 // may write to the caller, so it is called once, at the end.
 func (d *dispatch) giveUp() result {
+	if late := d.awaitOpen(); late != nil {
+		return late.pass(d.x)
+	}
 	if d.answered != nil {
 		return d.answered.pass(d.x)
 	}
--- a/internal/traffic/dispatch_test.go
+++ b/internal/traffic/dispatch_test.go
@@ -358,3 +358,28 @@
 		must.Eq(t, status, response.StatusCode, must.Sprint(rank))
 	}
 }
+
+// A node that says nothing for a while is not given up when another is tried
+// beside it: the first answer counts, and the other worker is cut off.
+func TestDispatchTakesTheFirstAnswerOfTwo(t *testing.T) {
+	m := newCatalogMesh(t, 3)
+	m.nodes[0].in.Drain() // its own worker takes nothing
+	release := make(chan struct{})
+	slow := heldLink(t, m.nodes[1].inbound, release)
+	never := make(chan struct{})
+	t.Cleanup(func() { close(never) })
+	dead := heldLink(t, m.nodes[2].inbound, never)
+	m.publish(func(route *snapshot.Route) {
+		first, second := route.Targets[0].Endpoints[1], route.Targets[0].Endpoints[2]
+		first.Address, first.Local = slow, false
+		second.Address, second.Local, second.Zone = dead, false, "z2" // tried second
+		route.Targets[0].Endpoints = []snapshot.Endpoint{first, second}
+	})
+	time.AfterFunc(3*mostSilent, func() { close(release) })
+	response, text, err := m.call("GET", "/lookup/", "")
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, response.StatusCode)
+	must.Eq(t, "answer to r-1", text)
+	must.Eq(t, 1, m.runs())
+	must.Eq(t, 1, m.nodes[1].worker.runs())
+}
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -29,7 +29,8 @@
 	closing     bool   // whether the caller's connection ends with the answer
 	offers      int    // nodes that it was offered to
 	attempts    int    // workers that it was sent to
-	lastTry     bool   // whether it can go nowhere else if this try may have run
+	onSign      func() // called at the first sign of the next hop; nil: nobody asks
+	onSilence   func() // called in place of giving a silent node up; nil: it is given up
 	instance    string // id of the instance that is to run the request
 	caller      string // service beside the node that took the request
 	class       class
--- a/internal/traffic/forward.go
+++ b/internal/traffic/forward.go
@@ -48,6 +48,8 @@
 	protocol  *Protocol
 	offer     bool          // whether a whole body waits for 100 Continue, so that a request that is refused or meets silence has not run
 	silence   time.Duration // within which the other side has to give a sign; 0: the deadline
+	onSign    func()        // called at the first sign; nil: nobody asks
+	onSilence func()        // called when there was no sign in time; nil: the try ends
 	endures   func() bool   // asked when there was no sign: whether to wait to the deadline; nil: not
 }
 
--- a/internal/traffic/offer.go
+++ b/internal/traffic/offer.go
@@ -32,6 +32,7 @@
 	to := hop{pool: out.pool, transport: out.transport, address: endpoint.Address, fields: fields, expect: true, offer: x.offersBody(), silence: x.patience()}
 	if !x.offersBody() {
 		to.endures = out.leaving // a worker may be at it: giving it up would cut it
+		to.onSign, to.onSilence = x.onSign, x.onSilence
 	}
 	got, failure := send(x, &to, check)
 	if failure == nil {
@@ -91,13 +92,8 @@
 	return x.body.length > 0 && (!x.route.Repeatable || x.body.length > directBody)
 }
 
-// patience is how long a node may give no sign before it is given up: not for
-// long while the request can go elsewhere. One that can't waits for half of its
-// time.
+// patience is how long a node may give no sign before it is given up, or others
+// are tried beside it.
 func (x *exchange) patience() time.Duration {
-	left := time.Until(x.deadline)
-	if x.lastTry {
-		return max(left/2, firstSilent)
-	}
-	return min(max(left/silentShare, firstSilent), mostSilent)
+	return min(max(time.Until(x.deadline)/silentShare, firstSilent), mostSilent)
 }
--- a/internal/traffic/roundtrip.go
+++ b/internal/traffic/roundtrip.go
@@ -30,6 +30,9 @@
 			return nil, err
 		}
 		sign.Stop()
+		if to.onSign != nil {
+			to.onSign()
+		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
 			c.limit = math.MaxInt64
 			return response, nil
@@ -69,6 +72,10 @@
 		if to.endures != nil && to.endures() {
 			return
 		}
+		if to.onSilence != nil {
+			to.onSilence()
+			return
+		}
 		c.silent.Store(true)
 		c.interrupt()
 	})
