--- a/internal/replication/rank.go
+++ b/internal/replication/rank.go
@@ -60,12 +60,3 @@
 	}
 	return 0
 }
-
-// zoneSize is the number of nodes in this zone, as far as known.
-func (m *Machine) zoneSize() int {
-	count := 0
-	for _, candidate := range m.ranked {
-		count += 1 - m.distance(candidate)
-	}
-	return count
-}
