Remove the hollow fleet and the overload trials

Ruled out: keeping lab/overload for its figure of priorities at five times the capacity; the same holds in virtual time in internal/traffic/admission.

--- a/cmd/sliphead-lab/main.go
+++ b/cmd/sliphead-lab/main.go
@@ -16,15 +16,13 @@
 
 // commands is the grammar of the command line.
 type commands struct {
-	Demo     demoCommand     `cmd:"" help:"Run both users' meshes small, end to end, and end by itself."`
-	Run      runCommand      `cmd:"" help:"Run an experiment file."`
-	Fleet    fleetCommand    `cmd:"" help:"Run many hollow nodes in one process and measure them."`
-	Latency  latencyCommand  `cmd:"" help:"Measure what the two hops add to a call, against direct calls in the same run."`
-	Overload overloadCommand `cmd:"" help:"Try more load than workers can do, and workers that misbehave, in this process."`
-	Relay    relayCommand    `cmd:"" hidden:"" help:"Pass bytes on, to compare with."`
-	Report   reportCommand   `cmd:"" help:"Draw the plots of a run's report."`
-	Worker   workerCommand   `cmd:"" help:"Run one stand-in worker until a signal ends it."`
-	Source   sourceCommand   `cmd:"" help:"Run a stand-in configuration service until a signal ends it."`
+	Demo    demoCommand    `cmd:"" help:"Run both users' meshes small, end to end, and end by itself."`
+	Run     runCommand     `cmd:"" help:"Run an experiment file."`
+	Latency latencyCommand `cmd:"" help:"Measure what the two hops add to a call, against direct calls in the same run."`
+	Relay   relayCommand   `cmd:"" hidden:"" help:"Pass bytes on, to compare with."`
+	Report  reportCommand  `cmd:"" help:"Draw the plots of a run's report."`
+	Worker  workerCommand  `cmd:"" help:"Run one stand-in worker until a signal ends it."`
+	Source  sourceCommand  `cmd:"" help:"Run a stand-in configuration service until a signal ends it."`
 }
 
 func main() {
