Run requests sent ahead on a connection at once, answer in order

Cause: the listeners were servers of net/http, which serve one request of a connection at a time.

Change: internal/httpserver, an own connection loop over net/http's parsing. Safe requests (routes declared repeatable, without a body) run at once, others alone. An answer tells the close only where nothing behind it has begun, so what stands behind it was not read and what has begun is answered. Headers that can be read in two ways are refused for every request, not just the first.

Ruled out: a second listener beside net/http's (two ways of a request); buffering answers until their turn (Write waits instead: no copy); reading ahead behind a request that must not be repeated (what stands behind an answer that closes counts as not read and is sent again).

--- /dev/null
+++ b/internal/httpserver/connection.go
@@ -0,0 +1,384 @@
+package httpserver
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"time"
+
+	"sliphead/internal/logging"
+)
+
+// connection reads the requests of one connection. Its queue holds those that
+// were read and are not answered yet: some that may run beside one another, or
+// one that may not.
+type connection struct {
+	server  *Server
+	conn    net.Conn
+	reader  *bufio.Reader
+	context context.Context // ends with the connection
+	cancel  context.CancelFunc
+
+	mutex   sync.Mutex
+	changed *sync.Cond
+	queue   []*response
+	waiting int  // bytes of answers that wait for their turn
+	idling  bool // whether the reader waits for bytes between requests
+	blocked bool // whether it does so only until all requests are answered
+	closing bool // whether no further request is to be taken
+}
+
+// readerSize is the size of a connection's read buffer.
+const readerSize = 4 << 10
+
+func newConnection(server *Server, conn net.Conn) *connection {
+	c := &connection{server: server, conn: conn, reader: bufio.NewReaderSize(conn, readerSize)}
+	c.changed = sync.NewCond(&c.mutex)
+	c.context, c.cancel = contextFor()
+	return c
+}
+
+// serve reads requests until the connection ends, and then waits for the answers.
+func (c *connection) serve() {
+	defer c.server.forget(c)
+	defer c.cancel()
+	deadline := time.Now().Add(c.server.HeaderTimeout)
+	for c.awaitRoom() && c.awaitRequest(deadline) && c.awaitRoom() && c.takeRequest() {
+		deadline = time.Now().Add(c.server.IdleTimeout)
+	}
+	c.stopReading()
+	c.watch()
+	c.end()
+}
+
+// awaitRoom returns when another request may be read, false when none is to be.
+func (c *connection) awaitRoom() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for !c.closing && !c.hasRoom() {
+		c.changed.Wait()
+	}
+	return !c.closing
+}
+
+// hasRoom reports whether the bounds allow another request and the reader is not
+// within the body of the one before.
+func (c *connection) hasRoom() bool {
+	if len(c.queue) == 0 {
+		return true
+	}
+	last := c.queue[len(c.queue)-1]
+	inBody := last.body != nil && !last.body.done
+	return !inBody && len(c.queue) < c.server.MaxAhead && c.waiting < c.server.MaxWaiting
+}
+
+// awaitRequest returns when the first byte of a request has come, false when none
+// will. While answers are outstanding there is no bound to the wait: a caller that
+// leaves shows as the end of what can be read.
+func (c *connection) awaitRequest(idleUntil time.Time) bool {
+	for {
+		c.startIdling(idleUntil)
+		_, err := c.reader.Peek(1)
+		outstanding := c.stopIdling()
+		switch {
+		case err == nil:
+			_ = c.conn.SetReadDeadline(time.Now().Add(c.server.HeaderTimeout))
+			return true
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			c.cancel()
+			return false
+		case !outstanding:
+			return false
+		}
+		idleUntil = time.Now().Add(c.server.IdleTimeout)
+	}
+}
+
+func (c *connection) startIdling(until time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.idling = true
+	if len(c.queue) > 0 {
+		until = time.Time{}
+	}
+	_ = c.conn.SetReadDeadline(until)
+}
+
+// stopIdling reports whether a wait that has reached its bound is to go on.
+func (c *connection) stopIdling() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.idling = false
+	return len(c.queue) > 0 && !c.closing
+}
+
+// takeRequest reads one request and has it run. It reports whether more may be
+// read.
+func (c *connection) takeRequest() bool {
+	request, err := readRequest(c.reader, c.server.MaxHeaderBytes)
+	var refused *refusal
+	if errors.As(err, &refused) {
+		c.enqueue(c.newResponse(unparsed()), refused.handle)
+		return false
+	}
+	if err != nil {
+		c.lostWhileReading(err)
+		return false
+	}
+	request.RemoteAddr = c.conn.RemoteAddr().String()
+	answer := c.newResponse(request)
+	answer.body = newRequestBody(answer, c.reader)
+	answer.ahead = c.server.mayRunAhead(request)
+	if !c.mayJoin(answer) && !c.awaitAlone() {
+		return false
+	}
+	_ = c.conn.SetReadDeadline(time.Time{}) // the handler bounds the reading of a body
+	return c.enqueue(answer, c.server.Handler.ServeHTTP) && !request.Close
+}
+
+// lostWhileReading ends what runs when the caller is gone. One that is only slow
+// to send the rest of a header still gets the answers before it.
+func (c *connection) lostWhileReading(err error) {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.cancel()
+	}
+}
+
+// mayJoin reports whether a request may run beside those that do.
+func (c *connection) mayJoin(answer *response) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.queue) == 0 || answer.ahead && c.queue[len(c.queue)-1].ahead
+}
+
+// awaitAlone returns when all requests before are answered, false when the
+// connection ends before. Meanwhile it watches for the caller's leaving, as long
+// as nothing has come behind the request that waits.
+func (c *connection) awaitAlone() bool {
+	c.setBlocked(true)
+	defer c.setBlocked(false)
+	c.startIdling(time.Time{})
+	if c.outstanding() {
+		if _, err := c.reader.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.cancel()
+			return false
+		}
+	}
+	c.stopIdling()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for len(c.queue) > 0 {
+		c.changed.Wait()
+	}
+	return !c.closing && c.context.Err() == nil
+}
+
+func (c *connection) setBlocked(blocked bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.blocked = blocked
+}
+
+func (c *connection) newResponse(request *http.Request) *response {
+	ctx, cancel := context.WithCancel(c.context)
+	return &response{conn: c, request: request.WithContext(ctx), cancel: cancel, header: http.Header{}, turn: make(chan struct{})}
+}
+
+// enqueue has a request run. It reports false when the connection ends, and the
+// request counts as not read.
+func (c *connection) enqueue(answer *response, handle http.HandlerFunc) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.closing {
+		answer.cancel()
+		return false
+	}
+	if len(c.queue) == 0 {
+		close(answer.turn)
+	}
+	c.queue = append(c.queue, answer)
+	go c.run(answer, handle)
+	return true
+}
+
+// run handles one request and completes its answer.
+func (c *connection) run(answer *response, handle http.HandlerFunc) {
+	whole := false
+	defer func() {
+		if problem := recover(); problem != nil {
+			c.logPanic(problem)
+			whole = false
+		}
+		answer.cancel()
+		c.answered(answer, whole)
+	}()
+	handle(answer, answer.request)
+	whole = answer.finish()
+}
+
+// logPanic tells of a fault in a handler. http.ErrAbortHandler is none: it cuts
+// an answer that can't be completed.
+func (c *connection) logPanic(problem any) {
+	if problem == http.ErrAbortHandler {
+		return
+	}
+	c.server.Logger.WithFields(logging.Fields{"remote": c.conn.RemoteAddr().String(), "problem": problem, "stack": string(debug.Stack())}).Error("request.panicked")
+}
+
+// answered takes the request off the queue, and cuts the connection when its
+// answer is not whole: what was sent ahead behind it counts as not read. Answers
+// before it are completed first.
+func (c *connection) answered(answer *response, whole bool) {
+	if answer.await(0) != nil {
+		whole = false
+	}
+	answer.release()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if answer.body != nil {
+		answer.body.ended = true
+		c.closing = c.closing || !answer.body.done
+	}
+	if !whole {
+		c.closing = true
+		c.cut()
+	}
+	c.remove(answer)
+	c.afterAnswer()
+}
+
+// remove takes a request off the queue, of which it is the first unless the
+// connection is cut.
+func (c *connection) remove(answer *response) {
+	for index, held := range c.queue {
+		if held != answer {
+			continue
+		}
+		c.queue = append(c.queue[:index], c.queue[index+1:]...)
+		if index == 0 && len(c.queue) > 0 {
+			close(c.queue[0].turn)
+		}
+		return
+	}
+}
+
+// afterAnswer wakes the reader. The mutex is held.
+func (c *connection) afterAnswer() {
+	switch {
+	case len(c.queue) > 0 || !c.idling:
+	case c.closing || c.blocked:
+		_ = c.conn.SetReadDeadline(time.Unix(1, 0)) // wakes the reader
+	default:
+		_ = c.conn.SetReadDeadline(time.Now().Add(c.server.IdleTimeout))
+	}
+	c.changed.Broadcast()
+}
+
+// closesWith reports whether an answer tells that the connection closes. It does
+// so when its handler or its caller wants that and no request behind it has begun:
+// else the last of those will. From now on none is taken.
+func (c *connection) closesWith(answer *response) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	unread := answer.body != nil && !answer.body.done
+	endless := answer.length < 0 && !answer.chunked && !answer.bare
+	wanted := unread || endless || answer.request.Close || !answer.request.ProtoAtLeast(1, 1) || wantsClose(answer.header)
+	c.closing = c.closing || wanted
+	return c.closing && len(c.queue) == 1
+}
+
+func wantsClose(header http.Header) bool {
+	values := header["Connection"]
+	return len(values) == 1 && values[0] == "close"
+}
+
+func (c *connection) addWaiting(bytes int) {
+	if bytes == 0 {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.waiting += bytes
+	c.changed.Broadcast()
+}
+
+// stopReading has no further request taken.
+func (c *connection) stopReading() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.closing = true
+}
+
+// watch waits until the requests that were taken are answered, and ends them when
+// the caller leaves.
+func (c *connection) watch() {
+	if c.outstanding() && c.context.Err() == nil {
+		c.startIdling(time.Time{})
+		if c.outstanding() { // else the answer that ended them all came before
+			_, err := c.reader.Peek(1)
+			if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+				c.cancel()
+			}
+		}
+		c.stopIdling()
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for len(c.queue) > 0 {
+		c.changed.Wait()
+	}
+}
+
+// outstanding reports whether requests run whose bodies are not being read.
+func (c *connection) outstanding() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if len(c.queue) == 0 {
+		return false
+	}
+	last := c.queue[len(c.queue)-1]
+	return last.body == nil || last.body.done
+}
+
+// lingerFor is how long a closed connection is still read: bytes that arrive at a
+// closed socket reset it, and with that an answer that is still on its way.
+const lingerFor = 500 * time.Millisecond
+
+// end closes the connection.
+func (c *connection) end() {
+	half, canHalve := c.conn.(interface{ CloseWrite() error })
+	if c.context.Err() == nil && canHalve && half.CloseWrite() == nil {
+		_ = c.conn.SetReadDeadline(time.Now().Add(lingerFor))
+		_, _ = io.Copy(io.Discard, c.conn)
+	}
+	_ = c.conn.Close()
+}
+
+// cut ends the connection and all that runs on it.
+func (c *connection) cut() {
+	c.cancel()
+	_ = c.conn.Close()
+}
+
+// unparsed stands for a request that can't be taken.
+func unparsed() *http.Request {
+	return &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1, Close: true, Header: http.Header{}}
+}
+
+// handle answers a request that can't be taken.
+func (r *refusal) handle(writer http.ResponseWriter, _ *http.Request) {
+	text := r.remedy + "\n"
+	header := writer.Header()
+	header.Set("Connection", "close")
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("Content-Length", strconv.Itoa(len(text)))
+	writer.WriteHeader(r.status)
+	_, _ = io.WriteString(writer, text) // an error means that the caller has gone
+}
--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -179,10 +179,13 @@
 	logging.Event(n.options.Logger, "node.started", logging.Fields{"node": n.settings.Name, "zone": n.settings.Zone, "service": n.settings.Service})
 	group.Go(func() error { return n.replicator.Run(ctx) })
 	limits := n.trafficConfig(traffic.Protocol{}).Limits
-	n.serveRequests(ctx, group, "outbound", n.settings.Listen.Outbound, n.outbound)
-	n.serveRequests(ctx, group, "inbound", n.settings.Listen.Inbound, n.inbound)
+	callers := n.listener("outbound", n.settings.Listen.Outbound, n.outbound)
+	callers.safe = n.outbound.MayRunAhead
+	group.Go(func() error { return callers.serve(ctx) })
+	nodes := n.listener("inbound", n.settings.Listen.Inbound, n.inbound)
+	group.Go(func() error { return nodes.serve(ctx) })
 	operators := &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: limits.HeaderTimeout}
-	n.serve(ctx, group, n.settings.Listen.Admin, operators, traffic.NewListener)
+	group.Go(func() error { return serveUntil(ctx, n.settings.Listen.Admin, operators, nil) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -195,19 +198,11 @@
 	return group.Wait()
 }
 
-// serveRequests runs a listener for requests with its connections bounded.
-func (n *CatalogNode) serveRequests(ctx context.Context, group *errgroup.Group, side, address string, handler http.Handler) {
-	limit := newConnectionLimit(n.settings.Limits.MaxConnections)
-	limit.register(n.options.Registry, side)
-	server := traffic.NewServer(limit.guard(handler), n.trafficConfig(traffic.Protocol{}).Limits)
-	n.serve(ctx, group, address, server, func(plain net.Listener) net.Listener {
-		return traffic.NewListener(limit.listener(plain))
-	})
-}
-
-// serve runs one listener, wrapped, until ctx ends.
-func (n *CatalogNode) serve(ctx context.Context, group *errgroup.Group, address string, server *http.Server, wrap func(net.Listener) net.Listener) {
-	group.Go(func() error { return serveUntil(ctx, address, server, wrap) })
+func (n *CatalogNode) listener(side, address string, handler http.Handler) requestListener {
+	return requestListener{
+		side: side, address: address, handler: handler,
+		limits: n.trafficConfig(traffic.Protocol{}).Limits, connections: n.settings.Limits.MaxConnections, options: n.options,
+	}
 }
 
 func (n *CatalogNode) adminHandler() http.Handler {
--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -133,6 +134,14 @@
 	release func()
 }
 
+// CloseWrite tells the other side that nothing more comes.
+func (c *limitedConn) CloseWrite() error {
+	if half, can := c.Conn.(interface{ CloseWrite() error }); can {
+		return half.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 // Close implements net.Conn. The count goes first, while the remote address
 // can't be in use again.
 func (c *limitedConn) Close() error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,7 +32,6 @@
 	Registry *prometheus.Registry // nil for one of the node's own
 	// DroppedLines counts the lines that the log left out; nil: not known.
 	DroppedLines func() uint64
-	Hollow       bool // leaves the request and admin listeners out
 	// Compression is the coding of outgoing streams, "" for the default.
 	Compression transport.Compression
 	// Patience multiplies the waits of the failure detector, 0 for 1: hollow
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -11,7 +11,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"sliphead/internal/admin"
-	"sliphead/internal/fault"
 	"sliphead/internal/logging"
 	"sliphead/internal/traffic"
 	"sliphead/internal/wire"
@@ -29,9 +28,6 @@
 }
 
 func newRequests(n *Node) (*requests, error) {
-	if n.options.Hollow {
-		return &requests{node: n}, nil
-	}
 	r := &requests{node: n}
 	config := n.trafficConfig()
 	if n.settings.Worker != nil {
@@ -138,18 +134,17 @@
 
 // start serves until ctx ends.
 func (r *requests) start(ctx context.Context, group *errgroup.Group) {
-	if r.node.options.Hollow {
-		group.Go(func() error { r.node.loop.SetEndpoint(ctx, wire.EndpointReady); return nil })
-		return
-	}
 	listen := r.node.settings.Listen
-	r.serveRequests(ctx, group, "outbound", listen.Outbound, r.security, r.outbound)
+	callers := r.listener("outbound", listen.Outbound, r.outbound)
+	callers.safe, callers.security = r.outbound.MayRunAhead, r.security
+	group.Go(func() error { return callers.serve(ctx) })
 	operators := &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: r.node.settings.Limits.HeaderTimeout.Duration}
-	r.serve(ctx, group, listen.Admin, operators, traffic.NewListener)
+	group.Go(func() error { return serveUntil(ctx, listen.Admin, operators, nil) })
 	if r.inbound == nil {
 		return
 	}
-	r.serveRequests(ctx, group, "inbound", listen.Inbound, nil, r.inbound)
+	nodes := r.listener("inbound", listen.Inbound, r.inbound)
+	group.Go(func() error { return nodes.serve(ctx) })
 	group.Go(func() error {
 		r.passStates(ctx)
 		return nil
@@ -160,39 +155,11 @@
 	})
 }
 
-// serveRequests runs a listener for requests, over TLS when security is set,
-// with its connections bounded.
-func (r *requests) serveRequests(ctx context.Context, group *errgroup.Group, side, address string, security *tls.Config, handler http.Handler) {
-	limit := newConnectionLimit(r.node.settings.Limits.MaxConnections)
-	limit.register(r.node.options.Registry, side)
-	server := traffic.NewServer(limit.guard(handler), r.node.trafficConfig().Limits)
-	r.serve(ctx, group, address, server, func(plain net.Listener) net.Listener {
-		bounded := limit.listener(plain)
-		if security != nil {
-			bounded = tls.NewListener(bounded, security)
-		}
-		return traffic.NewListener(bounded)
-	})
-}
-
-// serve runs one listener, wrapped. What is still open when ctx ends is cut: a
-// planned stop has waited for it before.
-func (r *requests) serve(ctx context.Context, group *errgroup.Group, address string, server *http.Server, wrap func(net.Listener) net.Listener) {
-	group.Go(func() error { return serveUntil(ctx, address, server, wrap) })
-}
-
-// serveUntil runs one listener, wrapped, until ctx ends.
-func serveUntil(ctx context.Context, address string, server *http.Server, wrap func(net.Listener) net.Listener) error {
-	plain, err := net.Listen("tcp", address)
-	if err != nil {
-		return fault.Wrap(err, fault.Settings, "free the address or change listen in the settings", "listen on %s", address)
-	}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(wrap(plain)); ctx.Err() == nil {
-		return fault.Wrap(err, fault.Internal, "restart the node", "serve on %s", address)
+func (r *requests) listener(side, address string, handler http.Handler) requestListener {
+	return requestListener{
+		side: side, address: address, handler: handler,
+		limits: r.node.trafficConfig().Limits, connections: r.node.settings.Limits.MaxConnections, options: r.node.options,
 	}
-	return nil
 }
 
 // adminHandler serves operators.
--- a/internal/traffic/catalog_mesh_test.go
+++ b/internal/traffic/catalog_mesh_test.go
@@ -240,7 +240,7 @@
 	inbound := serve(t, node.in, config.Limits)
 	outbound := serve(t, node.out, config.Limits)
 	t.Cleanup(func() { outbound.Close(); inbound.Close() })
-	node.inbound, node.outbound = address(inbound), outbound.URL
+	node.inbound, node.outbound = address(inbound.URL), outbound.URL
 	return node
 }
 
--- a/internal/traffic/certificate.go
+++ b/internal/traffic/certificate.go
@@ -37,8 +37,7 @@
 	return c, nil
 }
 
-// TLS returns the settings of a listener towards callers. Wrap the TLS
-// listener by NewListener, not the other way round.
+// TLS returns the settings of a listener towards callers.
 func (c *Certificates) TLS() *tls.Config {
 	return &tls.Config{
 		MinVersion:     tls.VersionTLS12,
--- a/internal/traffic/certificate_test.go
+++ b/internal/traffic/certificate_test.go
@@ -9,7 +9,6 @@
 	"encoding/pem"
 	"math/big"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"testing"
@@ -74,14 +73,11 @@
 	certificateFile, keyFile := writeCertificate(t, t.TempDir(), 1, time.Now())
 	c, err := LoadCertificates(certificateFile, keyFile, quiet())
 	must.NoError(t, err)
-	server := httptest.NewUnstartedServer(nil)
-	server.Listener = NewListener(tls.NewListener(server.Listener, c.TLS()))
-	server.Config = NewServer(m.out, Limits{})
-	server.Start()
+	server := serveOn(t, tls.NewListener(listen(t), c.TLS()), NewServer(m.out, Limits{}))
 	defer server.Close()
 	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
 	defer client.CloseIdleConnections()
-	response, err := client.Get("https://" + address(server) + "/lookup?n=a")
+	response, err := client.Get("https://" + address(server.URL) + "/lookup?n=a")
 	must.NoError(t, err)
 	defer response.Body.Close()
 	must.Eq(t, "answered", response.Header.Get(outcome.Header))
--- a/internal/traffic/depth_test.go
+++ b/internal/traffic/depth_test.go
@@ -56,10 +56,10 @@
 				c.blamed[level].Add(1)
 			}
 		}
-		inbound := serve(t, NewInbound(Config{Observe: observe, Holder: holder, Calls: calls, WorkerAddress: address(worker), Limits: Limits{Slots: 64}, Logger: quiet()}), Limits{})
+		inbound := serve(t, NewInbound(Config{Observe: observe, Holder: holder, Calls: calls, WorkerAddress: address(worker.URL), Limits: Limits{Slots: 64}, Logger: quiet()}), Limits{})
 		t.Cleanup(func() { outbound.Close(); inbound.Close(); worker.Close() })
 		name := "level-" + strconv.Itoa(level)
-		endpoint := snapshot.Endpoint{Worker: name, Address: address(inbound), Slots: 64, Connections: 130}
+		endpoint := snapshot.Endpoint{Worker: name, Address: address(inbound.URL), Slots: 64, Connections: 130}
 		other := endpoint
 		other.Worker = name + "b"
 		routes = append(routes, &snapshot.Route{
--- a/internal/traffic/drain_test.go
+++ b/internal/traffic/drain_test.go
@@ -121,7 +121,7 @@
 	view, _ := m.holder.Current(time.Now())
 	endpoints := view.Route("upload").Endpoints[:1]
 	near := endpoints[0]
-	near.Worker, near.Address = "w0", address(away)
+	near.Worker, near.Address = "w0", address(away.URL)
 	far := endpoints[0]
 	far.Zone = "z2"
 	m.holder.Store(viewOf([]snapshot.Endpoint{near, far}))
--- a/internal/traffic/keepers_test.go
+++ b/internal/traffic/keepers_test.go
@@ -16,6 +16,7 @@
 	"github.com/shoenig/test/must"
 
 	"sliphead/internal/claim"
+	"sliphead/internal/httpserver"
 	"sliphead/internal/outcome"
 	"sliphead/internal/snapshot"
 	"sliphead/internal/version"
@@ -49,7 +50,7 @@
 	worker string
 	in     *Inbound
 	keeper *claim.Keeper
-	server *http.Server
+	server *httpserver.Server
 	end    context.CancelFunc
 }
 
@@ -116,7 +117,7 @@
 	node.end = end
 	go node.keeper.Run(running)
 	listener := &pipeListener{conns: f.pipes["in-"+worker], closed: make(chan struct{})}
-	go func() { _ = node.server.Serve(NewListener(listener)) }()
+	go func() { _ = node.server.Serve(listener) }()
 	f.nodes[worker] = node
 	f.configure()
 }
--- a/internal/traffic/limits_test.go
+++ b/internal/traffic/limits_test.go
@@ -20,7 +20,7 @@
 // raw writes bytes to the outbound listener and reads the answer's header.
 func (m *mesh) raw(t *testing.T, text string) (net.Conn, *http.Response, error) {
 	t.Helper()
-	conn, err := net.Dial("tcp", address(m.outbound))
+	conn, err := net.Dial("tcp", address(m.outbound.URL))
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	must.NoError(t, conn.SetDeadline(time.Now().Add(hangBound)))
@@ -65,7 +65,7 @@
 // The end of the caller's connection ends the run at the worker.
 func TestCancellationReachesTheWorker(t *testing.T) {
 	m, worker := newFaultyMesh(t, nil)
-	conn, err := net.Dial("tcp", address(m.outbound))
+	conn, err := net.Dial("tcp", address(m.outbound.URL))
 	must.NoError(t, err)
 	_, err = io.WriteString(conn, "GET /order?n=a&do=hang HTTP/1.1\r\nHost: x\r\n\r\n")
 	must.NoError(t, err)
--- a/internal/traffic/mesh_test.go
+++ b/internal/traffic/mesh_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"io"
-	stdlog "log"
+
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -17,6 +17,8 @@
 	"github.com/shoenig/test/wait"
 
 	"sliphead/internal/declaration"
+	"sliphead/internal/httpserver"
+	"sliphead/internal/logging"
 	"sliphead/internal/outcome"
 	"sliphead/internal/snapshot"
 	"sliphead/internal/version"
@@ -27,8 +29,8 @@
 	worker   *httptest.Server
 	in       *Inbound
 	out      *Outbound
-	inbound  *httptest.Server
-	outbound *httptest.Server
+	inbound  *testServer
+	outbound *testServer
 	holder   *snapshot.Holder
 }
 
@@ -68,7 +70,7 @@
 	if worker != nil {
 		m.worker = httptest.NewServer(worker)
 		t.Cleanup(m.worker.Close)
-		config.WorkerAddress = address(m.worker)
+		config.WorkerAddress = address(m.worker.URL)
 	}
 	if change != nil {
 		change(&config)
@@ -86,7 +88,7 @@
 // setCapacity publishes two endpoints, which are one node, so that there is
 // always somewhere to try again.
 func (m *mesh) setCapacity(slots, connections int) {
-	endpoint := snapshot.Endpoint{Worker: "w1", Node: "n1", Zone: "z1", Region: "r1", Address: address(m.inbound), Slots: slots, Connections: connections}
+	endpoint := snapshot.Endpoint{Worker: "w1", Node: "n1", Zone: "z1", Region: "r1", Address: address(m.inbound.URL), Slots: slots, Connections: connections}
 	other := endpoint
 	other.Worker = "w2"
 	m.holder.Store(viewOf([]snapshot.Endpoint{endpoint, other}))
@@ -100,16 +102,39 @@
 
 func quiet() log.Interface { return &log.Logger{Handler: discard.Default} }
 
+// testServer is a server of NewServer on loopback.
+type testServer struct {
+	*httpserver.Server
+	URL    string
+	client *http.Client
+}
+
+// Client returns a client with connections of its own.
+func (s *testServer) Client() *http.Client { return s.client }
+
+// Close ends the server and its client's connections.
+func (s *testServer) Close() {
+	s.client.CloseIdleConnections()
+	_ = s.Server.Close()
+}
+
 // serve starts a server. A panic in it fails the test.
-func serve(t testing.TB, handler http.Handler, limits Limits) *httptest.Server {
-	server := httptest.NewUnstartedServer(nil)
-	server.Listener = NewListener(server.Listener)
-	server.Config = NewServer(handler, limits)
+func serve(t testing.TB, handler http.Handler, limits Limits) *testServer {
+	return serveOn(t, listen(t), NewServer(handler, limits))
+}
+
+func listen(t testing.TB) net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	return listener
+}
+
+func serveOn(t testing.TB, listener net.Listener, server *httpserver.Server) *testServer {
 	lines := &errorLines{}
-	server.Config.ErrorLog = stdlog.New(lines, "", 0)
-	server.Start()
-	t.Cleanup(func() { must.StrNotContains(t, lines.String(), "panic serving") })
-	return server
+	server.Logger = logging.New(lines, log.ErrorLevel)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { must.StrNotContains(t, lines.String(), "request.panicked") })
+	return &testServer{Server: server, URL: "http://" + listener.Addr().String(), client: &http.Client{Transport: &http.Transport{}}}
 }
 
 // errorLines keeps what a server logs.
@@ -130,7 +155,9 @@
 	return e.text.String()
 }
 
-func address(server *httptest.Server) string { return server.Listener.Addr().(*net.TCPAddr).String() }
+func address(url string) string {
+	return strings.TrimPrefix(strings.TrimPrefix(url, "https://"), "http://")
+}
 
 // call sends a request through the mesh and reads the whole answer.
 func (m *mesh) call(t testing.TB, method, path, body string, headers ...string) (*http.Response, string, error) {
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -1,21 +1,31 @@
 package traffic
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+
+	"sliphead/internal/httpserver"
+)
 
 // NewServer returns a server with the limits on headers and idle connections.
-// The time for a body is bounded by the route's deadline and BodyTimeout. Serve
-// it with a listener of NewListener.
-func NewServer(handler http.Handler, limits Limits) *http.Server {
+// The time for a body is bounded by the route's deadline and BodyTimeout.
+func NewServer(handler http.Handler, limits Limits) *httpserver.Server {
 	limits = limits.withDefaults()
-	protocols := &http.Protocols{}
-	protocols.SetHTTP1(true)
-	return &http.Server{
-		Handler:           refuseAmbiguous(handler),
-		ConnContext:       strictContext,
-		ConnState:         restartWhenIdle,
-		ReadHeaderTimeout: limits.HeaderTimeout,
-		IdleTimeout:       limits.IdleTimeout,
-		MaxHeaderBytes:    limits.MaxHeaderBytes,
-		Protocols:         protocols,
+	return &httpserver.Server{
+		Handler:        handler,
+		HeaderTimeout:  limits.HeaderTimeout,
+		IdleTimeout:    limits.IdleTimeout,
+		MaxHeaderBytes: limits.MaxHeaderBytes,
+	}
+}
+
+// MayRunAhead reports whether a request may run while others that came before it
+// on its connection do: its route is declared to be repeatable.
+func (out *Outbound) MayRunAhead(request *http.Request) bool {
+	view, current := out.config.Holder.Current(time.Now())
+	if !current {
+		return false
 	}
+	route := view.Match(hostOf(request), request.URL.Path, request.Method)
+	return route != nil && route.Repeatable
 }
--- a/internal/traffic/time_test.go
+++ b/internal/traffic/time_test.go
@@ -49,10 +49,16 @@
 func (l *pipeListener) Close() error   { close(l.closed); return nil }
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
-func (p pipes) serve(t *testing.T, address string, server *http.Server) {
+// servesAndCloses is a server of net/http or of package httpserver.
+type servesAndCloses interface {
+	Serve(net.Listener) error
+	Close() error
+}
+
+func (p pipes) serve(t *testing.T, address string, server servesAndCloses) {
 	p[address] = make(chan net.Conn)
 	listener := &pipeListener{conns: p[address], closed: make(chan struct{})}
-	go func() { _ = server.Serve(NewListener(listener)) }()
+	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 }
 
