Choose an endpoint by the credit that its answer may expect

Cause: lateness was priced by a step at 0.9 of the objective, over a mean: a worker with a mean of 240 ms of 400 counted as in time though a third of its answers are late. A kilobyte between zones was priced by the template's profile, at 0.086 or 0.012 of a request, whatever the answer weighed: with the first one slow workers of the own zone were kept, with the second requests left the zone for speed alone.

Change: nodes tell the spread of runs beside their mean (log-normal, learnt from 16 runs); the choice prices 1 - P(in time) - 0.2 P(late); bytes weigh as the request and the route's answers do; an endpoint that nobody here knows is expected to be fast by one request at a time, so faster ones are found. One price of a kilobyte for all, 0.035. Profile.BytePrice and Config.BytePrice go.

--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -109,7 +109,6 @@
 		Worker:        n.settings.Worker.Name,
 		WorkerAddress: n.settings.Worker.Address,
 		Protocol:      protocol,
-		BytePrice:     n.settings.Profile.BytePrice(),
 		Registerer:    n.options.Registry,
 		Logger:        n.options.Logger,
 		Dial:          dialFrom(n.settings.Listen.Peer),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -153,21 +153,6 @@
 	return gossipForConvergence
 }
 
-// BytePrice returns what a kilobyte sent to another zone costs, in parts of what
-// a request is worth that is answered in time.
-func (p Profile) BytePrice() float64 {
-	if p == ProfileBytes {
-		return bytePriceForBytes
-	}
-	return bytePriceForConvergence
-}
-
-// The prices of a kilobyte to another zone, by profile.
-const (
-	bytePriceForConvergence = 0.012
-	bytePriceForBytes       = 0.086
-)
-
 // Default returns the settings of a node before its file is read. Names,
 // addresses, the source and security have no default.
 func Default() *Settings {
--- a/internal/traffic/admission/estimate.go
+++ b/internal/traffic/admission/estimate.go
@@ -1,6 +1,15 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
+
+// Run is how long requests of one kind take.
+type Run struct {
+	Mean   time.Duration // 0: not known
+	Spread float64       // standard deviation of the logarithm
+}
 
 // estimate is a moving average of service times. It is forgotten when nothing
 // was observed for a while: else a class that is refused on a bad estimate
@@ -8,19 +17,23 @@
 type estimate struct {
 	mean      time.Duration
 	deviation time.Duration // mean absolute one, as of RFC 6298
+	logarithm float64       // mean of the logarithm of seconds
+	spread    float64       // mean absolute deviation of the logarithm
 	since     time.Time
 }
 
 const (
-	estimateWeight = 8 // one observation counts one in so many
+	estimateWeight = 16 // one observation counts one in so many
 	forgetAfter    = 5 * time.Second
 )
 
 func (e *estimate) add(observed time.Duration, now time.Time) {
+	logarithm := math.Log(max(observed, time.Microsecond).Seconds())
 	if e.at(now) == 0 {
-		e.mean = observed
-		e.deviation = 0
+		*e = estimate{mean: observed, logarithm: logarithm}
 	} else {
+		e.spread += (math.Abs(logarithm-e.logarithm) - e.spread) / estimateWeight
+		e.logarithm += (logarithm - e.logarithm) / estimateWeight
 		e.deviation += ((observed - e.mean).Abs() - e.deviation) / estimateWeight
 		e.mean += (observed - e.mean) / estimateWeight
 	}
@@ -75,13 +88,22 @@
 	}
 }
 
+// normalDeviations is how many mean absolute deviations a standard deviation of a
+// normal distribution has.
+var normalDeviations = math.Sqrt(math.Pi / 2)
+
 // Forecast returns the expected wait of a request of the class and kind that
-// arrives now, and how long it is expected to run, 0 when that is not known.
-func (q *Queue[W]) Forecast(class Class, name string, now time.Time) (wait, run time.Duration) {
+// arrives now, and how long it is expected to run.
+func (q *Queue[W]) Forecast(class Class, name string, now time.Time) (wait time.Duration, run Run) {
 	if !q.Free() {
 		wait = q.predict(class, now)
 	}
-	return wait, q.run(kind{class, name}, now)
+	of := kind{class, name}
+	run.Mean = q.run(of, now)
+	if run.Mean > 0 {
+		run.Spread = q.service[of].spread * normalDeviations
+	}
+	return wait, run
 }
 
 // predict returns the expected wait of a request of the class that arrives
--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -155,9 +155,12 @@
 // deadline here.
 const waitsToDeadline = "/d"
 
+// spreadParts is how finely a spread of runs is told.
+const spreadParts = 100
+
 // load tells callers' nodes the busy, slots and queued requests and what a
 // request of the same class has to expect, in milliseconds: the wait and the run,
-// and whether it waits beyond its objective.
+// the spread of runs, and whether it waits beyond its objective.
 func (a *admitter) load(x *exchange) string {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -167,7 +170,8 @@
 	}
 	rank := admission.ClassOfRank(x.class.rank)
 	wait, run := a.queue.Forecast(rank, x.route.Name, time.Now())
-	told += "/" + strconv.FormatInt(wait.Milliseconds(), 10) + "/" + strconv.FormatInt(run.Milliseconds(), 10)
+	told += "/" + strconv.FormatInt(wait.Milliseconds(), 10) + "/" + strconv.FormatInt(run.Mean.Milliseconds(), 10)
+	told += "/" + strconv.Itoa(int(run.Spread*spreadParts))
 	if a.queue.Outranks(rank) {
 		told += waitsToDeadline
 	}
--- a/internal/traffic/answer.go
+++ b/internal/traffic/answer.go
@@ -21,6 +21,15 @@
 	replayed bool // whether it was kept from an earlier run
 }
 
+// kilobytes is the size of an answer of known length with its header, 0 of another.
+func (a *answer) kilobytes() float64 {
+	const kilo = 1000
+	if a.response.ContentLength < 0 {
+		return 0
+	}
+	return float64(a.response.ContentLength+headerBytes) / kilo
+}
+
 // receive takes an answer in. A small one is read whole, so that a short one
 // can still be turned into a failure.
 func receive(x *exchange, response *http.Response) (*answer, *result) {
--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -43,7 +43,8 @@
 // like the one that was answered has to expect there; 0: not told.
 type Load struct {
 	Busy, Slots, Queued int
-	Wait, Run           time.Duration
+	Wait                time.Duration
+	Run                 Run
 	Patient             bool // whether it waits there to its deadline, not just for its objective
 }
 
@@ -53,6 +54,7 @@
 	// Unreachable says that the endpoint's node itself gave no sign of life.
 	Unreachable bool
 	Latency     time.Duration // 0: not to be counted
+	Kilobytes   float64       // of the answer, its header included; 0: not to be counted
 	Load        Load
 	Loaded      bool // whether Load was told
 }
@@ -65,6 +67,7 @@
 	endpoints map[Key]*state
 	usable    [tiers][]int             // scratch of choose
 	typical   map[string]time.Duration // answer time by route, over all endpoints
+	sizes     map[string]float64       // kilobytes of an answer by route
 	pruned    time.Time
 }
 
@@ -84,7 +87,7 @@
 
 // New returns a balancer that knows nothing yet.
 func New(settings Settings, random *rand.Rand) *Balancer {
-	return &Balancer{settings: settings, random: random, endpoints: map[Key]*state{}, typical: map[string]time.Duration{}}
+	return &Balancer{settings: settings, random: random, endpoints: map[Key]*state{}, typical: map[string]time.Duration{}, sizes: map[string]float64{}}
 }
 
 // Pick returns the index of the endpoint for a request and counts it as in
--- a/internal/traffic/balance/forecast.go
+++ b/internal/traffic/balance/forecast.go
@@ -13,19 +13,18 @@
 	Route     string
 	Objective time.Duration // within which an answer is worth most; 0: none
 	Deadline  time.Duration // after which an answer is of no use
-	Kilobytes float64       // of the request and its answer
-	BytePrice float64       // of a kilobyte to another zone, in parts of a request's worth
+	Kilobytes float64       // of the request
 }
 
 // The parts of an endpoint's price, in parts of a request's worth.
 const (
-	finishWeight  = 0.3  // of an answer that just meets the objective
-	latePrice     = 0.7  // of an answer after the objective
-	crossingPrice = 0.02 // of leaving the zone, beside the bytes
-	queuePrice    = 0.05 // of a wait for a slot
-	failingPrice  = 100  // of an endpoint that is backed off
-	noise         = 0.02 // by which prices are blurred, so that nodes don't choose alike
-	objectiveRoom = 0.9  // of the objective, within which an answer is taken to be in time
+	finishWeight  = 0.05  // of the time that an answer takes, in parts of the objective: the slot is free again sooner
+	crossingPrice = 0.02  // of leaving the zone, beside the bytes
+	bytePrice     = 0.035 // of a kilobyte that leaves the zone: an answer of 2 kB goes where one in eleven more come in time
+	queuePrice    = 0.05  // of a wait for a slot
+	failingPrice  = 100   // of an endpoint that is backed off
+	noise         = 0.02  // by which prices are blurred, so that nodes don't choose alike
+	likely        = 0.5   // share of answers in time, from which an endpoint is taken to answer in time
 )
 
 // Choice is the endpoint chosen for a request.
@@ -80,14 +79,21 @@
 	return choice
 }
 
-// inTime reports whether an answer is expected within the objective.
+// inTime reports whether an answer is likely to come within the objective.
 func (b *Balancer) inTime(need Need, endpoint snapshot.Endpoint, now time.Time) bool {
+	if need.Objective <= 0 {
+		return true
+	}
 	held := b.stateOf(endpoint, now)
-	finish := b.run(held, need, now)
-	if b.occupied(held, now) >= float64(max(1, endpoint.Slots)) {
-		finish += b.queueWait(held, endpoint, need, finish, now)
+	return b.run(held, need, now).within(need.Objective-b.wait(held, need, endpoint, now)) >= likely
+}
+
+// wait is the expected wait for a slot, 0 where one is free.
+func (b *Balancer) wait(held *state, need Need, endpoint snapshot.Endpoint, now time.Time) time.Duration {
+	if b.occupied(held, now) < float64(max(1, endpoint.Slots)) {
+		return 0
 	}
-	return need.Objective <= 0 || float64(finish) <= objectiveRoom*float64(need.Objective)
+	return b.queueWait(held, endpoint, need, now)
 }
 
 // refuses reports whether the endpoint's node would refuse, by its own word. A
@@ -101,7 +107,7 @@
 		allowed = need.Deadline
 	}
 	wait := b.toldWait(held, need.Route, endpoint, now)
-	return wait > 0 && wait+b.run(held, need, now) > allowed
+	return wait > 0 && wait+b.run(held, need, now).Mean > allowed
 }
 
 // Release takes back a choice to which no request was sent: it says nothing of
@@ -115,15 +121,13 @@
 func (b *Balancer) price(now time.Time, need Need, endpoint snapshot.Endpoint) (price float64, free bool) {
 	held := b.stateOf(endpoint, now)
 	free = b.occupied(held, now) < float64(max(1, endpoint.Slots))
-	run := b.run(held, need, now)
-	finish := run
+	wait := b.wait(held, need, endpoint, now)
+	price = b.loss(need, wait, b.run(held, need, now))
 	if !free {
-		finish += b.queueWait(held, endpoint, need, run, now)
 		price += queuePrice
 	}
-	price += lateness(finish, need.Objective)
 	if endpoint.Zone != b.settings.Zone {
-		price += crossingPrice + need.Kilobytes*need.BytePrice
+		price += crossingPrice + (need.Kilobytes+b.answerSize(need.Route))*bytePrice
 	}
 	if held.leftAlone(now) {
 		price += failingPrice
@@ -148,24 +152,22 @@
 	return held.unreachable && held.leftAlone(now)
 }
 
-// lateness is the price of an answer that takes a time.
-func lateness(finish, objective time.Duration) float64 {
-	if objective <= 0 {
-		return finish.Seconds()
+// loss is the price of a wait and a run: the credit that they forgo, and the time
+// that they take.
+func (b *Balancer) loss(need Need, wait time.Duration, run Run) float64 {
+	if need.Objective <= 0 {
+		return (wait + run.Mean).Seconds()
 	}
-	part := float64(finish) / float64(objective)
-	price := finishWeight * min(part, 2)
-	if part > objectiveRoom {
-		price += latePrice
-	}
-	return price
+	const mostParts = 2
+	part := float64(wait+run.Mean) / float64(need.Objective)
+	return 1 - credit(need, wait, run) + finishWeight*min(part, mostParts)
 }
 
 // waitPrice is what a wait for one slot adds to the price of an endpoint.
 func (b *Balancer) waitPrice(held *state, need Need, endpoint snapshot.Endpoint, now time.Time) float64 {
 	run := b.run(held, need, now)
-	wait := run / time.Duration(max(1, endpoint.Slots))
-	return queuePrice + lateness(run+wait, need.Objective) - lateness(run, need.Objective)
+	wait := run.Mean / time.Duration(max(1, endpoint.Slots))
+	return queuePrice + b.loss(need, wait, run) - b.loss(need, 0, run)
 }
 
 // occupied is the number of requests that hold or wait for a slot there: the
@@ -181,9 +183,10 @@
 
 // forecast is what an endpoint's node told of requests of one route.
 type forecast struct {
-	wait, run time.Duration
-	patient   bool
-	at        time.Time
+	wait    time.Duration
+	run     Run
+	patient bool
+	at      time.Time
 }
 
 // maxForecasts bounds the routes that are remembered of one endpoint.
@@ -197,15 +200,24 @@
 }
 
 // run is how long the endpoint is expected to take: what it told of such
-// requests, else what is typical for the route.
-func (b *Balancer) run(held *state, need Need, now time.Time) time.Duration {
+// requests, else what is typical for the route. An endpoint that nobody here knows
+// is expected to be fast until a first request has come back: so faster ones are
+// found, by one request at a time.
+func (b *Balancer) run(held *state, need Need, now time.Time) Run {
 	told := held.forecasts[need.Route]
-	if told.run > 0 && now.Sub(told.at) < runLife {
+	if told.run.Mean > 0 && now.Sub(told.at) < runLife {
 		return told.run
 	}
-	return time.Duration(float64(b.typical[need.Route]) * held.slownessAt(now))
+	expected := float64(b.typical[need.Route]) * held.slownessAt(now)
+	if held.inFlight == 0 {
+		expected *= hope
+	}
+	return Run{Mean: time.Duration(expected)}
 }
 
+// hope is the part of the typical time that is expected of an unknown endpoint.
+const hope = 0.5
+
 // runLife is how long a time of runs counts that was told.
 const runLife = 10 * time.Second
 
@@ -225,7 +237,8 @@
 const steadyFor = 150 * time.Millisecond
 
 // queueWait is the expected wait for a slot.
-func (b *Balancer) queueWait(held *state, endpoint snapshot.Endpoint, need Need, run time.Duration, now time.Time) time.Duration {
+func (b *Balancer) queueWait(held *state, endpoint snapshot.Endpoint, need Need, now time.Time) time.Duration {
+	run := b.run(held, need, now).Mean
 	slots := float64(max(1, endpoint.Slots))
 	ahead := b.occupied(held, now) - slots + 1
 	estimated := time.Duration(ahead / slots * float64(run))
--- a/internal/traffic/balance/observe.go
+++ b/internal/traffic/balance/observe.go
@@ -30,6 +30,9 @@
 	}
 	held.failures = 0
 	held.backoffUntil = time.Time{}
+	if seen.Kilobytes > 0 {
+		b.learnSize(route, seen.Kilobytes)
+	}
 	if seen.Latency > 0 {
 		b.learn(route, held, seen.Latency, now)
 	}
@@ -60,6 +63,25 @@
 	held.observed = now
 }
 
+// learnSize takes in how large an answer was.
+func (b *Balancer) learnSize(route string, kilobytes float64) {
+	known, found := b.sizes[route]
+	if !found {
+		known = kilobytes
+	}
+	b.sizes[route] = known + (kilobytes-known)/observationWeight
+}
+
+// usualAnswer stands in for the kilobytes of an answer that none was seen of.
+const usualAnswer = 2
+
+func (b *Balancer) answerSize(route string) float64 {
+	if known, found := b.sizes[route]; found {
+		return known
+	}
+	return usualAnswer
+}
+
 // slownessAt lets an observation fade to 1, so that an endpoint that was slow
 // is tried again.
 func (s *state) slownessAt(now time.Time) float64 {
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -84,15 +84,18 @@
 	return endpoint.Zone != d.out.config.Zone && d.crossing >= mostCrossing
 }
 
+// headerBytes is about what the headers of a request take between nodes, and those
+// of an answer.
+const headerBytes = 400
+
 // need is what the request asks of an endpoint.
 func (d *dispatch) need() balance.Need {
-	const usualAnswer, kilo = 2500, 1000
+	const kilo = 1000
 	return balance.Need{
 		Route:     d.x.route.Name,
 		Objective: max(time.Millisecond, d.x.route.Objective-time.Since(d.x.started)),
 		Deadline:  time.Until(d.x.deadline),
-		Kilobytes: float64(d.x.body.length+usualAnswer) / kilo,
-		BytePrice: d.out.config.BytePrice,
+		Kilobytes: float64(d.x.body.length+headerBytes) / kilo,
 	}
 }
 
--- a/internal/traffic/offer.go
+++ b/internal/traffic/offer.go
@@ -37,6 +37,7 @@
 	got, failure := send(x, &to, check)
 	if failure == nil {
 		seen.Latency = time.Since(began)
+		seen.Kilobytes = got.kilobytes()
 		return got, seen, nil
 	}
 	seen.Failed = blamesNode(failure, seen)
@@ -56,6 +57,7 @@
 	seen := balance.Observation{Load: load, Loaded: true}
 	switch {
 	case ended.answer != nil:
+		seen.Kilobytes = ended.answer.kilobytes()
 		return ended.answer, seen, nil
 	case ended.sent:
 		return nil, seen, &ended
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -56,9 +56,6 @@
 	// Service is the service of the local worker, told to the workers that its
 	// calls and its machine's callers reach.
 	Service string
-	// BytePrice is what a kilobyte sent to another zone costs, in parts of what
-	// a request in time is worth.
-	BytePrice float64
 	// Seen is told the IP address of each node that a request came from.
 	Seen       func(address string)
 	Limits     Limits
