Let the node beside a worker vouch for it when its record has lapsed

Cause: machines that can't reach the store take their workers' records with them, since the workers can't renew them. The same when the store revokes records of machines that it turns away, and when records lapse while it is down.

Its instance may be sent requests for 0.75 of the time that a leaving worker may (new setting drain.worker), counted from the last time that the record was known to be there; and beyond that for as long as the node beside it vouches: it asked the store because the record is gone, and got no answer. A node that reaches the store never vouches.

--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -20,7 +20,8 @@
 	configuredAt  uint64           // revision of the configuration
 	former        []*Configuration // those before it, oldest first
 	instances     map[string]record
-	removed       []removal // oldest first
+	removed       []removal           // oldest first
+	lapsed        map[string]Instance // by id: those whose records are gone without a word of leaving
 }
 
 type record struct {
@@ -34,7 +35,9 @@
 }
 
 // NewState returns the state of a node that knows nothing.
-func NewState() *State { return &State{instances: map[string]record{}} }
+func NewState() *State {
+	return &State{instances: map[string]record{}, lapsed: map[string]Instance{}}
+}
 
 // Revision returns the store's revision up to which everything is known, 0
 // when nothing is.
@@ -92,12 +95,14 @@
 	if batch.To <= s.revision {
 		return false
 	}
+	before := s.instances
 	s.instances = map[string]record{}
 	s.removed = nil
 	s.floor = batch.To
 	for _, change := range batch.Changes {
 		s.apply(change)
 	}
+	s.lapseMissing(before)
 	s.revision = batch.To
 	return true
 }
@@ -121,6 +126,7 @@
 	case change.Instance != nil:
 		before, known := s.instances[change.Instance.ID]
 		s.instances[change.Instance.ID] = record{instance: *change.Instance, revision: change.Revision}
+		delete(s.lapsed, change.Instance.ID)
 		return !known || before.instance != *change.Instance
 	case change.Removed != "":
 		return s.remove(change)
@@ -165,7 +171,10 @@
 }
 
 func (s *State) remove(change Change) bool {
-	_, known := s.instances[change.Removed]
+	gone, known := s.instances[change.Removed]
+	if known {
+		s.lapse(gone.instance)
+	}
 	delete(s.instances, change.Removed)
 	s.removed = append(s.removed, removal{id: change.Removed, revision: change.Revision})
 	if len(s.removed) > maxRemoved {
--- a/internal/catalog/state_test.go
+++ b/internal/catalog/state_test.go
@@ -40,6 +40,37 @@
 	must.Eq(t, 9, s.Configuration().Version) // a whole without one takes none away
 }
 
+// A record that goes without a word of leaving may stand for an instance that
+// lives, until it is back, or its address is another's, or it is taken for gone. One
+// that said that it leaves has left.
+func TestLapsedInstances(t *testing.T) {
+	lapsed := func(changes ...Change) []Instance {
+		s := NewState()
+		leaving := &Instance{ID: "b", Address: "10.0.0.2:80", Draining: true}
+		s.Join(Batch{Whole: true, To: 2, Changes: []Change{
+			{Revision: 1, Instance: &Instance{ID: "a", Address: "10.0.0.1:80"}}, {Revision: 2, Instance: leaving},
+		}})
+		for index, change := range changes {
+			change.Revision = uint64(index + 3)
+			s.Join(Batch{From: change.Revision - 1, To: change.Revision, Changes: []Change{change}})
+		}
+		return s.Lapsed()
+	}
+	gone := Change{Removed: "a"}
+	must.SliceEmpty(t, lapsed())
+	must.Eq(t, []Instance{{ID: "a", Address: "10.0.0.1:80"}}, lapsed(gone))
+	must.SliceEmpty(t, lapsed(Change{Removed: "b"}))
+	must.SliceEmpty(t, lapsed(gone, Change{Instance: &Instance{ID: "a", Address: "10.0.0.1:80"}}))
+	must.SliceEmpty(t, lapsed(gone, Change{Instance: &Instance{ID: "c", Address: "10.0.0.1:80"}}))
+
+	s := NewState()
+	s.Join(Batch{Whole: true, To: 1, Changes: []Change{{Revision: 1, Instance: instance("a")}}})
+	s.Join(Batch{Whole: true, To: 2}) // a whole that lacks it
+	must.Len(t, 1, s.Lapsed())
+	s.ForgetLapsed("a")
+	must.SliceEmpty(t, s.Lapsed())
+}
+
 // Crossed, repeated and lost batches lead to the same state as the store's.
 func TestJoinsConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -15,6 +15,7 @@
 	"sliphead/internal/catalog"
 	"sliphead/internal/fault"
 	"sliphead/internal/logging"
+	"sliphead/internal/replication"
 	"sliphead/internal/replicator"
 	"sliphead/internal/settings"
 	"sliphead/internal/snapshot"
@@ -71,6 +72,7 @@
 		Problem:   n.itemRefused,
 		Logger:    options.Logger,
 		Changed:   n.publish,
+		Vouch:     n.vouch,
 	})
 	config := n.trafficConfig(adapter.Protocol)
 	n.inbound = traffic.NewInbound(config)
@@ -133,25 +135,46 @@
 const connectPatience = 250 * time.Millisecond
 
 // publish puts what the catalog says in force.
-func (n *CatalogNode) publish(state *catalog.State) {
+func (n *CatalogNode) publish(state *catalog.State, lapses []replication.Lapse) {
 	_, port, _ := net.SplitHostPort(n.settings.Listen.Inbound)
 	view := snapshot.FromCatalog(state, snapshot.CatalogInput{
 		At:            time.Now(),
 		WorkerAddress: n.settings.Worker.Address,
 		InboundPort:   port,
 		Regions:       n.settings.Regions,
+		Lapsed:        n.lapsed(lapses),
 	})
 	if view == nil {
 		return
 	}
 	before, _ := n.holder.Current(time.Now())
 	n.holder.Store(view)
-	if before != nil && before.Local != view.Local {
+	if before != nil && before.Local.Instance != view.Local.Instance || view.Local.Draining {
 		n.inbound.LocalChanged()
 	}
 	n.logPublished(before, view, state.Revision())
 }
 
+// lapsedPart is the part of the time that a leaving worker may still be sent
+// requests for which one without a record is.
+const lapsedPart = 0.75
+
+// lapsed says until when instances whose records are gone may be sent requests.
+func (n *CatalogNode) lapsed(lapses []replication.Lapse) []snapshot.LapsedInstance {
+	var lapsed []snapshot.LapsedInstance
+	for _, lapse := range lapses {
+		until := lapse.Since.Add(time.Duration(lapsedPart * float64(n.settings.Drain.Worker.Duration)))
+		lapsed = append(lapsed, snapshot.LapsedInstance{Instance: lapse.Instance, Until: until})
+	}
+	return lapsed
+}
+
+// vouch tells the handler of the local worker whether this node answers for it.
+func (n *CatalogNode) vouch(vouches bool) {
+	n.inbound.Vouch(vouches)
+	logging.Event(n.options.Logger, "worker.vouched", logging.Fields{"vouches": vouches})
+}
+
 // logPublished tells of a new version and of a change of the local worker.
 func (n *CatalogNode) logPublished(before, view *snapshot.View, revision uint64) {
 	if before == nil || before.Version != view.Version {
--- a/internal/replication/event.go
+++ b/internal/replication/event.go
@@ -67,6 +67,10 @@
 // Changed tells that the state has changed.
 type Changed struct{}
 
+// Vouch tells whether this node answers for the worker beside it although its
+// record is gone.
+type Vouch struct{ Vouches bool }
+
 // Log is an event for the log.
 type Log struct {
 	Event    LogEvent
@@ -91,4 +95,5 @@
 func (Ask) effect()     {}
 func (Follow) effect()  {}
 func (Changed) effect() {}
+func (Vouch) effect()   {}
 func (Log) effect()     {}
--- a/internal/replication/fleet_test.go
+++ b/internal/replication/fleet_test.go
@@ -56,6 +56,7 @@
 	told          time.Time
 	confirmed     time.Time // what the followed node had confirmed when it told
 	problemSince  time.Time // since when it is in touch: now less this is how long
+	vouches       bool
 }
 
 // fleet is a store and its nodes.
@@ -125,6 +126,8 @@
 		case Follow:
 			f.follows++
 			node.following, node.sent, node.told = effect.Address, node.machine.State().Position(), time.Time{}
+		case Vouch:
+			node.vouches = effect.Vouches
 		}
 	}
 }
--- a/internal/replication/machine.go
+++ b/internal/replication/machine.go
@@ -71,6 +71,11 @@
 	heard     time.Time
 	followed  time.Time        // since when
 	doubts    map[string]doubt // by address: nodes that were given up
+
+	lapses     map[string]time.Time // by id of an instance whose record is gone: when it was last there
+	ownChecked bool                 // whether the store has answered since the record of the worker beside this node is gone
+	vouchUntil time.Time            // until when a question that failed counts
+	vouches    bool
 }
 
 // doubt is held of a node that was given up.
@@ -137,7 +142,9 @@
 	}
 	m.takeDuty(now)
 	m.follow(now)
+	m.forgetLapses(now)
 	m.ask(now)
+	m.vouch(now)
 	return m.out
 }
 
@@ -170,6 +177,7 @@
 		m.needWhole = false
 	}
 	m.join(event.Batch, event.ConfirmedAt, m.config.Self)
+	m.noteOwnQuestion(true, now)
 }
 
 // join takes a batch in that a reader's question brought, and tells what is new.
@@ -180,6 +188,9 @@
 		m.needWhole = true
 		return false
 	}
+	if changed {
+		m.noteLapses(m.confirmed)
+	}
 	if batch.To >= m.state.Revision() && confirmedAt.After(m.confirmed) {
 		m.confirmed = confirmedAt
 		m.confirmedBy = reader
@@ -206,6 +217,7 @@
 		m.waryUntil = now.Add(m.share(waryForShare))
 	}
 	m.reading = false
+	m.noteOwnQuestion(false, now)
 	m.nextAsk = now.Add(m.retryWait())
 	if m.deaf {
 		m.nextAsk = now
@@ -287,7 +299,7 @@
 	reader := m.Reader(now)
 	age, known := m.Age(now)
 	old := known && age > m.share(readShare)+time.Duration(m.ownRank())*m.share(staggerShare)
-	if known && !reader && !old && !m.needWhole && !m.deaf {
+	if known && !reader && !old && !m.needWhole && !m.deaf && !m.doubtsOwnLapse() {
 		return
 	}
 	question := Ask{Whole: !known || m.needWhole || m.deaf, After: m.state.Revision()}
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -41,9 +41,13 @@
 	Store     Store
 	Problem   func(error) // told of items of the store that can't be used
 	Logger    log.Interface
-	// Changed is called with the state after each change. The owner's goroutine
-	// waits for it, and the state must not be kept.
-	Changed func(*catalog.State)
+	// Changed is called with the state after each change, and with the instances
+	// whose records are gone. The owner's goroutine waits for it, and the state must
+	// not be kept.
+	Changed func(*catalog.State, []replication.Lapse)
+	// Vouch is called when this node begins or ends to answer for a worker without
+	// a record.
+	Vouch func(bool)
 }
 
 // Shares of Config.Freshness.
@@ -207,8 +211,10 @@
 		case replication.Follow:
 			r.follow(ctx, effect.Address)
 		case replication.Changed:
-			r.config.Changed(r.machine.State())
+			r.config.Changed(r.machine.State(), r.machine.Lapses())
 			r.tellFollowers()
+		case replication.Vouch:
+			r.config.Vouch(effect.Vouches)
 		case replication.Log:
 			r.log(effect)
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -136,7 +136,8 @@
 
 // Drain tunes the planned stop.
 type Drain struct {
-	Timeout Duration `yaml:"timeout" validate:"atLeast=1s,atMost=24h"` // after it, requests in flight are cut
+	Timeout Duration `yaml:"timeout" validate:"atLeast=1s,atMost=24h"`          // after it, requests in flight are cut
+	Worker  Duration `yaml:"worker,omitempty" validate:"atLeast=0s,atMost=10m"` // with a store: for so long after its record is gone a worker may be sent requests
 }
 
 // The gossip intervals of the profiles.
--- a/internal/snapshot/catalog.go
+++ b/internal/snapshot/catalog.go
@@ -25,6 +25,14 @@
 	Slots       int // requests that it runs at once
 	Connections int // open connections to it at most, 0: not told
 	Draining    bool
+	Lapsed      bool      // whether its record is gone without a word of leaving
+	Until       time.Time // of one that lapsed: until when it may be sent requests all the same
+}
+
+// LapsedInstance is an instance whose record is gone without a word of leaving.
+type LapsedInstance struct {
+	catalog.Instance
+	Until time.Time // until when it may be sent requests all the same
 }
 
 // CatalogInput is what a catalog is resolved with.
@@ -33,6 +41,7 @@
 	WorkerAddress string            // host:port of the worker beside this node
 	InboundPort   string            // on which every node takes requests for its worker
 	Regions       map[string]string // by zone
+	Lapsed        []LapsedInstance
 }
 
 // FromCatalog returns the view of a catalog, nil while it holds no
@@ -55,17 +64,18 @@
 	view.indexHosts()
 	view.Limits = configuration.Limits
 	view.Nodes = len(instances)
-	view.Local = localInstance(instances, configuration, input.WorkerAddress)
+	view.Local = localInstance(instances, configuration, input)
 	return view
 }
 
-// endpointsByService returns the endpoints of instances that take requests.
+// endpointsByService returns the endpoints of instances that take requests, and of
+// those that lapsed.
 func endpointsByService(instances []catalog.Instance, configuration *catalog.Configuration, input CatalogInput) map[string][]Endpoint {
 	endpoints := make(map[string][]Endpoint)
-	for _, instance := range instances {
+	add := func(instance catalog.Instance, lapsed bool) {
 		host, _, err := net.SplitHostPort(instance.Address)
 		if err != nil || instance.Draining {
-			continue
+			return
 		}
 		endpoints[instance.Service] = append(endpoints[instance.Service], Endpoint{
 			Worker:      instance.ID,
@@ -76,8 +86,15 @@
 			Slots:       instance.Capacity,
 			Connections: configuration.Services[instance.Service].MaxConnections,
 			Local:       instance.Address == input.WorkerAddress,
+			Lapsed:      lapsed,
 		})
 	}
+	for _, instance := range instances {
+		add(instance, false)
+	}
+	for _, lapsed := range input.Lapsed {
+		add(lapsed.Instance, true)
+	}
 	return endpoints
 }
 
@@ -105,21 +122,32 @@
 }
 
 // localInstance returns the instance at the worker's address.
-func localInstance(instances []catalog.Instance, configuration *catalog.Configuration, address string) Local {
+func localInstance(instances []catalog.Instance, configuration *catalog.Configuration, input CatalogInput) Local {
 	for _, instance := range instances {
-		if instance.Address == address {
-			return Local{
-				Instance:    instance.ID,
-				Service:     instance.Service,
-				Slots:       instance.Capacity,
-				Connections: configuration.Services[instance.Service].MaxConnections,
-				Draining:    instance.Draining,
-			}
+		if instance.Address == input.WorkerAddress {
+			return localOf(instance, configuration)
+		}
+	}
+	for _, lapsed := range input.Lapsed {
+		if lapsed.Address == input.WorkerAddress {
+			local := localOf(lapsed.Instance, configuration)
+			local.Lapsed, local.Until = true, lapsed.Until
+			return local
 		}
 	}
 	return Local{}
 }
 
+func localOf(instance catalog.Instance, configuration *catalog.Configuration) Local {
+	return Local{
+		Instance:    instance.ID,
+		Service:     instance.Service,
+		Slots:       instance.Capacity,
+		Connections: configuration.Services[instance.Service].MaxConnections,
+		Draining:    instance.Draining,
+	}
+}
+
 // indexHosts lets Match find the routes of one host without looking at others.
 func (v *View) indexHosts() {
 	v.byHost = make(map[string][]*Route)
--- a/internal/snapshot/view.go
+++ b/internal/snapshot/view.go
@@ -20,6 +20,7 @@
 	Connections int
 	ReadySince  time.Time // when this node first saw it ready, for slow start
 	Local       bool      // whether the worker is the one beside this node
+	Lapsed      bool      // whether its record is gone without a word of leaving: its node knows whether it lives
 }
 
 // Route is a declared route with all that it needs.
--- a/internal/traffic/balance/forecast.go
+++ b/internal/traffic/balance/forecast.go
@@ -22,6 +22,7 @@
 	crossingPrice = 0.02  // of leaving the zone, beside the bytes
 	bytePrice     = 0.035 // of a kilobyte that leaves the zone: an answer of 2 kB goes where one in eleven more come in time
 	queuePrice    = 0.05  // of a wait for a slot
+	lapsedPrice   = 0.1   // of an endpoint whose record is gone
 	failingPrice  = 100   // of an endpoint that is backed off
 	noise         = 0.02  // by which prices are blurred, so that nodes don't choose alike
 	likely        = 0.5   // share of answers in time, from which an endpoint is taken to answer in time
@@ -129,6 +130,9 @@
 	if endpoint.Zone != b.settings.Zone {
 		price += crossingPrice + (need.Kilobytes+b.answerSize(need.Route))*bytePrice
 	}
+	if endpoint.Lapsed {
+		price += lapsedPrice
+	}
 	if held.leftAlone(now) {
 		price += failingPrice
 		free = false
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -128,6 +128,9 @@
 	if failure == nil {
 		return d.accept(got)
 	}
+	if endpoint.Lapsed && failure.outcome == outcome.NotRun && !failure.arrived && failure.cause != causeCallerGone {
+		return result{}, false // its node says that it is gone: as if it had not been there
+	}
 	ended, done := d.refused(failure)
 	d.x.attempts = d.attempts
 	if !done {
--- a/internal/traffic/dispatch_test.go
+++ b/internal/traffic/dispatch_test.go
@@ -206,6 +206,42 @@
 	must.Zero(t, m.nodes[0].worker.runs())
 }
 
+// A worker whose record is gone without a word of leaving is sent requests for a
+// time, and for as long as the node beside it vouches for it. Who asks otherwise is
+// refused as not run.
+func TestLapsedWorker(t *testing.T) {
+	m := newCatalogMesh(t, 2)
+	lapse := func(until time.Time) {
+		for own, node := range m.nodes {
+			view, _ := node.holder.Current(time.Now())
+			for _, route := range view.Routes {
+				endpoints := route.Targets[0].Endpoints[1:]
+				endpoints[0].Lapsed = true
+				route.Targets[0].Endpoints = endpoints
+			}
+			if own == 1 {
+				view.Local.Lapsed, view.Local.Until = true, until
+			}
+		}
+	}
+	status := func() int {
+		response, _, err := m.call("POST", "/order/", "cards")
+		must.NoError(t, err)
+		return response.StatusCode
+	}
+	lapse(time.Now().Add(time.Hour))
+	must.Eq(t, http.StatusOK, status())
+	view, _ := m.nodes[1].holder.Current(time.Now())
+	view.Local.Until = time.Now()
+	must.Eq(t, http.StatusServiceUnavailable, status())
+	must.Eq(t, 1, m.runs())
+	m.nodes[1].in.Vouch(true)
+	must.Eq(t, http.StatusOK, status())
+	m.nodes[1].in.Vouch(false)
+	must.Eq(t, http.StatusServiceUnavailable, status())
+	must.Eq(t, 2, m.runs())
+}
+
 // A node that knows no configuration answers 503, never 404.
 func TestDispatchWithoutConfiguration(t *testing.T) {
 	m := newCatalogMesh(t, 1)
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -20,6 +20,7 @@
 	seen     atomic.Pointer[snapshot.View] // the view that slots and connections were taken from
 	handle   stage
 	gone     atomic.Pointer[string] // the last instance that the worker said it is not
+	vouches  atomic.Bool            // whether this node answers for a worker whose record is gone
 }
 
 // NewInbound returns the handler of the inbound listener.
--- a/internal/traffic/instance.go
+++ b/internal/traffic/instance.go
@@ -57,7 +57,7 @@
 // that leaves.
 func (in *Inbound) checkLocal(x *exchange) *result {
 	local := x.view.Local
-	if local.Instance != x.instance || local.Draining || in.misdirected(x.instance) {
+	if local.Instance != x.instance || local.Draining || in.lapsed(local) || in.misdirected(x.instance) {
 		refused := refuse(causeNotLocal, time.Second, "send it again, the worker of this node does not take it now")
 		return &refused
 	}
@@ -65,6 +65,21 @@
 	return nil
 }
 
+// lapsed reports whether the worker's record is gone for good, as far as this node
+// knows: it may be sent requests for the time that a leaving one may, and for as
+// long as this node vouches for it.
+func (in *Inbound) lapsed(local snapshot.Local) bool {
+	return local.Lapsed && time.Now().After(local.Until) && !in.vouches.Load()
+}
+
+// Vouch tells whether this node answers for a worker whose record is gone.
+func (in *Inbound) Vouch(vouches bool) {
+	in.vouches.Store(vouches)
+	if !vouches {
+		in.LocalChanged()
+	}
+}
+
 // misdirected reports whether the worker itself has said that it is another
 // instance. Ids are never used again, so that holds for good.
 func (in *Inbound) misdirected(instance string) bool {
