Admit calls between services before what callers send

Cause: a call that a run makes waited in the queue behind callers' requests of its rank; refused or late it fails the run, which has held a slot elsewhere meanwhile and cannot come back as a caller can. Nothing else tells them apart: callers and worker share the machine's address, and priority is the operator's.

--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -16,10 +16,12 @@
 	mutex   sync.Mutex
 	queue   *admission.Queue[*exchange]
 	holders map[*exchange]struct{} // requests that hold a slot
+	service string                 // of the local worker
+	callers *callers
 }
 
-func newAdmitter(limits Limits) *admitter {
-	return &admitter{holders: map[*exchange]struct{}{}, queue: admission.New[*exchange](admission.Settings{
+func newAdmitter(service string, limits Limits) *admitter {
+	return &admitter{service: service, callers: newCallers(), holders: map[*exchange]struct{}{}, queue: admission.New[*exchange](admission.Settings{
 		Slots:     limits.Slots,
 		Length:    limits.QueueLength,
 		AgeAfter:  admission.DefaultAgeAfter,
@@ -72,7 +74,8 @@
 	if x.instance == "" {
 		return a.queue.Arrive(admission.ClassOf(x.route.Priority), x.deadline, now, x)
 	}
-	rank := admission.ClassOfRank(x.class.rank)
+	a.callers.note(x.route.Name, x.caller == a.service)
+	rank := a.classOf(x)
 	arrival := admission.Arrival[*exchange]{Class: rank, Kind: x.route.Name, Deadline: x.deadline, Waiter: x}
 	if !x.class.patient && x.class.objective > 0 && !a.queue.Outranks(rank) {
 		arrival.Deadline = earlier(x.deadline, x.started.Add(x.class.objective))
@@ -80,6 +83,15 @@
 	return a.queue.Take(arrival, now)
 }
 
+// classOf is the class of a request. Calls of runs go first: a run that waits for
+// one holds a slot elsewhere.
+func (a *admitter) classOf(x *exchange) admission.Class {
+	if a.callers.internal(x.route.Name) {
+		return admission.Internal
+	}
+	return admission.ClassOfRank(x.class.rank)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -168,7 +180,7 @@
 	if x.instance == "" {
 		return told
 	}
-	rank := admission.ClassOfRank(x.class.rank)
+	rank := a.classOf(x)
 	wait, run := a.queue.Forecast(rank, x.route.Name, time.Now())
 	told += "/" + strconv.FormatInt(wait.Milliseconds(), 10) + "/" + strconv.FormatInt(run.Mean.Milliseconds(), 10)
 	told += "/" + strconv.Itoa(int(run.Spread*spreadParts))
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -27,7 +27,7 @@
 func NewInbound(config Config) *Inbound {
 	config = config.withDefaults()
 	in := &Inbound{config: config, gate: newGate()}
-	in.admitter = newAdmitter(config.Limits)
+	in.admitter = newAdmitter(config.Service, config.Limits)
 	in.worker = newWorkerLink(config)
 	in.metrics = newMetrics(config, "inbound", gauges{inFlight: in.gate.count, queued: in.admitter.waiting})
 	in.handle = pipe(in.forward, in.classify, limitDepth(config.Limits.MaxDepth), limitTime, readBody(&in.config.Limits), in.admitter.admit, in.claim)
