--- a/internal/command/node/node.go
+++ b/internal/command/node/node.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -55,6 +56,7 @@
 	if c.PrintSettings {
 		return configured.Print(output)
 	}
+	boundHeap()
 	queue := logging.NewQueue(os.Stdout)
 	defer queue.Flush(flushTime)
 	logger := &log.Logger{Handler: queue, Level: log.MustParseLevel(c.LogLevel)}
@@ -69,6 +71,18 @@
 	return running.Run(ctx)
 }
 
+// heapGrowth is by how many parts in a hundred the heap may outgrow what is in use
+// before it is collected. A node holds little, so that the runtime's own 100 buys
+// few collections for much memory: docs/design/decisions-under-load.md.
+const heapGrowth = 50
+
+// boundHeap applies heapGrowth, unless the operator has set GOGC.
+func boundHeap() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(heapGrowth)
+	}
+}
+
 // assemble makes the kind of node that the settings ask for: one that a store
 // serves, or one with declarations and peers of its own.
 func assemble(configured *settings.Settings, adapter systemnode.Adapter, logger log.Interface, dropped func() uint64) (process, error) {
