--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -45,8 +45,6 @@
 	attempts   int // workers that the request was sent to
 	offers     int
 	crossing   int           // offers to other zones
-	passedOn   bool          // whether a node refused only because another seemed to be free
-	insists    bool          // whether nodes are asked to queue the request: all that seemed free were not
 	soonest    time.Duration // the shortest wait that a refusing node told; 0: none
 	open       []*openTry    // tries that have not ended
 	ended      chan *openTry // tries that have
@@ -59,10 +57,6 @@
 	var excluded []int
 	for d.offers < mostOffers && d.x.context.Err() == nil {
 		choice := d.out.chooser.cheapest(need, target.Endpoints, excluded)
-		if choice.Index < 0 && d.passedOn && !d.insists {
-			d.insists, excluded, need = true, nil, d.need()
-			continue
-		}
 		if choice.Index < 0 {
 			return result{}, false
 		}
@@ -117,7 +111,7 @@
 		d.crossing++
 	}
 	d.x.offers, d.x.instance = d.offers, endpoint.Worker
-	d.x.elsewhere = choice.Another && d.offers < mostOffers && !d.insists
+	d.x.elsewhere = choice.Another && d.offers < mostOffers
 	if !endpoint.Local && !d.x.offersBody() {
 		return d.tryOpenly(target, endpoint)
 	}
@@ -166,7 +160,6 @@
 	}
 	if failure.outcome == outcome.NotRun {
 		d.noteWait(failure.retryAfter)
-		d.passedOn = d.passedOn || failure.cause == causeFull
 		if failure.arrived {
 			d.attempts++
 		}
