--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -80,8 +80,8 @@
 }
 
 // awaitRequest returns when the first byte of a request has come, false when none
-// will. While answers are outstanding there is no bound to the wait: a caller that
-// leaves shows as the end of what can be read.
+// will. While answers are outstanding there is no bound to the wait. What a caller's
+// leaving ends is left to watch, which follows.
 func (c *connection) awaitRequest(idleUntil time.Time) bool {
 	for {
 		c.startIdling(idleUntil)
@@ -91,10 +91,7 @@
 		case err == nil:
 			_ = c.conn.SetReadDeadline(time.Now().Add(c.server.HeaderTimeout))
 			return true
-		case !errors.Is(err, os.ErrDeadlineExceeded):
-			c.cancel()
-			return false
-		case !outstanding:
+		case !errors.Is(err, os.ErrDeadlineExceeded) || !outstanding:
 			return false
 		}
 		idleUntil = time.Now().Add(c.server.IdleTimeout)
@@ -129,7 +126,6 @@
 		return false
 	}
 	if err != nil {
-		c.lostWhileReading(err)
 		return false
 	}
 	request.RemoteAddr = c.conn.RemoteAddr().String()
@@ -143,14 +139,6 @@
 	return c.enqueue(answer, c.server.Handler.ServeHTTP) && !request.Close
 }
 
-// lostWhileReading ends what runs when the caller is gone. One that is only slow
-// to send the rest of a header still gets the answers before it.
-func (c *connection) lostWhileReading(err error) {
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.cancel()
-	}
-}
-
 // mayJoin reports whether a request may run beside those that do.
 func (c *connection) mayJoin(answer *response) bool {
 	c.mutex.Lock()
@@ -167,7 +155,6 @@
 	c.startIdling(time.Time{})
 	if c.outstanding() {
 		if _, err := c.reader.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.cancel()
 			return false
 		}
 	}
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -165,6 +165,24 @@
 	}
 }
 
+// The same for a request of which only a part had come when the answer went out.
+func TestNothingRunsOfWhichOnlyAPartHadCome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var runs atomic.Int32
+		c := dial(t, nil, func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			w.Header().Set("Connection", "close")
+			sleepy(w, r)
+		})
+		c.send("GET /a?for=1s HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHo")
+		response, _ := c.answer()
+		must.True(t, response.Close)
+		c.send("st: x\r\n\r\n")
+		c.ended()
+		must.Eq(t, 1, runs.Load())
+	})
+}
+
 // When requests behind an answer have begun, it does not tell that the connection
 // closes: the last of them does, and all get their answers.
 func TestCloseIsToldByTheLastThatHasBegun(t *testing.T) {
