Decide once whether a node's sign came in time

Cause: a request that may run once is offered to a node without its body and given up after 80 to 300 ms of silence. When the node's first sign came at that very moment, the body was written and the connection interrupted: the node had the request run, the worker was cut off, the caller got 502 and could not send it again. Change: sign and silence are two outcomes of one state; the first counts, and after silence no body is written: the request has provably not run.

--- a/internal/traffic/pool_rest.go
+++ b/internal/traffic/pool_rest.go
@@ -50,7 +50,7 @@
 // noteReset tells the pool of a failed exchange if the connection had rested and
 // nothing has come on it since.
 func (c *pooledConn) noteReset() {
-	forgotten := c.rested >= leastRest && c.received.Load() == c.heard && !c.silent.Load()
+	forgotten := c.rested >= leastRest && c.received.Load() == c.heard && !c.isSilent()
 	if forgotten {
 		c.pool.noteForgotten(c.address, c.rested, time.Now())
 	}
--- a/internal/traffic/pool_test.go
+++ b/internal/traffic/pool_test.go
@@ -244,7 +244,7 @@
 			_, err = conn.Read(make([]byte, 1)) // not interrupted
 			must.NoError(t, err)
 		} else {
-			waitFor(t, conn.silent.Load)
+			waitFor(t, conn.isSilent)
 		}
 		_ = other.Close()
 		conn.close()
--- a/internal/traffic/pooled.go
+++ b/internal/traffic/pooled.go
@@ -28,7 +28,7 @@
 	heard       int64         // bytes read on it before that request
 	interrupter func()        // interrupt, made once
 	stop        func() bool
-	silent      atomic.Bool   // whether the other side gave no sign in time
+	sign        atomic.Int32  // a signState
 	started     bool          // whether the body is being sent
 	body        chan struct{} // closed when a body that is sent beside the answer has gone out; nil: none is
 	idleLife    time.Duration // for which the other side keeps the connection idle; 0: not told
@@ -129,7 +129,7 @@
 	if to.offers(x) && !c.started {
 		left = false
 	}
-	if c.silent.Load() && x.context.Err() == nil {
+	if c.isSilent() && x.context.Err() == nil {
 		return silence(left)
 	}
 	return roundTripFailure(x, left)
--- a/internal/traffic/roundtrip.go
+++ b/internal/traffic/roundtrip.go
@@ -30,6 +30,9 @@
 			return nil, err
 		}
 		sign.Stop()
+		if !c.signed() {
+			return nil, errSilent
+		}
 		if to.onSign != nil {
 			to.onSign()
 		}
@@ -60,10 +63,30 @@
 	return got, failure, true
 }
 
+// The states of a try's first sign. It is decided once whether the sign came in
+// time: it may come at the very moment at which the other side is given up, and a
+// body that is sent after that would run and be cut off.
+const (
+	signAwaited = iota
+	signCame
+	signMissed
+)
+
+// errSilent ends a try whose other side gave its sign too late.
+var errSilent = fault.New(fault.Peer, "send it again if it may be repeated", "the next hop was silent")
+
+// signed notes a sign. It reports false when the other side was given up before.
+func (c *pooledConn) signed() bool {
+	return c.sign.CompareAndSwap(signAwaited, signCame) || c.sign.Load() == signCame
+}
+
+// isSilent reports whether the other side was given up for its silence.
+func (c *pooledConn) isSilent() bool { return c.sign.Load() == signMissed }
+
 // awaitSign interrupts the connection unless the other side gives a sign in
 // time, or silence is to be endured by then.
 func (c *pooledConn) awaitSign(to *hop) *time.Timer {
-	c.silent.Store(false)
+	c.sign.Store(signAwaited)
 	within := to.silence
 	if within <= 0 {
 		within = math.MaxInt64
@@ -76,8 +99,9 @@
 			to.onSilence()
 			return
 		}
-		c.silent.Store(true)
-		c.interrupt()
+		if c.sign.CompareAndSwap(signAwaited, signMissed) {
+			c.interrupt()
+		}
 	})
 }
 
