Take the spread of run times to be the same for all

A spread from sixteen runs is itself uncertain, and nodes told it in each answer. Change: the spread goes from the estimates, the load that nodes tell and the choice; the credit keeps its form.

--- a/internal/traffic/admission/estimate.go
+++ b/internal/traffic/admission/estimate.go
@@ -1,15 +1,6 @@
 package admission
 
-import (
-	"math"
-	"time"
-)
-
-// Run is how long requests of one kind take.
-type Run struct {
-	Mean   time.Duration // 0: not known
-	Spread float64       // standard deviation of the logarithm
-}
+import "time"
 
 // estimate is a moving average of service times. It is forgotten when nothing
 // was observed for a while: else a class that is refused on a bad estimate
@@ -17,8 +8,6 @@
 type estimate struct {
 	mean      time.Duration
 	deviation time.Duration // mean absolute one, as of RFC 6298
-	logarithm float64       // mean of the logarithm of seconds
-	spread    float64       // mean absolute deviation of the logarithm
 	since     time.Time
 }
 
@@ -28,12 +17,9 @@
 )
 
 func (e *estimate) add(observed time.Duration, now time.Time) {
-	logarithm := math.Log(max(observed, time.Microsecond).Seconds())
 	if e.at(now) == 0 {
-		*e = estimate{mean: observed, logarithm: logarithm}
+		*e = estimate{mean: observed}
 	} else {
-		e.spread += (math.Abs(logarithm-e.logarithm) - e.spread) / estimateWeight
-		e.logarithm += (logarithm - e.logarithm) / estimateWeight
 		e.deviation += ((observed - e.mean).Abs() - e.deviation) / estimateWeight
 		e.mean += (observed - e.mean) / estimateWeight
 	}
@@ -88,22 +74,13 @@
 	}
 }
 
-// normalDeviations is how many mean absolute deviations a standard deviation of a
-// normal distribution has.
-var normalDeviations = math.Sqrt(math.Pi / 2)
-
 // Forecast returns the expected wait of a request of the class and kind that
-// arrives now, and how long it is expected to run.
-func (q *Queue[W]) Forecast(class Class, name string, now time.Time) (wait time.Duration, run Run) {
+// arrives now, and how long it is expected to run, 0 when that is not known.
+func (q *Queue[W]) Forecast(class Class, name string, now time.Time) (wait, run time.Duration) {
 	if !q.Free() {
 		wait = q.predict(class, now)
 	}
-	of := kind{class, name}
-	run.Mean = q.run(of, now)
-	if run.Mean > 0 {
-		run.Spread = q.service[of].spread * normalDeviations
-	}
-	return wait, run
+	return wait, q.run(kind{class, name}, now)
 }
 
 // predict returns the expected wait of a request of the class that arrives
--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -167,12 +167,9 @@
 // deadline here.
 const waitsToDeadline = "/d"
 
-// spreadParts is how finely a spread of runs is told.
-const spreadParts = 100
-
 // load tells callers' nodes the busy, slots and queued requests and what a
 // request of the same class has to expect, in milliseconds: the wait and the run,
-// the spread of runs, and whether it waits beyond its objective.
+// and whether it waits beyond its objective.
 func (a *admitter) load(x *exchange) string {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -182,8 +179,7 @@
 	}
 	rank := a.classOf(x)
 	wait, run := a.queue.Forecast(rank, x.route.Name, time.Now())
-	told += "/" + strconv.FormatInt(wait.Milliseconds(), 10) + "/" + strconv.FormatInt(run.Mean.Milliseconds(), 10)
-	told += "/" + strconv.Itoa(int(run.Spread*spreadParts))
+	told += "/" + strconv.FormatInt(wait.Milliseconds(), 10) + "/" + strconv.FormatInt(run.Milliseconds(), 10)
 	if a.queue.Outranks(rank) {
 		told += waitsToDeadline
 	}
--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -43,8 +43,7 @@
 // like the one that was answered has to expect there; 0: not told.
 type Load struct {
 	Busy, Slots, Queued int
-	Wait                time.Duration
-	Run                 Run
+	Wait, Run           time.Duration
 	Patient             bool // whether it waits there to its deadline, not just for its objective
 }
 
--- a/internal/traffic/balance/balance_test.go
+++ b/internal/traffic/balance/balance_test.go
@@ -181,7 +181,7 @@
 		only := []snapshot.Endpoint{endpoint("a", "z1", "r1")}
 		need := Need{Route: "price", Objective: 60 * time.Millisecond, Deadline: 200 * time.Millisecond}
 		b.Cheapest(start, need, only, nil)
-		told := Load{Busy: 6, Slots: 6, Wait: 70 * time.Millisecond, Run: Run{Mean: 20 * time.Millisecond}, Patient: patient}
+		told := Load{Busy: 6, Slots: 6, Wait: 70 * time.Millisecond, Run: 20 * time.Millisecond, Patient: patient}
 		b.Ended(start, "price", only[0], Observation{Loaded: true, Load: told})
 		must.Eq(t, !patient, b.Cheapest(start, need, only, nil).Hopeless)
 	}
--- a/internal/traffic/balance/forecast.go
+++ b/internal/traffic/balance/forecast.go
@@ -86,7 +86,7 @@
 		return true
 	}
 	held := b.stateOf(endpoint, now)
-	return b.run(held, need, now).within(need.Objective-b.wait(held, need, endpoint, now)) >= likely
+	return within(b.run(held, need, now), need.Objective-b.wait(held, need, endpoint, now)) >= likely
 }
 
 // wait is the expected wait for a slot, 0 where one is free.
@@ -108,7 +108,7 @@
 		allowed = need.Deadline
 	}
 	wait := b.toldWait(held, need.Route, endpoint, now)
-	return wait > 0 && wait+b.run(held, need, now).Mean > allowed
+	return wait > 0 && wait+b.run(held, need, now) > allowed
 }
 
 // Release takes back a choice to which no request was sent: it says nothing of
@@ -158,19 +158,19 @@
 
 // loss is the price of a wait and a run: the credit that they forgo, and the time
 // that they take.
-func (b *Balancer) loss(need Need, wait time.Duration, run Run) float64 {
+func (b *Balancer) loss(need Need, wait, run time.Duration) float64 {
 	if need.Objective <= 0 {
-		return (wait + run.Mean).Seconds()
+		return (wait + run).Seconds()
 	}
 	const mostParts = 2
-	part := float64(wait+run.Mean) / float64(need.Objective)
+	part := float64(wait+run) / float64(need.Objective)
 	return 1 - credit(need, wait, run) + finishWeight*min(part, mostParts)
 }
 
 // waitPrice is what a wait for one slot adds to the price of an endpoint.
 func (b *Balancer) waitPrice(held *state, need Need, endpoint snapshot.Endpoint, now time.Time) float64 {
 	run := b.run(held, need, now)
-	wait := run.Mean / time.Duration(max(1, endpoint.Slots))
+	wait := run / time.Duration(max(1, endpoint.Slots))
 	return queuePrice + b.loss(need, wait, run) - b.loss(need, 0, run)
 }
 
@@ -187,10 +187,9 @@
 
 // forecast is what an endpoint's node told of requests of one route.
 type forecast struct {
-	wait    time.Duration
-	run     Run
-	patient bool
-	at      time.Time
+	wait, run time.Duration
+	patient   bool
+	at        time.Time
 }
 
 // maxForecasts bounds the routes that are remembered of one endpoint.
@@ -207,16 +206,16 @@
 // requests, else what is typical for the route. An endpoint that nobody here knows
 // is expected to be fast until a first request has come back: so faster ones are
 // found, by one request at a time.
-func (b *Balancer) run(held *state, need Need, now time.Time) Run {
+func (b *Balancer) run(held *state, need Need, now time.Time) time.Duration {
 	told := held.forecasts[need.Route]
-	if told.run.Mean > 0 && now.Sub(told.at) < runLife {
+	if told.run > 0 && now.Sub(told.at) < runLife {
 		return told.run
 	}
 	expected := float64(b.typical[need.Route]) * held.slownessAt(now)
 	if held.inFlight == 0 {
 		expected *= hope
 	}
-	return Run{Mean: time.Duration(expected)}
+	return time.Duration(expected)
 }
 
 // hope is the part of the typical time that is expected of an unknown endpoint.
@@ -242,7 +241,7 @@
 
 // queueWait is the expected wait for a slot.
 func (b *Balancer) queueWait(held *state, endpoint snapshot.Endpoint, need Need, now time.Time) time.Duration {
-	run := b.run(held, need, now).Mean
+	run := b.run(held, need, now)
 	slots := float64(max(1, endpoint.Slots))
 	ahead := b.occupied(held, now) - slots + 1
 	estimated := time.Duration(ahead / slots * float64(run))
--- a/internal/traffic/choose.go
+++ b/internal/traffic/choose.go
@@ -138,17 +138,15 @@
 	return time.Duration(count) * time.Millisecond
 }
 
-// parseLoad reads "busy/slots/queued", and "/wait/run" in milliseconds and
-// "/spread" behind it, and waitsToDeadline.
+// parseLoad reads "busy/slots/queued", and "/wait/run" in milliseconds behind it,
+// and waitsToDeadline.
 func parseLoad(text string) (balance.Load, bool) {
 	text, patient := strings.CutSuffix(text, waitsToDeadline)
 	busy, rest, _ := strings.Cut(text, "/")
 	slots, rest, found := strings.Cut(rest, "/")
 	queued, forecast, _ := strings.Cut(rest, "/")
-	wait, runs, _ := strings.Cut(forecast, "/")
-	run, spread, _ := strings.Cut(runs, "/")
-	parts, _ := strconv.Atoi(spread)
-	load := balance.Load{Wait: milliseconds(wait), Run: balance.Run{Mean: milliseconds(run), Spread: float64(parts) / spreadParts}, Patient: patient}
+	wait, run, _ := strings.Cut(forecast, "/")
+	load := balance.Load{Wait: milliseconds(wait), Run: milliseconds(run), Patient: patient}
 	var err error
 	if load.Busy, err = strconv.Atoi(busy); err != nil || !found {
 		return balance.Load{}, false
