Let the fuzzed caller leave only when nothing moves any more

Its caller left one millisecond after its last byte; on a busy machine that was before the server of net/http had run the second request, so the server under test ran more than the oracle. Ruled out: a difference of the two servers. Change: both servers run in a synctest bubble and the caller leaves once all goroutines wait. The comparison is unchanged, and stricter: what is to run has always run.

--- a/internal/httpserver/stream_fuzz_test.go
+++ b/internal/httpserver/stream_fuzz_test.go
@@ -9,7 +9,7 @@
 	"slices"
 	"sync"
 	"testing"
-	"time"
+	"testing/synctest"
 
 	"github.com/shoenig/test/must"
 
@@ -33,8 +33,8 @@
 	_, _ = writer.Write(body)
 }
 
-// carry sends bytes on one connection, reads until the other side ends and returns
-// what ran.
+// carry sends bytes on one connection, leaves when nothing moves any more and returns
+// what ran. It is called within a bubble of synctest.
 func carry(t *testing.T, serve func(net.Listener, http.Handler) io.Closer, text []byte) []string {
 	listener := &network{conns: make(chan net.Conn), closed: make(chan struct{})}
 	ran := &runs{}
@@ -42,12 +42,11 @@
 	defer server.Close()
 	near, far := net.Pipe()
 	listener.conns <- far
-	go func() {
-		_, _ = near.Write(text)
-		time.Sleep(time.Millisecond) // lets the last request run before the caller leaves
-		_ = near.Close()
-	}()
-	_, _ = io.Copy(io.Discard, near)
+	go func() { _, _ = io.Copy(io.Discard, near) }()
+	_, _ = near.Write(text)
+	synctest.Wait() // until all that is to run has run: a caller that leaves earlier ends the rest
+	_ = near.Close()
+	synctest.Wait()
 	ran.mutex.Lock()
 	defer ran.mutex.Unlock()
 	return slices.Clone(ran.seen)
@@ -84,8 +83,9 @@
 		f.Add([]byte(text))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		own := carry(t, serveOwn, text)
-		library := carry(t, serveByLibrary, text)
+		var own, library []string
+		synctest.Test(t, func(t *testing.T) { own = carry(t, serveOwn, text) })
+		synctest.Test(t, func(t *testing.T) { library = carry(t, serveByLibrary, text) })
 		must.LessEq(t, len(library), len(own))
 		for index := range own {
 			must.Eq(t, library[index], own[index])
