Find nodes that start without the store though nobody had a stream to them

Cause of TestWholePathStartsWithoutTheStore (KNOWN-RED until now): a node that starts while the store is silent knows nobody, and others knocked only where a stream had been lost. Where none had been open yet, or all that had one restarted too, it stayed alone for good. Change: replication.Knock, one other node in turn, twice within the freshness; greetings of followers are PeerSeen. Pure, in the machine; the fleet's virtual time shows one node, a whole zone and all but one of 12 restarted.

--- a/internal/replication/event.go
+++ b/internal/replication/event.go
@@ -67,6 +67,9 @@
 // Changed tells that the state has changed.
 type Changed struct{}
 
+// Knock speaks to another node, which takes it as PeerSeen.
+type Knock struct{ Address string }
+
 // Vouch tells whether this node answers for the worker beside it although its
 // record is gone.
 type Vouch struct{ Vouches bool }
@@ -95,5 +98,6 @@
 func (Ask) effect()     {}
 func (Follow) effect()  {}
 func (Changed) effect() {}
+func (Knock) effect()   {}
 func (Vouch) effect()   {}
 func (Log) effect()     {}
--- a/internal/replication/fleet_test.go
+++ b/internal/replication/fleet_test.go
@@ -126,12 +126,22 @@
 		case Follow:
 			f.follows++
 			node.following, node.sent, node.told = effect.Address, node.machine.State().Position(), time.Time{}
+		case Knock:
+			f.knock(node, effect.Address)
 		case Vouch:
 			node.vouches = effect.Vouches
 		}
 	}
 }
 
+// knock tells a node that another one has spoken to it.
+func (f *fleet) knock(by *simNode, address string) {
+	to := f.node(address)
+	if to != nil && to.up && !to.frozen && !to.cut && !by.cut {
+		f.step(to, PeerSeen{Address: by.address})
+	}
+}
+
 // answer lets the store answer a node's question, or not.
 func (f *fleet) answer(node *simNode) {
 	asked := node.question
@@ -415,6 +425,27 @@
 	must.Eq(t, f.revision, f.nodes[0].machine.State().Revision())
 }
 
+// Nodes that start while the store is away learn what the others hold although no
+// stream was ever opened to them, also where all nodes of their zone start.
+func TestStartWithoutStoreAndStreams(t *testing.T) {
+	for name, started := range map[string]int{"one": 1, "a zone": 4, "all but one": 11} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(3, 4)
+			f.run(5 * time.Second)
+			for _, node := range f.nodes {
+				node.access = silent
+			}
+			for _, node := range f.nodes[:started] {
+				f.start(node)
+			}
+			f.run(time.Duration(len(f.nodes)) * freshness)
+			for _, node := range f.nodes {
+				must.Eq(t, f.revision, node.machine.State().Revision(), must.Sprint(node.address))
+			}
+		})
+	}
+}
+
 // Whatever fails and comes back, a node in touch knows each change within the
 // bound, and no node's knowledge goes back within one life.
 func TestFleetStaysFresh(t *testing.T) {
--- a/internal/replication/machine.go
+++ b/internal/replication/machine.go
@@ -76,6 +76,9 @@
 	ownChecked bool                 // whether the store has answered since the record of the worker beside this node is gone
 	vouchUntil time.Time            // until when a question that failed counts
 	vouches    bool
+
+	nextKnock time.Time
+	knocks    int // so far, of other nodes in turn
 }
 
 // doubt is held of a node that was given up.
@@ -145,6 +148,7 @@
 	m.forgetLapses(now)
 	m.ask(now)
 	m.vouch(now)
+	m.knock(now)
 	return m.out
 }
 
--- a/internal/replicator/knock.go
+++ b/internal/replicator/knock.go
@@ -8,7 +8,9 @@
 )
 
 // A node that starts while the store is away knows no other node. Whoever had a
-// stream to or from it knocks: it opens a connection to say that it is there.
+// stream to or from it knocks at once and again: it opens a connection to say that
+// it is there. That finds it sooner than the knocks in turn of replication.Knock,
+// which also reach nodes to which there was no stream.
 
 // Shares of Config.Freshness, and the number of knocks at one node.
 const (
--- a/internal/replicator/link.go
+++ b/internal/replicator/link.go
@@ -79,8 +79,8 @@
 		return
 	}
 	_ = conn.SetReadDeadline(time.Time{})
+	r.submit(ctx, replication.PeerSeen{Address: said.From})
 	if said.Knock {
-		r.submit(ctx, replication.PeerSeen{Address: said.From})
 		return
 	}
 	mine := &follower{address: said.From, conn: conn, lines: make(chan []byte, followerQueue), sent: said.Held}
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -213,6 +213,8 @@
 		case replication.Changed:
 			r.config.Changed(r.machine.State(), r.machine.Lapses())
 			r.tellFollowers()
+		case replication.Knock:
+			go r.knock(ctx, effect.Address)
 		case replication.Vouch:
 			r.config.Vouch(effect.Vouches)
 		case replication.Log:
