--- a/internal/replication/event.go
+++ b/internal/replication/event.go
@@ -26,6 +26,13 @@
 	Silent      bool // whether the store said nothing within the time
 }
 
+// RecordAnswered is the store's answer to AskRecord. Whether the record is there
+// again, the news of the catalog tells.
+type RecordAnswered struct{ ID string }
+
+// RecordFailed tells that AskRecord brought no answer.
+type RecordFailed struct{ ID string }
+
 // News is what a followed node said: a batch, how long ago the store confirmed
 // that nothing was newer, and to which node it did.
 type News struct {
@@ -41,12 +48,14 @@
 // PeerSeen tells that another node has spoken to this one.
 type PeerSeen struct{ Address string }
 
-func (Tick) event()          {}
-func (StoreAnswered) event() {}
-func (StoreFailed) event()   {}
-func (News) event()          {}
-func (PeerLost) event()      {}
-func (PeerSeen) event()      {}
+func (Tick) event()           {}
+func (StoreAnswered) event()  {}
+func (StoreFailed) event()    {}
+func (RecordAnswered) event() {}
+func (RecordFailed) event()   {}
+func (News) event()           {}
+func (PeerLost) event()       {}
+func (PeerSeen) event()       {}
 
 // Effect is an output of the machine, carried out by its owner.
 type Effect interface{ effect() }
@@ -60,6 +69,10 @@
 	Wait  time.Duration
 }
 
+// AskRecord asks the store for the record of one instance. It is answered by
+// RecordAnswered or RecordFailed.
+type AskRecord struct{ ID string }
+
 // Follow asks for the stream of another node, in place of the stream before;
 // "" for none.
 type Follow struct{ Address string }
@@ -95,9 +108,10 @@
 	EventFollowing     LogEvent = "replication.following"     // another node is followed
 )
 
-func (Ask) effect()     {}
-func (Follow) effect()  {}
-func (Changed) effect() {}
-func (Knock) effect()   {}
-func (Vouch) effect()   {}
-func (Log) effect()     {}
+func (Ask) effect()       {}
+func (AskRecord) effect() {}
+func (Follow) effect()    {}
+func (Changed) effect()   {}
+func (Knock) effect()     {}
+func (Vouch) effect()     {}
+func (Log) effect()       {}
--- a/internal/replication/fleet_test.go
+++ b/internal/replication/fleet_test.go
@@ -34,6 +34,7 @@
 	refuses             // at once
 	silent              // the question is never answered
 	deaf                // only questions for everything are answered
+	slow                // only questions for one record are answered
 )
 
 // question is one that waits at the store.
@@ -42,6 +43,12 @@
 	since time.Time
 }
 
+// recordQuestion is one for a single record.
+type recordQuestion struct {
+	id    string
+	since time.Time
+}
+
 // simNode is one node of the fleet.
 type simNode struct {
 	address, zone string
@@ -51,6 +58,7 @@
 	cut           bool // from all nodes
 	access        storeAccess
 	question      *question
+	record        *recordQuestion
 	following     string
 	sent          catalog.Position // what the followed node has told it
 	told          time.Time
@@ -91,7 +99,7 @@
 
 func (f *fleet) start(node *simNode) {
 	node.machine = New(Config{Self: node.address, Zone: node.zone, Freshness: freshness}, f.now)
-	node.question, node.following = nil, ""
+	node.question, node.record, node.following = nil, nil, ""
 	node.problemSince = f.now
 }
 
@@ -126,6 +134,8 @@
 		case Follow:
 			f.follows++
 			node.following, node.sent, node.told = effect.Address, node.machine.State().Position(), time.Time{}
+		case AskRecord:
+			node.record = &recordQuestion{id: effect.ID, since: f.now}
 		case Knock:
 			f.knock(node, effect.Address)
 		case Vouch:
@@ -154,7 +164,7 @@
 		limit = freshness * 3 / 5
 	}
 	switch {
-	case (node.access == silent || node.access == deaf && !asked.ask.Whole) && waited >= limit:
+	case (node.access == silent || node.access == slow || node.access == deaf && !asked.ask.Whole) && waited >= limit:
 		node.question = nil
 		f.step(node, StoreFailed{Err: errSilent, Silent: true})
 	case node.access == refuses && waited >= storeTime:
@@ -174,6 +184,24 @@
 	}
 }
 
+// answerRecord lets the store answer a node's question for one record, or not.
+func (f *fleet) answerRecord(node *simNode) {
+	asked := node.record
+	if asked == nil {
+		return
+	}
+	const limit = freshness * 3 / 10
+	waited := f.now.Sub(asked.since)
+	switch {
+	case node.access == silent && waited >= limit, node.access == refuses && waited >= storeTime:
+		node.record = nil
+		f.step(node, RecordFailed{ID: asked.id})
+	case node.access != silent && node.access != refuses && waited >= storeTime:
+		node.record = nil
+		f.step(node, RecordAnswered{ID: asked.id})
+	}
+}
+
 // push lets the followed node tell its news.
 func (f *fleet) push(node *simNode) {
 	if node.following == "" {
@@ -207,6 +235,7 @@
 			}
 			f.step(node, Tick{})
 			f.answer(node)
+			f.answerRecord(node)
 			f.push(node)
 		}
 	}
--- a/internal/replication/lapse.go
+++ b/internal/replication/lapse.go
@@ -10,16 +10,34 @@
 // A worker that can't reach the store can't renew its record, and the store drops
 // it: a cut between machines and the store so takes away workers that live, as
 // many as are needed. The node beside such a worker mostly shares its fate. It asks
-// the store when its worker's record is gone: as long as it gets no answer, it
-// can't know better and vouches for the worker. As soon as the store answers, the
+// the store for its worker's record when that is gone: as long as it gets no answer,
+// it can't know better and vouches for the worker. As soon as the store answers, the
 // record counts, after a time in which a worker that lives has written it again.
+//
+// The question is for that record alone. Questions for changes bring whole
+// configurations, and on a narrow link they take longer than a node may wait: that
+// they fail says nothing of the way to the store.
 
 // Shares of Config.Freshness.
 const (
-	vouchShare = 0.75 // for which a question that failed lets a node vouch
-	lapseShare = 15   // for which others remember an instance whose record is gone
+	recordRetryShare = 0.3 // the longest wait between two questions for the record
+	slowShare        = 1.0 // from which on failures are held for a store that was away, and not for slow answers
+	returnShare      = 0.5 // for which a node vouches on when a store that was away has answered
+	lapseShare       = 15  // for which others remember an instance whose record is gone
 )
 
+// recordCheck is what this node has found out about the missing record of the worker
+// beside it.
+type recordCheck struct {
+	id           string // of the instance, "" while its record is there
+	asking       bool
+	answered     bool      // whether the store has answered
+	next         time.Time // when to ask
+	failures     int       // in a row
+	failingSince time.Time // when the first question of those that failed was put
+	vouchUntil   time.Time // with an answer: until when the node vouches all the same
+}
+
 // Lapse is an instance whose record is gone without a word of leaving.
 type Lapse struct {
 	Instance catalog.Instance
@@ -44,7 +62,6 @@
 		since, known := m.lapses[instance.ID]
 		if !known {
 			since = before
-			m.ownChecked = m.ownChecked && !m.isOwn(instance)
 		}
 		current[instance.ID] = since
 	}
@@ -68,36 +85,67 @@
 	return err == nil && host == m.config.Self
 }
 
-// ownLapsed reports whether the record of the worker beside this node is gone.
-func (m *Machine) ownLapsed() bool {
+// ownLapsed returns the worker beside this node if its record is gone, "" if not.
+func (m *Machine) ownLapsed() string {
+	if len(m.lapses) == 0 {
+		return ""
+	}
 	for _, instance := range m.state.Lapsed() {
 		if m.isOwn(instance) {
-			return true
+			return instance.ID
 		}
 	}
-	return false
+	return ""
 }
 
-// vouch decides whether this node answers for the worker beside it.
-func (m *Machine) vouch(now time.Time) {
-	vouches := len(m.lapses) > 0 && now.Before(m.vouchUntil) && m.ownLapsed()
-	if vouches == m.vouches {
+// checkOwnRecord asks the store for the record of the worker beside this node while
+// it is missing and the store has not answered.
+func (m *Machine) checkOwnRecord(now time.Time) {
+	if id := m.ownLapsed(); id != m.own.id {
+		m.own = recordCheck{id: id}
+	}
+	if m.own.id == "" || m.own.asking || m.own.answered || now.Before(m.own.next) {
 		return
 	}
-	m.vouches = vouches
-	m.emit(Vouch{Vouches: vouches})
+	m.own.asking = true
+	if m.own.failures == 0 {
+		m.own.failingSince = now
+	}
+	m.emit(AskRecord{ID: m.own.id})
 }
 
-// noteOwnQuestion takes in whether the store answered this node.
-func (m *Machine) noteOwnQuestion(answered bool, now time.Time) {
-	m.ownChecked = answered
-	if !answered {
-		m.vouchUntil = now.Add(m.share(vouchShare))
+// onRecordAnswer takes in that the store has answered. If it had not done so for
+// long, it was away, and a worker that lives is given time to write its record again;
+// else the answer was merely slow, and counts at once.
+func (m *Machine) onRecordAnswer(event RecordAnswered, now time.Time) {
+	if event.ID != m.own.id {
+		return
+	}
+	m.own.asking = false
+	m.own.answered = true
+	if now.Sub(m.own.failingSince) >= m.share(slowShare) {
+		m.own.vouchUntil = now.Add(m.share(returnShare))
 	}
 }
 
-// doubtsOwnLapse reports whether the store has to be asked because the record of
-// the worker beside this node is gone.
-func (m *Machine) doubtsOwnLapse() bool {
-	return len(m.lapses) > 0 && !m.ownChecked && m.ownLapsed()
+func (m *Machine) onRecordFailure(event RecordFailed, now time.Time) {
+	if event.ID != m.own.id {
+		return
+	}
+	wait := m.share(firstRetryShare) << min(m.own.failures, 4)
+	m.own.asking = false
+	m.own.failures++
+	m.own.next = now.Add(min(wait, m.share(recordRetryShare)))
+}
+
+// vouch decides whether this node answers for the worker beside it.
+func (m *Machine) vouch(now time.Time) {
+	m.checkOwnRecord(now)
+	failing := m.own.failures > 0 && !m.own.answered
+	vouches := m.own.id != "" && (failing || now.Before(m.own.vouchUntil))
+	if vouches == m.vouches {
+		return
+	}
+	m.vouches = vouches
+	m.emit(Vouch{Vouches: vouches})
 }
--- a/internal/replication/lapse_test.go
+++ b/internal/replication/lapse_test.go
@@ -70,6 +70,37 @@
 	must.LessEq(t, usual+2, float64(f.calls)) // the question beside the reader's own
 }
 
+// A node whose questions for changes fail while the store answers small ones does not
+// vouch: on a narrow link, beside a storm of configurations, that kept a worker in
+// use for longer than a leaving one may be.
+func TestSlowAnswersAreNoReasonToVouch(t *testing.T) {
+	f := newFleet(1, 4)
+	f.run(3 * time.Second)
+	gone := f.nodes[3]
+	gone.access = slow
+	f.run(time.Second)
+	f.lapse(gone)
+	for range 100 {
+		f.run(100 * time.Millisecond)
+		must.False(t, gone.vouches)
+	}
+}
+
+// One question that fails does not let a node vouch for longer than until the next
+// is answered.
+func TestVouchingEndsWithAnAnswerAfterAShortFailure(t *testing.T) {
+	f := newFleet(1, 4)
+	f.run(3 * time.Second)
+	gone := f.nodes[3]
+	gone.access = silent
+	f.lapse(gone)
+	f.run(freshness / 2)
+	must.True(t, gone.vouches)
+	gone.access = serves
+	f.run(freshness * 3 / 10)
+	must.False(t, gone.vouches)
+}
+
 // The others remember the instance for a bounded time, and since when at the latest
 // its record was there.
 func TestLapsesAreRememberedForAWhile(t *testing.T) {
--- a/internal/replication/machine.go
+++ b/internal/replication/machine.go
@@ -72,10 +72,9 @@
 	followed  time.Time        // since when
 	doubts    map[string]doubt // by address: nodes that were given up
 
-	lapses     map[string]time.Time // by id of an instance whose record is gone: when it was last there
-	ownChecked bool                 // whether the store has answered since the record of the worker beside this node is gone
-	vouchUntil time.Time            // until when a question that failed counts
-	vouches    bool
+	lapses  map[string]time.Time // by id of an instance whose record is gone: when it was last there
+	own     recordCheck
+	vouches bool
 
 	nextKnock time.Time
 	knocks    int // so far, of other nodes in turn
@@ -136,6 +135,10 @@
 		m.onAnswer(event, now)
 	case StoreFailed:
 		m.onFailure(event, now)
+	case RecordAnswered:
+		m.onRecordAnswer(event, now)
+	case RecordFailed:
+		m.onRecordFailure(event, now)
 	case News:
 		m.onNews(event, now)
 	case PeerLost:
@@ -181,7 +184,6 @@
 		m.needWhole = false
 	}
 	m.join(event.Batch, event.ConfirmedAt, m.config.Self)
-	m.noteOwnQuestion(true, now)
 }
 
 // join takes a batch in that a reader's question brought, and tells what is new.
@@ -221,7 +223,6 @@
 		m.waryUntil = now.Add(m.share(waryForShare))
 	}
 	m.reading = false
-	m.noteOwnQuestion(false, now)
 	m.nextAsk = now.Add(m.retryWait())
 	if m.deaf {
 		m.nextAsk = now
@@ -303,7 +304,7 @@
 	reader := m.Reader(now)
 	age, known := m.Age(now)
 	old := known && age > m.share(readShare)+time.Duration(m.ownRank())*m.share(staggerShare)
-	if known && !reader && !old && !m.needWhole && !m.deaf && !m.doubtsOwnLapse() {
+	if known && !reader && !old && !m.needWhole && !m.deaf {
 		return
 	}
 	question := Ask{Whole: !known || m.needWhole || m.deaf, After: m.state.Revision()}
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -29,6 +29,8 @@
 	// Changes returns the changes after a revision, once there is one or the
 	// wait is over. The error is ErrHistoryGone when they are not known.
 	Changes(ctx context.Context, after uint64, wait time.Duration) (catalog.Answer, error)
+	// Recorded reports whether there is a record of an instance.
+	Recorded(ctx context.Context, id string) (bool, error)
 }
 
 // Config is what a replicator is made of. All fields are required.
@@ -52,11 +54,12 @@
 
 // Shares of Config.Freshness.
 const (
-	tickShare    = 0.04
-	beatShare    = 0.12 // between two messages to a follower
-	patience     = 0.2  // for an answer of the store, beyond the wait asked for
-	wholeTimeout = 0.6  // for the whole
-	firstTimeout = 1.0  // for the whole while nothing is known
+	tickShare     = 0.04
+	beatShare     = 0.12 // between two messages to a follower
+	patience      = 0.2  // for an answer of the store, beyond the wait asked for
+	wholeTimeout  = 0.6  // for the whole
+	firstTimeout  = 1.0  // for the whole while nothing is known
+	recordTimeout = 0.3  // for one record
 )
 
 const inputQueue = 256
@@ -174,9 +177,9 @@
 // count counts the questions to the store.
 func (r *Replicator) count(event replication.Event) {
 	switch event.(type) {
-	case replication.StoreAnswered:
+	case replication.StoreAnswered, replication.RecordAnswered:
 		r.answered++
-	case replication.StoreFailed:
+	case replication.StoreFailed, replication.RecordFailed:
 		r.failed++
 	}
 }
@@ -208,6 +211,8 @@
 		switch effect := effect.(type) {
 		case replication.Ask:
 			go r.question(ctx, effect)
+		case replication.AskRecord:
+			go r.askRecord(ctx, effect.ID)
 		case replication.Follow:
 			r.follow(ctx, effect.Address)
 		case replication.Changed:
@@ -235,6 +240,17 @@
 	r.submit(ctx, replication.StoreAnswered{Batch: batch, ConfirmedAt: time.Now()})
 }
 
+// askRecord asks the store for one record and tells the owner whether it answered.
+func (r *Replicator) askRecord(ctx context.Context, id string) {
+	bounded, cancel := context.WithTimeout(ctx, r.share(recordTimeout))
+	defer cancel()
+	if _, err := r.config.Store.Recorded(bounded, id); err != nil {
+		r.submit(ctx, replication.RecordFailed{ID: id})
+		return
+	}
+	r.submit(ctx, replication.RecordAnswered{ID: id})
+}
+
 // timeout bounds a question to the store.
 func (r *Replicator) timeout(ask replication.Ask) time.Duration {
 	switch {
--- a/internal/traffic/dispatch_test.go
+++ b/internal/traffic/dispatch_test.go
@@ -4,12 +4,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"sliphead/internal/outcome"
 	"sliphead/internal/snapshot"
 	"sliphead/internal/traffic/admission"
 )
@@ -187,6 +189,40 @@
 	must.Eq(t, 2, m.nodes[0].worker.runs())
 }
 
+// A request whose body takes so long to come that the worker leaves meanwhile is
+// refused as not run: it reached a leaving worker later than it may.
+func TestWorkerLeavesWhileABodyComes(t *testing.T) {
+	m := newCatalogMesh(t, 1)
+	node := m.nodes[0]
+	body, sender := io.Pipe()
+	request := httptest.NewRequest("POST", "/order/", body)
+	request.ContentLength = int64(len("cards"))
+	told := hopRequest{attempt: "t-1", instance: node.worker.id, caller: "shop", route: "order", class: class{rank: 1}}
+	request.Header.Set(hopHeader, told.encode())
+	request.Header.Set(testProtocol.RequestID, "r-1")
+	request.Header.Set(testProtocol.Deadline, "20000")
+	request.Header.Set("Expect", "100-continue")
+	recorder := httptest.NewRecorder()
+	ended := make(chan struct{})
+	go func() {
+		node.in.ServeHTTP(recorder, request)
+		close(ended)
+	}()
+	_, err := sender.Write([]byte("car")) // returns once the node reads the body
+	must.NoError(t, err)
+	view, _ := node.holder.Current(time.Now())
+	leaving := *view
+	leaving.Local.Draining = true
+	node.holder.Store(&leaving)
+	_, err = sender.Write([]byte("ds"))
+	must.NoError(t, err)
+	must.NoError(t, sender.Close())
+	<-ended
+	must.Eq(t, http.StatusServiceUnavailable, recorder.Code)
+	must.Eq(t, outcome.NotRun, decodeHopAnswer(recorder.Header().Get(hopHeader)).outcome)
+	must.Zero(t, node.worker.runs())
+}
+
 // A worker that says that it is another instance is asked once: the record of the
 // one before stays in the catalog for seconds after a crash.
 func TestDispatchBelievesAMisdirectedAnswer(t *testing.T) {
