Let long bodies come one behind the other, as the machine's link carries them

Ruled out: slots (none full) and processors (0.05 of 0.16 cores at most). Change: admission.Link books the transfers of bodies that a worker's node asks for at the link's speed (limits.linkMbps, from the platform's settings); a body waits before it takes a slot, for a quarter of the time that the request can spare at most, else it is refused at once; callers are told the wait.

--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -126,6 +126,7 @@
 			ConnectTimeout: connectPatience,
 			MaxHeaderBytes: n.settings.Limits.MaxHeaderBytes,
 			QueueLength:    n.settings.Limits.QueueLength,
+			LinkMbps:       n.settings.Limits.LinkMbps,
 		},
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -126,6 +126,7 @@
 	BodyIdleTimeout Duration `yaml:"bodyIdleTimeout" validate:"atLeast=1s"`
 	QueueLength     int      `yaml:"queueLength" validate:"min=1,max=100000"`
 	MaxConnections  int      `yaml:"maxConnections" validate:"min=1,max=1000000"`
+	LinkMbps        float64  `yaml:"linkMbps,omitempty" validate:"min=0,max=1000000"` // what the machine's link carries, megabits a second; 0: not known, long bodies are not paced
 }
 
 // Retry bounds repeated arrivals at workers, with a store.
--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -15,13 +15,14 @@
 type admitter struct {
 	mutex   sync.Mutex
 	queue   *admission.Queue[*exchange]
+	link    admission.Link         // of this machine
 	holders map[*exchange]struct{} // requests that hold a slot
 	service string                 // of the local worker
 	callers *callers
 }
 
 func newAdmitter(service string, limits Limits) *admitter {
-	return &admitter{service: service, callers: newCallers(), holders: map[*exchange]struct{}{}, queue: admission.New[*exchange](admission.Settings{
+	return &admitter{service: service, link: admission.NewLink(limits.LinkMbps), callers: newCallers(), holders: map[*exchange]struct{}{}, queue: admission.New[*exchange](admission.Settings{
 		Slots:     limits.Slots,
 		Length:    limits.QueueLength,
 		AgeAfter:  admission.DefaultAgeAfter,
@@ -168,8 +169,8 @@
 const waitsToDeadline = "/d"
 
 // load tells callers' nodes the busy, slots and queued requests and what a
-// request of the same class has to expect, in milliseconds: the wait and the run,
-// and whether it waits beyond its objective.
+// request of the same class has to expect, in milliseconds: the wait, the run and,
+// where there is one, the wait of its body, and whether it waits beyond its objective.
 func (a *admitter) load(x *exchange) string {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -180,6 +181,9 @@
 	rank := a.classOf(x)
 	wait, run := a.queue.Forecast(rank, x.route.Name, time.Now())
 	told += "/" + strconv.FormatInt(wait.Milliseconds(), 10) + "/" + strconv.FormatInt(run.Milliseconds(), 10)
+	if link := a.linkWait(x, time.Now()); link > 0 {
+		told += "/" + strconv.FormatInt(link.Milliseconds(), 10)
+	}
 	if a.queue.Outranks(rank) {
 		told += waitsToDeadline
 	}
@@ -189,7 +193,14 @@
 // giveSign tells the caller's node that the request has come: it is going to
 // wait, or to run for a while. A body that is asked for is sign enough.
 func (x *exchange) giveSign() {
-	if x.signal && (x.granted != nil || !x.bodyAwaited) {
+	if x.granted != nil || !x.bodyAwaited {
+		x.sign()
+	}
+}
+
+// sign is the sign itself.
+func (x *exchange) sign() {
+	if x.signal {
 		x.writer.WriteHeader(http.StatusProcessing)
 	}
 }
--- a/internal/traffic/balance/forecast.go
+++ b/internal/traffic/balance/forecast.go
@@ -89,12 +89,19 @@
 	return within(b.run(held, need, now), need.Objective-b.wait(held, need, endpoint, now)) >= likely
 }
 
-// wait is the expected wait for a slot, 0 where one is free.
+// wait is the expected wait for the link, and for a slot where none is free.
 func (b *Balancer) wait(held *state, need Need, endpoint snapshot.Endpoint, now time.Time) time.Duration {
+	link := held.linkWait(need.Route, now)
 	if b.occupied(held, now) < float64(max(1, endpoint.Slots)) {
-		return 0
+		return link
 	}
-	return b.queueWait(held, endpoint, need, now)
+	return link + b.queueWait(held, endpoint, need, now)
+}
+
+// linkWait is what is left of the wait for the link that the endpoint told.
+func (s *state) linkWait(route string, now time.Time) time.Duration {
+	told := s.forecasts[route]
+	return max(0, told.link-now.Sub(told.at))
 }
 
 // refuses reports whether the endpoint's node would refuse, by its own word. A
@@ -188,6 +195,7 @@
 // forecast is what an endpoint's node told of requests of one route.
 type forecast struct {
 	wait, run time.Duration
+	link      time.Duration // for which a body waits before it is asked for
 	patient   bool
 	at        time.Time
 }
@@ -199,7 +207,7 @@
 	if s.forecasts == nil || len(s.forecasts) >= maxForecasts {
 		s.forecasts = map[string]forecast{}
 	}
-	s.forecasts[route] = forecast{wait: load.Wait, run: load.Run, patient: load.Patient, at: now}
+	s.forecasts[route] = forecast{wait: load.Wait, run: load.Run, link: load.Link, patient: load.Patient, at: now}
 }
 
 // run is how long the endpoint is expected to take: what it told of such
--- a/internal/traffic/choose.go
+++ b/internal/traffic/choose.go
@@ -138,15 +138,16 @@
 	return time.Duration(count) * time.Millisecond
 }
 
-// parseLoad reads "busy/slots/queued", and "/wait/run" in milliseconds behind it,
-// and waitsToDeadline.
+// parseLoad reads "busy/slots/queued", and "/wait/run" or "/wait/run/link" in
+// milliseconds behind it, and waitsToDeadline.
 func parseLoad(text string) (balance.Load, bool) {
 	text, patient := strings.CutSuffix(text, waitsToDeadline)
 	busy, rest, _ := strings.Cut(text, "/")
 	slots, rest, found := strings.Cut(rest, "/")
 	queued, forecast, _ := strings.Cut(rest, "/")
-	wait, run, _ := strings.Cut(forecast, "/")
-	load := balance.Load{Wait: milliseconds(wait), Run: milliseconds(run), Patient: patient}
+	wait, rest, _ := strings.Cut(forecast, "/")
+	run, link, _ := strings.Cut(rest, "/")
+	load := balance.Load{Wait: milliseconds(wait), Run: milliseconds(run), Link: milliseconds(link), Patient: patient}
 	var err error
 	if load.Busy, err = strconv.Atoi(busy); err != nil || !found {
 		return balance.Load{}, false
--- a/internal/traffic/hop.go
+++ b/internal/traffic/hop.go
@@ -125,7 +125,7 @@
 		status:     response.StatusCode,
 		cause:      causeRefused,
 		remedy:     "send it again later, the workers are busy or leave",
-		retryAfter: h.load.Wait,
+		retryAfter: h.load.Wait + h.load.Link,
 		arrived:    h.arrived,
 	}
 	if h.full {
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -32,7 +32,7 @@
 	in.metrics = newMetrics(config, "inbound", gauges{inFlight: in.gate.count, queued: in.admitter.waiting})
 	in.handle = pipe(in.forward, in.classify, limitDepth(config.Limits.MaxDepth), limitTime, readBody(&in.config.Limits), in.admitter.admit, in.claim)
 	if !config.Protocol.own() {
-		in.handle = pipe(in.forward, in.classify, limitTime, in.admitter.admit, in.stillLocal, readBody(&in.config.Limits), in.stillLocal)
+		in.handle = pipe(in.forward, in.classify, limitTime, in.pace, in.admitter.admit, in.stillLocal, readBody(&in.config.Limits), in.stillLocal)
 	}
 	return in
 }
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -89,6 +89,7 @@
 	IdleTimeout    time.Duration // between requests on a connection
 	BodyTimeout    time.Duration // between two reads of a request body
 	MaxHeaderBytes int
+	LinkMbps       float64 // what the machine's link carries, in megabits a second; 0: not known, and bodies are not paced
 }
 
 // Default limits.
