Tell a worker's load by one typed value, encoded and read in one file

The local offer wrote its load as text and parsed it again; the format stood in two files. No change of what is decided; a load of which nothing is forecast is told without its zeros.

--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -2,11 +2,11 @@
 
 import (
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"sliphead/internal/traffic/admission"
+	"sliphead/internal/traffic/balance"
 )
 
 type ticket = admission.Ticket[*exchange]
@@ -164,30 +164,21 @@
 	return a.queue.Waiting()
 }
 
-// waitsToDeadline ends a told load: a request of the same class waits to its
-// deadline here.
-const waitsToDeadline = "/d"
-
-// load tells callers' nodes the busy, slots and queued requests and what a
-// request of the same class has to expect, in milliseconds: the wait, the run and,
-// where there is one, the wait of its body, and whether it waits beyond its objective.
-func (a *admitter) load(x *exchange) string {
+// load is what callers' nodes are told: how busy the worker is and, with a catalog,
+// what another request like this one has to expect.
+func (a *admitter) load(x *exchange) balance.Load {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	told := strconv.Itoa(a.queue.Running()) + "/" + strconv.Itoa(a.queue.Slots()) + "/" + strconv.Itoa(a.queue.Waiting())
+	load := balance.Load{Busy: a.queue.Running(), Slots: a.queue.Slots(), Queued: a.queue.Waiting()}
 	if x.instance == "" {
-		return told
+		return load
 	}
+	now := time.Now()
 	rank := a.classOf(x)
-	wait, run := a.queue.Forecast(rank, x.route.Name, time.Now())
-	told += "/" + strconv.FormatInt(wait.Milliseconds(), 10) + "/" + strconv.FormatInt(run.Milliseconds(), 10)
-	if link := a.linkWait(x, time.Now()); link > 0 {
-		told += "/" + strconv.FormatInt(link.Milliseconds(), 10)
-	}
-	if a.queue.Outranks(rank) {
-		told += waitsToDeadline
-	}
-	return told
+	load.Wait, load.Run = a.queue.Forecast(rank, x.route.Name, now)
+	load.Link = a.linkWait(x, now)
+	load.Patient = a.queue.Outranks(rank)
+	return load
 }
 
 // giveSign tells the caller's node that the request has come: it is going to
--- a/internal/traffic/choose.go
+++ b/internal/traffic/choose.go
@@ -2,8 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -131,32 +129,3 @@
 	}
 	return foreign()
 }
-
-// milliseconds reads a count of them, 0 when it is none.
-func milliseconds(text string) time.Duration {
-	count, _ := strconv.ParseInt(text, 10, 64)
-	return time.Duration(count) * time.Millisecond
-}
-
-// parseLoad reads "busy/slots/queued", and "/wait/run" or "/wait/run/link" in
-// milliseconds behind it, and waitsToDeadline.
-func parseLoad(text string) (balance.Load, bool) {
-	text, patient := strings.CutSuffix(text, waitsToDeadline)
-	busy, rest, _ := strings.Cut(text, "/")
-	slots, rest, found := strings.Cut(rest, "/")
-	queued, forecast, _ := strings.Cut(rest, "/")
-	wait, rest, _ := strings.Cut(forecast, "/")
-	run, link, _ := strings.Cut(rest, "/")
-	load := balance.Load{Wait: milliseconds(wait), Run: milliseconds(run), Link: milliseconds(link), Patient: patient}
-	var err error
-	if load.Busy, err = strconv.Atoi(busy); err != nil || !found {
-		return balance.Load{}, false
-	}
-	if load.Slots, err = strconv.Atoi(slots); err != nil {
-		return balance.Load{}, false
-	}
-	if load.Queued, err = strconv.Atoi(queued); err != nil {
-		return balance.Load{}, false
-	}
-	return load, true
-}
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -7,6 +7,7 @@
 
 	"sliphead/internal/outcome"
 	"sliphead/internal/snapshot"
+	"sliphead/internal/traffic/balance"
 )
 
 // exchange is one request on its way through the filters.
@@ -40,11 +41,11 @@
 	bodyAwaited bool      // whether the body is still to be asked for
 	signal      bool      // whether the caller's node waits for a sign that the request has come
 
-	wholeUnframed  bool          // whether an answer without a length is taken, once it has ended in order
-	concurrentBody bool          // whether a long whole body is written while the answer is read
-	smallAnswer    int64         // answers up to this many bytes are read whole
-	load           func() string // the local worker's load; nil at outbound
-	granted        chan struct{} // closed when the wait for a slot is decided
+	wholeUnframed  bool                // whether an answer without a length is taken, once it has ended in order
+	concurrentBody bool                // whether a long whole body is written while the answer is read
+	smallAnswer    int64               // answers up to this many bytes are read whole
+	load           func() balance.Load // the local worker's load; nil at outbound
+	granted        chan struct{}       // closed when the wait for a slot is decided
 }
 
 // result is how a request ended. A result that was not passed on yet becomes
--- a/internal/traffic/hop.go
+++ b/internal/traffic/hop.go
@@ -89,14 +89,13 @@
 	loaded  bool
 }
 
-// encodeHopAnswer returns the header of an answer; load is as admitter.load
-// tells it.
+// encodeHopAnswer returns the header of an answer.
 func encodeHopAnswer(x *exchange, told outcome.Outcome, ended *result) string {
 	flags := string(told[:1])
 	if ended != nil {
 		flags += flag('w', ended.arrived) + flag('f', ended.cause == causeFull)
 	}
-	return strings.Join([]string{x.attempt, flags, x.load()}, hopSeparator)
+	return strings.Join([]string{x.attempt, flags, encodeLoad(x.load())}, hopSeparator)
 }
 
 // decodeHopAnswer reads what encodeHopAnswer wrote.
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -8,6 +8,7 @@
 
 	"sliphead/internal/outcome"
 	"sliphead/internal/snapshot"
+	"sliphead/internal/traffic/balance"
 )
 
 // Inbound takes requests from other nodes to the local worker.
@@ -43,7 +44,7 @@
 		return refuse(causeDraining, time.Second, "send it again, another worker will take it")
 	}
 	defer in.gate.leave()
-	x.load = func() string { return in.admitter.load(x) }
+	x.load = func() balance.Load { return in.admitter.load(x) }
 	x.wholeUnframed = true
 	if refused := in.checkLocal(x); refused != nil {
 		return *refused
@@ -71,7 +72,7 @@
 		concurrentBody: !in.config.Protocol.own(),
 		wholeUnframed:  !in.config.Protocol.own(),
 	}
-	x.load = func() string { return in.admitter.load(x) }
+	x.load = func() balance.Load { return in.admitter.load(x) }
 	if !in.config.Protocol.own() {
 		in.beginInstance(x)
 	}
--- /dev/null
+++ b/internal/traffic/load.go
@@ -0,0 +1,64 @@
+package traffic
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"sliphead/internal/traffic/balance"
+)
+
+// A load is told as "busy/slots/queued", with "/wait/run" or "/wait/run/link" in
+// milliseconds behind it where they are known, and waitsToDeadline.
+
+const (
+	loadSeparator   = "/"
+	waitsToDeadline = "/d" // a request of the same class waits to its deadline
+)
+
+func encodeLoad(load balance.Load) string {
+	parts := []string{strconv.Itoa(load.Busy), strconv.Itoa(load.Slots), strconv.Itoa(load.Queued)}
+	if load.Wait > 0 || load.Run > 0 || load.Link > 0 {
+		parts = append(parts, inMilliseconds(load.Wait), inMilliseconds(load.Run))
+	}
+	if load.Link > 0 {
+		parts = append(parts, inMilliseconds(load.Link))
+	}
+	told := strings.Join(parts, loadSeparator)
+	if load.Patient {
+		told += waitsToDeadline
+	}
+	return told
+}
+
+func inMilliseconds(duration time.Duration) string {
+	return strconv.FormatInt(duration.Milliseconds(), 10)
+}
+
+// parseLoad reads what encodeLoad wrote, false if it can't be.
+func parseLoad(text string) (balance.Load, bool) {
+	text, patient := strings.CutSuffix(text, waitsToDeadline)
+	busy, rest, _ := strings.Cut(text, loadSeparator)
+	slots, rest, found := strings.Cut(rest, loadSeparator)
+	queued, forecast, _ := strings.Cut(rest, loadSeparator)
+	wait, rest, _ := strings.Cut(forecast, loadSeparator)
+	run, link, _ := strings.Cut(rest, loadSeparator)
+	load := balance.Load{Wait: milliseconds(wait), Run: milliseconds(run), Link: milliseconds(link), Patient: patient}
+	var err error
+	if load.Busy, err = strconv.Atoi(busy); err != nil || !found {
+		return balance.Load{}, false
+	}
+	if load.Slots, err = strconv.Atoi(slots); err != nil {
+		return balance.Load{}, false
+	}
+	if load.Queued, err = strconv.Atoi(queued); err != nil {
+		return balance.Load{}, false
+	}
+	return load, true
+}
+
+// milliseconds reads a count of them, 0 when it is none.
+func milliseconds(text string) time.Duration {
+	count, _ := strconv.ParseInt(text, 10, 64)
+	return time.Duration(count) * time.Millisecond
+}
--- a/internal/traffic/offer.go
+++ b/internal/traffic/offer.go
@@ -53,7 +53,7 @@
 	inner.class = x.classLeft()
 	inner.granted = nil
 	ended := out.local.serveLocal(&inner)
-	load, _ := parseLoad(out.local.admitter.load(&inner))
+	load := out.local.admitter.load(&inner)
 	seen := balance.Observation{Load: load, Loaded: true}
 	switch {
 	case ended.answer != nil:
--- a/internal/traffic/outcome.go
+++ b/internal/traffic/outcome.go
@@ -27,7 +27,7 @@
 		to.set("Connection", "close")
 	}
 	if x.load != nil {
-		to.set(outcome.Load, x.load())
+		to.set(outcome.Load, encodeLoad(x.load()))
 	}
 }
 
