Turn to other zones when a zone's knowledge is old; book what comes by the link unasked

Another zone's node had the version 2.2 s earlier and tells it in some hundred bytes. Ruled out: cuts (the node reached the store and its peers throughout). Change: a node whose knowledge is old follows a node of another zone before siblings, each beginning at its own place, until its parent is trusted again. What the store's answers and callers' bodies take of the link is booked (admission.Link), so that bodies that a worker's node asks for leave room for them. TestZoneThatReadsSlowlyTurnsToOthers failed before; TestBodiesWaitForWhatElseHasCome.

--- a/internal/catalog/reading.go
+++ b/internal/catalog/reading.go
@@ -17,6 +17,7 @@
 	From, To uint64
 	Whole    bool
 	Items    []Item
+	Bytes    int // that came
 }
 
 // Batch returns what an answer brings. An item that can't be used spoils no
--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -73,6 +73,7 @@
 		Logger:    options.Logger,
 		Changed:   n.publish,
 		Vouch:     n.vouch,
+		Received:  func(bytes int) { n.inbound.Received(int64(bytes)) },
 	})
 	config := n.trafficConfig(adapter.Protocol)
 	n.inbound = traffic.NewInbound(config)
--- a/internal/replication/fleet_test.go
+++ b/internal/replication/fleet_test.go
@@ -423,6 +423,24 @@
 	}
 }
 
+// A zone whose nodes all read the store slowly, as on links that are full, learns of
+// changes from other zones in time: its nodes asked one another in turn, all of which
+// followed the same reader.
+func TestZoneThatReadsSlowlyTurnsToOthers(t *testing.T) {
+	f := newFleet(3, 24)
+	f.run(5 * time.Second)
+	for _, node := range f.nodes[:24] {
+		node.access = slow
+	}
+	for range 10 {
+		f.configure()
+		f.run(freshness)
+		for _, node := range f.nodes {
+			must.Eq(t, f.revision, node.machine.State().Revision(), must.Sprint(node.address))
+		}
+	}
+}
+
 // While the store serves nobody, nodes don't run through all others in search of
 // fresh news: they did so within some milliseconds each.
 func TestOutageMakesNoStorm(t *testing.T) {
--- a/internal/replication/follow.go
+++ b/internal/replication/follow.go
@@ -1,6 +1,9 @@
 package replication
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // leader returns the node that has the duty to read the store in this zone, as
 // far as this node can tell. A node whose own questions fail does not hold
@@ -51,10 +54,9 @@
 		return
 	}
 	since := now.Sub(m.heard)
-	age, known := m.Age(now)
 	silent := since > m.share(silenceShare)
 	chance := now.Sub(m.followed) > m.share(chanceShare)
-	stale := known && chance && age > m.share(switchShare) && m.anotherTrusted(now)
+	stale := chance && m.isStale(now) && m.anotherTrusted(now)
 	if silent || stale {
 		m.giveUp(m.following, now, silent)
 	}
@@ -76,8 +78,9 @@
 // parent is the rank of the node that the node of a rank above 0 follows.
 func parent(rank int) int { return (rank - 1) / fanOut }
 
-// wanted is the node to follow: the parent in the zone's tree, or the nearest
-// node above it that is trusted, else the first of all by rank.
+// wanted is the node to follow: the parent in the zone's tree, or the nearest node
+// above it that is trusted, else another zone's where this one's knowledge is old,
+// else the first of all by rank.
 func (m *Machine) wanted(now time.Time) string {
 	if m.reading && m.leader(now) == m.config.Self {
 		return ""
@@ -88,6 +91,11 @@
 			return above
 		}
 	}
+	if m.isStale(now) || m.followsOutside() {
+		if outside := m.otherZones(now); outside != "" {
+			return outside
+		}
+	}
 	for _, candidate := range m.ranked {
 		if candidate.address != m.config.Self && m.trusts(candidate.address, now) {
 			return candidate.address
@@ -95,3 +103,34 @@
 	}
 	return ""
 }
+
+// isStale reports whether what this node knows is so old that another one is to be
+// followed.
+func (m *Machine) isStale(now time.Time) bool {
+	age, known := m.Age(now)
+	return known && age > m.share(switchShare)
+}
+
+// followsOutside reports whether a node of another zone is followed.
+func (m *Machine) followsOutside() bool {
+	return slices.ContainsFunc(m.ranked, func(candidate peer) bool {
+		return candidate.address == m.following && candidate.zone != m.config.Zone
+	})
+}
+
+// otherZones is a trusted node of another zone, "" if there is none. All nodes of a
+// zone whose reader is slow come here at once, so each begins at its own place.
+func (m *Machine) otherZones(now time.Time) string {
+	first := slices.IndexFunc(m.ranked, func(candidate peer) bool { return candidate.zone != m.config.Zone })
+	if first < 0 {
+		return ""
+	}
+	outside := m.ranked[first:]
+	for offset := range outside {
+		candidate := outside[(m.ownRank()+offset)%len(outside)]
+		if m.trusts(candidate.address, now) {
+			return candidate.address
+		}
+	}
+	return ""
+}
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -52,6 +52,9 @@
 	// Vouch is called when this node begins or ends to answer for a worker without
 	// a record.
 	Vouch func(bool)
+	// Received is told how many bytes an answer of the store took. It must not wait;
+	// nil: nobody asks.
+	Received func(bytes int)
 }
 
 // Shares of Config.Freshness.
@@ -248,6 +251,9 @@
 		r.submit(ctx, replication.StoreFailed{Err: err, HistoryGone: errors.Is(err, ErrHistoryGone), Silent: silent})
 		return
 	}
+	if r.config.Received != nil {
+		r.config.Received(answer.Bytes)
+	}
 	// What was written while the answer was on its way is not in it: the store had
 	// nothing newer when it began.
 	r.submit(ctx, replication.StoreAnswered{Batch: answer.Batch(r.config.Problem), ConfirmedAt: began})
--- a/internal/traffic/pace.go
+++ b/internal/traffic/pace.go
@@ -67,6 +67,25 @@
 	return &refused
 }
 
+// Received tells that bytes have come by the machine's link that nobody booked: long
+// bodies wait for them as well.
+func (in *Inbound) Received(bytes int64) {
+	in.admitter.mutex.Lock()
+	defer in.admitter.mutex.Unlock()
+	in.admitter.link.Book(bytes, time.Now())
+}
+
+// noteBody tells the handler beside this one that a caller's long body has come by the
+// link that they share.
+func (out *Outbound) noteBody(next stage) stage {
+	return func(x *exchange) result {
+		if out.local != nil && x.body.length > directBody {
+			out.local.Received(x.body.length)
+		}
+		return next(x)
+	}
+}
+
 func (a *admitter) returnBody(length int64) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
--- a/internal/traffic/pace_test.go
+++ b/internal/traffic/pace_test.go
@@ -52,6 +52,23 @@
 	}
 }
 
+// What comes by the link unbooked, the store's answers and callers' bodies, delays the
+// bodies that are booked.
+func TestBodiesWaitForWhatElseHasCome(t *testing.T) {
+	m := newCatalogMesh(t, 1)
+	node := m.nodes[0]
+	node.in.admitter.link = admission.NewLink(1)
+	node.in.Received(1_000_000)
+	wait, refused := node.in.admitter.bookBody(uploadTo(time.Hour), 60_000, time.Now())
+	must.Nil(t, refused)
+	must.Greater(t, 5*time.Second, wait)
+	before := node.in.admitter.link
+	response, _, err := m.call("POST", "/order/", strings.Repeat("x", 100_000))
+	must.NoError(t, err)
+	must.Eq(t, 200, response.StatusCode)
+	must.NotEq(t, before, node.in.admitter.link)
+}
+
 // Where nobody says what the link carries, nothing waits.
 func TestUnknownLinkPacesNothing(t *testing.T) {
 	a := newAdmitter("shop", Limits{Slots: 12, QueueLength: 16})
