Let queued work delay a request by a quarter of its spare time at most

Hypothesis: in overload the queue of a worker grows until its wait and a mean run just meet the objective, so that every run above the mean is late, also those of callers whose nested calls wait. A shorter queue keeps the slots as busy. Change: the part of the wait that is queued work may take a quarter of what is left of the objective beside the run (WaitShare, shared with the link's bodies).

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -61,6 +61,11 @@
 	DefaultAgedEvery = 20
 )
 
+// WaitShare divides the time that a request can spare beside its run: so much of it may
+// pass behind the work that is queued before it. A longer queue serves no more requests
+// and makes all of them late.
+const WaitShare = 4
+
 // Verdict is what becomes of a request.
 type Verdict int
 
@@ -172,8 +177,10 @@
 		q.grant(ticket, now)
 		return ticket, nil
 	}
-	wait := q.predict(class, now)
-	if now.Add(wait + q.most(ticket.kind, now)).After(deadline) {
+	first, queued := q.ahead(class, now)
+	wait := first + queued
+	spare := deadline.Sub(now) - first - q.most(ticket.kind, now)
+	if spare < 0 || queued > spare/WaitShare {
 		refuse(ticket, wait)
 		return ticket, nil
 	}
--- a/internal/traffic/admission/estimate.go
+++ b/internal/traffic/admission/estimate.go
@@ -83,10 +83,16 @@
 	return wait, q.run(kind{class, name}, now)
 }
 
-// predict returns the expected wait of a request of the class that arrives
-// now: until the first of the running ones ends, which are taken to be evenly
-// spread over their time, and then the work queued ahead of it over the slots.
+// predict returns the expected wait of a request of the class that arrives now.
 func (q *Queue[W]) predict(class Class, now time.Time) time.Duration {
+	first, queued := q.ahead(class, now)
+	return first + queued
+}
+
+// ahead returns the parts of that wait: until the first of the running requests ends,
+// which are taken to be evenly spread over their time, and then the work queued ahead
+// over the slots.
+func (q *Queue[W]) ahead(class Class, now time.Time) (first, queued time.Duration) {
 	var ahead, running time.Duration
 	for other := range q.waiting {
 		if Class(other) > class {
@@ -100,6 +106,6 @@
 		running += q.run(of, now) * time.Duration(count)
 	}
 	slots := time.Duration(max(1, q.settings.Slots))
-	first := running / time.Duration(max(1, q.running)) / (slots + 1)
-	return first + ahead/slots
+	first = running / time.Duration(max(1, q.running)) / (slots + 1)
+	return first, ahead / slots
 }
--- a/internal/traffic/pace.go
+++ b/internal/traffic/pace.go
@@ -1,6 +1,10 @@
 package traffic
 
-import "time"
+import (
+	"time"
+
+	"sliphead/internal/traffic/admission"
+)
 
 // pace lets long bodies come one behind the other, as the machine's link carries
 // them, before they take a slot. A request whose body would come too late for its
@@ -52,15 +56,11 @@
 	return a.link.Book(length, now), nil
 }
 
-// linkPatience divides the time that a request can spare: so much of it a body may
-// wait for the link. A longer wait carries no more bodies, it only makes all late.
-const linkPatience = 4
-
 // refusesBody is the refusal of a request whose body would come too late, nil if it
 // is to wait: one that comes back later is then worth more than a late answer now.
 func (a *admitter) refusesBody(x *exchange, wait time.Duration, now time.Time) *result {
 	_, run := a.queue.Forecast(a.classOf(x), x.route.Name, now)
-	if wait == 0 || x.class.objective <= 0 || wait <= (x.class.objective-run)/linkPatience {
+	if wait == 0 || x.class.objective <= 0 || wait <= (x.class.objective-run)/admission.WaitShare {
 		return nil
 	}
 	refused := refuse(causeQueue, wait, "send it again later, the link to the worker is full")
