Remove the skipping of endpoints that would refuse: it is worth nothing

With it go a flag that nodes told each other and its test (TestEndpointThatWaitsToTheDeadlineIsNotHopeless), which tested only that an endpoint is exempt from the mechanism that is gone.

--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -177,7 +177,6 @@
 	rank := a.classOf(x)
 	load.Wait, load.Run = a.queue.Forecast(rank, x.route.Name, now)
 	load.Link = a.linkWait(x, now)
-	load.Patient = a.queue.Outranks(rank)
 	return load
 }
 
--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -45,7 +45,6 @@
 	Busy, Slots, Queued int
 	Wait, Run           time.Duration
 	Link                time.Duration // for which a body waits before it is asked for
-	Patient             bool          // whether it waits there to its deadline, not just for its objective
 }
 
 // Observation is what came of one request.
--- a/internal/traffic/balance/forecast.go
+++ b/internal/traffic/balance/forecast.go
@@ -35,9 +35,6 @@
 	// Patient says that the answer is expected late there, and that it would
 	// come in time elsewhere, at a higher price.
 	Patient bool
-	// Hopeless says that the endpoint's node told lately that it would refuse.
-	Hopeless bool
-	Wait     time.Duration // that the endpoint's node told, less the time since
 }
 
 // Cheapest returns the endpoint at which a request is expected to cost least,
@@ -69,10 +66,8 @@
 		return choice
 	}
 	held := b.stateOf(endpoints[choice.Index], now)
-	choice.Wait = b.toldWait(held, need.Route, endpoints[choice.Index], now)
 	late := !b.inTime(need, endpoints[choice.Index], now)
 	choice.Patient = late && inTimeElsewhere
-	choice.Hopeless = b.refuses(held, need, endpoints[choice.Index], choice.Patient, now)
 	choice.Another = second < best+b.waitPrice(held, need, endpoints[choice.Index], now)
 	held.inFlight++
 	held.used = now
@@ -104,20 +99,6 @@
 	return max(0, told.link-now.Sub(told.at))
 }
 
-// refuses reports whether the endpoint's node would refuse, by its own word. A
-// node beside this one is asked all the same: that costs nothing.
-func (b *Balancer) refuses(held *state, need Need, endpoint snapshot.Endpoint, patient bool, now time.Time) bool {
-	if endpoint.Local {
-		return false
-	}
-	allowed := need.Objective
-	if patient || allowed <= 0 || held.forecasts[need.Route].patient {
-		allowed = need.Deadline
-	}
-	wait := b.toldWait(held, need.Route, endpoint, now)
-	return wait > 0 && wait+b.run(held, need, now) > allowed
-}
-
 // Release takes back a choice to which no request was sent: it says nothing of
 // the endpoint.
 func (b *Balancer) Release(now time.Time, endpoint snapshot.Endpoint) {
@@ -196,7 +177,6 @@
 type forecast struct {
 	wait, run time.Duration
 	link      time.Duration // for which a body waits before it is asked for
-	patient   bool
 	at        time.Time
 }
 
@@ -207,7 +187,7 @@
 	if s.forecasts == nil || len(s.forecasts) >= maxForecasts {
 		s.forecasts = map[string]forecast{}
 	}
-	s.forecasts[route] = forecast{wait: load.Wait, run: load.Run, link: load.Link, patient: load.Patient, at: now}
+	s.forecasts[route] = forecast{wait: load.Wait, run: load.Run, link: load.Link, at: now}
 }
 
 // run is how long the endpoint is expected to take: what it told of such
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -65,11 +65,6 @@
 			d.out.chooser.release(target.Endpoints[choice.Index])
 			continue
 		}
-		if choice.Hopeless {
-			d.out.chooser.release(target.Endpoints[choice.Index])
-			d.noteWait(choice.Wait)
-			continue
-		}
 		d.x.class.patient = choice.Patient
 		if ended, done := d.try(target, choice); done {
 			return ended, true
--- a/internal/traffic/load.go
+++ b/internal/traffic/load.go
@@ -9,12 +9,9 @@
 )
 
 // A load is told as "busy/slots/queued", with "/wait/run" or "/wait/run/link" in
-// milliseconds behind it where they are known, and waitsToDeadline.
+// milliseconds behind it where they are known.
 
-const (
-	loadSeparator   = "/"
-	waitsToDeadline = "/d" // a request of the same class waits to its deadline
-)
+const loadSeparator = "/"
 
 func encodeLoad(load balance.Load) string {
 	parts := []string{strconv.Itoa(load.Busy), strconv.Itoa(load.Slots), strconv.Itoa(load.Queued)}
@@ -24,11 +21,7 @@
 	if load.Link > 0 {
 		parts = append(parts, inMilliseconds(load.Link))
 	}
-	told := strings.Join(parts, loadSeparator)
-	if load.Patient {
-		told += waitsToDeadline
-	}
-	return told
+	return strings.Join(parts, loadSeparator)
 }
 
 func inMilliseconds(duration time.Duration) string {
@@ -37,13 +30,12 @@
 
 // parseLoad reads what encodeLoad wrote, false if it can't be.
 func parseLoad(text string) (balance.Load, bool) {
-	text, patient := strings.CutSuffix(text, waitsToDeadline)
 	busy, rest, _ := strings.Cut(text, loadSeparator)
 	slots, rest, found := strings.Cut(rest, loadSeparator)
 	queued, forecast, _ := strings.Cut(rest, loadSeparator)
 	wait, rest, _ := strings.Cut(forecast, loadSeparator)
 	run, link, _ := strings.Cut(rest, loadSeparator)
-	load := balance.Load{Wait: milliseconds(wait), Run: milliseconds(run), Link: milliseconds(link), Patient: patient}
+	load := balance.Load{Wait: milliseconds(wait), Run: milliseconds(run), Link: milliseconds(link)}
 	var err error
 	if load.Busy, err = strconv.Atoi(busy); err != nil || !found {
 		return balance.Load{}, false
