--- a/internal/replication/fleet_test.go
+++ b/internal/replication/fleet_test.go
@@ -432,13 +432,33 @@
 	for _, node := range f.nodes[:24] {
 		node.access = slow
 	}
-	for range 10 {
+	f.run(freshness)
+	f.follows = 0
+	const rounds = 10
+	for range rounds {
 		f.configure()
-		f.run(freshness)
+		for range freshness / tickStep {
+			f.run(tickStep)
+			must.LessEq(t, 3, f.mostFollowersFromOutside()) // they do not all turn to the same one
+		}
 		for _, node := range f.nodes {
 			must.Eq(t, f.revision, node.machine.State().Revision(), must.Sprint(node.address))
 		}
 	}
+	must.Less(t, 3*rounds*len(f.nodes[:24]), f.follows) // and stay there while it serves
+}
+
+// mostFollowersFromOutside is the largest number of nodes of other zones that follow
+// one node.
+func (f *fleet) mostFollowersFromOutside() int {
+	counts, most := map[string]int{}, 0
+	for _, node := range f.nodes {
+		if followed := f.node(node.following); followed != nil && followed.zone != node.zone {
+			counts[node.following]++
+			most = max(most, counts[node.following])
+		}
+	}
+	return most
 }
 
 // While the store serves nobody, nodes don't run through all others in search of
--- a/internal/traffic/balance/balance_test.go
+++ b/internal/traffic/balance/balance_test.go
@@ -172,3 +172,28 @@
 	b.Pick(start.Add(time.Hour), other, nil)
 	must.Eq(t, 1, b.Len())
 }
+
+// An endpoint whose link is full is passed over for one whose link is not, though it
+// has free slots: until the wait that its node told is over.
+func TestFullLinkCounts(t *testing.T) {
+	b := newBalancer()
+	both := []snapshot.Endpoint{endpoint("a", "z1", "r1"), endpoint("b", "z1", "r1")}
+	need := Need{Route: "upload", Objective: 500 * time.Millisecond, Deadline: time.Second}
+	for index, link := range []time.Duration{400 * time.Millisecond, 0} {
+		told := Load{Slots: 6, Run: 100 * time.Millisecond, Link: link}
+		b.Cheapest(start, need, both[index:index+1], nil)
+		b.Ended(start, "upload", both[index], Observation{Loaded: true, Load: told})
+	}
+	for range 5 {
+		choice := b.Cheapest(start.Add(50*time.Millisecond), need, both, nil)
+		must.Eq(t, 1, choice.Index)
+		b.Release(start, both[1])
+	}
+	chosen := map[int]bool{}
+	for range 100 {
+		choice := b.Cheapest(start.Add(450*time.Millisecond), need, both, nil)
+		chosen[choice.Index] = true
+		b.Release(start, both[choice.Index])
+	}
+	must.True(t, chosen[0])
+}
--- a/internal/traffic/pace_test.go
+++ b/internal/traffic/pace_test.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -8,7 +9,9 @@
 
 	"github.com/shoenig/test/must"
 
+	"sliphead/internal/outcome"
 	"sliphead/internal/traffic/admission"
+	"sliphead/internal/traffic/balance"
 )
 
 // uploadTo is an exchange whose body of 60 kB is still to be asked for.
@@ -104,4 +107,26 @@
 		must.Eq(t, 200, <-statuses)
 	}
 	must.Eq(t, 4, m.nodes[1].worker.runs())
+	must.NotEq(t, admission.NewLink(40), m.nodes[1].in.admitter.link)
+}
+
+// A request that is refused behind the link, before its body was asked for, gives the
+// body's time back.
+func TestRefusalBehindTheLinkGivesItsTimeBack(t *testing.T) {
+	m := newCatalogMesh(t, 1)
+	in := m.nodes[0].in
+	in.admitter.link = admission.NewLink(10)
+	refusing := in.pace(func(*exchange) result { return refuse(causeNotLocal, 0, "send it elsewhere") })
+	for range 100 {
+		x := uploadTo(time.Second)
+		x.context = t.Context()
+		must.Eq(t, causeNotLocal, refusing(x).cause)
+	}
+	must.Zero(t, in.admitter.link.Wait(time.Now()))
+}
+
+// A caller is told to come back when the slot and the link are expected to be free.
+func TestRefusalTellsTheWaitForTheLink(t *testing.T) {
+	told := hopAnswer{outcome: outcome.NotRun, load: balance.Load{Wait: time.Second, Link: 2 * time.Second}}
+	must.Eq(t, 3*time.Second, told.refusal(&http.Response{}).retryAfter)
 }
