--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -237,13 +237,13 @@
 func (r *Replicator) question(ctx context.Context, ask replication.Ask) {
 	bounded, cancel := context.WithCancel(ctx)
 	defer cancel()
-	patience := time.AfterFunc(r.timeout(ask), cancel)
-	defer patience.Stop()
+	limit := time.AfterFunc(r.timeout(ask), cancel)
+	defer limit.Stop()
 	var began time.Time // of the first answer
 	answer, err := r.ask(bounded, ask, func() {
 		if began.IsZero() {
 			began = time.Now()
-			patience.Reset(r.share(wholeTimeout))
+			limit.Reset(r.share(wholeTimeout))
 		}
 	})
 	if err != nil {
