Close a cut connection before its requests are cancelled

In the product such a handler answers 502 or 504, so no promise was broken there, but an answer that stands for nothing may not leave. Ruled out: a connection accepted after the close (start closes those). Change: close, then cancel.

--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -348,10 +348,11 @@
 	_ = c.conn.Close()
 }
 
-// cut ends the connection and all that runs on it.
+// cut ends the connection and all that runs on it, in this order: a handler that ends
+// because it is cancelled could else still send an answer, which would stand for nothing.
 func (c *connection) cut() {
-	c.cancel()
 	_ = c.conn.Close()
+	c.cancel()
 }
 
 // unparsed stands for a request that can't be taken.
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -480,3 +482,37 @@
 	_, err = conn.Read(make([]byte, 1))
 	must.Error(t, err)
 }
+
+// watchedConn tells when it is closed first.
+type watchedConn struct {
+	net.Conn
+	closed func()
+}
+
+func (c *watchedConn) Close() error {
+	c.closed()
+	return c.Conn.Close()
+}
+
+// A connection that is cut is closed before what runs on it ends: else a handler that
+// ends early could still send an answer that stands for nothing.
+func TestCutClosesBeforeItCancels(t *testing.T) {
+	running := make(chan context.Context, 1)
+	server := &Server{Logger: logging.Discard(), Handler: http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		running <- request.Context()
+		<-request.Context().Done()
+	})}
+	listener := &network{conns: make(chan net.Conn), closed: make(chan struct{})}
+	go func() { _ = server.Serve(listener) }()
+	near, far := net.Pipe()
+	var request context.Context
+	atClose := make(chan error, 1)
+	listener.conns <- &watchedConn{Conn: far, closed: sync.OnceFunc(func() { atClose <- request.Err() })}
+	_, err := io.WriteString(near, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+	must.NoError(t, err)
+	request = <-running
+	must.NoError(t, server.Close())
+	must.NoError(t, <-atClose)
+	_, err = near.Read(make([]byte, 1))
+	must.Error(t, err)
+}
