Keep a stopping node's worker in use until callers have turned away

Cause: a planned stop gave the local worker nothing new from 0.3 of the time allowed on, and lasted at least half of it (5.0 s of 10 each time), because it could not tell when callers had turned away. The worker beside a node runs on while the node restarts, so its slots served nobody for 2.5 s of each stop.

Change: the node counts how often the platform was told that it is not ready. After two denials (it then sends no new callers) the worker gets no new offers, its last runs end, and the process ends once callers are quiet. Where callers come on, since too few nodes of a zone are ready, they are served by others until the worker has ended and a tenth of the time allowed beyond.

--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -43,6 +44,7 @@
 	stopping   chan struct{} // closed when a planned stop begins
 	stop       func()        // begins it
 	stopBegan  time.Time     // set before stopping is closed
+	denials    atomic.Int32  // answers that the node is not ready, since then
 }
 
 // leaseForever is for views that never end by themselves: a catalog's age is
@@ -231,7 +233,7 @@
 
 func (n *CatalogNode) adminHandler() http.Handler {
 	return admin.Handler(admin.Config{
-		Ready:    n.ready,
+		Ready:    n.readyAsked,
 		Status:   func() any { return n.Status(context.Background()) },
 		Drain:    n.Stop,
 		Registry: n.options.Registry,
--- a/internal/node/catalog_stop.go
+++ b/internal/node/catalog_stop.go
@@ -7,18 +7,6 @@
 	"sliphead/internal/logging"
 )
 
-// The phases of a planned stop, as parts of the time allowed. Callers look at
-// the readiness once a second and send on until they have seen it gone twice.
-const (
-	workerPhase = 0.3  // the local worker takes requests of other nodes for so long
-	callerPhase = 0.5  // callers are served for so long at least
-	strictPhase = 0.45 // from then on, only requests are taken that end before the process does
-	lastPhase   = 0.9  // then the process ends whatever still runs
-)
-
-// quietFor is how long nothing may have run before the process ends.
-const quietFor = 300 * time.Millisecond
-
 // answerTime is what the last answers have to be sent.
 const answerTime = 200 * time.Millisecond
 
@@ -33,31 +21,49 @@
 	close(n.stopping)
 }
 
-// drain carries out a planned stop that has begun: not ready at once; then no
-// work for the local worker; then, once callers have turned away and nothing
+// drain carries out a planned stop that has begun: not ready at once; once callers
+// know, no work for the local worker; then, once they have turned away and nothing
 // runs, the end.
 func (n *CatalogNode) drain(ctx context.Context) {
-	began := n.stopBegan
 	logging.Event(n.options.Logger, "node.draining", logging.Fields{"in_flight": n.InFlight()})
-	quietSince := began
-	for ctx.Err() == nil {
+	plan := newStopPlan(n.settings.Drain.Timeout.Duration, n.stopBegan)
+	for phase := stopServing; phase != stopEnded && ctx.Err() == nil; {
 		time.Sleep(stopPoll)
-		now := time.Now()
-		passed := now.Sub(began)
-		if n.InFlight() > 0 {
-			quietSince = now
-		}
-		if passed > n.stopPart(workerPhase) {
-			n.inbound.Drain()
-		}
-		ended := passed > n.stopPart(callerPhase) && now.Sub(quietSince) > quietFor
-		if ended || passed > n.stopPart(lastPhase) {
-			break
-		}
+		phase = n.stopStep(&plan, phase)
 	}
 	n.outbound.Drain()
 	n.endRequests(ctx)
-	logging.Event(n.options.Logger, "node.drained", logging.Fields{"took_ms": time.Since(began).Milliseconds(), "cut": n.InFlight()})
+	logging.Event(n.options.Logger, "node.drained", logging.Fields{"took_ms": time.Since(n.stopBegan).Milliseconds(), "cut": n.InFlight()})
+}
+
+// stopStep takes the stop a step on, and closes what the phase closes.
+func (n *CatalogNode) stopStep(plan *stopPlan, before stopPhase) stopPhase {
+	view := stopView{denials: int(n.denials.Load()), worker: n.inbound.InFlight(), callers: n.outbound.InFlight()}
+	phase := plan.step(view, time.Now())
+	if phase == before {
+		return phase
+	}
+	logging.Event(n.options.Logger, "node.stopPhase", logging.Fields{
+		"phase": phase.String(), "passed_ms": time.Since(n.stopBegan).Milliseconds(), "denials": view.denials, "worker": view.worker, "callers": view.callers,
+	})
+	if phase >= stopHandover {
+		n.inbound.Drain()
+	}
+	if phase >= stopRefusing {
+		n.outbound.Drain()
+	}
+	return phase
+}
+
+// readyAsked answers the platform's question, and counts that it was told of a stop.
+func (n *CatalogNode) readyAsked() (bool, string) {
+	ready, reason := n.ready()
+	select {
+	case <-n.stopping:
+		n.denials.Add(1)
+	default:
+	}
+	return ready, reason
 }
 
 // endRequests gives what still runs its final answer and a moment to send it.
