Ask other zones further as long as they are likely to have room

A node of 95 hears of each of 58 workers about once a second, so its view of other zones is old and two questions seldom meet a free slot.

Ruled out: asking blindly.

Change: ten offers, six to other zones. After a refusal another zone is asked only if the chance that it takes the request is 0.12 or more. It is learnt from this node's questions of late by zone and route; where a zone was not asked, it is taken to be like the others. A first question is never withheld.

--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -52,10 +52,12 @@
 	Failed bool
 	// Unreachable says that the endpoint's node itself gave no sign of life.
 	Unreachable bool
-	Latency     time.Duration // 0: not to be counted
-	Kilobytes   float64       // of the answer, its header included; 0: not to be counted
-	Load        Load
-	Loaded      bool // whether Load was told
+	// Refused says that the endpoint's node had no room for the request.
+	Refused   bool
+	Latency   time.Duration // 0: not to be counted
+	Kilobytes float64       // of the answer, its header included; 0: not to be counted
+	Load      Load
+	Loaded    bool // whether Load was told
 }
 
 // Balancer chooses among endpoints. It is not safe for use by several
@@ -67,6 +69,7 @@
 	usable    [tiers][]int             // scratch of choose
 	typical   map[string]time.Duration // answer time by route, over all endpoints
 	sizes     map[string]float64       // kilobytes of an answer by route
+	rooms     map[roomKey]room         // of other zones
 	pruned    time.Time
 }
 
@@ -86,7 +89,7 @@
 
 // New returns a balancer that knows nothing yet.
 func New(settings Settings, random *rand.Rand) *Balancer {
-	return &Balancer{settings: settings, random: random, endpoints: map[Key]*state{}, typical: map[string]time.Duration{}, sizes: map[string]float64{}}
+	return &Balancer{settings: settings, random: random, endpoints: map[Key]*state{}, typical: map[string]time.Duration{}, sizes: map[string]float64{}, rooms: map[roomKey]room{}}
 }
 
 // Pick returns the index of the endpoint for a request and counts it as in
--- a/internal/traffic/balance/forecast.go
+++ b/internal/traffic/balance/forecast.go
@@ -14,6 +14,8 @@
 	Objective time.Duration // within which an answer is worth most; 0: none
 	Deadline  time.Duration // after which an answer is of no use
 	Kilobytes float64       // of the request
+	Refused   bool          // whether an endpoint has refused it for lack of room
+	Near      bool          // whether it is not to leave the zone any more
 }
 
 // The parts of an endpoint's price, in parts of a request's worth.
@@ -39,7 +41,8 @@
 
 // Cheapest returns the endpoint at which a request is expected to cost least,
 // and counts it as in flight there until Ended. Excluded indices are passed
-// over, and nodes that gave no sign of life, but for one trial now and then.
+// over, nodes that gave no sign of life, but for one trial now and then, and after a
+// refusal other zones that have no room.
 func (b *Balancer) Cheapest(now time.Time, need Need, endpoints []snapshot.Endpoint, excluded []int) Choice {
 	choice := Choice{Index: -1}
 	best, second := math.Inf(1), math.Inf(1)
@@ -48,7 +51,7 @@
 		if slices.Contains(excluded, index) {
 			continue
 		}
-		if b.unreachable(endpoints[index], now) {
+		if b.unreachable(endpoints[index], now) || b.passedOver(now, need, endpoints[index]) {
 			continue
 		}
 		price, free := b.price(now, need, endpoints[index])
--- a/internal/traffic/balance/observe.go
+++ b/internal/traffic/balance/observe.go
@@ -23,6 +23,9 @@
 		held.loadAt = now
 		held.tell(route, seen.Load, now)
 	}
+	if endpoint.Zone != b.settings.Zone && (seen.Refused || !seen.Failed) {
+		b.noteRoom(now, endpoint.Zone, route, !seen.Refused)
+	}
 	held.unreachable = seen.Failed && seen.Unreachable
 	if seen.Failed {
 		b.failed(held, now)
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -11,8 +11,8 @@
 
 // Bounds of one request's way through a catalog's mesh.
 const (
-	mostCrossing = 2                      // of these, in other zones
-	mostOffers   = 6                      // nodes that a request is offered to
+	mostCrossing = 6                      // of these, in other zones
+	mostOffers   = 10                     // nodes that a request is offered to
 	leastWait    = 20 * time.Millisecond  // told as Retry-After
 	mostWait     = time.Second            // told as Retry-After
 	firstSilent  = 80 * time.Millisecond  // without a sign, after which a node is given up
@@ -45,6 +45,7 @@
 	attempts   int // workers that the request was sent to
 	offers     int
 	crossing   int           // offers to other zones
+	full       int           // offers that were refused for lack of room
 	soonest    time.Duration // the shortest wait that a refusing node told; 0: none
 	open       []*openTry    // tries that have not ended
 	ended      chan *openTry // tries that have
@@ -56,15 +57,12 @@
 	need := d.need()
 	var excluded []int
 	for d.offers < mostOffers && d.x.context.Err() == nil {
+		need.Refused, need.Near = d.full > 0, d.crossing >= mostCrossing
 		choice := d.out.chooser.cheapest(need, target.Endpoints, excluded)
 		if choice.Index < 0 {
 			return result{}, false
 		}
 		excluded = append(excluded, choice.Index)
-		if d.tooFar(target.Endpoints[choice.Index]) {
-			d.out.chooser.release(target.Endpoints[choice.Index])
-			continue
-		}
 		d.x.class.patient = choice.Patient
 		if ended, done := d.try(target, choice); done {
 			return ended, true
@@ -73,12 +71,6 @@
 	return result{}, false
 }
 
-// tooFar reports whether an endpoint in another zone is not to be asked, since
-// enough others were: each question costs bytes between zones.
-func (d *dispatch) tooFar(endpoint snapshot.Endpoint) bool {
-	return endpoint.Zone != d.out.config.Zone && d.crossing >= mostCrossing
-}
-
 // headerBytes is about what the headers of a request take between nodes, and those
 // of an answer.
 const headerBytes = 400
@@ -117,6 +109,9 @@
 // conclude decides what follows a try. It reports whether the request has ended.
 func (d *dispatch) conclude(target snapshot.Target, endpoint snapshot.Endpoint, got *answer, seen balance.Observation, failure *result) (result, bool) {
 	d.out.chooser.ended(d.x, endpoint, seen)
+	if seen.Refused {
+		d.full++
+	}
 	if d.attempts > 0 && failure != nil && failure.outcome == outcome.NotRun && !failure.arrived {
 		d.out.budget.giveBack(target.Service)
 	}
--- a/internal/traffic/offer.go
+++ b/internal/traffic/offer.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"sliphead/internal/outcome"
 	"sliphead/internal/snapshot"
 	"sliphead/internal/traffic/balance"
 )
@@ -41,6 +42,7 @@
 		return got, seen, nil
 	}
 	seen.Failed = blamesNode(failure, seen)
+	seen.Refused = failure.outcome == outcome.NotRun && !failure.arrived && seen.Loaded && seen.Load.Busy >= seen.Load.Slots
 	seen.Unreachable = failure.cause == causeConnect || failure.cause == causeSilent
 	return nil, seen, failure
 }
@@ -63,6 +65,7 @@
 		return nil, seen, &ended
 	}
 	ended.retryAfter = load.Wait
+	seen.Refused = ended.cause == causeQueue || ended.cause == causeFull
 	seen.Failed = blamesNode(&ended, seen)
 	return nil, seen, &ended
 }
