Spread the returns of refused callers, and let them be answered late

Cause: a caller comes back once, and was told the shortest wait that any asked node foresaw, 20 ms at least. A request that had come back was treated like a new one and refused when it could no longer be answered within the objective, though its deadline was 800 ms away and a late answer was all that it could still get.

Change: comeback.Schedule tells refused callers when to come back, one behind the other at the pace of the service's answers, within a third of the time left. comeback.Patience knows a return by the time that its caller has left. Such a request joins the late line of a worker's queue when it can't be in time: served from the gaps and by one grant in ten, refused at once if that is too late.

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -7,6 +7,9 @@
 // request, so that no class starves and aged requests can't crowd out a higher
 // class. A request whose predicted wait leaves too little time for its run is
 // refused on arrival. Each class has some places in the queue to itself.
+//
+// A request that can't be answered in time any more, but whose caller won't come back,
+// waits in the late line (see late.go).
 package admission
 
 import (
@@ -88,6 +91,7 @@
 	arrived  time.Time
 	granted  time.Time
 	deadline time.Time
+	line     *list.List // in which it waits
 	element  *list.Element
 }
 
@@ -96,6 +100,7 @@
 type Queue[W any] struct {
 	settings Settings
 	waiting  [classes]*list.List // of *Ticket[W], oldest first
+	late     *list.List          // of *Ticket[W], oldest first: see late.go
 	length   int
 	busy     map[kind]int // running requests
 	running  int
@@ -111,7 +116,7 @@
 
 // New returns an empty queue.
 func New[W any](settings Settings) *Queue[W] {
-	queue := &Queue[W]{settings: settings, busy: map[kind]int{}, service: map[kind]*estimate{}}
+	queue := &Queue[W]{settings: settings, late: list.New(), busy: map[kind]int{}, service: map[kind]*estimate{}}
 	for class := range queue.waiting {
 		queue.waiting[class] = list.New()
 	}
@@ -164,6 +169,9 @@
 	Kind     string    // requests of one kind take like times; "" for the class's
 	Deadline time.Time // after which an answer is of no use
 	Waiter   W         // whom to tell
+	// Last, if set, is until when a late answer is of use to a caller that won't come
+	// back: what can't be answered by Deadline then joins the late line.
+	Last time.Time
 }
 
 // Take takes in a request, as Arrive does.
@@ -181,7 +189,9 @@
 	wait := first + queued
 	spare := deadline.Sub(now) - first - q.most(ticket.kind, now)
 	if spare < 0 || queued > spare/WaitShare {
-		refuse(ticket, wait)
+		if !q.joinLate(ticket, first, arrival.Last, now) {
+			refuse(ticket, wait)
+		}
 		return ticket, nil
 	}
 	if !q.hasRoom(class) {
@@ -194,7 +204,7 @@
 		refuse(victim, q.predict(victim.class, now))
 		decided = append(decided, victim)
 	}
-	q.enqueue(ticket, now)
+	q.enqueue(ticket, q.waiting[class], now)
 	return ticket, decided
 }
 
@@ -212,8 +222,8 @@
 // Clear refuses all requests that wait, and returns their tickets.
 func (q *Queue[W]) Clear(now time.Time) []*Ticket[W] {
 	var decided []*Ticket[W]
-	for class := range q.waiting {
-		for front := q.waiting[class].Front(); front != nil; front = q.waiting[class].Front() {
+	for _, line := range append(q.waiting[:], q.late) {
+		for front := line.Front(); front != nil; front = line.Front() {
 			ticket := front.Value.(*Ticket[W])
 			q.remove(ticket)
 			refuse(ticket, 0)
@@ -231,17 +241,18 @@
 	return q.fill(now)
 }
 
-func (q *Queue[W]) enqueue(ticket *Ticket[W], now time.Time) {
+func (q *Queue[W]) enqueue(ticket *Ticket[W], line *list.List, now time.Time) {
 	const marginShare = 20
 	margin := max(q.run(ticket.kind, now)/2, ticket.deadline.Sub(now)/marginShare)
 	ticket.GiveUp = ticket.deadline.Add(-margin)
 	ticket.Verdict = Queued
-	ticket.element = q.waiting[ticket.class].PushBack(ticket)
+	ticket.line = line
+	ticket.element = line.PushBack(ticket)
 	q.length++
 }
 
 func (q *Queue[W]) remove(ticket *Ticket[W]) {
-	q.waiting[ticket.class].Remove(ticket.element)
+	ticket.line.Remove(ticket.element)
 	ticket.element = nil
 	q.length--
 }
@@ -278,6 +289,9 @@
 
 // next chooses the request to be decided next.
 func (q *Queue[W]) next(now time.Time) *Ticket[W] {
+	if first := q.late.Front(); first != nil && q.lateTurn() {
+		return first.Value.(*Ticket[W])
+	}
 	if q.settings.AgedEvery > 0 && (q.grants+1)%q.settings.AgedEvery == 0 {
 		if aged := q.oldestAged(now); aged != nil {
 			return aged
--- /dev/null
+++ b/internal/traffic/admission/late_test.go
@@ -0,0 +1,113 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// lateQueue is a worker of four slots that are held, with runs of 100 ms known.
+func lateQueue() (*Queue[string], []*Ticket[string]) {
+	queue := New[string](Settings{Slots: 4, Length: 128})
+	var held []*Ticket[string]
+	for range 4 {
+		known, _ := queue.Take(Arrival[string]{Class: Batch, Deadline: start.Add(time.Hour)}, start.Add(-100*time.Millisecond))
+		queue.Done(known, start)
+	}
+	for range 4 {
+		ticket, _ := queue.Take(Arrival[string]{Class: Batch, Deadline: start.Add(time.Hour)}, start)
+		held = append(held, ticket)
+	}
+	return queue, held
+}
+
+// What can still be answered in time goes before what can't.
+func TestLateLineIsServedFromTheGaps(t *testing.T) {
+	queue, held := lateQueue()
+	late, _ := queue.Take(Arrival[string]{Class: Batch, Deadline: start.Add(10 * time.Millisecond), Last: start.Add(time.Second), Waiter: "late"}, start)
+	must.Eq(t, Queued, late.Verdict)
+	fresh, _ := queue.Take(Arrival[string]{Class: Batch, Deadline: start.Add(400 * time.Millisecond), Waiter: "fresh"}, start)
+	must.Eq(t, Queued, fresh.Verdict)
+	now := start.Add(100 * time.Millisecond)
+	must.Eq(t, "fresh", queue.Done(held[0], now)[0].Waiter)
+	must.Eq(t, "late", queue.Done(held[1], now)[0].Waiter)
+}
+
+// Without a last moment, what can't be answered in time is refused at once; and so is
+// whoever would get no slot of the line early enough.
+func TestLateLineTakesOnlyWhomItServes(t *testing.T) {
+	queue, _ := lateQueue()
+	tooLate := start.Add(10 * time.Millisecond)
+	refused, _ := queue.Take(Arrival[string]{Class: Batch, Deadline: tooLate}, start)
+	must.Eq(t, Refused, refused.Verdict)
+	taken := 0
+	for range 20 {
+		ticket, _ := queue.Take(Arrival[string]{Class: Batch, Deadline: tooLate, Last: start.Add(800 * time.Millisecond)}, start)
+		if ticket.Verdict == Queued {
+			taken++
+		}
+	}
+	must.Between(t, 1, taken, 3) // 800 ms less a run, by one grant in ten of each 25 ms
+}
+
+// In a lasting overload most answers are in time, a share of the grants goes to those at
+// their last try, and whoever was let in is served.
+func TestLastingOverloadServesBoth(t *testing.T) {
+	const (
+		slots, run, step = 12, 100 * time.Millisecond, time.Millisecond
+		objective, last  = 400 * time.Millisecond, 800 * time.Millisecond
+	)
+	queue := New[int](Settings{Slots: slots, Length: 128})
+	type running struct {
+		ticket *Ticket[int]
+		ends   time.Time
+	}
+	var busy []running
+	var waiting []*Ticket[int]
+	fresh, late, arrivals := 0, 0, 0
+	for passed := time.Duration(0); passed < 10*time.Second; passed += step {
+		now := start.Add(passed)
+		var decided []*Ticket[int]
+		left := busy[:0]
+		for _, each := range busy {
+			if now.Before(each.ends) {
+				left = append(left, each)
+				continue
+			}
+			decided = append(decided, queue.Done(each.ticket, now)...)
+		}
+		busy = left
+		if passed%(6*time.Millisecond) == 0 { // 167 a second, of which the slots serve 120
+			arrivals++
+			arrival := Arrival[int]{Class: Batch, Deadline: now.Add(objective)}
+			if arrivals%3 == 0 { // its time for an answer in time is spent
+				arrival.Deadline, arrival.Last = now.Add(run), now.Add(last)
+			}
+			ticket, _ := queue.Take(arrival, now)
+			decided = append(decided, ticket)
+			if ticket.Verdict == Queued {
+				waiting = append(waiting, ticket)
+			}
+		}
+		for _, ticket := range decided {
+			if ticket.Verdict != Granted {
+				continue
+			}
+			busy = append(busy, running{ticket, now.Add(run)})
+			if ticket.deadline.Sub(ticket.arrived) == last {
+				late++
+			} else {
+				fresh++
+			}
+		}
+	}
+	for _, ticket := range waiting {
+		if ticket.element == nil {
+			must.Eq(t, Granted, ticket.Verdict)
+		}
+	}
+	must.Greater(t, 800, fresh)
+	must.Greater(t, 50, late)
+	must.Less(t, 300, late)
+}
--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -70,7 +70,8 @@
 // enter puts the request to the queue. With a catalog it is refused when it
 // can't be answered within its latency objective: one that comes back later is
 // then worth more than a late answer now. But one that outranks others waits to
-// its deadline: the next slots are its own, and the least urgent give way first.
+// its deadline: the next slots are its own, and the least urgent give way first. One
+// whose caller was refused before, and won't come back again, may be answered late.
 func (a *admitter) enter(x *exchange, now time.Time) (*ticket, []*ticket) {
 	if x.instance == "" {
 		return a.queue.Arrive(admission.ClassOf(x.route.Priority), x.deadline, now, x)
@@ -78,6 +79,9 @@
 	a.callers.note(x.route.Name, x.caller == a.service)
 	rank := a.classOf(x)
 	arrival := admission.Arrival[*exchange]{Class: rank, Kind: x.route.Name, Deadline: x.deadline, Waiter: x}
+	if x.class.returned {
+		arrival.Last = x.deadline
+	}
 	if !x.class.patient && x.class.objective > 0 && !a.queue.Outranks(rank) {
 		arrival.Deadline = earlier(x.deadline, x.started.Add(x.class.objective))
 	}
--- a/internal/traffic/deadline.go
+++ b/internal/traffic/deadline.go
@@ -15,7 +15,8 @@
 		allowed := time.Duration(x.route.DeadlineMS) * time.Millisecond
 		told := number(x.request.Header, outcome.Deadline, -1)
 		if told >= 0 {
-			allowed = min(allowed, time.Duration(told)*time.Millisecond)
+			x.given = time.Duration(told) * time.Millisecond
+			allowed = min(allowed, x.given)
 		}
 		if allowed <= 0 {
 			return refuse(causeDeadline, time.Second, "the deadline has passed, send it again with more time")
--- a/internal/traffic/decision.go
+++ b/internal/traffic/decision.go
@@ -61,6 +61,9 @@
 	if x.instance != "" {
 		fields["instance"] = x.instance
 	}
+	if x.class.returned {
+		fields["returned"] = true
+	}
 	if x.offers > 0 {
 		fields["offers"] = x.offers
 		fields["attempts"] = x.attempts
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -15,6 +15,7 @@
 	mostOffers   = 10                     // nodes that a request is offered to
 	leastWait    = 20 * time.Millisecond  // told as Retry-After
 	mostWait     = time.Second            // told as Retry-After
+	returnShare  = 3                      // part of the time left after which it comes back at the latest
 	firstSilent  = 80 * time.Millisecond  // without a sign, after which a node is given up
 	mostSilent   = 300 * time.Millisecond // the same, where there is time
 	silentShare  = 6                      // part of the time left that is spent on a silent node
@@ -27,6 +28,7 @@
 func (out *Outbound) dispatch(x *exchange) result {
 	d := dispatch{out: out, x: x, ended: make(chan *openTry, mostOffers), last: refuse(causeEndpoints, 0, "send it again later, no worker takes this route now")}
 	defer d.close()
+	x.class.returned = out.returns.returned(x.route.Name, x.given)
 	for _, target := range out.weights.order(x.route) {
 		if ended, done := d.offerTo(target); done {
 			return ended
@@ -42,7 +44,8 @@
 	last       result
 	answered   *answer // a worker's own failure, to be passed on if no other worker does better
 	mayHaveRun bool
-	attempts   int // workers that the request was sent to
+	service    string // that it was offered to last
+	attempts   int    // workers that the request was sent to
 	offers     int
 	crossing   int           // offers to other zones
 	full       int           // offers that were refused for lack of room
@@ -54,6 +57,7 @@
 // offerTo tries the endpoints of one service.
 func (d *dispatch) offerTo(target snapshot.Target) (result, bool) {
 	d.out.budget.count(target.Service)
+	d.service = target.Service
 	need := d.need()
 	var excluded []int
 	for d.offers < mostOffers && d.x.context.Err() == nil {
@@ -139,6 +143,7 @@
 		d.mayHaveRun = true
 		return result{}, false
 	}
+	d.out.returns.answered(d.service, time.Now())
 	return got.pass(d.x), true
 }
 
@@ -193,10 +198,17 @@
 	if ended.cause != causeCallerGone {
 		ended.status = http.StatusServiceUnavailable
 	}
-	ended.retryAfter = min(max(d.soonest, leastWait), mostWait)
+	ended.retryAfter = d.comeBack(time.Now())
 	return ended
 }
 
+// comeBack is after how long the refused request is to come back: behind others that
+// were refused, but while time is left for it to be served.
+func (d *dispatch) comeBack(now time.Time) time.Duration {
+	most := min(max(leastWait, d.x.deadline.Sub(now)/returnShare), mostWait)
+	return d.out.returns.comeBack(d.service, min(max(d.soonest, leastWait), most), most, now)
+}
+
 // release takes back a choice to which no request was sent.
 func (c *chooser) release(endpoint snapshot.Endpoint) {
 	c.mutex.Lock()
--- a/internal/traffic/dispatch_test.go
+++ b/internal/traffic/dispatch_test.go
@@ -455,3 +455,32 @@
 	must.Eq(t, 1, m.runs())
 	must.Eq(t, 1, m.nodes[1].worker.runs())
 }
+
+// A caller that comes back is refused for good if it is refused again: it waits to its
+// deadline where a new one is sent away with a time to come back at.
+func TestDispatchLetsReturnedCallersWait(t *testing.T) {
+	m := newCatalogMesh(t, 1)
+	m.publish(func(route *snapshot.Route) {
+		route.Objective = time.Millisecond
+		route.Rank = 3
+		route.MaxAttempts = 1
+	})
+	node := m.nodes[0]
+	node.in.admitter.resize(1)
+	view, _ := node.holder.Current(time.Now())
+	view.Local.Slots = 1
+	long := admission.Arrival[*exchange]{Class: admission.Batch, Kind: "long", Deadline: time.Now().Add(time.Hour), Waiter: &exchange{}}
+	earlier, _ := node.in.admitter.queue.Take(long, time.Now().Add(-time.Second))
+	node.in.admitter.queue.Done(earlier, time.Now())
+	held, _ := node.in.admitter.queue.Take(long, time.Now())
+
+	response, _, err := m.call("GET", "/lookup/", "", testProtocol.Deadline, "20000")
+	must.NoError(t, err)
+	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+	must.NotEq(t, "", response.Header.Get("Retry-After"))
+
+	time.AfterFunc(50*time.Millisecond, func() { node.in.admitter.done(held) })
+	response, _, err = m.call("GET", "/lookup/", "", testProtocol.Deadline, "15000")
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, response.StatusCode)
+}
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -22,8 +22,9 @@
 	id       string // request id, the same on all levels of the call tree
 	attempt  string // names this try of the caller's node; set by inbound
 	deadline time.Time
-	budget   int // retries left, in thousandths
-	depth    int // level in the call tree, from 0
+	given    time.Duration // by the caller, whatever the route allows; 0: not told
+	budget   int           // retries left, in thousandths
+	depth    int           // level in the call tree, from 0
 	body     body
 
 	// With a catalog.
--- a/internal/traffic/hop.go
+++ b/internal/traffic/hop.go
@@ -23,6 +23,7 @@
 	rank       int           // priority, 0 is served first
 	repeatable bool          // whether it may run more than once
 	patient    bool          // whether it may wait to its deadline, not just for its objective
+	returned   bool          // whether its caller was refused before and may be answered late
 	objective  time.Duration // left of the latency objective; 0: none
 }
 
@@ -38,7 +39,7 @@
 
 // encode returns the fields, joined; texts are escaped.
 func (h hopRequest) encode() string {
-	flags := flag('r', h.class.repeatable) + flag('p', h.class.patient) + flag('e', h.elsewhere)
+	flags := flag('r', h.class.repeatable) + flag('p', h.class.patient) + flag('b', h.class.returned) + flag('e', h.elsewhere)
 	return strings.Join([]string{
 		h.attempt, url.PathEscape(h.instance), url.PathEscape(h.caller), url.PathEscape(h.route),
 		strconv.Itoa(h.class.rank), flags, strconv.FormatInt(h.class.objective.Milliseconds(), 10),
@@ -67,6 +68,7 @@
 			rank:       rank,
 			repeatable: strings.Contains(split[5], "r"),
 			patient:    strings.Contains(split[5], "p"),
+			returned:   strings.Contains(split[5], "b"),
 			objective:  time.Duration(objective) * time.Millisecond,
 		},
 		elsewhere: strings.Contains(split[5], "e"),
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -30,6 +30,7 @@
 	local     *Inbound // beside this handler, nil if there is none
 	weights   weights
 	budget    *serviceBudget
+	returns   *returns
 	departure atomic.Pointer[departure] // nil until the node stops
 	ending    context.Context           // ends when the node does
 	end       context.CancelFunc
@@ -59,6 +60,7 @@
 	out.metrics = newMetrics(config, "outbound", gauges{inFlight: out.gate.count})
 	out.weights = weights{credits: map[string][]int{}}
 	out.budget = newServiceBudget(config.Limits)
+	out.returns = newReturns()
 	out.ending, out.end = context.WithCancel(context.Background())
 	out.handle = pipe(out.choose, out.classify, limitDepth(config.Limits.MaxDepth), limitTime, readBody(&out.config.Limits))
 	if !config.Protocol.own() {
--- /dev/null
+++ b/internal/traffic/returns.go
@@ -0,0 +1,57 @@
+package traffic
+
+import (
+	"sync"
+	"time"
+
+	"sliphead/internal/traffic/comeback"
+)
+
+// returns lets request goroutines share what a node knows of callers that come back.
+type returns struct {
+	mutex     sync.Mutex
+	schedules map[string]*comeback.Schedule // by service
+	patience  map[string]*comeback.Patience // by route
+}
+
+// maxReturns bounds the services and the routes that are remembered.
+const maxReturns = 512
+
+func newReturns() *returns {
+	return &returns{schedules: map[string]*comeback.Schedule{}, patience: map[string]*comeback.Patience{}}
+}
+
+// known returns the entry of a name, a new one if there is none.
+func known[V any](held map[string]*V, name string) *V {
+	found := held[name]
+	if found == nil {
+		if len(held) >= maxReturns {
+			clear(held)
+		}
+		found = new(V)
+		held[name] = found
+	}
+	return found
+}
+
+// answered notes an answer of a service.
+func (r *returns) answered(service string, now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known(r.schedules, service).Answered(now)
+}
+
+// comeBack returns after how long a refused request is to come back.
+func (r *returns) comeBack(service string, foreseen, most time.Duration, now time.Time) time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return known(r.schedules, service).Book(foreseen, most, now)
+}
+
+// returned notes a request with the time that its caller gave it, and reports whether
+// the caller has been here before.
+func (r *returns) returned(route string, given time.Duration) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return known(r.patience, route).Returned(given)
+}
