Count refusals from the logs of all nodes: sliphead refusals

Cause: after an overload the question is when, on which routes and why callers were refused, how many of them for good, and what they had been told. The logs hold it, but only one request could be followed (sliphead trace).

Ruled out: counting by metrics alone; they don't tell who comes back, to how many nodes a request was offered, or what wait was told.

Change: a command that counts the refusals at callers' nodes by span of time, route and cause, with those refused for the second time, and the medians of offers, told waits and held times. Reading logs is one package now (logfile), used by trace as well.

--- a/cmd/sliphead/main.go
+++ b/cmd/sliphead/main.go
@@ -13,6 +13,7 @@
 	"sliphead/internal/command/explain"
 	"sliphead/internal/command/node"
 	"sliphead/internal/command/plan"
+	"sliphead/internal/command/refusals"
 	"sliphead/internal/command/status"
 	"sliphead/internal/command/trace"
 	"sliphead/platform"
@@ -20,13 +21,14 @@
 
 // grammar is the command line.
 type grammar struct {
-	Node    node.Command    `cmd:"" help:"Run a node beside a worker, or as an edge."`
-	Check   check.Command   `cmd:"" help:"Check a directory of declarations."`
-	Plan    plan.Command    `cmd:"" help:"Show which routes gain or lose which workers by a change, now and over the coming week."`
-	Explain explain.Command `cmd:"" help:"Say for each worker of a route why it takes traffic or not."`
-	Status  status.Command  `cmd:"" help:"Show what a node knows: versions, readers, members, what waits and why."`
-	Trace   trace.Command   `cmd:"" help:"Follow one request through the logs of several nodes."`
-	Drain   drain.Command   `cmd:"" help:"Begin a node's planned stop."`
+	Node     node.Command     `cmd:"" help:"Run a node beside a worker, or as an edge."`
+	Check    check.Command    `cmd:"" help:"Check a directory of declarations."`
+	Plan     plan.Command     `cmd:"" help:"Show which routes gain or lose which workers by a change, now and over the coming week."`
+	Explain  explain.Command  `cmd:"" help:"Say for each worker of a route why it takes traffic or not."`
+	Status   status.Command   `cmd:"" help:"Show what a node knows: versions, readers, members, what waits and why."`
+	Trace    trace.Command    `cmd:"" help:"Follow one request through the logs of several nodes."`
+	Refusals refusals.Command `cmd:"" help:"Show from the logs of all nodes when and why requests were refused."`
+	Drain    drain.Command    `cmd:"" help:"Begin a node's planned stop."`
 }
 
 func main() {
--- a/internal/command/trace/trace.go
+++ b/internal/command/trace/trace.go
@@ -3,13 +3,12 @@
 package trace
 
 import (
-	"bufio"
 	"fmt"
 	"io"
-	"os"
 	"slices"
 	"strings"
 
+	"sliphead/internal/command/logfile"
 	"sliphead/internal/fault"
 )
 
@@ -19,9 +18,6 @@
 	Files []string `arg:"" optional:"" type:"existingfile" help:"Logs of the nodes; none: standard input."`
 }
 
-// maxLine bounds a line of a log, in bytes.
-const maxLine = 1 << 20
-
 // line is a line of a log, with what it is sorted by.
 type line struct {
 	time  string // RFC 3339, sorts as text
@@ -47,22 +43,21 @@
 	return nil
 }
 
-// collect reads all logs.
+// collect returns the lines of all logs that name the request.
 func (c *Command) collect() ([]line, error) {
 	var found []line
-	if len(c.Files) == 0 {
-		return c.matching(found, "", os.Stdin)
-	}
-	for _, name := range c.Files {
-		file, err := os.Open(name)
-		if err != nil {
-			return nil, fault.Wrap(err, fault.Settings, "name readable logs", "read %s", name)
+	err := logfile.Each(c.Files, func(file, text string) {
+		if logfile.Field(text, "request") != c.ID {
+			return
 		}
-		found, err = c.matching(found, name, file)
-		_ = file.Close()
-		if err != nil {
-			return nil, err
+		time := logfile.Field(text, "time")
+		if file != "" {
+			text = file + ": " + text
 		}
+		found = append(found, line{time: time, order: len(found), text: text})
+	})
+	if err != nil || len(c.Files) == 0 {
+		return found, err
 	}
 	slices.SortStableFunc(found, func(a, b line) int {
 		if a.time != b.time {
@@ -72,30 +67,3 @@
 	})
 	return found, nil
 }
-
-// matching appends the lines that name the request.
-func (c *Command) matching(found []line, name string, log io.Reader) ([]line, error) {
-	scanner := bufio.NewScanner(log)
-	scanner.Buffer(nil, maxLine)
-	for scanner.Scan() {
-		text := scanner.Text()
-		if field(text, "request") != c.ID {
-			continue
-		}
-		if name != "" {
-			text = name + ": " + text
-		}
-		found = append(found, line{time: field(scanner.Text(), "time"), order: len(found), text: text})
-	}
-	return found, fault.Wrap(scanner.Err(), fault.Settings, "name logs with lines of at most 1 MiB", "read %s", name)
-}
-
-// field returns the value of key=value within a line, "" if there is none.
-func field(text, key string) string {
-	for _, word := range strings.Fields(text) {
-		if name, value, found := strings.Cut(word, "="); found && name == key {
-			return value
-		}
-	}
-	return ""
-}
