Remove the options of the hollow fleet; name two times by what they are

Cause: the hollow fleet went with, but its options stayed: a network, a compression, a stream's idle time, a factor for the failure detector, a switch that leaves claims out, and a history length. Nothing sets them (searched over the program, the lab and all tests); the program ran with the defaults that it runs with now, and the node's own tests ran with another history length than it.

In the request path "patience" stood for three things; the time without a sign after which a node is given up is silenceLimit now, and what callers usually give a request is UsualTime. No behaviour changes; tests of node, commands, comeback, docs and lab pass.

--- a/internal/command/node/node.go
+++ b/internal/command/node/node.go
@@ -88,7 +88,7 @@
 func assemble(configured *settings.Settings, adapter systemnode.Adapter, logger log.Interface, dropped func() uint64) (process, error) {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	options := systemnode.Options{Logger: logger, Registry: registry, History: -1, DroppedLines: dropped}
+	options := systemnode.Options{Logger: logger, Registry: registry, DroppedLines: dropped}
 	if configured.Source.Store != "" {
 		return systemnode.NewCatalog(configured, adapter, options)
 	}
--- a/internal/node/configure.go
+++ b/internal/node/configure.go
@@ -19,16 +19,13 @@
 // transportConfig wires the peer transport to the control loop.
 func (n *Node) transportConfig() transport.Config {
 	return transport.Config{
-		Bind:        n.settings.Listen.Peer,
-		Self:        func() wire.Member { return n.self },
-		Others:      func() []wire.Member { return n.loop.Others() },
-		Network:     n.options.Network,
-		Security:    transport.Security(n.settings.Security),
-		Compression: n.options.Compression,
-		Limits:      transport.Limits{IdleTimeout: n.options.StreamIdle},
-		Deliver:     func(received transport.Received) { n.loop.Deliver(received) },
-		Logger:      n.options.Logger,
-		Random:      newRandom(),
+		Bind:     n.settings.Listen.Peer,
+		Self:     func() wire.Member { return n.self },
+		Others:   func() []wire.Member { return n.loop.Others() },
+		Security: transport.Security(n.settings.Security),
+		Deliver:  func(received transport.Received) { n.loop.Deliver(received) },
+		Logger:   n.options.Logger,
+		Random:   newRandom(),
 	}
 }
 
@@ -62,7 +59,7 @@
 		Distribution: n.distributionConfig(),
 		Holder:       n.holder,
 		Sender:       n.transport,
-		Claims:       n.claims(),
+		Claims:       n.keeper,
 		Lease:        n.settings.Distribution.Lease.Duration,
 		Tick:         controlTick,
 		Overlap:      n.settings.Distribution.ScheduleOverlap.Duration,
@@ -73,20 +70,6 @@
 	}
 }
 
-// claims returns the keeper, or nothing when the options leave it out.
-func (n *Node) claims() control.Claims {
-	if n.options.WithoutClaims {
-		return noClaims{}
-	}
-	return n.keeper
-}
-
-// noClaims takes what a keeper would, and does nothing with it.
-type noClaims struct{}
-
-func (noClaims) Deliver(wire.Envelope)     {}
-func (noClaims) Configure(claim.Configure) {}
-
 // membershipConfig applies the settings to the profile's defaults.
 func (n *Node) membershipConfig() membership.Config {
 	config := membership.DefaultConfig(membership.Profile(n.settings.Profile))
@@ -94,10 +77,6 @@
 	config.Seeds = n.settings.Seeds
 	config.ProbeInterval = n.settings.Membership.ProbeInterval.Duration
 	config.GossipInterval = n.settings.Membership.GossipInterval.Duration
-	patience := time.Duration(max(n.options.Patience, 1))
-	config.ProbeTimeout *= patience
-	config.ProbeInterval *= patience
-	config.SuspicionTimeout *= patience
 	config.Random = newRandom()
 	return config
 }
@@ -111,9 +90,6 @@
 	config.ReadersPerZone = n.settings.Distribution.ReadersPerZone
 	config.MaxReaders = n.settings.Source.Readers
 	config.Lease = n.settings.Distribution.Lease.Duration
-	if n.options.History >= 0 {
-		config.History = n.options.History
-	}
 	config.Validate = validate
 	config.Random = mathrand.New(mathrand.NewSource(rand.Int64()))
 	return config
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,25 +25,12 @@
 // controlTick is how often the control loop looks at its timers.
 const controlTick = 50 * time.Millisecond
 
-// Options are what the program or the lab chooses beside the settings.
+// Options are what the program chooses beside the settings.
 type Options struct {
-	Network  transport.Network // nil for the machine's own
 	Logger   log.Interface
 	Registry *prometheus.Registry // nil for one of the node's own
 	// DroppedLines counts the lines that the log left out; nil: not known.
 	DroppedLines func() uint64
-	// Compression is the coding of outgoing streams, "" for the default.
-	Compression transport.Compression
-	// Patience multiplies the waits of the failure detector, 0 for 1: hollow
-	// nodes share processors and answer late without being dead.
-	Patience int
-	// StreamIdle is how long an idle stream to a peer is kept, 0 for the default.
-	StreamIdle time.Duration
-	// WithoutClaims leaves the claim replica out.
-	WithoutClaims bool
-	// History is how many former versions are kept for deltas, below zero for
-	// the default.
-	History int
 }
 
 // Node is one process of the system.
--- a/internal/traffic/comeback/comeback.go
+++ b/internal/traffic/comeback/comeback.go
@@ -60,10 +60,10 @@
 	return at.Sub(now)
 }
 
-// Patience learns how much time callers give requests of one route when they send them
+// UsualTime learns how much time callers give requests of one route when they send them
 // first: a caller that comes back has less. It follows the longer times closely and the
 // shorter ones slowly, so that many returns don't pass for the usual.
-type Patience struct{ usual time.Duration }
+type UsualTime struct{ usual time.Duration }
 
 const (
 	riseWeight = 32  // a longer time than usual counts one in so many
@@ -77,14 +77,14 @@
 
 // Returned notes the time that a request was given and reports whether its caller has
 // spent some of it before.
-func (p *Patience) Returned(given time.Duration) bool {
-	if p.usual == 0 {
-		p.usual = given
+func (u *UsualTime) Returned(given time.Duration) bool {
+	if u.usual == 0 {
+		u.usual = given
 	}
-	if given > p.usual {
-		p.usual += (min(given, mostRise*p.usual) - p.usual) / riseWeight
+	if given > u.usual {
+		u.usual += (min(given, mostRise*u.usual) - u.usual) / riseWeight
 	} else {
-		p.usual -= (p.usual - given) / fallWeight
+		u.usual -= (u.usual - given) / fallWeight
 	}
-	return float64(given) < returnedShare*float64(p.usual)
+	return float64(given) < returnedShare*float64(u.usual)
 }
--- a/internal/traffic/comeback/comeback_test.go
+++ b/internal/traffic/comeback/comeback_test.go
@@ -36,21 +36,21 @@
 // A caller that comes back is told from a new one, also where many come back, and one
 // request with a far longer time does not make all others returns for long.
 func TestReturnsAreKnown(t *testing.T) {
-	var patience Patience
+	var usualTime UsualTime
 	const usual, left = 1200 * time.Millisecond, 1100 * time.Millisecond
-	must.False(t, patience.Returned(usual))
+	must.False(t, usualTime.Returned(usual))
 	random := rand.New(rand.NewPCG(1, 2))
 	for range 2000 {
 		if random.IntN(10) < 4 {
-			must.True(t, patience.Returned(left-time.Duration(random.IntN(400))*time.Millisecond))
+			must.True(t, usualTime.Returned(left-time.Duration(random.IntN(400))*time.Millisecond))
 		} else {
-			must.False(t, patience.Returned(usual))
+			must.False(t, usualTime.Returned(usual))
 		}
 	}
-	patience.Returned(time.Hour)
+	usualTime.Returned(time.Hour)
 	taken := 0
 	for range 200 {
-		if patience.Returned(usual) {
+		if usualTime.Returned(usual) {
 			taken++
 		}
 	}
--- a/internal/traffic/offer.go
+++ b/internal/traffic/offer.go
@@ -30,7 +30,7 @@
 		seen.Load, seen.Loaded = said.load, said.loaded
 		return said.refusal(response)
 	}
-	to := hop{pool: out.pool, transport: out.transport, address: endpoint.Address, fields: fields, expect: true, offer: x.offersBody(), silence: x.patience()}
+	to := hop{pool: out.pool, transport: out.transport, address: endpoint.Address, fields: fields, expect: true, offer: x.offersBody(), silence: x.silenceLimit()}
 	if !x.offersBody() {
 		to.endures = out.leaving // a worker may be at it: giving it up would cut it
 		to.onSign, to.onSilence = x.onSign, x.onSilence
@@ -97,8 +97,8 @@
 	return x.body.length > 0 && (!x.route.Repeatable || x.body.length > directBody)
 }
 
-// patience is how long a node may give no sign before it is given up, or others
+// silenceLimit is how long a node may give no sign before it is given up, or others
 // are tried beside it.
-func (x *exchange) patience() time.Duration {
+func (x *exchange) silenceLimit() time.Duration {
 	return min(max(time.Until(x.deadline)/silentShare, firstSilent), mostSilent)
 }
--- a/internal/traffic/returns.go
+++ b/internal/traffic/returns.go
@@ -10,15 +10,15 @@
 // returns lets request goroutines share what a node knows of callers that come back.
 type returns struct {
 	mutex     sync.Mutex
-	schedules map[string]*comeback.Schedule // by service
-	patience  map[string]*comeback.Patience // by route
+	schedules map[string]*comeback.Schedule  // by service
+	usual     map[string]*comeback.UsualTime // by route
 }
 
 // maxReturns bounds the services and the routes that are remembered.
 const maxReturns = 512
 
 func newReturns() *returns {
-	return &returns{schedules: map[string]*comeback.Schedule{}, patience: map[string]*comeback.Patience{}}
+	return &returns{schedules: map[string]*comeback.Schedule{}, usual: map[string]*comeback.UsualTime{}}
 }
 
 // known returns the entry of a name, a new one if there is none.
@@ -53,5 +53,5 @@
 func (r *returns) returned(route string, given time.Duration) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return known(r.patience, route).Returned(given)
+	return known(r.usual, route).Returned(given)
 }
