Ask less of the store while a mesh starts for the first time

Ruled out: reading with an allowance for old data, which costs a tenth: a node would build its state on what may be seconds old.

Change: until a node's own worker was recorded, half of the freshness passes between an answer with changes and the next question.

--- a/internal/replication/machine.go
+++ b/internal/replication/machine.go
@@ -33,6 +33,7 @@
 	chanceShare     = 0.1  // for which a node is followed before it may be given up as stale
 	distrustShare   = 1.0  // how long a node that was given up is passed over, at first
 	spacingShare    = 0.12 // between an answer that brought changes and the next question
+	settlingShare   = 0.5  // the same until this node's worker was first recorded
 	firstRetryShare = 0.1
 	mostRetryShare  = 0.5
 )
@@ -64,6 +65,7 @@
 	nextAsk    time.Time
 	failures   int       // questions to the store that failed in a row
 	needWhole  bool      // because changes are missing
+	settled    bool      // whether this node's worker was recorded since the start
 	deaf       bool      // because a question for changes met silence, which one for everything may not
 	waryUntil  time.Time // until when the store's silence is expected again
 
@@ -177,13 +179,23 @@
 	m.failures = 0
 	m.deaf = false
 	m.nextAsk = now
-	if len(event.Batch.Changes) > 0 {
-		m.nextAsk = now.Add(m.share(spacingShare))
-	}
 	if event.Batch.Whole {
 		m.needWhole = false
 	}
 	m.join(event.Batch, event.ConfirmedAt, m.config.Self)
+	if len(event.Batch.Changes) > 0 {
+		m.nextAsk = now.Add(m.spacing())
+	}
+}
+
+// spacing is the time between an answer that brought changes and the next question. A
+// mesh that starts is recorded worker by worker, and until a node knows of others each
+// takes itself for its zone's first: then all of them would ask after each change.
+func (m *Machine) spacing() time.Duration {
+	if m.settled {
+		return m.share(spacingShare)
+	}
+	return m.share(settlingShare)
 }
 
 // join takes a batch in that a reader's question brought, and tells what is new.
--- a/internal/replication/rank.go
+++ b/internal/replication/rank.go
@@ -22,6 +22,7 @@
 	for _, instance := range m.state.Instances() {
 		if host, _, err := net.SplitHostPort(instance.Address); err == nil {
 			zones[host] = instance.Zone
+			m.settled = m.settled || host == m.config.Self
 		}
 	}
 	for address := range m.hints {
