--- a/internal/traffic/returns.go
+++ b/internal/traffic/returns.go
@@ -14,8 +14,9 @@
 	usual     map[string]*comeback.UsualTime // by route
 }
 
-// maxReturns bounds the services and the routes that are remembered.
-const maxReturns = 512
+// maxReturns bounds the services and the routes that are remembered: twice the routes of
+// the largest configuration seen. Beyond, all is learnt anew.
+const maxReturns = 4096
 
 func newReturns() *returns {
 	return &returns{schedules: map[string]*comeback.Schedule{}, usual: map[string]*comeback.UsualTime{}}
@@ -49,8 +50,11 @@
 }
 
 // returned notes a request with the time that its caller gave it, and reports whether
-// the caller has been here before.
+// the caller has been here before. Of one that tells no time, nothing is known.
 func (r *returns) returned(route string, given time.Duration) bool {
+	if given <= 0 {
+		return false
+	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return known(r.usual, route).Returned(given)
