Refuse what finds no room at its service instead of moving it to another

Cause: a split route's request that found no endpoint, or no room, at the service whose turn it was went on to the next one, so that the operator's shares held only while all services had room. And all nodes began each turn with the same service: over the first requests of 83 nodes a service of a tenth got none.

Ruled out: agreeing on remainders between nodes (news for each request); drawing each request's service at random (shares then spread by 0.021 over 200 requests at 90 to 10, computed).

Change: one service a request; what doesn't fit there is refused as not run. Each node begins at a random place of the turn, and anew when weights change.

TestSharesHoldOverTheFirstRequestsOfAMesh holds the shares of the first 83 requests of 83 nodes to 0.15 of the weights.

--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -29,7 +29,7 @@
 	d := dispatch{out: out, x: x, ended: make(chan *openTry, mostOffers), last: refuse(causeEndpoints, 0, "send it again later, no worker takes this route now")}
 	defer d.close()
 	x.class.returned = out.returns.returned(x.route.Name, x.given)
-	for _, target := range out.weights.order(x.route) {
+	if target, found := out.weights.target(x.route); found {
 		if ended, done := d.offerTo(target); done {
 			return ended
 		}
--- a/internal/traffic/dispatch_test.go
+++ b/internal/traffic/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -330,15 +331,40 @@
 
 // Each service gets its share of a route's requests.
 func TestWeightsKeepTheirShares(t *testing.T) {
-	w := weights{credits: map[string][]int{}}
+	w := newWeights(rand.New(rand.NewPCG(7, 7)))
 	route := &snapshot.Route{Targets: []snapshot.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
 	counts := map[string]int{}
 	for range 100 {
-		counts[w.order(route)[0].Service]++
+		target, _ := w.target(route)
+		counts[target.Service]++
 	}
 	must.Eq(t, map[string]int{"a": 90, "b": 10}, counts)
 }
 
+// The first requests of many nodes are shared as the later ones are, also after a change
+// of the weights: each of 83 nodes that began with the largest service sent its first
+// four requests there, and a service of a tenth got none of the mesh's first 300.
+func TestSharesHoldOverTheFirstRequestsOfAMesh(t *testing.T) {
+	for seed := range uint64(20) {
+		nodes := make([]*weights, 83)
+		for index := range nodes {
+			nodes[index] = newWeights(rand.New(rand.NewPCG(seed, uint64(index))))
+		}
+		for _, share := range []int{90, 50, 70} {
+			route := &snapshot.Route{Targets: []snapshot.Target{{Service: "a", Weight: share}, {Service: "b", Weight: 100 - share}}}
+			first := 0
+			for round := range 4 {
+				for _, node := range nodes {
+					if target, _ := node.target(route); target.Service == "a" {
+						first++
+					}
+				}
+				must.InDelta(t, float64(share)/100, float64(first)/float64(83*(round+1)), 0.15)
+			}
+		}
+	}
+}
+
 // heldLink stands in front of a node and passes nothing on before its release:
 // a link whose queue is long.
 func heldLink(t *testing.T, to string, release <-chan struct{}) string {
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -28,7 +28,7 @@
 
 	// With a catalog.
 	local     *Inbound // beside this handler, nil if there is none
-	weights   weights
+	weights   *weights
 	budget    *serviceBudget
 	returns   *returns
 	departure atomic.Pointer[departure] // nil until the node stops
@@ -58,7 +58,7 @@
 	out.chooser = &chooser{balancer: balance.New(balance.DefaultSettings(config.Zone, config.Region), rand.New(config.Random))}
 	out.retries = newRetryBucket(config.Limits)
 	out.metrics = newMetrics(config, "outbound", gauges{inFlight: out.gate.count})
-	out.weights = weights{credits: map[string][]int{}}
+	out.weights = newWeights(rand.New(config.Random))
 	out.budget = newServiceBudget(config.Limits)
 	out.returns = newReturns()
 	out.ending, out.end = context.WithCancel(context.Background())
