Notice connections whose other side is gone without a word

Cause: an open connection may go silent for good while new ones work. Nothing but the 15 s probes of the dialer looked at that, and each idle connection to the same node or worker cost another request its time.

Ruled out: probing each idle connection before use (a round trip a request); health questions on it (they take a worker's slot).

After a try on a rested connection that brought not a byte, the other connections to that address that have rested since before it are closed.

--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"sliphead/internal/fault"
+	"sliphead/internal/liveness"
 	"sliphead/internal/traffic"
 )
 
@@ -46,7 +47,7 @@
 // serveUntil runs one listener, wrapped unless wrap is nil, until ctx ends. What
 // is still open then is cut: a planned stop has waited for it before.
 func serveUntil(ctx context.Context, address string, server server, wrap func(net.Listener) net.Listener) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := liveness.Listen(ctx, address)
 	if err != nil {
 		return fault.Wrap(err, fault.Settings, "free the address or change listen in the settings", "listen on %s", address)
 	}
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sliphead/internal/admin"
+	"sliphead/internal/liveness"
 	"sliphead/internal/logging"
 	"sliphead/internal/traffic"
 	"sliphead/internal/wire"
@@ -122,11 +123,11 @@
 // dialFrom dials from the address that the node itself listens on, as a machine
 // with several addresses needs.
 func dialFrom(listen string) traffic.DialFunc {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	if bound, err := netip.ParseAddrPort(listen); err == nil && !bound.Addr().IsUnspecified() {
-		dialer.LocalAddr = &net.TCPAddr{IP: bound.Addr().AsSlice()}
+	var local net.IP
+	if bound, err := netip.ParseAddrPort(listen); err == nil {
+		local = bound.Addr().AsSlice()
 	}
-	return dialer.DialContext
+	return liveness.Dialer(local, dialTimeout).DialContext
 }
 
 // dialTimeout bounds opening a connection for a request.
--- a/internal/replicator/knock.go
+++ b/internal/replicator/knock.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net"
 	"time"
+
+	"sliphead/internal/liveness"
 )
 
 // A node that starts while the store is away knows no other node. Whoever had a
@@ -62,6 +64,6 @@
 
 // dial opens a connection to another node's peer listener.
 func (r *Replicator) dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: r.share(silence), LocalAddr: &net.TCPAddr{IP: net.ParseIP(r.config.Listen)}}
+	dialer := liveness.Dialer(net.ParseIP(r.config.Listen), r.share(silence))
 	return dialer.DialContext(ctx, "tcp", net.JoinHostPort(address, r.config.Port))
 }
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -14,6 +14,7 @@
 
 	"sliphead/internal/catalog"
 	"sliphead/internal/fault"
+	"sliphead/internal/liveness"
 	"sliphead/internal/logging"
 	"sliphead/internal/replication"
 )
@@ -125,7 +126,7 @@
 
 // Run replicates until ctx ends.
 func (r *Replicator) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", net.JoinHostPort(r.config.Listen, r.config.Port))
+	listener, err := liveness.Listen(ctx, net.JoinHostPort(r.config.Listen, r.config.Port))
 	if err != nil {
 		return fault.Wrap(err, fault.Settings, "free the address or change listen.peer in the settings", "listen for peers")
 	}
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 )
@@ -54,6 +55,7 @@
 		conn.rested = now.Sub(conn.idleSince)
 		if conn.mayBeIdle(conn.rested) && p.remembered(address, conn.rested, now) && conn.quiet() {
 			conn.heard = conn.received.Load()
+			conn.taken = now
 			return conn, nil
 		}
 		conn.close()
@@ -141,6 +143,23 @@
 	return p.removeIdle(now.Add(-idleLife))
 }
 
+// distrust closes the idle connections to an address that were last used before a time:
+// one like them was silent, and new ones may work.
+func (p *pool) distrust(address string, before time.Time) {
+	p.mutex.Lock()
+	kept := p.kept[address]
+	old := 0
+	for old < len(kept) && kept[old].idleSince.Before(before) {
+		old++
+	}
+	doubted := slices.Clone(kept[:old])
+	p.kept[address] = slices.Clone(kept[old:])
+	p.mutex.Unlock()
+	for _, conn := range doubted {
+		conn.close()
+	}
+}
+
 // removeIdle removes the connections that have been idle since before a time.
 // Those of an address are in the order of their last use.
 func (p *pool) removeIdle(before time.Time) []*pooledConn {
--- a/internal/traffic/pooled.go
+++ b/internal/traffic/pooled.go
@@ -26,6 +26,7 @@
 	idleSince   time.Time
 	rested      time.Duration // before the request that it carries; 0: it is new
 	heard       int64         // bytes read on it before that request
+	taken       time.Time     // when it took that request
 	interrupter func()        // interrupt, made once
 	stop        func() bool
 	sign        atomic.Int32  // a signState
@@ -176,3 +177,13 @@
 	}
 	return nil
 }
+
+// noteSilence has the other idle connections to the same address closed after one that
+// had rested brought not a byte for long: connections that go silent for good do so
+// together, and each of them would cost a request its time.
+func (c *pooledConn) noteSilence() {
+	rested := !c.taken.IsZero()
+	if rested && c.received.Load() == c.heard && time.Since(c.taken) >= mostSilent {
+		c.pool.distrust(c.address, c.taken)
+	}
+}
--- a/internal/traffic/roundtrip.go
+++ b/internal/traffic/roundtrip.go
@@ -164,6 +164,7 @@
 			c.noteReset()
 		}
 		failure := c.tripFailure(x, to, watch.left())
+		c.noteSilence()
 		c.abandon()
 		return nil, &failure
 	}
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -20,6 +20,7 @@
 
 	"sliphead/internal/claim"
 	"sliphead/internal/defaults"
+	"sliphead/internal/liveness"
 	"sliphead/internal/snapshot"
 )
 
@@ -141,7 +142,7 @@
 		c.Logger = log.Log
 	}
 	if c.Dial == nil {
-		c.Dial = (&net.Dialer{KeepAlive: 15 * time.Second}).DialContext
+		c.Dial = liveness.Dialer(nil, c.Limits.ConnectTimeout).DialContext
 	}
 	if c.Random == nil {
 		c.Random = rand.NewPCG(uint64(time.Now().UnixNano()), 0)
