Send cold workers what they bear, evacuated zones nothing, requests only to their regions

Cause: coldRemainingS was decoded and used by nobody, coldPerS and the header of health answers weren't read: workers that start, are replaced or come back got a full share and fell over. op/evacuate/ZONE and allowedRegions weren't read.

Ruled out, for cold workers: a share for each caller's node (83 nodes don't know how many ask); the whole bound of a second as a burst; to hold workers back by what the record says alone (a node that starts, and one whose worker comes back, hears of it late). For evacuation: only the choice of the caller's node (its view may be older than that of the worker's node).

Change: the node beside a worker, which each request passes, lets no more pass than a cold worker bears, with a fifth of a second's requests as a burst, and tells refused nodes to come back one behind the other. While it can't know whether the worker started anew it asks its health. Evacuations go with the catalog's news; endpoints of those zones are left out of each choice and refused at the worker's node. Routes with regions likewise.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -28,6 +28,7 @@
 	MaxAttempts int              `json:"maxAttempts,omitempty"` // workers that one request may be sent to; 0: one
 	Timeout     time.Duration    `json:"timeout"`               // the longest that a request is held
 	Target      time.Duration    `json:"target"`                // the latency objective; 0: none
+	Regions     []string         `json:"regions,omitempty"`     // in which alone its requests may be; empty: in any
 }
 
 // WeightedTarget is a service that takes a share of a route's requests.
@@ -38,7 +39,10 @@
 
 // Service holds the bounds that the operator sets for a service's workers.
 type Service struct {
-	MaxConnections int `json:"maxConnections,omitempty"` // open connections to one worker at most; 0: the default
+	MaxConnections int           `json:"maxConnections,omitempty"` // open connections to one worker at most; 0: the default
+	HealthPath     string        `json:"healthPath,omitempty"`     // on which a worker tells of itself; "": it doesn't
+	ColdStart      time.Duration `json:"coldStart,omitempty"`      // for how long a worker is cold after its start
+	ColdPerSecond  float64       `json:"coldPerSecond,omitempty"`  // requests a second that a cold worker bears; 0: not bounded
 }
 
 // Limits bound what callers may send and how long they may take. Zero fields
@@ -61,13 +65,20 @@
 	ColdRemaining time.Duration `json:"coldRemaining"` // how long it stays slow after its start, when it was written
 }
 
+// Evacuation says whether the workers of a zone are to be sent nothing.
+type Evacuation struct {
+	Zone  string `json:"zone"`
+	Ended bool   `json:"ended,omitempty"` // whether it was taken back
+}
+
 // Change is one change of the store. Exactly one of Configuration, Difference,
-// Instance and Removed is set.
+// Instance, Evacuation and Removed is set.
 type Change struct {
 	Revision      uint64         `json:"revision"`
 	Configuration *Configuration `json:"configuration,omitempty"`
 	Difference    *Difference    `json:"difference,omitempty"` // to the configuration that is held
 	Instance      *Instance      `json:"instance,omitempty"`
+	Evacuation    *Evacuation    `json:"evacuation,omitempty"`
 	Removed       string         `json:"removed,omitempty"` // id of an instance whose record is gone
 }
 
--- a/internal/catalog/difference.go
+++ b/internal/catalog/difference.go
@@ -38,7 +38,7 @@
 }
 
 func (r *Route) equals(other *Route) bool {
-	return slices.Equal(r.Targets, other.Targets) && r.Name == other.Name && r.Host == other.Host && r.PathPrefix == other.PathPrefix &&
+	return slices.Equal(r.Targets, other.Targets) && slices.Equal(r.Regions, other.Regions) && r.Name == other.Name && r.Host == other.Host && r.PathPrefix == other.PathPrefix &&
 		r.Repeatable == other.Repeatable && r.Upload == other.Upload && r.Priority == other.Priority &&
 		r.MaxAttempts == other.MaxAttempts && r.Timeout == other.Timeout && r.Target == other.Target
 }
--- a/internal/catalog/reading.go
+++ b/internal/catalog/reading.go
@@ -3,11 +3,12 @@
 import "slices"
 
 // Item is one item as a client of the store has read it. Exactly one of
-// Configuration, Instance, Removed and Err is set.
+// Configuration, Instance, Evacuation, Removed and Err is set.
 type Item struct {
 	Revision      uint64
 	Configuration func() (*Configuration, error) // decodes a configuration, which is long
 	Instance      *Instance
+	Evacuation    *Evacuation
 	Removed       string // id of an instance whose record is gone
 	Err           error  // why the item can't be used
 }
@@ -27,7 +28,7 @@
 	batch := Batch{From: a.From, To: a.To, Whole: a.Whole}
 	configured := false
 	for _, item := range slices.Backward(a.Items) {
-		change := Change{Revision: item.Revision, Instance: item.Instance, Removed: item.Removed}
+		change := Change{Revision: item.Revision, Instance: item.Instance, Evacuation: item.Evacuation, Removed: item.Removed}
 		switch {
 		case item.Err != nil:
 			problem(item.Err)
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -20,8 +20,9 @@
 	configuredAt  uint64           // revision of the configuration
 	former        []*Configuration // those before it, oldest first
 	instances     map[string]record
-	removed       []removal           // oldest first
-	lapsed        map[string]Instance // by id: those whose records are gone without a word of leaving
+	evacuations   map[string]evacuation // by zone, those that were taken back included
+	removed       []removal             // oldest first
+	lapsed        map[string]Instance   // by id: those whose records are gone without a word of leaving
 }
 
 type record struct {
@@ -29,6 +30,11 @@
 	revision uint64
 }
 
+type evacuation struct {
+	Evacuation
+	revision uint64
+}
+
 type removal struct {
 	id       string
 	revision uint64
@@ -36,7 +42,7 @@
 
 // NewState returns the state of a node that knows nothing.
 func NewState() *State {
-	return &State{instances: map[string]record{}, lapsed: map[string]Instance{}}
+	return &State{instances: map[string]record{}, evacuations: map[string]evacuation{}, lapsed: map[string]Instance{}}
 }
 
 // Revision returns the store's revision up to which everything is known, 0
@@ -97,6 +103,7 @@
 	}
 	before := s.instances
 	s.instances = map[string]record{}
+	s.evacuations = map[string]evacuation{}
 	s.removed = nil
 	s.floor = batch.To
 	for _, change := range batch.Changes {
@@ -128,6 +135,8 @@
 		s.instances[change.Instance.ID] = record{instance: *change.Instance, revision: change.Revision}
 		delete(s.lapsed, change.Instance.ID)
 		return !known || before.instance != *change.Instance
+	case change.Evacuation != nil:
+		return s.evacuate(change)
 	case change.Removed != "":
 		return s.remove(change)
 	default:
@@ -148,6 +157,25 @@
 	return fresh
 }
 
+// evacuate takes in whether a zone is evacuated.
+func (s *State) evacuate(change Change) bool {
+	before, known := s.evacuations[change.Evacuation.Zone]
+	s.evacuations[change.Evacuation.Zone] = evacuation{Evacuation: *change.Evacuation, revision: change.Revision}
+	return change.Evacuation.Ended != (!known || before.Ended)
+}
+
+// Evacuated returns the zones whose workers are to be sent nothing, sorted.
+func (s *State) Evacuated() []string {
+	var zones []string
+	for zone, held := range s.evacuations {
+		if !held.Ended {
+			zones = append(zones, zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
 // remember keeps the configuration that is about to be replaced.
 func (s *State) remember() {
 	if s.configuration == nil || slices.Contains(s.former, s.configuration) {
@@ -218,6 +246,12 @@
 			batch.Changes = append(batch.Changes, Change{Revision: held.revision, Instance: &instance})
 		}
 	}
+	for _, held := range s.evacuations {
+		if held.revision > revision && !(batch.Whole && held.Ended) {
+			told := held.Evacuation
+			batch.Changes = append(batch.Changes, Change{Revision: held.revision, Evacuation: &told})
+		}
+	}
 	for _, gone := range s.removed {
 		if gone.revision > revision && !batch.Whole {
 			batch.Changes = append(batch.Changes, Change{Revision: gone.revision, Removed: gone.id})
--- a/internal/catalog/state_test.go
+++ b/internal/catalog/state_test.go
@@ -223,3 +223,21 @@
 		must.Eq(t, []Instance{crashed, other}, state.Instances())
 	}
 }
+
+// Evacuations reach a peer as news and as part of the whole, and their end does, too.
+func TestEvacuations(t *testing.T) {
+	s, peer := NewState(), NewState()
+	s.Join(Batch{Whole: true, To: 2, Changes: []Change{{Revision: 1, Configuration: &Configuration{Version: 1}}, {Revision: 2, Evacuation: &Evacuation{Zone: "z1"}}}})
+	peer.Join(s.Since(peer.Position()))
+	must.Eq(t, []string{"z1"}, peer.Evacuated())
+	for revision, change := range []Evacuation{{Zone: "z2"}, {Zone: "z1", Ended: true}} {
+		_, changed := s.Join(Batch{From: uint64(revision + 2), To: uint64(revision + 3), Changes: []Change{{Revision: uint64(revision + 3), Evacuation: &change}}})
+		must.True(t, changed)
+	}
+	peer.Join(s.Since(peer.Position()))
+	must.Eq(t, []string{"z2"}, peer.Evacuated())
+	must.Eq(t, []string{"z2"}, s.Evacuated())
+	_, changed := s.Join(Batch{Whole: true, To: 9}) // read anew while no zone is evacuated
+	must.True(t, changed)
+	must.SliceEmpty(t, s.Evacuated())
+}
--- a/internal/command/status/status.go
+++ b/internal/command/status/status.go
@@ -107,11 +107,12 @@
 version    %d in force, store revision %d, confirmed %.2f s ago
 news       %s, passes them on to %d nodes
 instances  %d recorded
+evacuated  %s
 requests   %d in flight, %d slots in use, %d queued
 off        %s
 `, status.Node, status.Zone, status.Service, status.Ready, status.Reason,
 		status.Replication.Version, status.Replication.Revision, status.Replication.AgeS,
-		role, status.Replication.Followers, status.Replication.Instances,
+		role, status.Replication.Followers, status.Replication.Instances, cmp.Or(strings.Join(status.Evacuated, ", "), "no zone"),
 		status.InFlight, status.Slots, status.Queued, strings.Join(status.Off, ", "))
 	return err
 }
--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -148,13 +150,15 @@
 		InboundPort:   port,
 		Regions:       n.settings.Regions,
 		Lapsed:        n.lapsed(lapses),
+		Zone:          n.settings.Zone,
 		Before:        before,
 	})
 	if view == nil {
 		return
 	}
+	n.inbound.Recorded(view.Local)
 	n.holder.Store(view)
-	if before != nil && before.Local.Instance != view.Local.Instance || view.Local.Draining {
+	if before != nil && before.Local.Instance != view.Local.Instance || view.Local.Draining || view.Local.Evacuated {
 		n.inbound.LocalChanged()
 	}
 	n.logPublished(before, view, state.Revision())
@@ -185,9 +189,12 @@
 	if before == nil || before.Version != view.Version {
 		logging.Event(n.options.Logger, "version.activated", logging.Fields{"version": view.Version.Revision, "revision": revision, "routes": len(view.Routes)})
 	}
+	if before == nil || !slices.Equal(before.Evacuated, view.Evacuated) {
+		logging.Event(n.options.Logger, "zones.evacuated", logging.Fields{"zones": strings.Join(view.Evacuated, ","), "revision": revision})
+	}
 	if before == nil || before.Local != view.Local {
 		logging.Event(n.options.Logger, "worker.recorded", logging.Fields{
-			"instance": view.Local.Instance, "service": view.Local.Service, "draining": view.Local.Draining, "slots": view.Local.Slots, "revision": revision,
+			"instance": view.Local.Instance, "service": view.Local.Service, "draining": view.Local.Draining, "cold_ms": view.Local.Cold.Milliseconds(), "slots": view.Local.Slots, "revision": revision,
 		})
 	}
 }
@@ -253,7 +260,17 @@
 	Slots       int               `json:"slotsInUse"`
 	Queued      int               `json:"queued"`
 	InFlight    int               `json:"inFlight"`
-	Off         []string          `json:"off"` // parts that the store makes needless
+	Evacuated   []string          `json:"evacuated,omitempty"` // zones whose workers are sent nothing
+	Off         []string          `json:"off"`                 // parts that the store makes needless
+}
+
+// evacuated returns the zones whose workers are sent nothing.
+func (n *CatalogNode) evacuated() []string {
+	view, _ := n.holder.Current(time.Now())
+	if view == nil {
+		return nil
+	}
+	return view.Evacuated
 }
 
 // partsOff are the parts of a node that a catalog node does without.
@@ -271,7 +288,7 @@
 		Ready: ready, Reason: reason,
 		Replication: n.replicator.Status(ctx),
 		Slots:       n.inbound.Busy(), Queued: n.inbound.Queued(), InFlight: n.InFlight(),
-		Off: partsOff(),
+		Off: partsOff(), Evacuated: n.evacuated(),
 	}
 }
 
--- a/internal/snapshot/catalog.go
+++ b/internal/snapshot/catalog.go
@@ -20,13 +20,18 @@
 
 // Local is the instance beside this node, as the catalog records it.
 type Local struct {
-	Instance    string // id
-	Service     string
-	Slots       int // requests that it runs at once
-	Connections int // open connections to it at most, 0: not told
-	Draining    bool
-	Lapsed      bool      // whether its record is gone without a word of leaving
-	Until       time.Time // of one that lapsed: until when it may be sent requests all the same
+	Instance      string // id
+	Service       string
+	Slots         int // requests that it runs at once
+	Connections   int // open connections to it at most, 0: not told
+	Draining      bool
+	Evacuated     bool          // whether its zone is to be sent nothing
+	Cold          time.Duration // for how long it was cold when its record was written
+	ColdStart     time.Duration // for how long a worker of its service is cold after its start
+	ColdPerSecond float64       // requests a second that it bears while it is cold; 0: not bounded
+	HealthPath    string        // on which it tells of itself, "" if it doesn't
+	Lapsed        bool          // whether its record is gone without a word of leaving
+	Until         time.Time     // of one that lapsed: until when it may be sent requests all the same
 }
 
 // LapsedInstance is an instance whose record is gone without a word of leaving.
@@ -42,7 +47,8 @@
 	InboundPort   string            // on which every node takes requests for its worker
 	Regions       map[string]string // by zone
 	Lapsed        []LapsedInstance
-	Before        *View // the view before, whose routes serve on while the configuration is the same; nil: none
+	Zone          string // of this node
+	Before        *View  // the view before, whose routes serve on while the configuration is the same; nil: none
 }
 
 // FromCatalog returns the view of a catalog, nil while it holds no
@@ -54,9 +60,11 @@
 	}
 	instances := state.Instances()
 	view := viewOfRoutes(configuration, input)
-	view.endpoints = endpointsByService(instances, configuration, input)
+	view.Evacuated = state.Evacuated()
+	view.endpoints = endpointsByService(instances, configuration, input, view.Evacuated)
 	view.Nodes = len(instances)
 	view.Local = localInstance(instances, configuration, input)
+	view.Local.Evacuated = slices.Contains(view.Evacuated, input.Zone)
 	return view
 }
 
@@ -92,12 +100,12 @@
 }
 
 // endpointsByService returns the endpoints of instances that take requests, and of
-// those that lapsed.
-func endpointsByService(instances []catalog.Instance, configuration *catalog.Configuration, input CatalogInput) map[string][]Endpoint {
+// those that lapsed. Evacuated zones have none.
+func endpointsByService(instances []catalog.Instance, configuration *catalog.Configuration, input CatalogInput, evacuated []string) map[string][]Endpoint {
 	endpoints := make(map[string][]Endpoint)
 	add := func(instance catalog.Instance, lapsed bool) {
 		host, _, err := net.SplitHostPort(instance.Address)
-		if err != nil || instance.Draining {
+		if err != nil || instance.Draining || slices.Contains(evacuated, instance.Zone) {
 			return
 		}
 		endpoints[instance.Service] = append(endpoints[instance.Service], Endpoint{
@@ -135,6 +143,7 @@
 		MaxAttempts: max(1, from.MaxAttempts),
 		Objective:   from.Target,
 		Upload:      from.Upload,
+		Regions:     from.Regions,
 	}
 	for _, target := range from.Targets {
 		if target.Weight > 0 {
@@ -162,12 +171,17 @@
 }
 
 func localOf(instance catalog.Instance, configuration *catalog.Configuration) Local {
+	service := configuration.Services[instance.Service]
 	return Local{
-		Instance:    instance.ID,
-		Service:     instance.Service,
-		Slots:       instance.Capacity,
-		Connections: configuration.Services[instance.Service].MaxConnections,
-		Draining:    instance.Draining,
+		Instance:      instance.ID,
+		Service:       instance.Service,
+		Slots:         instance.Capacity,
+		Connections:   service.MaxConnections,
+		Draining:      instance.Draining,
+		Cold:          instance.ColdRemaining,
+		ColdStart:     service.ColdStart,
+		ColdPerSecond: service.ColdPerSecond,
+		HealthPath:    service.HealthPath,
 	}
 }
 
--- a/internal/snapshot/view.go
+++ b/internal/snapshot/view.go
@@ -38,20 +38,22 @@
 	MaxAttempts int           // workers that one request may be sent to
 	Objective   time.Duration // the latency within which an answer is worth most; 0: none
 	Upload      bool          // whether bodies are large
+	Regions     []string      // in which alone its requests may be; empty: in any
 }
 
 // View is what traffic reads: one version, resolved at one moment for one
 // node. It is immutable and never holds a route whose service or secret is
 // missing.
 type View struct {
-	Version  version.Version
-	Resolved time.Time
-	Routes   []*Route // longest path prefix first
-	Nodes    int      // nodes that a catalog tells of
-	Local    Local    // the worker beside this node, as a catalog records it
-	Limits   catalog.Limits
-	byName   map[string]*Route
-	byHost   map[string][]*Route // by host in lower case; nil: not indexed
+	Version   version.Version
+	Resolved  time.Time
+	Routes    []*Route // longest path prefix first
+	Nodes     int      // nodes that a catalog tells of
+	Evacuated []string // zones whose workers are to be sent nothing
+	Local     Local    // the worker beside this node, as a catalog records it
+	Limits    catalog.Limits
+	byName    map[string]*Route
+	byHost    map[string][]*Route // by host in lower case; nil: not indexed
 
 	// What only a catalog tells.
 	configuration *catalog.Configuration // that the routes were made of
--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -5,20 +5,24 @@
 	"sync"
 	"time"
 
+	"sliphead/internal/snapshot"
 	"sliphead/internal/traffic/admission"
 	"sliphead/internal/traffic/balance"
+	"sliphead/internal/traffic/coldstart"
 )
 
 type ticket = admission.Ticket[*exchange]
 
 // admitter lets request goroutines share the queue of the local worker.
 type admitter struct {
-	mutex   sync.Mutex
-	queue   *admission.Queue[*exchange]
-	link    admission.Link         // of this machine
-	holders map[*exchange]struct{} // requests that hold a slot
-	service string                 // of the local worker
-	callers *callers
+	mutex    sync.Mutex
+	queue    *admission.Queue[*exchange]
+	link     admission.Link         // of this machine
+	holders  map[*exchange]struct{} // requests that hold a slot
+	service  string                 // of the local worker
+	callers  *callers
+	cold     coldstart.Guard // of the local worker
+	recorded snapshot.Local  // what the catalog said of it last
 }
 
 func newAdmitter(service string, limits Limits) *admitter {
@@ -181,6 +185,7 @@
 	rank := a.classOf(x)
 	load.Wait, load.Run = a.queue.Forecast(rank, x.route.Name, now)
 	load.Link = a.linkWait(x, now)
+	load.Closed = a.cold.Closed(now)
 	return load
 }
 
--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -45,6 +45,7 @@
 	Busy, Slots, Queued int
 	Wait, Run           time.Duration
 	Link                time.Duration // for which a body waits before it is asked for
+	Closed              time.Duration // for which the worker is sent nothing more from here
 }
 
 // Observation is what came of one request.
@@ -84,6 +85,7 @@
 	load         Load
 	loadAt       time.Time
 	forecasts    map[string]forecast // by route
+	closedUntil  time.Time           // the endpoint has told to stay away until then
 	used         time.Time
 }
 
--- a/internal/traffic/balance/forecast.go
+++ b/internal/traffic/balance/forecast.go
@@ -37,11 +37,14 @@
 	// Patient says that the answer is expected late there, and that it would
 	// come in time elsewhere, at a higher price.
 	Patient bool
+	// Opens is after how long the first endpoint that has told to stay away is to be
+	// asked again, 0 if none has.
+	Opens time.Duration
 }
 
 // Cheapest returns the endpoint at which a request is expected to cost least,
 // and counts it as in flight there until Ended. Excluded indices are passed
-// over, nodes that gave no sign of life, but for one trial now and then, and after a
+// over, endpoints that told to stay away, nodes that gave no sign of life, but for one trial now and then, and after a
 // refusal other zones that have no room.
 func (b *Balancer) Cheapest(now time.Time, need Need, endpoints []snapshot.Endpoint, excluded []int) Choice {
 	choice := Choice{Index: -1}
@@ -56,6 +59,10 @@
 		if expected.held.isUnreachable(now) {
 			continue
 		}
+		if closed := expected.held.closedUntil.Sub(now); closed > 0 {
+			choice.noteClosed(closed)
+			continue
+		}
 		price, free := b.price(now, need, &endpoints[index], expected)
 		inTimeElsewhere = inTimeElsewhere || free && expected.inTime(need)
 		if price < best {
@@ -78,6 +85,13 @@
 	return choice
 }
 
+// noteClosed takes in that an endpoint has told to stay away for a while.
+func (c *Choice) noteClosed(closed time.Duration) {
+	if c.Opens == 0 || closed < c.Opens {
+		c.Opens = closed
+	}
+}
+
 // estimate is what a request has to expect at an endpoint.
 type estimate struct {
 	held *state
--- a/internal/traffic/balance/observe.go
+++ b/internal/traffic/balance/observe.go
@@ -21,6 +21,7 @@
 	if seen.Loaded {
 		held.load = seen.Load
 		held.loadAt = now
+		held.closedUntil = now.Add(seen.Load.Closed)
 		held.tell(route, seen.Load, now)
 	}
 	if endpoint.Zone != b.settings.Zone && (seen.Refused || !seen.Failed) {
--- /dev/null
+++ b/internal/traffic/coldstart/guard_test.go
@@ -0,0 +1,115 @@
+package coldstart
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+var bound = Bound{PerSecond: 13, Lasts: 3 * time.Second}
+
+// most is what a worker of that bound bears in any second, its burst included.
+const most = 16
+
+func newGuard(now time.Time) *Guard {
+	guard := &Guard{}
+	guard.Bind(bound)
+	guard.Started(now)
+	return guard
+}
+
+// mostInASecond returns the most of the times that any second holds.
+func mostInASecond(passed []time.Time) int {
+	largest, first := 0, 0
+	for index, at := range passed {
+		for at.Sub(passed[first]) > time.Second {
+			first++
+		}
+		largest = max(largest, index-first+1)
+	}
+	return largest
+}
+
+// However requests come, a cold worker gets no more in any second than it bears.
+func TestColdWorkerGetsWhatItBears(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	guard := newGuard(start)
+	var passed []time.Time
+	for now := start; now.Before(start.Add(bound.Lasts)); now = now.Add(time.Duration(random.ExpFloat64() * float64(3*time.Millisecond))) {
+		if guard.Open(now) && guard.Take(now) {
+			passed = append(passed, now)
+		}
+	}
+	must.LessEq(t, most, mostInASecond(passed))
+	must.GreaterEq(t, 36, len(passed)) // of 39: it gets its share, too
+	must.True(t, guard.Open(start.Add(bound.Lasts)))
+}
+
+// A node that has not heard its worker for a while takes it for cold until its health
+// says otherwise: the worker may have started anew.
+func TestUnheardWorkerIsTakenForCold(t *testing.T) {
+	guard := newGuard(start)
+	guard.Probed(0, start)
+	guard.Heard(start.Add(500 * time.Millisecond))
+	must.False(t, guard.ProbeDue(start.Add(time.Second)))
+	must.False(t, guard.Limits(start.Add(time.Second)))
+	later := start.Add(5 * time.Second)
+	must.True(t, guard.ProbeDue(later))
+	must.True(t, guard.Limits(later))
+	must.False(t, guard.ProbeDue(later.Add(time.Millisecond))) // one question at a time
+	guard.Probed(0, later)
+	must.False(t, guard.Limits(later))
+}
+
+// What the health answer says counts, be it longer or shorter than what was taken for
+// granted.
+func TestHealthAnswerCounts(t *testing.T) {
+	guard := newGuard(start)
+	guard.Probed(time.Second, start)
+	must.True(t, guard.Limits(start.Add(900*time.Millisecond)))
+	must.False(t, guard.Limits(start.Add(1100*time.Millisecond)))
+	guard.Cold(4*time.Second, start)
+	must.True(t, guard.Limits(start.Add(3900*time.Millisecond)))
+}
+
+// A doubt asks for the worker's health and holds nothing back until it is told.
+func TestDoubtHoldsNothingBack(t *testing.T) {
+	guard := newGuard(start)
+	guard.Probed(0, start)
+	now := start.Add(probeEvery)
+	guard.Doubt()
+	must.True(t, guard.ProbeDue(now))
+	must.False(t, guard.Limits(now))
+}
+
+// Callers that were refused are told to come back one behind the other.
+func TestRefusedCallersComeBackInTurn(t *testing.T) {
+	guard := newGuard(start)
+	for guard.Open(start) && guard.Take(start) {
+	}
+	first := guard.Closed(start)
+	must.False(t, guard.Open(start))
+	second := guard.Closed(start)
+	must.InDelta(t, float64(time.Second)/13, float64(second-first), float64(time.Microsecond))
+	must.Greater(t, first, second)
+	for range 100 {
+		guard.Open(start)
+	}
+	must.Eq(t, mostClosed, guard.Closed(start))
+}
+
+// A service that names no bound has none.
+func TestUnboundedWorkerIsNeverHeldBack(t *testing.T) {
+	guard := &Guard{}
+	guard.Bind(Bound{Lasts: time.Second})
+	guard.Started(start)
+	must.False(t, guard.ProbeDue(start))
+	for range 1000 {
+		must.True(t, guard.Open(start) && guard.Take(start))
+	}
+	must.Zero(t, guard.Closed(start))
+}
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"sliphead/internal/outcome"
@@ -59,12 +60,13 @@
 	d.out.budget.count(target.Service)
 	d.service = target.Service
 	need := d.need()
-	endpoints := d.x.view.EndpointsOf(target)
+	endpoints := d.allowed(d.x.view.EndpointsOf(target))
 	var excluded []int
 	for d.offers < mostOffers && d.x.context.Err() == nil {
 		need.Refused, need.Near = d.full > 0, d.crossing >= mostCrossing
 		choice := d.out.chooser.cheapest(need, endpoints, excluded)
 		if choice.Index < 0 {
+			d.noteWait(choice.Opens)
 			return result{}, false
 		}
 		excluded = append(excluded, choice.Index)
@@ -76,6 +78,24 @@
 	return result{}, false
 }
 
+// allowed returns the endpoints in the regions that the route's requests must not leave.
+func (d *dispatch) allowed(endpoints []snapshot.Endpoint) []snapshot.Endpoint {
+	regions := d.x.route.Regions
+	if len(regions) == 0 {
+		return endpoints
+	}
+	var inside []snapshot.Endpoint
+	for _, endpoint := range endpoints {
+		if slices.Contains(regions, endpoint.Region) {
+			inside = append(inside, endpoint)
+		}
+	}
+	if len(inside) == 0 {
+		d.last = refuse(causeRegion, 0, "send it again later, no worker in the regions that the route allows takes it now")
+	}
+	return inside
+}
+
 // headerBytes is about what the headers of a request take between nodes, and those
 // of an answer.
 const headerBytes = 400
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -91,6 +91,8 @@
 	causeSilent     cause = "silent"
 	causeLimits     cause = "limits"
 	causeShed       cause = "shed"
+	causeCold       cause = "cold"   // the worker is cold, and gets as much as it bears
+	causeRegion     cause = "region" // no worker in the regions that the route allows
 )
 
 // stage handles an exchange; filter puts a step in front of a stage.
--- a/internal/traffic/hop.go
+++ b/internal/traffic/hop.go
@@ -126,7 +126,7 @@
 		status:     response.StatusCode,
 		cause:      causeRefused,
 		remedy:     "send it again later, the workers are busy or leave",
-		retryAfter: h.load.Wait + h.load.Link,
+		retryAfter: h.load.Wait + h.load.Link + h.load.Closed,
 		arrived:    h.arrived,
 	}
 	if h.full {
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -33,7 +33,7 @@
 	in.metrics = newMetrics(config, "inbound", gauges{inFlight: in.gate.count, queued: in.admitter.waiting})
 	in.handle = pipe(in.forward, in.classify, limitDepth(config.Limits.MaxDepth), limitTime, readBody(&in.config.Limits), in.admitter.admit, in.claim)
 	if !config.Protocol.own() {
-		in.handle = pipe(in.forward, in.classify, limitTime, in.pace, in.admitter.admit, in.stillLocal, readBody(&in.config.Limits), in.stillLocal)
+		in.handle = pipe(in.forward, in.classify, limitTime, in.openToCold, in.pace, in.admitter.admit, in.stillLocal, in.passCold, readBody(&in.config.Limits), in.stillLocal)
 	}
 	return in
 }
@@ -49,7 +49,7 @@
 	if refused := in.checkLocal(x); refused != nil {
 		return *refused
 	}
-	ended := in.admitter.admit(in.stillLocal(in.forward))(x)
+	ended := in.openToCold(in.admitter.admit(in.stillLocal(in.passCold(in.forward))))(x)
 	in.metrics.count(x, ended)
 	return ended
 }
@@ -149,6 +149,7 @@
 	to := hop{pool: direct, transport: transport, address: in.config.WorkerAddress, fields: fields, protocol: &in.config.Protocol}
 	got, failure := send(x, &to, func(response *http.Response) *result { return in.checkWorker(x, response) })
 	callFailed := in.config.Calls.end(x.id)
+	in.noteColdness(failure)
 	ended := result{outcome: outcome.Answered, cause: causeNone, answer: got}
 	switch {
 	case failure != nil:
--- a/internal/traffic/instance.go
+++ b/internal/traffic/instance.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"sliphead/internal/declaration"
@@ -53,18 +54,32 @@
 // maxDeadline bounds what a caller's node may tell.
 const maxDeadline = time.Hour
 
-// checkLocal refuses a request for an instance that is not beside this node, or
-// that leaves.
+// checkLocal refuses a request for an instance that is not beside this node, that
+// leaves, or whose zone is evacuated.
 func (in *Inbound) checkLocal(x *exchange) *result {
 	local := x.view.Local
-	if local.Instance != x.instance || local.Draining || in.lapsed(local) || in.misdirected(x.instance) {
+	if local.Instance != x.instance || local.Draining || local.Evacuated || in.lapsed(local) || in.misdirected(x.instance) {
 		refused := refuse(causeNotLocal, time.Second, "send it again, the worker of this node does not take it now")
 		return &refused
 	}
+	if regions := in.regionsOf(x); len(regions) > 0 && !slices.Contains(regions, in.config.Region) {
+		refused := refuse(causeRegion, time.Second, "send it again, its route does not allow the region of this worker")
+		return &refused
+	}
 	in.adjustTo(local)
 	return nil
 }
 
+// regionsOf returns the regions that a request must not leave, as this node knows its
+// route; none: it may be anywhere.
+func (in *Inbound) regionsOf(x *exchange) []string {
+	route := x.view.Route(x.route.Name)
+	if route == nil {
+		return nil
+	}
+	return route.Regions
+}
+
 // lapsed reports whether the worker's record is gone for good, as far as this node
 // knows: it may be sent requests for the time that a leaving one may, and for as
 // long as this node vouches for it.
--- a/internal/traffic/load.go
+++ b/internal/traffic/load.go
@@ -8,19 +8,22 @@
 	"sliphead/internal/traffic/balance"
 )
 
-// A load is told as "busy/slots/queued", with "/wait/run" or "/wait/run/link" in
-// milliseconds behind it where they are known.
+// A load is told as "busy/slots/queued", with "/wait/run", "/wait/run/link" or
+// "/wait/run/link/closed" in milliseconds behind it where they are known.
 
 const loadSeparator = "/"
 
 func encodeLoad(load balance.Load) string {
 	parts := []string{strconv.Itoa(load.Busy), strconv.Itoa(load.Slots), strconv.Itoa(load.Queued)}
-	if load.Wait > 0 || load.Run > 0 || load.Link > 0 {
+	if load.Wait > 0 || load.Run > 0 || load.Link > 0 || load.Closed > 0 {
 		parts = append(parts, inMilliseconds(load.Wait), inMilliseconds(load.Run))
 	}
-	if load.Link > 0 {
+	if load.Link > 0 || load.Closed > 0 {
 		parts = append(parts, inMilliseconds(load.Link))
 	}
+	if load.Closed > 0 {
+		parts = append(parts, inMilliseconds(load.Closed))
+	}
 	return strings.Join(parts, loadSeparator)
 }
 
@@ -34,8 +37,9 @@
 	slots, rest, found := strings.Cut(rest, loadSeparator)
 	queued, forecast, _ := strings.Cut(rest, loadSeparator)
 	wait, rest, _ := strings.Cut(forecast, loadSeparator)
-	run, link, _ := strings.Cut(rest, loadSeparator)
-	load := balance.Load{Wait: milliseconds(wait), Run: milliseconds(run), Link: milliseconds(link)}
+	run, rest, _ := strings.Cut(rest, loadSeparator)
+	link, closed, _ := strings.Cut(rest, loadSeparator)
+	load := balance.Load{Wait: milliseconds(wait), Run: milliseconds(run), Link: milliseconds(link), Closed: milliseconds(closed)}
 	var err error
 	if load.Busy, err = strconv.Atoi(busy); err != nil || !found {
 		return balance.Load{}, false
--- a/internal/traffic/offer.go
+++ b/internal/traffic/offer.go
@@ -64,7 +64,7 @@
 	case ended.sent:
 		return nil, seen, &ended
 	}
-	ended.retryAfter = load.Wait
+	ended.retryAfter = load.Wait + load.Closed
 	seen.Refused = ended.cause == causeQueue || ended.cause == causeFull
 	seen.Failed = blamesNode(&ended, seen)
 	return nil, seen, &ended
@@ -73,10 +73,10 @@
 // blamesNode reports whether a failure speaks against an endpoint.
 func blamesNode(failure *result, seen balance.Observation) bool {
 	switch failure.cause {
-	case causeCallerGone, causeFull, causeQueue, causeDeadline, causeNested:
+	case causeCallerGone, causeFull, causeQueue, causeDeadline, causeNested, causeCold, causeRegion:
 		return false
 	case causeRefused:
-		return !seen.Loaded || seen.Load.Busy < seen.Load.Slots
+		return !seen.Loaded || seen.Load.Busy < seen.Load.Slots && seen.Load.Closed == 0
 	default:
 		return true
 	}
--- a/internal/traffic/protocol.go
+++ b/internal/traffic/protocol.go
@@ -20,6 +20,7 @@
 	Signature      string // on a worker's answers: a success without it is no answer of a worker
 	Instance       string // on a worker's answers: its id
 	WorkerLoad     string // on a worker's answers: requests running, waiting and slots
+	ColdRemaining  string // on a worker's health answers: milliseconds for which it stays cold
 }
 
 // own reports whether callers and workers use sliphead's own headers.
