--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -125,6 +125,8 @@
 			SmallAnswer:    wholeAnswer,
 			RetryRatio:     n.settings.Retry.Ratio,
 			RetrySlack:     n.settings.Retry.Slack,
+			ColdOverage:    n.settings.Cold.Overage,
+			ColdSlack:      n.settings.Cold.Slack,
 			HeaderTimeout:  n.settings.Limits.HeaderTimeout.Duration,
 			IdleTimeout:    n.settings.Limits.IdleTimeout.Duration,
 			BodyTimeout:    bodyPatience,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,7 @@
 	Limits       Limits            `yaml:"limits"`
 	Drain        Drain             `yaml:"drain"`
 	Retry        Retry             `yaml:"retry"`
+	Cold         Cold              `yaml:"cold"`
 	Regions      map[string]string `yaml:"regions,omitempty"` // by zone; where a store serves the mesh
 }
 
@@ -129,6 +130,13 @@
 	LinkMbps        float64  `yaml:"linkMbps,omitempty" validate:"min=0,max=1000000"` // what the machine's link carries, megabits a second; 0: not known, long bodies are not paced
 }
 
+// Cold says how far a cold worker may go beyond the requests a second that its service
+// declares, with a store.
+type Cold struct {
+	Overage float64 `yaml:"overage" validate:"min=1,max=10"`  // times the declared rate
+	Slack   float64 `yaml:"slack" validate:"min=0,max=10000"` // requests beside, within any second
+}
+
 // Retry bounds repeated arrivals at workers, with a store.
 type Retry struct {
 	Ratio float64 `yaml:"ratio" validate:"min=0,max=1"`    // of the requests
@@ -174,6 +182,7 @@
 		},
 		Drain: Drain{Timeout: Duration{10 * time.Minute}},
 		Retry: Retry{Ratio: 0.2, Slack: 64},
+		Cold:  Cold{Overage: 1},
 	}
 }
 
--- a/internal/traffic/cold.go
+++ b/internal/traffic/cold.go
@@ -78,7 +78,9 @@
 	defer a.mutex.Unlock()
 	before := a.recorded
 	a.recorded = local
-	a.cold.Bind(coldstart.Bound{PerSecond: local.ColdPerSecond, Lasts: local.ColdStart})
+	a.cold.Bind(coldstart.Bound{
+		PerSecond: local.ColdPerSecond, Overage: in.config.Limits.ColdOverage, Slack: in.config.Limits.ColdSlack, Lasts: local.ColdStart,
+	})
 	if before.Instance != local.Instance || before.Evacuated && !local.Evacuated {
 		a.cold.Started(now)
 	}
--- a/internal/traffic/coldstart/guard.go
+++ b/internal/traffic/coldstart/guard.go
@@ -20,10 +20,12 @@
 )
 
 const (
-	// burstShare is the part of a second's requests that may go out at once. In any second
-	// a cold worker so gets at most 1.2 times what it bears, before the one that is taken
-	// when the second begins.
+	// burstShare is the part of a second's requests that may go out at once where no slack
+	// is declared. In any second a cold worker so gets at most 1.2 times its rate.
 	burstShare = 0.2
+	// slackShare is the part of the slack that may go out at once. The rest is left for
+	// requests that take longer from here to the worker than others.
+	slackShare = 0.5
 	// unheardFor is for how long a worker may say nothing and is still known to be as it
 	// was: a worker that starts anew is away for longer.
 	unheardFor = time.Second
@@ -35,10 +37,22 @@
 
 // Bound is how a service's workers are while they are cold.
 type Bound struct {
-	PerSecond float64       // requests that one bears; 0: any number
+	PerSecond float64       // requests that one is declared to bear; 0: any number
+	Overage   float64       // times that rate that one may be sent; 0: once
+	Slack     float64       // requests beside, within any second
 	Lasts     time.Duration // after the start of a worker
 }
 
+// rate is the number of requests a second that a cold worker is sent. What the operator
+// allows beyond the declared rate is used: after a loss of all power, all workers are cold,
+// and each request a second more is one that a caller gets served.
+func (b Bound) rate() float64 { return b.PerSecond * max(1, b.Overage) }
+
+// burst is the number of requests that may go out at once.
+func (b Bound) burst() int {
+	return max(1, int(max(burstShare*b.PerSecond, slackShare*b.Slack)))
+}
+
 // Guard is what a node knows of how cold its worker is. It is not safe for use by
 // several goroutines at once. The zero Guard lets everything pass.
 type Guard struct {
@@ -58,7 +72,7 @@
 	}
 	*g = Guard{bound: bound}
 	if bound.PerSecond > 0 {
-		g.limiter = rate.NewLimiter(rate.Limit(bound.PerSecond), max(1, int(burstShare*bound.PerSecond)))
+		g.limiter = rate.NewLimiter(rate.Limit(bound.rate()), bound.burst())
 	}
 }
 
@@ -134,7 +148,7 @@
 	if g.booked.Before(now) {
 		g.booked = now
 	}
-	g.booked = g.booked.Add(time.Duration(float64(time.Second) / g.bound.PerSecond))
+	g.booked = g.booked.Add(time.Duration(float64(time.Second) / g.bound.rate()))
 	if most := now.Add(mostClosed); g.booked.After(most) {
 		g.booked = most
 	}
--- a/internal/traffic/coldstart/guard_test.go
+++ b/internal/traffic/coldstart/guard_test.go
@@ -15,7 +15,9 @@
 // most is what a worker of that bound bears in any second, its burst included.
 const most = 16
 
-func newGuard(now time.Time) *Guard {
+func newGuard(now time.Time) *Guard { return guardOf(bound, now) }
+
+func guardOf(bound Bound, now time.Time) *Guard {
 	guard := &Guard{}
 	guard.Bind(bound)
 	guard.Started(now)
@@ -36,17 +38,33 @@
 
 // However requests come, a cold worker gets no more in any second than it bears.
 func TestColdWorkerGetsWhatItBears(t *testing.T) {
+	guard, passed := flood(bound)
+	must.LessEq(t, most, mostInASecond(passed))
+	must.GreaterEq(t, 36, len(passed)) // of 39: it gets its share, too
+	must.True(t, guard.Open(start.Add(bound.Lasts)))
+}
+
+// What the operator allows beyond the declared rate is used, but for a part of the slack:
+// 13 x 1.5 + 8 is 27.5.
+func TestOverageAndSlackAreUsed(t *testing.T) {
+	wide := bound
+	wide.Overage, wide.Slack = 1.5, 8
+	_, passed := flood(wide)
+	must.LessEq(t, 25, mostInASecond(passed))
+	must.GreaterEq(t, 55, len(passed))
+}
+
+// flood sends a cold worker more than it bears, and returns when requests passed.
+func flood(bound Bound) (*Guard, []time.Time) {
 	random := rand.New(rand.NewPCG(1, 2))
-	guard := newGuard(start)
+	guard := guardOf(bound, start)
 	var passed []time.Time
 	for now := start; now.Before(start.Add(bound.Lasts)); now = now.Add(time.Duration(random.ExpFloat64() * float64(3*time.Millisecond))) {
 		if guard.Open(now) && guard.Take(now) {
 			passed = append(passed, now)
 		}
 	}
-	must.LessEq(t, most, mostInASecond(passed))
-	must.GreaterEq(t, 36, len(passed)) // of 39: it gets its share, too
-	must.True(t, guard.Open(start.Add(bound.Lasts)))
+	return guard, passed
 }
 
 // A node that has not heard its worker for a while takes it for cold until its health
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -84,6 +84,8 @@
 	RetryBurst     float64       // retries that may be saved up
 	RetryBudget    int           // retries of one call tree, in thousandths
 	RetrySlack     int           // with a catalog: arrivals beyond the first that the whole mesh may add within a window, beside RetryRatio
+	ColdOverage    float64       // times the declared rate that a cold worker may be sent; 0: once
+	ColdSlack      float64       // requests beside, within any second
 	IdlePerNode    int           // idle connections kept to each node
 	ConnectTimeout time.Duration // to open a connection
 	HeaderTimeout  time.Duration // to read a request's header
