Offer a request to as many nodes as the link can afford

Cause: in an overload each refused request was offered to ten nodes.

Change: offers take 5 ms of the machine's link at most: three at 5 Mbit/s, six at 10, ten from 16; six in ten of them may go to other zones. What an operator knows, the link's speed, decides; on links of 20 Mbit/s and more nothing changes.

--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -12,14 +12,12 @@
 
 // Bounds of one request's way through a catalog's mesh.
 const (
-	mostCrossing = 6                      // of these, in other zones
-	mostOffers   = 10                     // nodes that a request is offered to
-	leastWait    = 20 * time.Millisecond  // told as Retry-After
-	mostWait     = time.Second            // told as Retry-After
-	returnShare  = 3                      // part of the time left after which it comes back at the latest
-	firstSilent  = 80 * time.Millisecond  // without a sign, after which a node is given up
-	mostSilent   = 300 * time.Millisecond // the same, where there is time
-	silentShare  = 6                      // part of the time left that is spent on a silent node
+	leastWait   = 20 * time.Millisecond  // told as Retry-After
+	mostWait    = time.Second            // told as Retry-After
+	returnShare = 3                      // part of the time left after which it comes back at the latest
+	firstSilent = 80 * time.Millisecond  // without a sign, after which a node is given up
+	mostSilent  = 300 * time.Millisecond // the same, where there is time
+	silentShare = 6                      // part of the time left that is spent on a silent node
 )
 
 // dispatch takes a request to a worker where views come from a catalog: it
@@ -62,8 +60,8 @@
 	need := d.need()
 	endpoints := d.allowed(d.x.view.EndpointsOf(target))
 	var excluded []int
-	for d.offers < mostOffers && d.x.context.Err() == nil {
-		need.Refused, need.Near = d.full > 0, d.crossing >= mostCrossing
+	for d.offers < d.out.offers.most && d.x.context.Err() == nil {
+		need.Refused, need.Near = d.full > 0, d.crossing >= d.out.offers.crossing
 		choice := d.out.chooser.cheapest(need, endpoints, excluded)
 		if choice.Index < 0 {
 			d.noteWait(choice.Opens)
@@ -123,7 +121,7 @@
 		d.crossing++
 	}
 	d.x.offers, d.x.instance = d.offers, endpoint.Worker
-	d.x.elsewhere = another && d.offers < mostOffers
+	d.x.elsewhere = another && d.offers < d.out.offers.most
 	if !endpoint.Local && !d.x.offersBody() {
 		return d.tryOpenly(target, endpoint)
 	}
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -31,6 +31,7 @@
 	weights   *weights
 	budget    *serviceBudget
 	returns   *returns
+	offers    offerBounds
 	departure atomic.Pointer[departure] // nil until the node stops
 	ending    context.Context           // ends when the node does
 	end       context.CancelFunc
@@ -63,6 +64,7 @@
 	out.weights = newWeights(rand.New(config.Random))
 	out.budget = newServiceBudget(config.Limits)
 	out.returns = newReturns()
+	out.offers = boundOffers(config.Limits.LinkMbps)
 	out.ending, out.end = context.WithCancel(context.Background())
 	out.handle = pipe(out.choose, out.classify, limitDepth(config.Limits.MaxDepth), limitTime, readBody(&out.config.Limits))
 	if !config.Protocol.own() {
