Queue where the wait is shorter than going on; learn how long nodes take to answer

Cause: a full worker's node refused at once whenever another endpoint seemed free. And a node behind a full link was taken for silent after 80 ms.

Change: the first sign of each node is learnt (RFC 6298), a try waits for the mean and four deviations, a third of the time left at most; an offer tells how long going on takes, and is queued where the predicted wait is shorter. Bytes of tries are counted by what came of them (sliphead_hop_bytes_total).

--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -18,6 +18,7 @@
 	firstSilent = 80 * time.Millisecond  // without a sign, after which a node is given up
 	mostSilent  = 300 * time.Millisecond // the same, where there is time
 	silentShare = 6                      // part of the time left that is spent on a silent node
+	usualShare  = 3                      // the same, where the node takes long as a rule
 )
 
 // dispatch takes a request to a worker where views come from a catalog: it
@@ -122,6 +123,7 @@
 	}
 	d.x.offers, d.x.instance = d.offers, endpoint.Worker
 	d.x.elsewhere = another && d.offers < d.out.offers.most
+	d.x.moveTime = d.out.signs.moveTime()
 	if !endpoint.Local && !d.x.offersBody() {
 		return d.tryOpenly(target, endpoint)
 	}
--- a/internal/traffic/elsewhere.go
+++ b/internal/traffic/elsewhere.go
@@ -1,6 +1,9 @@
 package traffic
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+)
 
 // elsewhereHeader on a try between nodes says that the caller's node knows of
 // another endpoint that seems to be free: a full worker's node then refuses
@@ -36,6 +39,18 @@
 	return len(levels) > 0
 }
 
+// isShortWait reports whether a request is expected to get a slot here sooner than it
+// would get to another endpoint: a worker of 13 slots frees one each 15 ms, and on a full
+// link the way to another node takes longer. Refused at once, over half of the tries
+// between nodes were refusals, also in seconds without overload.
+func (a *admitter) isShortWait(x *exchange) bool {
+	if x.moveTime <= 0 {
+		return false
+	}
+	wait, _ := a.queue.Forecast(a.classOf(x), x.route.Name, time.Now())
+	return wait <= x.moveTime
+}
+
 // noWait is the refusal of a request that is not to wait at a full worker, nil
 // if it is to be granted or queued.
 func (a *admitter) noWait(x *exchange) *result {
@@ -44,6 +59,8 @@
 	}
 	var refused result
 	switch {
+	case x.elsewhere && a.isShortWait(x):
+		return nil
 	case x.elsewhere:
 		if !x.between {
 			newFields(x.writer.Header()).set(elsewhereHeader, "1")
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -36,11 +36,12 @@
 	instance    string // id of the instance that is to run the request
 	caller      string // service beside the node that took the request
 	class       class
-	protocol    *Protocol // of the callers; nil: sliphead's own
-	between     bool      // whether it came from another node of a catalog's mesh
-	elsewhere   bool      // whether the caller's node knows of another endpoint that seems to be free
-	bodyAwaited bool      // whether the body is still to be asked for
-	signal      bool      // whether the caller's node waits for a sign that the request has come
+	protocol    *Protocol     // of the callers; nil: sliphead's own
+	between     bool          // whether it came from another node of a catalog's mesh
+	elsewhere   bool          // whether the caller's node knows of another endpoint that seems to be free
+	moveTime    time.Duration // with elsewhere: what going on to another endpoint takes, so that a shorter wait is better
+	bodyAwaited bool          // whether the body is still to be asked for
+	signal      bool          // whether the caller's node waits for a sign that the request has come
 
 	wholeUnframed  bool                // whether an answer without a length is taken, once it has ended in order
 	concurrentBody bool                // whether a long whole body is written while the answer is read
--- a/internal/traffic/hop.go
+++ b/internal/traffic/hop.go
@@ -34,7 +34,8 @@
 	caller    string // service beside the node that took the request
 	route     string
 	class     class
-	elsewhere bool // whether to refuse rather than to queue
+	elsewhere bool          // whether to refuse rather than to queue
+	moveTime  time.Duration // with elsewhere: up to this wait, to queue all the same
 }
 
 // encode returns the fields, joined; texts are escaped.
@@ -42,7 +43,7 @@
 	flags := flag('r', h.class.repeatable) + flag('p', h.class.patient) + flag('b', h.class.returned) + flag('e', h.elsewhere)
 	return strings.Join([]string{
 		h.attempt, url.PathEscape(h.instance), url.PathEscape(h.caller), url.PathEscape(h.route),
-		strconv.Itoa(h.class.rank), flags, strconv.FormatInt(h.class.objective.Milliseconds(), 10),
+		strconv.Itoa(h.class.rank), flags, inMilliseconds(h.class.objective), inMilliseconds(h.moveTime),
 	}, hopSeparator)
 }
 
@@ -55,7 +56,7 @@
 
 // decodeHopRequest reads what encode wrote.
 func decodeHopRequest(text string) (hopRequest, bool) {
-	const parts = 7
+	const parts = 8
 	split := strings.Split(text, hopSeparator)
 	if len(split) != parts {
 		return hopRequest{}, false
@@ -72,6 +73,7 @@
 			objective:  time.Duration(objective) * time.Millisecond,
 		},
 		elsewhere: strings.Contains(split[5], "e"),
+		moveTime:  milliseconds(split[7]),
 	}
 	var instanceErr, callerErr, routeErr error
 	read.instance, instanceErr = url.PathUnescape(split[1])
--- a/internal/traffic/instance.go
+++ b/internal/traffic/instance.go
@@ -38,6 +38,7 @@
 	x.caller = told.caller
 	x.class = told.class
 	x.elsewhere = told.elsewhere
+	x.moveTime = told.moveTime
 	x.route = routeOf(told.route, told.class)
 	x.request.Header[outcome.Deadline] = x.request.Header[protocol.Deadline]
 }
--- a/internal/traffic/offer.go
+++ b/internal/traffic/offer.go
@@ -15,7 +15,7 @@
 	if endpoint.Local && out.local != nil {
 		return out.offerLocal(x, endpoint)
 	}
-	told := hopRequest{attempt: out.newAttempt(), instance: endpoint.Worker, caller: x.caller, route: x.route.Name, class: x.classLeft(), elsewhere: x.elsewhere}
+	told := hopRequest{attempt: out.newAttempt(), instance: endpoint.Worker, caller: x.caller, route: x.route.Name, class: x.classLeft(), elsewhere: x.elsewhere, moveTime: x.moveTime}
 	fields := []field{
 		{hopHeader, told.encode()},
 		{out.config.Protocol.Deadline, strconv.FormatInt(x.millisecondsLeft(), 10)},
@@ -30,10 +30,21 @@
 		seen.Load, seen.Loaded = said.load, said.loaded
 		return said.refusal(response)
 	}
-	to := hop{pool: out.pool, transport: out.transport, address: endpoint.Address, fields: fields, expect: true, offer: x.offersBody(), silence: x.silenceLimit()}
+	to := hop{pool: out.pool, transport: out.transport, address: endpoint.Address, fields: fields, expect: true, offer: x.offersBody(), silence: x.silenceLimit(out.signs.usual(endpoint.Address))}
 	if !x.offersBody() {
 		to.endures = out.leaving // a worker may be at it: giving it up would cut it
-		to.onSign, to.onSilence = x.onSign, x.onSilence
+		to.onSilence = x.onSilence
+	}
+	to.onBytes = out.hopBytes.add
+	signed := false
+	to.onSign = func() {
+		if !signed {
+			out.signs.note(endpoint.Address, time.Since(began))
+		}
+		signed = true
+		if x.onSign != nil {
+			x.onSign()
+		}
 	}
 	got, failure := send(x, &to, check)
 	if failure == nil {
@@ -41,6 +52,9 @@
 		seen.Kilobytes = got.kilobytes()
 		return got, seen, nil
 	}
+	if failure.cause == causeSilent {
+		out.signs.note(endpoint.Address, 2*to.silence) // it takes longer, and nobody waits to see how long
+	}
 	seen.Failed = blamesNode(failure, seen)
 	seen.Refused = failure.outcome == outcome.NotRun && !failure.arrived && seen.Loaded && seen.Load.Busy >= seen.Load.Slots
 	seen.Unreachable = failure.cause == causeConnect || failure.cause == causeSilent
@@ -98,7 +112,9 @@
 }
 
 // silenceLimit is how long a node may give no sign before it is given up, or others
-// are tried beside it.
-func (x *exchange) silenceLimit() time.Duration {
-	return min(max(time.Until(x.deadline)/silentShare, firstSilent), mostSilent)
+// are tried beside it: longer than it takes as a rule, while time is left for another.
+func (x *exchange) silenceLimit(usual time.Duration) time.Duration {
+	left := time.Until(x.deadline)
+	limit := min(max(left/silentShare, firstSilent), mostSilent)
+	return max(limit, min(usual, left/usualShare))
 }
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -31,7 +31,9 @@
 	weights   *weights
 	budget    *serviceBudget
 	returns   *returns
+	signs     *signDelays
 	offers    offerBounds
+	hopBytes  *hopBytes
 	departure atomic.Pointer[departure] // nil until the node stops
 	ending    context.Context           // ends when the node does
 	end       context.CancelFunc
@@ -64,7 +66,9 @@
 	out.weights = newWeights(rand.New(config.Random))
 	out.budget = newServiceBudget(config.Limits)
 	out.returns = newReturns()
+	out.signs = newSignDelays()
 	out.offers = boundOffers(config.Limits.LinkMbps)
+	out.hopBytes = newHopBytes(config.Registerer)
 	out.ending, out.end = context.WithCancel(context.Background())
 	out.handle = pipe(out.choose, out.classify, limitDepth(config.Limits.MaxDepth), limitTime, readBody(&out.config.Limits))
 	if !config.Protocol.own() {
--- a/internal/traffic/roundtrip.go
+++ b/internal/traffic/roundtrip.go
@@ -148,6 +148,19 @@
 // over on one connection.
 const mostForeign = 2
 
+// tellBytes tells what a try has taken of the link, the body of an answer of known length
+// included; response is nil when there was none.
+func (c *pooledConn) tellBytes(to *hop, failure *result, response *http.Response, base int64) {
+	if to.onBytes == nil {
+		return
+	}
+	received := c.received.Load() - c.heard
+	if response != nil {
+		received += max(0, response.ContentLength-int64(c.reader.Buffered()))
+	}
+	to.onBytes(failure, c.count()-base, received)
+}
+
 // exchange makes one try. It returns the answer, or how the try failed.
 func (c *pooledConn) exchange(x *exchange, to *hop, check func(*http.Response) *result) (*answer, *result) {
 	watch := sending{conn: c.sealedConn, base: c.count()}
@@ -165,6 +178,7 @@
 		}
 		failure := c.tripFailure(x, to, watch.left())
 		c.noteSilence()
+		c.tellBytes(to, &failure, nil, watch.base)
 		c.abandon()
 		return nil, &failure
 	}
@@ -173,6 +187,7 @@
 	}
 	c.noteIdleLife(response)
 	failure := check(response)
+	c.tellBytes(to, failure, response, watch.base)
 	switch {
 	case failure != nil && failure.cause == causeForeign:
 		c.abandon()
