Let urgent requests go first at cold workers

Cause: after a loss of all power every worker is cold, and requests passed the guard as they came: orders were refused for look-ups, whose price checks were refused in turn.

Ruled out: an order by worth learnt from what routes earn (nothing tells it to a node but the declared rank).

Change: less urgent ranks leave half of the burst to urgent ones, and nodes are told by urgency when to come back.

Test: TestUrgentRequestsGoFirst.

--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -185,7 +185,7 @@
 	rank := a.classOf(x)
 	load.Wait, load.Run = a.queue.Forecast(rank, x.route.Name, now)
 	load.Link = a.linkWait(x, now)
-	load.Closed = a.cold.Closed(now)
+	load.Closed = a.cold.Closed(urgencyOf(x.class.rank), now)
 	return load
 }
 
--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -46,7 +46,7 @@
 	Busy, Slots, Queued int
 	Wait, Run           time.Duration
 	Link                time.Duration // for which a body waits before it is asked for
-	Closed              time.Duration // for which the worker is sent nothing more from here
+	Closed              time.Duration // for which the worker is sent no more such requests from here
 }
 
 // Observation is what came of one request.
@@ -60,6 +60,7 @@
 	Kilobytes float64       // of the answer, its header included; 0: not to be counted
 	Load      Load
 	Loaded    bool // whether Load was told
+	Urgent    bool // whether the request goes before others at a cold worker
 }
 
 // Balancer chooses among endpoints. It is not safe for use by several
@@ -86,7 +87,7 @@
 	load         Load
 	loadAt       time.Time
 	forecasts    map[string]forecast // by route
-	closedUntil  time.Time           // the endpoint has told to stay away until then
+	closedUntil  [2]time.Time        // to urgent requests and to others: the endpoint has told to stay away until then
 	used         time.Time
 }
 
--- a/internal/traffic/cold.go
+++ b/internal/traffic/cold.go
@@ -10,6 +10,7 @@
 	"sliphead/internal/fault"
 	"sliphead/internal/logging"
 	"sliphead/internal/snapshot"
+	"sliphead/internal/traffic/admission"
 	"sliphead/internal/traffic/coldstart"
 )
 
@@ -43,24 +44,32 @@
 
 // askCold asks whether a request may pass, and has the worker's health asked for while it
 // is not known how cold the worker is.
-func (in *Inbound) askCold(x *exchange, may func(time.Time) bool) bool {
+func (in *Inbound) askCold(x *exchange, may func(coldstart.Urgency, time.Time) bool) bool {
 	now := time.Now()
 	if in.admitter.probeDue(now) {
 		go in.probe(x.view.Local)
 	}
-	return may(now)
+	return may(urgencyOf(x.class.rank), now)
 }
 
-func (a *admitter) coldOpen(now time.Time) bool {
+// urgencyOf is how urgent requests of a rank are to a cold worker.
+func urgencyOf(rank int) coldstart.Urgency {
+	if admission.ClassOfRank(rank) <= admission.Interactive {
+		return coldstart.Urgent
+	}
+	return coldstart.Patient
+}
+
+func (a *admitter) coldOpen(urgency coldstart.Urgency, now time.Time) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	return a.cold.Open(now)
+	return a.cold.Open(urgency, now)
 }
 
-func (a *admitter) coldTake(now time.Time) bool {
+func (a *admitter) coldTake(urgency coldstart.Urgency, now time.Time) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	return a.cold.Take(now)
+	return a.cold.Take(urgency, now)
 }
 
 func (a *admitter) probeDue(now time.Time) bool {
--- a/internal/traffic/coldstart/guard.go
+++ b/internal/traffic/coldstart/guard.go
@@ -59,12 +59,27 @@
 	bound     Bound
 	limiter   *rate.Limiter
 	coldUntil time.Time
-	asking    bool      // whether the worker may have started anew, and its health was not told since
-	heard     time.Time // when the worker last answered
-	probed    time.Time // when its health was last asked for
-	booked    time.Time // until when the refused requests are told to stay away
+	asking    bool         // whether the worker may have started anew, and its health was not told since
+	heard     time.Time    // when the worker last answered
+	probed    time.Time    // when its health was last asked for
+	booked    [2]time.Time // by urgency: until when the refused requests are told to stay away
 }
 
+// Urgency says whether a request goes before others while the worker is cold.
+type Urgency int
+
+// The urgencies.
+const (
+	Urgent Urgency = iota
+	Patient
+)
+
+// reserveShare is the part of the burst that is left to urgent requests: while they come
+// faster than the worker bears, others get nothing, and else what is left. Served as they
+// came, after a loss of all power orders were refused for look-ups whose price checks were
+// refused in turn.
+const reserveShare = 0.5
+
 // Bind sets how the worker is while it is cold.
 func (g *Guard) Bind(bound Bound) {
 	if bound == g.bound {
@@ -126,40 +141,53 @@
 
 // Open reports whether a request that comes now may pass. One that may not is booked
 // behind the ones that were refused before it: see Closed.
-func (g *Guard) Open(now time.Time) bool {
-	if !g.Limits(now) || g.limiter.TokensAt(now) >= 1 {
+func (g *Guard) Open(urgency Urgency, now time.Time) bool {
+	if g.has(urgency, now) {
 		return true
 	}
-	g.book(now)
+	g.book(urgency, now)
 	return false
 }
 
 // Take lets a request pass, or reports false. It is asked just before the request is sent.
-func (g *Guard) Take(now time.Time) bool {
-	if !g.Limits(now) || g.limiter.AllowN(now, 1) {
+func (g *Guard) Take(urgency Urgency, now time.Time) bool {
+	if !g.Limits(now) || g.has(urgency, now) && g.limiter.AllowN(now, 1) {
 		return true
 	}
-	g.book(now)
+	g.book(urgency, now)
 	return false
 }
 
+// has reports whether a request would pass now.
+func (g *Guard) has(urgency Urgency, now time.Time) bool {
+	if !g.Limits(now) {
+		return true
+	}
+	needed := 1.0
+	if urgency == Patient {
+		needed += reserveShare * float64(g.limiter.Burst()-1)
+	}
+	return g.limiter.TokensAt(now) >= needed
+}
+
 // book notes one more caller that is to stay away.
-func (g *Guard) book(now time.Time) {
-	if g.booked.Before(now) {
-		g.booked = now
+func (g *Guard) book(urgency Urgency, now time.Time) {
+	booked := &g.booked[urgency]
+	if booked.Before(now) {
+		*booked = now
 	}
-	g.booked = g.booked.Add(time.Duration(float64(time.Second) / g.bound.rate()))
-	if most := now.Add(mostClosed); g.booked.After(most) {
-		g.booked = most
+	*booked = booked.Add(time.Duration(float64(time.Second) / g.bound.rate()))
+	if most := now.Add(mostClosed); booked.After(most) {
+		*booked = most
 	}
 }
 
-// Closed is for how long the node that is answered now is not to ask again: callers
-// come back one behind the other, as fast as the worker may be sent requests, so that
-// few of them ask in vain.
-func (g *Guard) Closed(now time.Time) time.Duration {
+// Closed is for how long the node that is answered now is not to ask again for requests of
+// an urgency: callers come back one behind the other, as fast as the worker may be sent
+// requests, so that few of them ask in vain.
+func (g *Guard) Closed(urgency Urgency, now time.Time) time.Duration {
 	if !g.Limits(now) {
 		return 0
 	}
-	return max(0, g.booked.Sub(now))
+	return max(0, g.booked[urgency].Sub(now))
 }
--- a/internal/traffic/coldstart/guard_test.go
+++ b/internal/traffic/coldstart/guard_test.go
@@ -41,7 +41,7 @@
 	guard, passed := flood(bound)
 	must.LessEq(t, most, mostInASecond(passed))
 	must.GreaterEq(t, 36, len(passed)) // of 39: it gets its share, too
-	must.True(t, guard.Open(start.Add(bound.Lasts)))
+	must.True(t, guard.Open(Urgent, start.Add(bound.Lasts)))
 }
 
 // What the operator allows beyond the declared rate is used, but for a part of the slack:
@@ -60,7 +60,7 @@
 	guard := guardOf(bound, start)
 	var passed []time.Time
 	for now := start; now.Before(start.Add(bound.Lasts)); now = now.Add(time.Duration(random.ExpFloat64() * float64(3*time.Millisecond))) {
-		if guard.Open(now) && guard.Take(now) {
+		if guard.Open(Urgent, now) && guard.Take(Urgent, now) {
 			passed = append(passed, now)
 		}
 	}
@@ -107,17 +107,17 @@
 // Callers that were refused are told to come back one behind the other.
 func TestRefusedCallersComeBackInTurn(t *testing.T) {
 	guard := newGuard(start)
-	for guard.Open(start) && guard.Take(start) {
+	for guard.Open(Urgent, start) && guard.Take(Urgent, start) {
 	}
-	first := guard.Closed(start)
-	must.False(t, guard.Open(start))
-	second := guard.Closed(start)
+	first := guard.Closed(Urgent, start)
+	must.False(t, guard.Open(Urgent, start))
+	second := guard.Closed(Urgent, start)
 	must.InDelta(t, float64(time.Second)/13, float64(second-first), float64(time.Microsecond))
 	must.Greater(t, first, second)
 	for range 100 {
-		guard.Open(start)
+		guard.Open(Urgent, start)
 	}
-	must.Eq(t, mostClosed, guard.Closed(start))
+	must.Eq(t, mostClosed, guard.Closed(Urgent, start))
 }
 
 // A service that names no bound has none.
@@ -127,7 +127,32 @@
 	guard.Started(start)
 	must.False(t, guard.ProbeDue(start))
 	for range 1000 {
-		must.True(t, guard.Open(start) && guard.Take(start))
+		must.True(t, guard.Open(Urgent, start) && guard.Take(Urgent, start))
+	}
+	must.Zero(t, guard.Closed(Urgent, start))
+}
+
+// While urgent requests come faster than the worker bears, others get next to nothing;
+// alone they get all.
+func TestUrgentRequestsGoFirst(t *testing.T) {
+	wide := bound
+	wide.Overage, wide.Slack = 1.5, 8
+	for _, mixed := range []bool{true, false} {
+		guard := guardOf(wide, start)
+		passed := map[Urgency]int{}
+		for step := range 3000 {
+			now := start.Add(time.Duration(step) * time.Millisecond)
+			for _, urgency := range []Urgency{Patient, Urgent} {
+				if (mixed || urgency == Patient) && guard.Open(urgency, now) && guard.Take(urgency, now) {
+					passed[urgency]++
+				}
+			}
+		}
+		if mixed {
+			must.GreaterEq(t, 55, passed[Urgent])
+			must.LessEq(t, 3, passed[Patient])
+			continue
+		}
+		must.GreaterEq(t, 55, passed[Patient])
 	}
-	must.Zero(t, guard.Closed(start))
 }
