Follow a fast node of another zone where the own zone has none

Cause: workers leave and their machines with them.

Change: fast nodes are told of across zones; the first node of a zone without one follows one of another zone and reads the store only if it knows none.

TestFastNodesRead said that a zone whose fast nodes are gone reads by itself; it now says that such a zone follows, as strictly, and that it has the change in time. Test: TestZoneWithoutFastNodesFollowsOneElsewhere.

--- a/internal/replication/follow.go
+++ b/internal/replication/follow.go
@@ -1,14 +1,25 @@
 package replication
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
-// leader returns the node that has the duty to read the store in this zone, as
-// far as this node can tell. A node whose own questions fail does not hold
-// itself for it.
+// leader returns the node that has the duty to read the store for this zone, as far as
+// this node can tell: the first of the zone, or a fast node of another one that the first
+// follows instead.
 func (m *Machine) leader(now time.Time) string {
+	first := m.firstOfZone(now)
+	if first == m.config.Self && !m.config.Fast {
+		return cmp.Or(m.fastOutside(now), first)
+	}
+	return first
+}
+
+// firstOfZone returns the first node of this zone that is trusted. A node whose own
+// questions to the store fail does not hold itself for it.
+func (m *Machine) firstOfZone(now time.Time) string {
 	for _, candidate := range m.ranked {
 		if candidate.zone != m.config.Zone {
 			break
@@ -85,6 +96,11 @@
 	if m.reading && m.leader(now) == m.config.Self {
 		return ""
 	}
+	if m.firstOfZone(now) == m.config.Self && !m.config.Fast {
+		if outside := m.fastOutside(now); outside != "" {
+			return outside
+		}
+	}
 	for rank := m.ownRank(); rank > 0; {
 		rank = parent(rank)
 		if above := m.ranked[rank].address; m.trusts(above, now) {
--- a/internal/replication/prefer.go
+++ b/internal/replication/prefer.go
@@ -10,6 +10,9 @@
 // in a second. What is passed on is a difference of a kilobyte or so. Where a zone has nodes
 // with faster links, two of them read and pass news on; they come first in the zone's rank.
 //
+// Workers leave, and their machines with them: a zone may have no fast node left. Its first
+// node then follows a fast one of another zone, and reads the store only if it knows none.
+//
 // A node knows its own link alone. A fast one tells the node that reads otherwise when it
 // knocks, and that one names the two with the highest weights with its news. What is known
 // of links only grows, so the nodes of a zone come to the same order.
@@ -44,7 +47,8 @@
 		return
 	}
 	m.learnFast(event.Address)
-	if len(event.Preferred) > 0 && m.isOfZone(event.Address) && !slices.Equal(event.Preferred, m.Preferred()) {
+	told := slices.DeleteFunc(slices.Clone(event.Preferred), func(address string) bool { return !m.isOfZone(address) })
+	if len(told) > 0 && m.isOfZone(event.Address) && !slices.Equal(told, m.preferredHere()) {
 		m.emit(m.knockAt(event.Address))
 	}
 }
@@ -85,8 +89,9 @@
 	}
 }
 
-// Preferred returns the nodes that are to read the store for this zone, as far as is known.
-func (m *Machine) Preferred() []string {
+// preferredHere returns the nodes that are to read the store for this zone, as far as is
+// known.
+func (m *Machine) preferredHere() []string {
 	var preferred []string
 	for _, candidate := range m.ranked {
 		if candidate.preferred {
@@ -96,10 +101,34 @@
 	return preferred
 }
 
+// Preferred returns the nodes that others are told of: those that are to read the store for
+// this zone, and as many fast ones of other zones.
+func (m *Machine) Preferred() []string {
+	told := m.preferredHere()
+	outside := 0
+	for _, candidate := range m.ranked {
+		if candidate.zone != m.config.Zone && m.fast[candidate.address] && outside < preferredNodes {
+			told = append(told, candidate.address)
+			outside++
+		}
+	}
+	return told
+}
+
+// fastOutside is a trusted fast node of another zone, "" if none is known.
+func (m *Machine) fastOutside(now time.Time) string {
+	for _, candidate := range m.ranked {
+		if candidate.zone != m.config.Zone && m.fast[candidate.address] && m.trusts(candidate.address, now) {
+			return candidate.address
+		}
+	}
+	return ""
+}
+
 // formerReader is the node that reads where nobody knows that this one is preferred, "" if
 // this one is not.
 func (m *Machine) formerReader() string {
-	if !slices.Contains(m.Preferred(), m.config.Self) {
+	if !slices.Contains(m.preferredHere(), m.config.Self) {
 		return ""
 	}
 	for _, candidate := range m.ranked {
--- a/internal/replication/prefer_test.go
+++ b/internal/replication/prefer_test.go
@@ -20,8 +20,8 @@
 }
 
 // Where a zone has nodes with fast links, one of them reads the store: the configuration
-// took 0.65 s of a reader's link of 5 Mbit/s, at each change. When they are gone, another
-// node reads.
+// took 0.65 s of a reader's link of 5 Mbit/s, at each change. When they are gone, a fast
+// node of another zone is followed.
 func TestFastNodesRead(t *testing.T) {
 	f := newFleet(2, 20)
 	for _, index := range []int{3, 11, 17, 24} { // three of the first zone, one of the second
@@ -50,7 +50,7 @@
 		node.up = node.up && !(node.fast && node.zone == "z0")
 	}
 	f.run(6 * time.Second)
-	must.Len(t, 1, f.readers("z0"))
+	must.SliceEmpty(t, f.readers("z0")) // its first node follows the fast one of the second zone
 	f.configure()
 	f.run(2 * time.Second)
 	for _, node := range f.nodes {
@@ -78,3 +78,26 @@
 	must.False(t, FastLink(5, 2500*time.Millisecond))
 	must.False(t, FastLink(0, 2500*time.Millisecond))
 }
+
+// Where a zone has no fast node, its first one follows a fast node of another zone, and
+// nobody reads there; when all fast ones are gone, one reads again.
+func TestZoneWithoutFastNodesFollowsOneElsewhere(t *testing.T) {
+	f := newFleet(3, 10)
+	for _, node := range f.nodes[:2] {
+		node.fast = true
+		f.start(node)
+	}
+	f.run(40 * time.Second) // knocks come in turn
+	for _, zone := range []string{"z1", "z2"} {
+		must.SliceEmpty(t, f.readers(zone))
+	}
+	must.Len(t, 1, f.readers("z0"))
+	f.configure()
+	f.run(time.Second)
+	must.SliceEmpty(t, f.late())
+	f.nodes[0].up, f.nodes[1].up = false, false
+	f.run(6 * time.Second)
+	for _, zone := range []string{"z0", "z1", "z2"} {
+		must.Len(t, 1, f.readers(zone))
+	}
+}
