Split the offer to another node; tell of health answers that can't be read

The offer had grown to 60 lines: how the hop is made and how its first sign is learnt are functions of their own now. Test: TestHealthAnswerTellsHowColdTheWorkerIs.

--- a/internal/traffic/cold.go
+++ b/internal/traffic/cold.go
@@ -150,6 +150,12 @@
 	if told == "" && response.StatusCode != http.StatusOK {
 		return 0, fault.New(fault.Worker, "let the worker's health answer say how long it stays cold", "the worker's health answered %d", response.StatusCode)
 	}
-	milliseconds, _ := strconv.ParseFloat(told, 64)
+	if told == "" {
+		return 0, nil
+	}
+	milliseconds, err := strconv.ParseFloat(told, 64)
+	if err != nil {
+		return 0, fault.Wrap(err, fault.Worker, "let the worker's health answer tell milliseconds", "%q is no time for which a worker stays cold", told)
+	}
 	return time.Duration(milliseconds * float64(time.Millisecond)), nil
 }
--- a/internal/traffic/cold_test.go
+++ b/internal/traffic/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -50,3 +51,30 @@
 	in.Recorded(local)
 	must.True(t, in.admitter.cold.Limits(time.Now()))
 }
+
+// The health answer of a worker counts by its header; one without is of a warm worker, and
+// one that can't be read tells nothing.
+func TestHealthAnswerTellsHowColdTheWorkerIs(t *testing.T) {
+	for told, wanted := range map[string]time.Duration{"": 0, "1500": 1500 * time.Millisecond, "0.5": 500 * time.Microsecond} {
+		remaining, err := healthOf(t, told)
+		must.NoError(t, err)
+		must.Eq(t, wanted, remaining)
+	}
+	_, err := healthOf(t, "soon")
+	must.Error(t, err)
+}
+
+// healthOf asks a worker whose health answer tells that it stays cold for so long.
+func healthOf(t *testing.T, told string) (time.Duration, error) {
+	worker := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		must.Eq(t, "/health", request.URL.Path)
+		if told != "" {
+			writer.Header().Set("X-Test-Cold", told)
+		}
+	}))
+	t.Cleanup(worker.Close)
+	protocol := testProtocol
+	protocol.ColdRemaining = "X-Test-Cold"
+	in := NewInbound(Config{Holder: &snapshot.Holder{}, Service: "shop", Protocol: protocol, WorkerAddress: address(worker.URL), Logger: quiet()})
+	return in.coldRemaining(t.Context(), snapshot.Local{HealthPath: "/health"})
+}
--- a/internal/traffic/offer.go
+++ b/internal/traffic/offer.go
@@ -16,10 +16,6 @@
 		return out.offerLocal(x, endpoint)
 	}
 	told := hopRequest{attempt: out.newAttempt(), instance: endpoint.Worker, caller: x.caller, route: x.route.Name, class: x.classLeft(), elsewhere: x.elsewhere, moveTime: x.moveTime}
-	fields := []field{
-		{hopHeader, told.encode()},
-		{out.config.Protocol.Deadline, strconv.FormatInt(x.millisecondsLeft(), 10)},
-	}
 	seen := balance.Observation{}
 	began := time.Now()
 	check := func(response *http.Response) *result {
@@ -30,23 +26,8 @@
 		seen.Load, seen.Loaded = said.load, said.loaded
 		return said.refusal(response)
 	}
-	to := hop{pool: out.pool, transport: out.transport, address: endpoint.Address, fields: fields, expect: true, offer: x.offersBody(), silence: x.silenceLimit(out.signs.usual(endpoint.Address))}
-	if !x.offersBody() {
-		to.endures = out.leaving // a worker may be at it: giving it up would cut it
-		to.onSilence = x.onSilence
-	}
-	to.onBytes = out.hopBytes.add
-	signed := false
-	to.onSign = func() {
-		if !signed {
-			out.signs.note(endpoint.Address, time.Since(began))
-		}
-		signed = true
-		if x.onSign != nil {
-			x.onSign()
-		}
-	}
-	got, failure := send(x, &to, check)
+	to := out.hopTo(x, endpoint, &told)
+	got, failure := send(x, to, check)
 	if failure == nil {
 		seen.Latency = time.Since(began)
 		seen.Kilobytes = got.kilobytes()
@@ -61,6 +42,43 @@
 	return nil, seen, failure
 }
 
+// hopTo is the way to the node beside an endpoint, with what that node is told.
+func (out *Outbound) hopTo(x *exchange, endpoint snapshot.Endpoint, told *hopRequest) *hop {
+	to := &hop{
+		pool: out.pool, transport: out.transport, address: endpoint.Address,
+		fields: []field{
+			{hopHeader, told.encode()},
+			{out.config.Protocol.Deadline, strconv.FormatInt(x.millisecondsLeft(), 10)},
+		},
+		expect:  true,
+		offer:   x.offersBody(),
+		silence: x.silenceLimit(out.signs.usual(endpoint.Address)),
+		onSign:  out.noteSign(endpoint.Address, x.onSign),
+		onBytes: out.hopBytes.add,
+	}
+	if !to.offer {
+		to.endures = out.leaving // a worker may be at it: giving it up would cut it
+		to.onSilence = x.onSilence
+	}
+	return to
+}
+
+// noteSign returns what is to be called at each sign of a node from now on: it learns how
+// long the first one took, and passes signs on to whoever asks.
+func (out *Outbound) noteSign(address string, passOn func()) func() {
+	began := time.Now()
+	signed := false
+	return func() {
+		if !signed {
+			out.signs.note(address, time.Since(began))
+		}
+		signed = true
+		if passOn != nil {
+			passOn()
+		}
+	}
+}
+
 // offerLocal runs the request at the worker beside this node.
 func (out *Outbound) offerLocal(x *exchange, endpoint snapshot.Endpoint) (*answer, balance.Observation, *result) {
 	inner := *x
