--- a/internal/replication/prefer.go
+++ b/internal/replication/prefer.go
@@ -20,6 +20,10 @@
 // preferredNodes is how many nodes of a zone come first: one more than reads.
 const preferredNodes = 2
 
+// mostFast bounds the fast nodes that are remembered: machines come and go. Beyond, they are
+// learnt anew.
+const mostFast = 1024
+
 // FastLink reports whether a link, in megabits a second, brings the largest configuration
 // in a tenth of the time within which a change has to be known. A link that nothing is
 // known of, 0, counts as slow.
@@ -33,10 +37,14 @@
 
 // learnFast notes that a node's link is fast.
 func (m *Machine) learnFast(address string) {
-	if !m.fast[address] {
-		m.fast[address] = true
-		m.rank()
+	if m.fast[address] {
+		return
+	}
+	if len(m.fast) >= mostFast {
+		m.fast = map[string]bool{m.config.Self: m.config.Fast}
 	}
+	m.fast[address] = true
+	m.rank()
 }
 
 // onFast notes that a node has told that its link is fast. One that prefers others than this
--- a/internal/replication/prefer_test.go
+++ b/internal/replication/prefer_test.go
@@ -1,6 +1,7 @@
 package replication
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -101,3 +102,13 @@
 		must.Len(t, 1, f.readers(zone))
 	}
 }
+
+// Machines come and go: what is remembered of fast ones is bounded.
+func TestFastNodesAreForgotten(t *testing.T) {
+	m := New(Config{Self: "10.0.0.1", Zone: "z0", Freshness: freshness, Fast: true}, start)
+	for index := range 3 * mostFast {
+		m.learnFast(fmt.Sprintf("10.%d.%d.2", index/256, index%256))
+	}
+	must.LessEq(t, mostFast, len(m.fast))
+	must.True(t, m.fast["10.0.0.1"])
+}
