Tell copies of a request apart from others in the log

Cause: a request that comes again has another id each time, so logs could not tell whether several workers ended under the same one. Ruled out: the path alone (requests with other bodies share it); a hash without a cryptographic digest (a caller could make a request that passes for another's). Change: a fingerprint of method, host, target and body on lines of runs that broke off.

--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"sliphead/internal/outcome"
+	"sliphead/internal/quarantine"
 	"sliphead/internal/snapshot"
 	"sliphead/internal/traffic/balance"
 )
@@ -65,6 +67,13 @@
 	answer     *answer // a whole answer that is still to be passed on
 }
 
+// fingerprint names all copies of the request. Of a body that streams nothing is known:
+// with a catalog bodies are held whole.
+func (x *exchange) fingerprint() quarantine.Fingerprint {
+	asked := quarantine.Request{Method: x.request.Method, Host: strings.ToLower(hostOf(x.request)), Target: x.request.URL.RequestURI(), Body: x.body.whole}
+	return asked.Fingerprint()
+}
+
 // cause is the bounded label under which endings are counted.
 type cause string
 
