--- a/lab/store/store.go
+++ b/lab/store/store.go
@@ -58,6 +58,13 @@
 // Remove removes a key and returns the revision.
 func (s *Store) Remove(key string) uint64 { return s.write(Item{Key: key, Gone: true}) }
 
+// Revision is the revision of the last change.
+func (s *Store) Revision() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.revision
+}
+
 func (s *Store) write(item Item) uint64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
