Keep requests from the workers that end each worker which runs them

Cause: nothing remembered a request beyond its own exchange. Repeats are bounded for one exchange and for one node, so each copy of a request that ends its workers, under a new id and at any node, was sent to as many workers as the route allows, again and again. Ruled out: retries alone (a copy that is never repeated still ends one worker each time it comes); load and ends without a cause (the failing test has neither); a decision by one node (it may be cut off or start anew, and knows nothing then). Change: the node beside a worker tells all nodes which requests it was running when it ended (connections refused, not just one broken off); after three ends a request is held by all nodes, and sent to one worker as a trial after 1 min, 10 min and 2 h. An answer, or an operator, lets it go. Records are a set that nodes join in any order; they travel by datagrams to six nodes from each that hears of them, and each second nodes that know of any ask another one.

--- a/cmd/sliphead/main.go
+++ b/cmd/sliphead/main.go
@@ -14,6 +14,7 @@
 	"sliphead/internal/command/node"
 	"sliphead/internal/command/plan"
 	"sliphead/internal/command/refusals"
+	"sliphead/internal/command/release"
 	"sliphead/internal/command/status"
 	"sliphead/internal/command/trace"
 	"sliphead/platform"
@@ -28,6 +29,7 @@
 	Status   status.Command   `cmd:"" help:"Show what a node knows: versions, readers, members, what waits and why."`
 	Trace    trace.Command    `cmd:"" help:"Follow one request through the logs of several nodes."`
 	Refusals refusals.Command `cmd:"" help:"Show from the logs of all nodes when and why requests were refused."`
+	Release  release.Command  `cmd:"" help:"Let a request go that is held because workers ended under it."`
 	Drain    drain.Command    `cmd:"" help:"Begin a node's planned stop."`
 }
 
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -16,14 +16,16 @@
 // Config says what the handler answers with. All functions are called from
 // request goroutines.
 type Config struct {
-	Ready    func() (ready bool, reason string) // the reason is told when not ready
-	Status   func() any                         // encoded as JSON
-	Drain    func()                             // starts a drain and returns at once
+	Ready    func() (ready bool, reason string)                 // the reason is told when not ready
+	Status   func() any                                         // encoded as JSON
+	Drain    func()                                             // starts a drain and returns at once
+	Release  func(fingerprint string) (state string, err error) // has a held request sent to workers again and tells what it was; nil: this node holds none
 	Registry *prometheus.Registry
 	Logger   log.Interface // default discards
 }
 
-// Handler answers /live, /ready, /metrics, /status and POST /drain.
+// Handler answers /live, /ready, /metrics, /status, POST /drain and, where the node holds
+// requests in quarantine, POST /quarantine/release.
 func Handler(config Config) http.Handler {
 	if config.Logger == nil {
 		config.Logger = logging.Discard()
@@ -35,11 +37,14 @@
 	mux.HandleFunc("GET /ready", config.ready)
 	mux.HandleFunc("GET /status", config.status)
 	mux.HandleFunc("POST /drain", config.drain)
+	if config.Release != nil {
+		mux.HandleFunc("POST /quarantine/release", config.release)
+	}
 	mux.Handle("GET /metrics", promhttp.HandlerFor(config.Registry, promhttp.HandlerOpts{}))
 	return mux
 }
 
-// condition is the answer of /live, /ready and /drain.
+// condition is the answer of /live, /ready, /drain and /quarantine/release.
 type condition struct {
 	OK     bool   `json:"ok"`
 	Reason string `json:"reason,omitempty"`
@@ -67,6 +72,18 @@
 	writeJSON(writer, http.StatusAccepted, condition{OK: true, Reason: "draining"})
 }
 
+// release lets go of the request that the query's fingerprint names.
+func (c Config) release(writer http.ResponseWriter, request *http.Request) {
+	fingerprint := request.URL.Query().Get("fingerprint")
+	logging.Event(c.Logger, "admin.release", logging.Fields{"remote": request.RemoteAddr, "fingerprint": fingerprint})
+	state, err := c.Release(fingerprint)
+	if err != nil {
+		writeJSON(writer, http.StatusBadRequest, condition{Reason: err.Error()})
+		return
+	}
+	writeJSON(writer, http.StatusOK, condition{OK: true, Reason: state})
+}
+
 // writeJSON answers with a value.
 func writeJSON(writer http.ResponseWriter, status int, value any) {
 	body, err := json.MarshalIndent(value, "", "  ")
--- a/internal/command/status/status.go
+++ b/internal/command/status/status.go
@@ -109,12 +109,19 @@
 instances  %d recorded
 evacuated  %s
 requests   %d in flight, %d slots in use, %d queued
+quarantine %d requests held, %d suspected
 off        %s
 `, status.Node, status.Zone, status.Service, status.Ready, status.Reason,
 		status.Replication.Version, status.Replication.Revision, status.Replication.AgeS,
 		role, status.Replication.Followers, status.Replication.Instances, cmp.Or(strings.Join(status.Evacuated, ", "), "no zone"),
-		status.InFlight, status.Slots, status.Queued, strings.Join(status.Off, ", "))
-	return err
+		status.InFlight, status.Slots, status.Queued, status.Quarantine.Held, status.Quarantine.Suspected, strings.Join(status.Off, ", "))
+	if err != nil {
+		return err
+	}
+	for _, each := range status.Quarantine.Requests {
+		fmt.Fprintf(output, "%-10s %s, next trial in %.0f s after %d, workers %s\n", each.State, each.Fingerprint, each.TrialIn, each.Trials, strings.Join(each.Workers, ", "))
+	}
+	return nil
 }
 
 // fleetVersions returns the lowest and highest version in force that the node
--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -18,6 +18,8 @@
 	"sliphead/internal/catalog"
 	"sliphead/internal/fault"
 	"sliphead/internal/logging"
+	"sliphead/internal/quarantine"
+	"sliphead/internal/quarantine/keeper"
 	"sliphead/internal/replication"
 	"sliphead/internal/replicator"
 	"sliphead/internal/settings"
@@ -41,6 +43,7 @@
 	options    Options
 	holder     *snapshot.Holder
 	replicator *replicator.Replicator
+	quarantine *keeper.Keeper
 	inbound    *traffic.Inbound
 	outbound   *traffic.Outbound
 	stopping   chan struct{} // closed when a planned stop begins
@@ -80,6 +83,7 @@
 		Vouch:     n.vouch,
 		Received:  func(bytes int) { n.inbound.Received(int64(bytes)) },
 	})
+	n.quarantine = keeper.New(keeper.Config{Address: advertisedHost(configured, address), Listen: address, Port: port, Logger: options.Logger})
 	config := n.trafficConfig(adapter.Protocol)
 	n.inbound = traffic.NewInbound(config)
 	n.outbound = traffic.NewOutbound(config)
@@ -121,6 +125,7 @@
 		Logger:        n.options.Logger,
 		Dial:          dialFrom(n.settings.Listen.Peer),
 		Seen:          n.replicator.Seen,
+		Quarantine:    n.quarantine,
 		Limits: traffic.Limits{
 			SmallBody:      wholeBody,
 			SmallAnswer:    wholeAnswer,
@@ -145,6 +150,7 @@
 
 // publish puts what the catalog says in force.
 func (n *CatalogNode) publish(state *catalog.State, lapses []replication.Lapse) {
+	n.quarantine.Peers(hostsOf(state))
 	_, port, _ := net.SplitHostPort(n.settings.Listen.Inbound)
 	before, _ := n.holder.Current(time.Now())
 	view := snapshot.FromCatalog(state, snapshot.CatalogInput{
@@ -167,6 +173,19 @@
 	n.logPublished(before, view, state.Revision())
 }
 
+// hostsOf returns the IP addresses of the machines that have a worker on record, each of
+// which has a node.
+func hostsOf(state *catalog.State) []string {
+	instances := state.Instances()
+	hosts := make([]string, 0, len(instances))
+	for _, instance := range instances {
+		if host, _, err := net.SplitHostPort(instance.Address); err == nil {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
 // lapsedPart is the part of the time that a leaving worker may still be sent
 // requests for which one without a record is.
 const lapsedPart = 0.75
@@ -215,6 +234,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	logging.Event(n.options.Logger, "node.started", logging.Fields{"node": n.settings.Name, "zone": n.settings.Zone, "service": n.settings.Service})
 	group.Go(func() error { return n.replicator.Run(ctx) })
+	group.Go(func() error { return n.quarantine.Run(ctx) })
 	limits := n.trafficConfig(traffic.Protocol{}).Limits
 	callers := n.listener("outbound", n.settings.Listen.Outbound, n.outbound)
 	callers.safe = n.outbound.MayRunAhead
@@ -247,11 +267,24 @@
 		Ready:    n.readyAsked,
 		Status:   func() any { return n.Status(context.Background()) },
 		Drain:    n.Stop,
+		Release:  n.release,
 		Registry: n.options.Registry,
 		Logger:   n.options.Logger,
 	})
 }
 
+// release has a request that is held sent to workers again, everywhere, and tells in what
+// state it was.
+func (n *CatalogNode) release(text string) (string, error) {
+	fingerprint, err := quarantine.ParseFingerprint(text)
+	if err != nil {
+		return "", err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	return n.quarantine.LetGo(ctx, fingerprint, "operator").State.String(), nil
+}
+
 // CatalogStatus is what a catalog node tells operators.
 type CatalogStatus struct {
 	Node        string            `json:"node"`
@@ -264,7 +297,8 @@
 	Queued      int               `json:"queued"`
 	InFlight    int               `json:"inFlight"`
 	Evacuated   []string          `json:"evacuated,omitempty"` // zones whose workers are sent nothing
-	Off         []string          `json:"off"`                 // parts that the store makes needless
+	Quarantine  keeper.Status     `json:"quarantine"`
+	Off         []string          `json:"off"` // parts that the store makes needless
 }
 
 // evacuated returns the zones whose workers are sent nothing.
@@ -291,7 +325,8 @@
 		Ready: ready, Reason: reason,
 		Replication: n.replicator.Status(ctx),
 		Slots:       n.inbound.Busy(), Queued: n.inbound.Queued(), InFlight: n.InFlight(),
-		Off: partsOff(), Evacuated: n.evacuated(),
+		Quarantine: n.quarantine.Status(),
+		Off:        partsOff(), Evacuated: n.evacuated(),
 	}
 }
 
--- a/internal/node/catalog_metrics.go
+++ b/internal/node/catalog_metrics.go
@@ -17,6 +17,9 @@
 	callsMetric     = describe("sliphead_store_calls_total", "Questions to the store, by what became of them.", "result")
 	followersMetric = describe("sliphead_catalog_followers", "Nodes that this one passes news on to.")
 	instancesMetric = describe("sliphead_catalog_instances", "Instances that the store records.")
+	heldMetric      = describe("sliphead_quarantine_requests", "Requests under which workers have ended, by what becomes of them.", "state")
+	tellingsMetric  = describe("sliphead_quarantine_messages_total", "Messages to other nodes on such requests.")
+	toldBytesMetric = describe("sliphead_quarantine_bytes_total", "Bytes of these messages.")
 	linesMetric     = describe("sliphead_log_lines_dropped_total", "Lines of the log that were left out.")
 )
 
@@ -24,6 +27,7 @@
 func (catalogState) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, description := range []*prometheus.Desc{
 		readyMetric, readerMetric, revisionMetric, ageMetric, storeMetric, callsMetric, followersMetric, instancesMetric, linesMetric,
+		heldMetric, tellingsMetric, toldBytesMetric,
 	} {
 		descriptions <- description
 	}
@@ -37,6 +41,7 @@
 	if s.node.options.DroppedLines != nil {
 		sink.counter(linesMetric, s.node.options.DroppedLines())
 	}
+	s.collectQuarantine(sink)
 	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
 	status := s.node.replicator.Status(ctx)
@@ -52,3 +57,12 @@
 	sink.counter(callsMetric, status.Answered, "answered")
 	sink.counter(callsMetric, status.Failed, "failed")
 }
+
+func (s catalogState) collectQuarantine(sink sink) {
+	status := s.node.quarantine.Status()
+	sink.gauge(heldMetric, float64(status.Suspected), "suspected")
+	sink.gauge(heldMetric, float64(status.Held), "held")
+	messages, bytes := s.node.quarantine.Sent()
+	sink.counter(tellingsMetric, messages)
+	sink.counter(toldBytesMetric, bytes)
+}
--- a/internal/quarantine/fingerprint_test.go
+++ b/internal/quarantine/fingerprint_test.go
@@ -21,15 +21,19 @@
 		"ends of its parts": {Method: "POST", Host: "shop.exampl", Target: "e/order/7?page=1", Body: []byte("cards")},
 	} {
 		must.NotEq(t, request.Fingerprint(), other.Fingerprint(), must.Sprint(name))
+		sameHead := name == "one byte of body" || name == "no body"
+		must.Eq(t, sameHead, request.Head() == other.Head(), must.Sprint(name))
+		must.Eq(t, other.Head(), other.Fingerprint().Head())
 	}
 }
 
 func TestFingerprintReadsBack(t *testing.T) {
-	written := Request{Method: "GET", Host: "shop.example", Target: "/a"}.Fingerprint()
+	asked := Request{Method: "GET", Host: "shop.example", Target: "/a"}
+	written := asked.Fingerprint()
 	read, err := ParseFingerprint(written.String())
 	must.NoError(t, err)
 	must.Eq(t, written, read)
-	for _, text := range []string{"", "a", "!!!!!!!!!!!!!!!!", written.String() + "AAAA"} {
+	for _, text := range []string{"", "a", "!!!!!!!!!!!!!!!!!!!!!!", written.String() + "AAAA"} {
 		_, err := ParseFingerprint(text)
 		must.Error(t, err)
 	}
--- a/internal/traffic/cold.go
+++ b/internal/traffic/cold.go
@@ -87,6 +87,9 @@
 	defer a.mutex.Unlock()
 	before := a.recorded
 	a.recorded = local
+	if before.Instance != local.Instance {
+		in.replaced(before)
+	}
 	a.cold.Bind(coldstart.Bound{
 		PerSecond: local.ColdPerSecond, Overage: in.config.Limits.ColdOverage, Slack: in.config.Limits.ColdSlack, Lasts: local.ColdStart,
 	})
--- a/internal/traffic/decision.go
+++ b/internal/traffic/decision.go
@@ -18,7 +18,7 @@
 	fields["cause"] = string(ended.cause)
 	fields["status"] = ended.status
 	fields["remedy"] = ended.remedy
-	if ended.cause == causeBroken && m.side == "inbound" {
+	if ended.cause == causeQuarantine || ended.cause == causeBroken && m.side == "inbound" {
 		// Copies of a request come under other ids: only this tells that the same one
 		// was at several workers that ended.
 		fields["fingerprint"] = x.fingerprint().String()
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -30,7 +30,7 @@
 	d := dispatch{out: out, x: x, ended: make(chan *openTry, mostOffers), last: refuse(causeEndpoints, 0, "send it again later, no worker takes this route now")}
 	defer d.close()
 	x.class.returned = out.returns.returned(x.route.Name, x.given)
-	if target, found := out.weights.target(x.route); found {
+	if target, found := d.target(); found {
 		if ended, done := d.offerTo(target); done {
 			return ended
 		}
@@ -60,7 +60,7 @@
 	d.out.budget.count(target.Service)
 	d.service = target.Service
 	need := d.need()
-	endpoints := d.allowed(d.x.view.EndpointsOf(target))
+	endpoints := d.allowed(d.onTrial(d.x.view.EndpointsOf(target)))
 	var excluded []int
 	for d.offers < d.out.offers.most && d.x.context.Err() == nil {
 		need.Refused, need.Near = d.full > 0, d.crossing >= d.out.offers.crossing
@@ -182,14 +182,14 @@
 		if failure.arrived {
 			d.attempts++
 		}
-		if failure.arrived && d.attempts >= d.x.route.MaxAttempts || failure.cause == causeCallerGone {
+		if failure.arrived && d.attempts >= d.x.route.MaxAttempts || failure.cause == causeCallerGone || failure.cause == causeQuarantine {
 			return d.giveUp(), true
 		}
 		return result{}, false
 	}
 	d.attempts++
 	d.mayHaveRun = true
-	if d.mayRepeat() {
+	if d.mayRepeat() && !failure.deadly {
 		return result{}, false
 	}
 	return d.giveUp(), true
@@ -223,6 +223,9 @@
 		ended.status = http.StatusServiceUnavailable
 	}
 	ended.retryAfter = d.comeBack(time.Now())
+	if ended.cause == causeQuarantine {
+		ended.retryAfter = max(ended.retryAfter, d.out.heldFor(d.x))
+	}
 	return ended
 }
 
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -38,6 +38,7 @@
 	instance    string // id of the instance that is to run the request
 	caller      string // service beside the node that took the request
 	class       class
+	trialOwner  string        // instance that alone may run it, since it is on trial in the quarantine; "": any
 	protocol    *Protocol     // of the callers; nil: sliphead's own
 	between     bool          // whether it came from another node of a catalog's mesh
 	elsewhere   bool          // whether the caller's node knows of another endpoint that seems to be free
@@ -64,16 +65,19 @@
 	cut        bool    // whether the answer has to be cut because it is not whole
 	final      bool    // whether a level below has already spent its retries
 	arrived    bool    // whether it reached a worker, which then refused it
+	deadly     bool    // whether this is not the first worker that ended while it ran the request
 	answer     *answer // a whole answer that is still to be passed on
 }
 
-// fingerprint names all copies of the request. Of a body that streams nothing is known:
-// with a catalog bodies are held whole.
-func (x *exchange) fingerprint() quarantine.Fingerprint {
-	asked := quarantine.Request{Method: x.request.Method, Host: strings.ToLower(hostOf(x.request)), Target: x.request.URL.RequestURI(), Body: x.body.whole}
-	return asked.Fingerprint()
+// asked is what the request asks, the same for all its copies. Of a body that streams
+// nothing is known: with a catalog bodies are held whole.
+func (x *exchange) asked() *quarantine.Request {
+	return &quarantine.Request{Method: x.request.Method, Host: strings.ToLower(hostOf(x.request)), Target: x.request.URL.RequestURI(), Body: x.body.whole}
 }
 
+// fingerprint names all copies of the request.
+func (x *exchange) fingerprint() quarantine.Fingerprint { return x.asked().Fingerprint() }
+
 // cause is the bounded label under which endings are counted.
 type cause string
 
@@ -101,8 +105,9 @@
 	causeSilent     cause = "silent"
 	causeLimits     cause = "limits"
 	causeShed       cause = "shed"
-	causeCold       cause = "cold"   // the worker is cold, and gets as much as it bears
-	causeRegion     cause = "region" // no worker in the regions that the route allows
+	causeCold       cause = "cold"       // the worker is cold, and gets as much as it bears
+	causeRegion     cause = "region"     // no worker in the regions that the route allows
+	causeQuarantine cause = "quarantine" // workers ended under this request, it is sent to none
 )
 
 // stage handles an exchange; filter puts a step in front of a stage.
--- a/internal/traffic/hop.go
+++ b/internal/traffic/hop.go
@@ -89,6 +89,8 @@
 	outcome outcome.Outcome
 	arrived bool // whether the worker itself refused
 	full    bool // whether it was refused because another endpoint seemed to be free
+	held    bool // whether it is held in quarantine
+	deadly  bool // whether this is not the first worker that ended while it ran the request
 	load    balance.Load
 	loaded  bool
 }
@@ -97,7 +99,7 @@
 func encodeHopAnswer(x *exchange, told outcome.Outcome, ended *result) string {
 	flags := string(told[:1])
 	if ended != nil {
-		flags += flag('w', ended.arrived) + flag('f', ended.cause == causeFull)
+		flags += flag('w', ended.arrived) + flag('f', ended.cause == causeFull) + flag('q', ended.cause == causeQuarantine) + flag('d', ended.deadly)
 	}
 	return strings.Join([]string{x.attempt, flags, encodeLoad(x.load())}, hopSeparator)
 }
@@ -106,7 +108,7 @@
 func decodeHopAnswer(text string) hopAnswer {
 	attempt, rest, _ := strings.Cut(text, hopSeparator)
 	flags, load, _ := strings.Cut(rest, hopSeparator)
-	read := hopAnswer{attempt: attempt, outcome: outcome.Unknown, arrived: strings.Contains(flags, "w"), full: strings.Contains(flags, "f")}
+	read := hopAnswer{attempt: attempt, outcome: outcome.Unknown, arrived: strings.Contains(flags, "w"), full: strings.Contains(flags, "f"), held: strings.Contains(flags, "q"), deadly: strings.Contains(flags, "d")}
 	switch {
 	case strings.HasPrefix(flags, "a"):
 		read.outcome = outcome.Answered
@@ -130,8 +132,12 @@
 		remedy:     "send it again later, the workers are busy or leave",
 		retryAfter: h.load.Wait + h.load.Link + h.load.Closed,
 		arrived:    h.arrived,
+		deadly:     h.deadly,
 	}
-	if h.full {
+	switch {
+	case h.held:
+		refused.cause = causeQuarantine
+	case h.full:
 		refused.cause = causeFull
 	}
 	return &refused
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -21,7 +21,8 @@
 	seen     atomic.Pointer[snapshot.View] // the view that slots and connections were taken from
 	handle   stage
 	gone     atomic.Pointer[string] // the last instance that the worker said it is not
-	vouches  atomic.Bool            // whether this node answers for a worker whose record is gone
+	runs     *workerRuns
+	vouches  atomic.Bool // whether this node answers for a worker whose record is gone
 }
 
 // NewInbound returns the handler of the inbound listener.
@@ -30,10 +31,11 @@
 	in := &Inbound{config: config, gate: newGate()}
 	in.admitter = newAdmitter(config.Service, config.Limits)
 	in.worker = newWorkerLink(config)
+	in.runs = newWorkerRuns()
 	in.metrics = newMetrics(config, "inbound", gauges{inFlight: in.gate.count, queued: in.admitter.waiting})
 	in.handle = pipe(in.forward, in.classify, limitDepth(config.Limits.MaxDepth), limitTime, readBody(&in.config.Limits), in.admitter.admit, in.claim)
 	if !config.Protocol.own() {
-		in.handle = pipe(in.forward, in.classify, limitTime, in.openToCold, in.pace, in.admitter.admit, in.stillLocal, in.passCold, readBody(&in.config.Limits), in.stillLocal)
+		in.handle = pipe(in.forward, in.classify, limitTime, in.openToCold, in.pace, in.admitter.admit, in.stillLocal, in.passCold, readBody(&in.config.Limits), in.stillLocal, in.keepQuarantined)
 	}
 	return in
 }
@@ -49,7 +51,7 @@
 	if refused := in.checkLocal(x); refused != nil {
 		return *refused
 	}
-	ended := in.openToCold(in.admitter.admit(in.stillLocal(in.passCold(in.forward))))(x)
+	ended := in.openToCold(in.admitter.admit(in.stillLocal(in.passCold(in.keepQuarantined(in.forward)))))(x)
 	in.metrics.count(x, ended)
 	return ended
 }
@@ -160,6 +162,7 @@
 	default:
 		ended = got.pass(x)
 	}
+	in.noteRun(x, &ended)
 	if !callFailed {
 		in.observe(x, ended.cause)
 	}
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -67,6 +67,8 @@
 	// Observe is told what requests met at the local worker: true for a whole
 	// answer, false for none that was the worker's doing. It must not block.
 	Observe func(succeeded bool)
+	// Quarantine knows the requests that end workers; nil: none is kept from them.
+	Quarantine Quarantine
 	// Calls joins the inbound and the outbound handler of one node; see Calls.
 	Calls *Calls
 }
--- a/internal/traffic/worker.go
+++ b/internal/traffic/worker.go
@@ -1,8 +1,12 @@
 package traffic
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"sync"
+	"syscall"
+	"time"
 
 	"sliphead/internal/snapshot"
 )
@@ -14,6 +18,10 @@
 	bounded   int // connections in all
 	pool      *pool
 	transport *http.Transport // for what the pool does not carry
+
+	checking sync.Mutex // held while the worker is asked for a connection
+	checked  time.Time  // when it was asked last
+	ended    bool       // whether it refused one then
 }
 
 // transportShare is the part of the worker's connections that the transport
@@ -50,6 +58,25 @@
 	return l.pool, l.transport
 }
 
+// hasEnded reports whether the worker takes no connections: it has ended, and did not just
+// break one off. Requests that broke off together share one look; a connection that is
+// opened for it serves the next request.
+func (l *workerLink) hasEnded(ctx context.Context, address string, broken time.Time) bool {
+	l.checking.Lock()
+	defer l.checking.Unlock()
+	if l.checked.After(broken) {
+		return l.ended
+	}
+	l.checked = time.Now()
+	direct, _ := l.connections()
+	conn, err := direct.connect(ctx, address)
+	if err == nil {
+		direct.put(conn)
+	}
+	l.ended = errors.Is(err, syscall.ECONNREFUSED)
+	return l.ended
+}
+
 // adjust takes the worker's declared slots and connections from a new view.
 func (in *Inbound) adjust(view *snapshot.View) {
 	if in.seen.Swap(view) == view {
