Count the age of knowledge by a clock that goes on while the machine is suspended

Cause: ages of the catalog counted by the monotonic clock, which stands still while a machine is suspended: a node that slept 8 s took what it knew for 8 s younger than it was, noticed no pause, and took news and answers that had waited in its buffers for fresh. Ruled out: leases of views (they count by the monotonic and the wall clock, whichever is further), the retry budget (it counts requests, not time), deadlines (a caller's close reaches the node as it wakes), connections (probes of the kernel, and a body that may be sent once is offered first). Change: the replicator goes by package clock; a pause ages what waited through it; until when a worker without a record may be used is a time of that clock. Measured: TestWhatWaitedThroughAPauseIsOld; without the change news of 8 s ago counts as 50 ms old and the store's as new.

--- a/internal/replication/machine.go
+++ b/internal/replication/machine.go
@@ -52,9 +52,11 @@
 type Machine struct {
 	config      Config
 	state       *catalog.State
-	confirmed   time.Time // when the store was last known to have no newer revision
-	confirmedBy string    // the node whose question told so
-	last        time.Time // of the step before
+	confirmed   time.Time     // when the store was last known to have no newer revision
+	confirmedBy string        // the node whose question told so
+	last        time.Time     // of the step before
+	paused      time.Duration // how long the last pause was
+	resumed     time.Time     // when it ended
 	out         []Effect
 
 	ranked []peer // of this zone and then of others, best first
@@ -63,7 +65,8 @@
 
 	reading    bool // whether this node reads the store for its zone
 	asking     bool
-	askedWhole bool // whether the last question was for everything
+	askedAt    time.Time // when the last question was put
+	askedWhole bool      // whether the last question was for everything
 	nextAsk    time.Time
 	failures   int       // questions to the store that failed in a row
 	needWhole  bool      // because changes are missing
@@ -168,12 +171,31 @@
 	if gap < m.share(silenceShare) {
 		return
 	}
+	m.paused, m.resumed = gap, now
 	m.heard = now
 	m.nextAsk = now
 	m.doubts = map[string]doubt{}
 	m.emit(Log{Event: EventPaused, Duration: gap})
 }
 
+// confirmedAt is as of when an answer of the store confirms what is known. One to a
+// question from before a pause may have waited here for the whole of it.
+func (m *Machine) confirmedAt(told time.Time) time.Time {
+	if m.askedAt.Before(m.resumed) && m.askedAt.Before(told) {
+		return m.askedAt
+	}
+	return told
+}
+
+// ageOf is the age of news that has come now. Right after a pause it may have waited here
+// for the whole of it: taken for fresh, it put off the question that would tell more.
+func (m *Machine) ageOf(event News, now time.Time) time.Duration {
+	if m.paused > 0 && now.Sub(m.resumed) < m.share(chanceShare) {
+		return event.Age + m.paused
+	}
+	return event.Age
+}
+
 func (m *Machine) onAnswer(event StoreAnswered, now time.Time) {
 	m.asking = false
 	if m.failures > 0 {
@@ -185,7 +207,7 @@
 	if event.Batch.Whole {
 		m.needWhole = false
 	}
-	m.join(event.Batch, event.ConfirmedAt, m.config.Self)
+	m.join(event.Batch, m.confirmedAt(event.ConfirmedAt), m.config.Self)
 	if len(event.Batch.Changes) > 0 {
 		m.nextAsk = now.Add(m.spacing())
 	}
@@ -264,12 +286,12 @@
 	if event.Batch.To == 0 {
 		return
 	}
-	before := m.confirmed
-	if !m.join(event.Batch, now.Add(-event.Age), event.Reader) {
+	before, told := m.confirmed, now.Add(-m.ageOf(event, now))
+	if !m.join(event.Batch, told, event.Reader) {
 		m.emit(Follow{Address: m.following})
 		return
 	}
-	if !now.Add(-event.Age).Before(before) {
+	if !told.Before(before) {
 		m.believe(event)
 	}
 }
@@ -334,6 +356,7 @@
 		question.Wait = m.readWait(now)
 	}
 	m.asking = true
+	m.askedAt = now
 	m.askedWhole = question.Whole
 	m.emit(question)
 }
--- a/internal/replication/start_test.go
+++ b/internal/replication/start_test.go
@@ -34,3 +34,25 @@
 		must.Eq(t, f.revision, node.machine.State().Revision())
 	}
 }
+
+// After a pause, news that waited for this node is as old as the pause, and so is what the
+// store answered to a question from before it. The store is asked at once.
+func TestWhatWaitedThroughAPauseIsOld(t *testing.T) {
+	const pause = 8 * time.Second
+	began := time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+	m := New(Config{Self: "10.0.0.1", Zone: "z", Freshness: 2 * time.Second}, began)
+	m.Step(Tick{}, began)
+	m.Step(StoreAnswered{Batch: catalog.Batch{To: 5, Whole: true}, ConfirmedAt: began}, began)
+	asked := m.askedAt
+	woken := began.Add(pause)
+	m.Step(StoreAnswered{Batch: catalog.Batch{From: 5, To: 5}, ConfirmedAt: woken}, woken)
+	must.Eq(t, asked, m.Confirmed())
+	must.True(t, m.asking, must.Sprint("asks at once"))
+
+	m.following = "10.0.0.2"
+	m.onNews(News{From: "10.0.0.2", Reader: "10.0.0.2", Batch: catalog.Batch{From: 5, To: 5}, Age: 50 * time.Millisecond}, woken)
+	must.Eq(t, asked, m.Confirmed(), must.Sprint("news that may have waited"))
+	later := woken.Add(time.Second)
+	m.onNews(News{From: "10.0.0.2", Reader: "10.0.0.2", Batch: catalog.Batch{From: 5, To: 5}, Age: 50 * time.Millisecond}, later)
+	must.Eq(t, later.Add(-50*time.Millisecond), m.Confirmed())
+}
--- a/internal/replicator/link.go
+++ b/internal/replicator/link.go
@@ -165,7 +165,7 @@
 func (r *Replicator) tell(mine *follower) {
 	state := r.machine.State()
 	if r.encoded.line == nil || r.encoded.from != mine.sent || r.encoded.to != state.Revision() {
-		age, _ := r.machine.Age(time.Now())
+		age, _ := r.machine.Age(r.config.Now())
 		line, err := json.Marshal(news{Batch: state.Since(mine.sent), Age: age, Reader: r.machine.ConfirmedBy(), Preferred: r.machine.Preferred()})
 		if err != nil {
 			return
--- a/internal/replicator/question_test.go
+++ b/internal/replicator/question_test.go
@@ -45,7 +45,7 @@
 func ask(t *testing.T, store slowStore) (event any, took time.Duration) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		r := New(Config{Address: "10.0.0.1", Freshness: time.Second, Store: store, Problem: func(error) {}})
+		r := New(Config{Address: "10.0.0.1", Freshness: time.Second, Store: store, Problem: func(error) {}, Now: time.Now})
 		asked := time.Now()
 		r.question(t.Context(), replication.Ask{After: 7})
 		event, took = <-r.inputs, time.Since(asked)
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sliphead/internal/catalog"
+	"sliphead/internal/clock"
 	"sliphead/internal/fault"
 	"sliphead/internal/liveness"
 	"sliphead/internal/logging"
@@ -57,6 +58,9 @@
 	// Received is told how many bytes an answer of the store took. It must not wait;
 	// nil: nobody asks.
 	Received func(bytes int)
+	// Now is the clock by which ages count; nil: that of package clock, since knowledge ages
+	// while the machine is suspended, too.
+	Now func() time.Time
 }
 
 // Shares of Config.Freshness.
@@ -86,7 +90,10 @@
 
 // New returns a replicator that knows nothing yet.
 func New(config Config) *Replicator {
-	machine := replication.New(replication.Config{Self: config.Address, Zone: config.Zone, Freshness: config.Freshness, Fast: config.Fast}, time.Now())
+	if config.Now == nil {
+		config.Now = clock.Now
+	}
+	machine := replication.New(replication.Config{Self: config.Address, Zone: config.Zone, Freshness: config.Freshness, Fast: config.Fast}, config.Now())
 	return &Replicator{config: config, machine: machine, inputs: make(chan any, inputQueue), followers: map[*follower]struct{}{}, knocking: map[string]bool{}}
 }
 
@@ -214,7 +221,7 @@
 }
 
 func (r *Replicator) step(ctx context.Context, event replication.Event) {
-	for _, effect := range r.machine.Step(event, time.Now()) {
+	for _, effect := range r.machine.Step(event, r.config.Now()) {
 		switch effect := effect.(type) {
 		case replication.Ask:
 			go r.question(ctx, effect)
@@ -244,7 +251,7 @@
 	var began time.Time // of the first answer
 	answer, err := r.ask(bounded, ask, func() {
 		if began.IsZero() {
-			began = time.Now()
+			began = r.config.Now()
 			limit.Reset(r.share(wholeTimeout))
 		}
 	})
@@ -293,7 +300,7 @@
 }
 
 func (r *Replicator) status() Status {
-	now := time.Now()
+	now := r.config.Now()
 	age, _ := r.machine.Age(now)
 	status := Status{
 		Revision:  r.machine.State().Revision(),
@@ -319,7 +326,7 @@
 	if event.Duration > 0 {
 		fields["gap_ms"] = event.Duration.Milliseconds()
 	}
-	if age, known := r.machine.Age(time.Now()); known {
+	if age, known := r.machine.Age(r.config.Now()); known {
 		fields["age_ms"] = age.Milliseconds()
 	}
 	if event.Err != nil {
--- a/internal/snapshot/catalog.go
+++ b/internal/snapshot/catalog.go
@@ -31,13 +31,13 @@
 	ColdPerSecond float64       // requests a second that it bears while it is cold; 0: not bounded
 	HealthPath    string        // on which it tells of itself, "" if it doesn't
 	Lapsed        bool          // whether its record is gone without a word of leaving
-	Until         time.Time     // of one that lapsed: until when it may be sent requests all the same
+	Until         time.Time     // of one that lapsed: until when, by package clock, it may be sent requests all the same
 }
 
 // LapsedInstance is an instance whose record is gone without a word of leaving.
 type LapsedInstance struct {
 	catalog.Instance
-	Until time.Time // until when it may be sent requests all the same
+	Until time.Time // until when, by package clock, it may be sent requests all the same
 }
 
 // CatalogInput is what a catalog is resolved with.
--- a/internal/traffic/instance.go
+++ b/internal/traffic/instance.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"sliphead/internal/clock"
 	"sliphead/internal/declaration"
 	"sliphead/internal/outcome"
 	"sliphead/internal/snapshot"
@@ -85,7 +86,7 @@
 // knows: it may be sent requests for the time that a leaving one may, and for as
 // long as this node vouches for it.
 func (in *Inbound) lapsed(local snapshot.Local) bool {
-	return local.Lapsed && time.Now().After(local.Until) && !in.vouches.Load()
+	return local.Lapsed && clock.Now().After(local.Until) && !in.vouches.Load()
 }
 
 // Vouch tells whether this node answers for a worker whose record is gone.
