Name poison requests and crashes by the field's terms; one type for runs whose end nobody saw

Cause: 'deadly', 'fell' and 'in doubt' were words of our own for what the field calls a poison request, a crash and a broken run; abandoned and broken runs stood twice. Measured: all tests of the packages pass.

--- a/internal/quarantine/event.go
+++ b/internal/quarantine/event.go
@@ -8,8 +8,8 @@
 // Tick lets time pass. It is due every 100 ms.
 type Tick struct{}
 
-// WorkerFell tells that the worker beside this node ended while it ran these requests.
-type WorkerFell struct {
+// WorkerCrashed tells that the worker beside this node ended while it ran these requests.
+type WorkerCrashed struct {
 	Instance string
 	Requests []Fingerprint
 }
@@ -40,13 +40,13 @@
 // Heard is a message of another node.
 type Heard struct{ Message Message }
 
-func (Tick) event()        {}
-func (WorkerFell) event()  {}
-func (Answered) event()    {}
-func (TrialBegins) event() {}
-func (LetGo) event()       {}
-func (Peers) event()       {}
-func (Heard) event()       {}
+func (Tick) event()          {}
+func (WorkerCrashed) event() {}
+func (Answered) event()      {}
+func (TrialBegins) event()   {}
+func (LetGo) event()         {}
+func (Peers) event()         {}
+func (Heard) event()         {}
 
 // Message is what two nodes tell each other.
 type Message struct {
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -128,7 +128,7 @@
 					f.advance(5*time.Second, nil)
 					must.Eq(t, quiet, f.messages, must.Sprint("nodes that know of no request are silent"))
 					for index := range 3 {
-						f.step(f.names[index%size], fallOf(fmt.Sprint("i-", index), requestNumber(1)))
+						f.step(f.names[index%size], crashOf(fmt.Sprint("i-", index), requestNumber(1)))
 					}
 					took, all := f.advance(contact, func() bool { return f.holding(requestNumber(1)) == size })
 					must.True(t, all, must.Sprint("seed ", seed))
@@ -149,9 +149,9 @@
 		for _, name := range f.names[6:] {
 			f.side[name] = 1
 		}
-		f.step(f.names[0], fallOf("i-0", requestNumber(1)))
-		f.step(f.names[1], fallOf("i-1", requestNumber(1)))
-		f.step(f.names[7], fallOf("i-7", requestNumber(1)))
+		f.step(f.names[0], crashOf("i-0", requestNumber(1)))
+		f.step(f.names[1], crashOf("i-1", requestNumber(1)))
+		f.step(f.names[7], crashOf("i-7", requestNumber(1)))
 		f.advance(10*time.Second, nil)
 		must.Eq(t, 0, f.holding(requestNumber(1)))
 		clear(f.side)
@@ -170,7 +170,7 @@
 		f.stopped[suspended] = true
 		f.side[cut] = 1
 		for index := range 3 {
-			f.step(f.names[index], fallOf(fmt.Sprint("i-", index), requestNumber(1)))
+			f.step(f.names[index], crashOf(fmt.Sprint("i-", index), requestNumber(1)))
 		}
 		f.advance(8*time.Second, nil)
 		f.start(f.names[5])
@@ -188,7 +188,7 @@
 		f := newFleet(seed, 12, 0.2)
 		f.advance(time.Second, nil)
 		for index := range 3 {
-			f.step(f.names[index], fallOf(fmt.Sprint("i-", index), requestNumber(1)))
+			f.step(f.names[index], crashOf(fmt.Sprint("i-", index), requestNumber(1)))
 		}
 		f.advance(30*time.Millisecond, nil)
 		f.step(f.names[2], Answered{Fingerprint: requestNumber(1), Instance: "i-9"})
@@ -219,7 +219,7 @@
 				ran = append(ran, requestNumber(number))
 			}
 			name := f.names[(second*size/3+index)%size]
-			f.step(name, fallOf(fmt.Sprint("i-", second, "-", index), ran...))
+			f.step(name, crashOf(fmt.Sprint("i-", second, "-", index), ran...))
 		}
 		f.advance(time.Second, nil)
 	}
--- a/internal/quarantine/keeper/keeper.go
+++ b/internal/quarantine/keeper/keeper.go
@@ -76,10 +76,10 @@
 	return verdict, max(0, verdict.Until.Sub(now))
 }
 
-// WorkerFell tells that the worker beside this node ended while it ran some requests, and
+// WorkerCrashed tells that the worker beside this node ended while it ran some requests, and
 // returns what is known then of the first one. When ctx ends before, nothing is.
-func (k *Keeper) WorkerFell(ctx context.Context, instance string, requests []quarantine.Fingerprint) quarantine.Verdict {
-	return k.submit(ctx, quarantine.WorkerFell{Instance: instance, Requests: requests}, requests[0])
+func (k *Keeper) WorkerCrashed(ctx context.Context, instance string, requests []quarantine.Fingerprint) quarantine.Verdict {
+	return k.submit(ctx, quarantine.WorkerCrashed{Instance: instance, Requests: requests}, requests[0])
 }
 
 // Answered tells that the worker beside this node answered a request that is known.
--- a/internal/quarantine/keeper/keeper_test.go
+++ b/internal/quarantine/keeper/keeper_test.go
@@ -26,7 +26,7 @@
 
 func TestMessagesReadBack(t *testing.T) {
 	sent := quarantine.Message{From: "10.0.0.1", Sum: 1<<63 + 5, Ask: true, Answer: true, Records: []quarantine.Record{
-		{Fingerprint: requestNumber(1), Kind: quarantine.Fell, Generation: 2, Source: "i-1", At: began.Add(-1500 * time.Millisecond)},
+		{Fingerprint: requestNumber(1), Kind: quarantine.Crashed, Generation: 2, Source: "i-1", At: began.Add(-1500 * time.Millisecond)},
 		{Fingerprint: requestNumber(2), Kind: quarantine.Released, Source: "operator", At: began},
 	}}
 	line, err := encode(sent, began)
@@ -41,7 +41,7 @@
 	const records, datagram = 14, 1400
 	message := quarantine.Message{From: "10.200.100.100", Sum: 1 << 63}
 	for number := range records {
-		message.Records = append(message.Records, quarantine.Record{Fingerprint: requestNumber(number), Kind: quarantine.Fell, Source: "i-f0624b4e6e", At: began.Add(-time.Hour)})
+		message.Records = append(message.Records, quarantine.Record{Fingerprint: requestNumber(number), Kind: quarantine.Crashed, Source: "i-f0624b4e6e", At: began.Add(-time.Hour)})
 	}
 	line, err := encode(message, began)
 	must.NoError(t, err)
@@ -49,14 +49,14 @@
 }
 
 func TestBadMessagesAreRefused(t *testing.T) {
-	for _, line := range []string{"", "{}", `{"from":"10.0.0.1"}`, `{"from":"here","sum":"0"}`, `{"from":"10.0.0.1","sum":"0","records":[{"f":"short","k":"fell","s":"i-1"}]}`} {
+	for _, line := range []string{"", "{}", `{"from":"10.0.0.1"}`, `{"from":"here","sum":"0"}`, `{"from":"10.0.0.1","sum":"0","records":[{"f":"short","k":"crashed","s":"i-1"}]}`} {
 		_, err := decode([]byte(line), began)
 		must.Error(t, err, must.Sprint(line))
 	}
 }
 
 func FuzzDecode(f *testing.F) {
-	f.Add([]byte(`{"from":"10.0.0.1","sum":"ff","ask":true,"records":[{"f":"AAAAAAAAAAAAAAAAAAAAAA","k":"fell","s":"i-1","a":-5}]}`))
+	f.Add([]byte(`{"from":"10.0.0.1","sum":"ff","ask":true,"records":[{"f":"AAAAAAAAAAAAAAAAAAAAAA","k":"crashed","s":"i-1","a":-5}]}`))
 	f.Fuzz(func(t *testing.T, line []byte) {
 		message, err := decode(line, began)
 		if err != nil {
@@ -120,7 +120,7 @@
 func TestKeepersAgree(t *testing.T) {
 	f := newFleet(t, 5)
 	for index, each := range f.keepers[:3] {
-		each.WorkerFell(t.Context(), fmt.Sprint("i-", index), []quarantine.Fingerprint{requestNumber(1)})
+		each.WorkerCrashed(t.Context(), fmt.Sprint("i-", index), []quarantine.Fingerprint{requestNumber(1)})
 	}
 	f.until(t, quarantine.Held)
 	must.True(t, f.keepers[4].Knows(requestNumber(1).Head()))
@@ -153,5 +153,5 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	must.False(t, keeper.BeginTrial(ctx, requestNumber(1), "i-1"))
-	must.Eq(t, quarantine.Free, keeper.WorkerFell(ctx, "i-1", []quarantine.Fingerprint{requestNumber(1)}).State)
+	must.Eq(t, quarantine.Free, keeper.WorkerCrashed(ctx, "i-1", []quarantine.Fingerprint{requestNumber(1)}).State)
 }
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -9,11 +9,11 @@
 
 // Bounds of what a request may do to workers, and of what is remembered.
 const (
-	// mostFalls is under how many workers' ends a request is held. One worker that ends
+	// crashesToHold is under how many crashes of workers a request is held. One worker that ends
 	// takes all that it runs along, and so may a second one that some of it was repeated
-	// at: with two, one of six innocent requests beside a deadly one would be held
+	// at: with two, one of six innocent requests beside a poison one would be held
 	// (computed: both are repeated at one of six workers). The operators allow three.
-	mostFalls = 3
+	crashesToHold = 3
 
 	// memory is for how long the records of a request are kept after the last one: a
 	// request that comes once a day ends three workers and no more.
@@ -39,15 +39,15 @@
 
 // history is what is known of one request. It is not changed once it is in a ledger.
 type history struct {
-	generation    uint32               // the open one
-	falls, trials map[string]time.Time // of this generation, by source
-	releasedBy    string               // who closed the generation before, "" where it is not known
-	latest        time.Time            // of all records
+	generation      uint32               // the open one
+	crashes, trials map[string]time.Time // of this generation, by source
+	releasedBy      string               // who closed the generation before, "" where it is not known
+	latest          time.Time            // of all records
 }
 
 func (h *history) clone() *history {
 	copied := *h
-	copied.falls = maps.Clone(h.falls)
+	copied.crashes = maps.Clone(h.crashes)
 	copied.trials = maps.Clone(h.trials)
 	return &copied
 }
@@ -55,7 +55,7 @@
 // open begins a generation and forgets what was observed in those before.
 func (h *history) open(generation uint32) {
 	h.generation = generation
-	h.falls = map[string]time.Time{}
+	h.crashes = map[string]time.Time{}
 	h.trials = map[string]time.Time{}
 	h.releasedBy = ""
 }
@@ -72,7 +72,7 @@
 	case record.Generation > h.generation:
 		h.open(record.Generation) // the release before it is still on its way
 	}
-	of := h.falls
+	of := h.crashes
 	if record.Kind == Tried {
 		of = h.trials
 	}
@@ -98,7 +98,7 @@
 	}
 	before := l.cases[record.Fingerprint]
 	if before == nil {
-		before = &history{falls: map[string]time.Time{}, trials: map[string]time.Time{}}
+		before = &history{crashes: map[string]time.Time{}, trials: map[string]time.Time{}}
 	}
 	next := before.clone()
 	if !next.add(record) {
@@ -170,8 +170,8 @@
 	if held.generation > 0 {
 		records = append(records, Record{Fingerprint: fingerprint, Kind: Released, Generation: held.generation - 1, Source: held.releasedBy, At: held.latest})
 	}
-	for _, source := range sources(held.falls) {
-		records = append(records, Record{Fingerprint: fingerprint, Kind: Fell, Generation: held.generation, Source: source, At: held.falls[source]})
+	for _, source := range sources(held.crashes) {
+		records = append(records, Record{Fingerprint: fingerprint, Kind: Crashed, Generation: held.generation, Source: source, At: held.crashes[source]})
 	}
 	for _, source := range sources(held.trials) {
 		records = append(records, Record{Fingerprint: fingerprint, Kind: Tried, Generation: held.generation, Source: source, At: held.trials[source]})
--- a/internal/quarantine/machine.go
+++ b/internal/quarantine/machine.go
@@ -100,8 +100,8 @@
 		if m.ledger.expire(now) {
 			m.emit(Changed{})
 		}
-	case WorkerFell:
-		m.onFall(event, now)
+	case WorkerCrashed:
+		m.onCrash(event, now)
 	case Answered:
 		m.release(event.Fingerprint, event.Instance, now)
 	case TrialBegins:
@@ -131,10 +131,10 @@
 	m.emit(Log{Event: EventPaused, Gap: gap})
 }
 
-func (m *Machine) onFall(event WorkerFell, now time.Time) {
+func (m *Machine) onCrash(event WorkerCrashed, now time.Time) {
 	var records []Record
 	for _, fingerprint := range event.Requests {
-		records = append(records, Record{Fingerprint: fingerprint, Kind: Fell, Generation: m.ledger.generation(fingerprint), Source: event.Instance, At: now})
+		records = append(records, Record{Fingerprint: fingerprint, Kind: Crashed, Generation: m.ledger.generation(fingerprint), Source: event.Instance, At: now})
 	}
 	m.learn(records, now)
 }
--- a/internal/quarantine/machine_test.go
+++ b/internal/quarantine/machine_test.go
@@ -22,22 +22,22 @@
 	return New(Config{Self: self, Random: rand.NewPCG(1, 1)}, began)
 }
 
-func fallOf(instance string, requests ...Fingerprint) WorkerFell {
-	return WorkerFell{Instance: instance, Requests: requests}
+func crashOf(instance string, requests ...Fingerprint) WorkerCrashed {
+	return WorkerCrashed{Instance: instance, Requests: requests}
 }
 
 // Three workers have to end under a request before it is held, and the same one counts once.
 func TestHeldAfterThreeWorkers(t *testing.T) {
 	m := newMachine("a")
-	deadly, beside := requestNumber(1), requestNumber(2)
-	m.Step(fallOf("i-1", deadly, beside), began)
-	m.Step(fallOf("i-1", deadly), began)
-	m.Step(fallOf("i-2", deadly), began)
-	must.Eq(t, Verdict{State: Suspected, Workers: []string{"i-1", "i-2"}}, m.Verdict(deadly, began))
-	effects := m.Step(fallOf("i-3", deadly), began)
+	poison, beside := requestNumber(1), requestNumber(2)
+	m.Step(crashOf("i-1", poison, beside), began)
+	m.Step(crashOf("i-1", poison), began)
+	m.Step(crashOf("i-2", poison), began)
+	must.Eq(t, Verdict{State: Suspected, Workers: []string{"i-1", "i-2"}}, m.Verdict(poison, began))
+	effects := m.Step(crashOf("i-3", poison), began)
 	held := Verdict{State: Held, Workers: []string{"i-1", "i-2", "i-3"}, Until: began.Add(trialAfter[0])}
-	must.Eq(t, held, m.Verdict(deadly, began))
-	must.SliceContains(t, effects, Effect(Log{Event: EventHeld, Fingerprint: deadly, Verdict: held}))
+	must.Eq(t, held, m.Verdict(poison, began))
+	must.SliceContains(t, effects, Effect(Log{Event: EventHeld, Fingerprint: poison, Verdict: held}))
 	must.Eq(t, Suspected, m.Verdict(beside, began).State)
 	must.Eq(t, Free, m.Verdict(requestNumber(3), began).State)
 }
@@ -48,7 +48,7 @@
 	m := newMachine("a")
 	popular := requestNumber(1)
 	for index := range 10 {
-		m.Step(fallOf(fmt.Sprint("i-", index), popular), began)
+		m.Step(crashOf(fmt.Sprint("i-", index), popular), began)
 		m.Step(Answered{Fingerprint: popular, Instance: "i-other"}, began)
 		must.Eq(t, Free, m.Verdict(popular, began).State)
 	}
@@ -60,26 +60,26 @@
 	for name, answeredAt := range map[string]int{"first answered": 0, "third answered": 2, "none answered": -1} {
 		t.Run(name, func(t *testing.T) {
 			m := newMachine("a")
-			deadly, now := requestNumber(1), began
-			for index := range mostFalls {
-				m.Step(fallOf(fmt.Sprint("i-", index), deadly), now)
+			poison, now := requestNumber(1), began
+			for index := range crashesToHold {
+				m.Step(crashOf(fmt.Sprint("i-", index), poison), now)
 			}
 			for trial, wait := range trialAfter {
-				must.Eq(t, Held, m.Verdict(deadly, now.Add(wait-1)).State)
+				must.Eq(t, Held, m.Verdict(poison, now.Add(wait-1)).State)
 				now = now.Add(wait)
-				must.Eq(t, OnTrial, m.Verdict(deadly, now).State)
-				m.Step(TrialBegins{Fingerprint: deadly, Instance: "owner"}, now)
-				must.Eq(t, Held, m.Verdict(deadly, now).State, must.Sprint("while the trial runs"))
+				must.Eq(t, OnTrial, m.Verdict(poison, now).State)
+				m.Step(TrialBegins{Fingerprint: poison, Instance: "owner"}, now)
+				must.Eq(t, Held, m.Verdict(poison, now).State, must.Sprint("while the trial runs"))
 				if trial == answeredAt {
-					m.Step(Answered{Fingerprint: deadly, Instance: fmt.Sprint("t-", trial)}, now)
-					must.Eq(t, Free, m.Verdict(deadly, now).State)
+					m.Step(Answered{Fingerprint: poison, Instance: fmt.Sprint("t-", trial)}, now)
+					must.Eq(t, Free, m.Verdict(poison, now).State)
 					return
 				}
-				m.Step(fallOf(fmt.Sprint("t-", trial), deadly), now)
+				m.Step(crashOf(fmt.Sprint("t-", trial), poison), now)
 			}
-			must.Eq(t, Held, m.Verdict(deadly, now.Add(memory-1)).State)
-			m.Step(LetGo{Fingerprint: deadly, By: "operator"}, now)
-			must.Eq(t, Free, m.Verdict(deadly, now).State)
+			must.Eq(t, Held, m.Verdict(poison, now.Add(memory-1)).State)
+			m.Step(LetGo{Fingerprint: poison, By: "operator"}, now)
+			must.Eq(t, Free, m.Verdict(poison, now).State)
 		})
 	}
 }
@@ -87,12 +87,12 @@
 // What is old is forgotten, and does not come back from a node that forgets it later.
 func TestOldRecordsAreForgotten(t *testing.T) {
 	m := newMachine("a")
-	m.Step(fallOf("i-1", requestNumber(1)), began)
+	m.Step(crashOf("i-1", requestNumber(1)), began)
 	late := began.Add(memory + 1)
 	m.Step(Tick{}, late)
 	must.MapEmpty(t, m.ledger.cases)
 	must.Eq(t, 0, m.ledger.sum)
-	m.Step(Heard{Message{From: "b", Records: []Record{{Fingerprint: requestNumber(1), Kind: Fell, Source: "i-1", At: began}}}}, late)
+	m.Step(Heard{Message{From: "b", Records: []Record{{Fingerprint: requestNumber(1), Kind: Crashed, Source: "i-1", At: began}}}}, late)
 	must.MapEmpty(t, m.ledger.cases)
 }
 
@@ -100,15 +100,15 @@
 // stays while anything else can be forgotten.
 func TestMemoryIsBounded(t *testing.T) {
 	m := newMachine("a")
-	deadly := requestNumber(0)
-	for index := range mostFalls {
-		m.Step(fallOf(fmt.Sprint("i-", index), deadly), began)
+	poison := requestNumber(0)
+	for index := range crashesToHold {
+		m.Step(crashOf(fmt.Sprint("i-", index), poison), began)
 	}
 	for index := range 2 * mostCases {
-		m.Step(fallOf("i-9", requestNumber(index+1)), began.Add(time.Second))
+		m.Step(crashOf("i-9", requestNumber(index+1)), began.Add(time.Second))
 	}
 	must.LessEq(t, mostCases, len(m.ledger.cases))
-	must.Eq(t, Held, m.Verdict(deadly, began).State)
+	must.Eq(t, Held, m.Verdict(poison, began).State)
 	must.LessEq(t, mostWaiting, len(m.waiting))
 }
 
@@ -131,7 +131,7 @@
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Record {
 		return Record{
 			Fingerprint: requestNumber(rapid.IntRange(0, 1).Draw(t, "request")),
-			Kind:        rapid.SampledFrom([]Kind{Fell, Tried, Released}).Draw(t, "kind"),
+			Kind:        rapid.SampledFrom([]Kind{Crashed, Tried, Released}).Draw(t, "kind"),
 			Generation:  uint32(rapid.IntRange(0, 2).Draw(t, "generation")),
 			Source:      fmt.Sprint("i-", rapid.IntRange(0, 4).Draw(t, "source")),
 			At:          began,
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -12,13 +12,13 @@
 
 // The kinds of records.
 const (
-	Fell     Kind = "fell"     // a worker ended while it ran the request
+	Crashed  Kind = "crashed"  // a worker ended while it ran the request
 	Tried    Kind = "tried"    // a request that was held was sent to one worker, as a trial
 	Released Kind = "released" // the request was answered by a worker, or let go by an operator
 )
 
 // valid reports whether the kind is known.
-func (k Kind) valid() bool { return k == Fell || k == Tried || k == Released }
+func (k Kind) valid() bool { return k == Crashed || k == Tried || k == Released }
 
 // Record is one observation. Two of one fingerprint, kind, generation and source are the
 // same one, by whatever way they came.
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -34,17 +34,17 @@
 // verdict says how the request is to be treated.
 func (h *history) verdict(now time.Time) Verdict {
 	switch {
-	case len(h.falls) == 0:
+	case len(h.crashes) == 0:
 		return Verdict{}
-	case len(h.falls) < mostFalls:
-		return Verdict{State: Suspected, Workers: sources(h.falls)}
+	case len(h.crashes) < crashesToHold:
+		return Verdict{State: Suspected, Workers: sources(h.crashes)}
 	}
-	verdict := Verdict{State: Held, Workers: sources(h.falls), Trials: len(h.trials)}
+	verdict := Verdict{State: Held, Workers: sources(h.crashes), Trials: len(h.trials)}
 	if len(h.trials) >= len(trialAfter) {
 		verdict.Until = h.latest.Add(memory)
 		return verdict
 	}
-	verdict.Until = later(latest(h.falls), latest(h.trials)).Add(trialAfter[len(h.trials)])
+	verdict.Until = later(latest(h.crashes), latest(h.trials)).Add(trialAfter[len(h.trials)])
 	if !now.Before(verdict.Until) {
 		verdict.State = OnTrial
 	}
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -189,7 +189,7 @@
 	}
 	d.attempts++
 	d.mayHaveRun = true
-	if d.mayRepeat() && !failure.deadly {
+	if d.mayRepeat() && !failure.crashedBefore {
 		return result{}, false
 	}
 	return d.giveUp(), true
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -56,17 +56,17 @@
 // result is how a request ended. A result that was not passed on yet becomes
 // the final answer.
 type result struct {
-	outcome    outcome.Outcome
-	status     int
-	cause      cause
-	remedy     string
-	retryAfter time.Duration
-	sent       bool    // whether the answer's header was passed on
-	cut        bool    // whether the answer has to be cut because it is not whole
-	final      bool    // whether a level below has already spent its retries
-	arrived    bool    // whether it reached a worker, which then refused it
-	deadly     bool    // whether this is not the first worker that ended while it ran the request
-	answer     *answer // a whole answer that is still to be passed on
+	outcome       outcome.Outcome
+	status        int
+	cause         cause
+	remedy        string
+	retryAfter    time.Duration
+	sent          bool    // whether the answer's header was passed on
+	cut           bool    // whether the answer has to be cut because it is not whole
+	final         bool    // whether a level below has already spent its retries
+	arrived       bool    // whether it reached a worker, which then refused it
+	crashedBefore bool    // whether this is not the first worker that ended while it ran the request
+	answer        *answer // a whole answer that is still to be passed on
 }
 
 // asked is what the request asks, the same for all its copies. Of a body that streams
--- a/internal/traffic/hop.go
+++ b/internal/traffic/hop.go
@@ -85,21 +85,21 @@
 
 // hopAnswer is what a worker's node tells the caller's node.
 type hopAnswer struct {
-	attempt string
-	outcome outcome.Outcome
-	arrived bool // whether the worker itself refused
-	full    bool // whether it was refused because another endpoint seemed to be free
-	held    bool // whether it is held in quarantine
-	deadly  bool // whether this is not the first worker that ended while it ran the request
-	load    balance.Load
-	loaded  bool
+	attempt       string
+	outcome       outcome.Outcome
+	arrived       bool // whether the worker itself refused
+	full          bool // whether it was refused because another endpoint seemed to be free
+	held          bool // whether it is held in quarantine
+	crashedBefore bool // whether this is not the first worker that ended while it ran the request
+	load          balance.Load
+	loaded        bool
 }
 
 // encodeHopAnswer returns the header of an answer.
 func encodeHopAnswer(x *exchange, told outcome.Outcome, ended *result) string {
 	flags := string(told[:1])
 	if ended != nil {
-		flags += flag('w', ended.arrived) + flag('f', ended.cause == causeFull) + flag('q', ended.cause == causeQuarantine) + flag('d', ended.deadly)
+		flags += flag('w', ended.arrived) + flag('f', ended.cause == causeFull) + flag('q', ended.cause == causeQuarantine) + flag('c', ended.crashedBefore)
 	}
 	return strings.Join([]string{x.attempt, flags, encodeLoad(x.load())}, hopSeparator)
 }
@@ -108,7 +108,7 @@
 func decodeHopAnswer(text string) hopAnswer {
 	attempt, rest, _ := strings.Cut(text, hopSeparator)
 	flags, load, _ := strings.Cut(rest, hopSeparator)
-	read := hopAnswer{attempt: attempt, outcome: outcome.Unknown, arrived: strings.Contains(flags, "w"), full: strings.Contains(flags, "f"), held: strings.Contains(flags, "q"), deadly: strings.Contains(flags, "d")}
+	read := hopAnswer{attempt: attempt, outcome: outcome.Unknown, arrived: strings.Contains(flags, "w"), full: strings.Contains(flags, "f"), held: strings.Contains(flags, "q"), crashedBefore: strings.Contains(flags, "c")}
 	switch {
 	case strings.HasPrefix(flags, "a"):
 		read.outcome = outcome.Answered
@@ -126,13 +126,13 @@
 		return nil
 	}
 	refused := result{
-		outcome:    h.outcome,
-		status:     response.StatusCode,
-		cause:      causeRefused,
-		remedy:     "send it again later, the workers are busy or leave",
-		retryAfter: h.load.Wait + h.load.Link + h.load.Closed,
-		arrived:    h.arrived,
-		deadly:     h.deadly,
+		outcome:       h.outcome,
+		status:        response.StatusCode,
+		cause:         causeRefused,
+		remedy:        "send it again later, the workers are busy or leave",
+		retryAfter:    h.load.Wait + h.load.Link + h.load.Closed,
+		arrived:       h.arrived,
+		crashedBefore: h.crashedBefore,
 	}
 	switch {
 	case h.held:
--- a/internal/traffic/quarantine.go
+++ b/internal/traffic/quarantine.go
@@ -16,9 +16,9 @@
 	Knows(quarantine.Head) bool
 	// Verdict says how a request is to be treated, and for how long.
 	Verdict(quarantine.Fingerprint) (quarantine.Verdict, time.Duration)
-	// WorkerFell tells that the local worker ended while it ran requests, one at least. It
+	// WorkerCrashed tells that the local worker ended while it ran requests, one at least. It
 	// returns what is known then of the first one.
-	WorkerFell(ctx context.Context, instance string, requests []quarantine.Fingerprint) quarantine.Verdict
+	WorkerCrashed(ctx context.Context, instance string, requests []quarantine.Fingerprint) quarantine.Verdict
 	// Answered tells that the local worker answered a request that is known.
 	Answered(ctx context.Context, request quarantine.Fingerprint, instance string)
 	// BeginTrial reports whether a request on trial may be sent to the local worker now.
@@ -149,9 +149,9 @@
 	case ended.cause == causeNone:
 		in.noteAnswered(x, ended.status)
 	case ended.cause == causeBroken:
-		ended.deadly = in.noteBroken(x)
+		ended.crashedBefore = in.noteBroken(x)
 	case ended.cause == causeCallerGone || ended.cause == causeDeadline:
-		in.runs.abandon(x.instance, x.fingerprint(), time.Now())
+		in.runs.noteAbandoned(pastRun{x.instance, x.fingerprint(), time.Now()})
 	case ended.cause == causeConnect:
 		in.noteRefused(x)
 	}
@@ -164,7 +164,7 @@
 		return
 	}
 	if !x.body.present {
-		in.runs.answered(x.fingerprint(), time.Now())
+		in.runs.noteAnswered(x.fingerprint(), time.Now())
 	}
 	verdict, fingerprint, _ := verdictOn(in.config.Quarantine, x)
 	if verdict.State != quarantine.Free {
@@ -183,13 +183,13 @@
 		return false
 	}
 	if !in.worker.hasEnded(x.context, in.config.WorkerAddress, now) {
-		in.runs.doubt(x.instance, fingerprint, now)
+		in.runs.noteBroken(pastRun{x.instance, fingerprint, now})
 		return false
 	}
-	suspects := append([]quarantine.Fingerprint{fingerprint}, in.runs.abandoned(x.instance, now)...)
+	suspects := append([]quarantine.Fingerprint{fingerprint}, in.runs.mayStillRun(x.instance, now)...)
 	ctx, cancel := telling(x)
 	defer cancel()
-	verdict := in.config.Quarantine.WorkerFell(ctx, x.instance, suspects)
+	verdict := in.config.Quarantine.WorkerCrashed(ctx, x.instance, suspects)
 	return len(verdict.Workers) > 1
 }
 
@@ -197,13 +197,13 @@
 // their answers any more: it takes no connection.
 func (in *Inbound) noteRefused(x *exchange) {
 	now := time.Now()
-	suspects := in.runs.abandoned(x.instance, now)
+	suspects := in.runs.mayStillRun(x.instance, now)
 	if len(suspects) == 0 || in.isLeaving() || !in.worker.hasEnded(x.context, in.config.WorkerAddress, now) {
 		return
 	}
 	ctx, cancel := telling(x)
 	defer cancel()
-	in.config.Quarantine.WorkerFell(ctx, x.instance, suspects)
+	in.config.Quarantine.WorkerCrashed(ctx, x.instance, suspects)
 }
 
 // isLeaving reports whether the worker has said that it leaves: its end is then no fault
@@ -216,13 +216,13 @@
 // replaced looks at the requests that broke off at an instance whose place another one has
 // taken: it had ended, and was back before a connection to it was refused.
 func (in *Inbound) replaced(before snapshot.Local) {
-	suspects := in.runs.doubted(before.Instance, time.Now())
+	suspects := in.runs.brokeOff(before.Instance, time.Now())
 	if in.config.Quarantine == nil || len(suspects) == 0 || before.Draining {
 		return
 	}
 	go func() { // the caller owns other state, and is not to wait for this
 		ctx, cancel := context.WithTimeout(context.Background(), tellPatience)
 		defer cancel()
-		in.config.Quarantine.WorkerFell(ctx, before.Instance, suspects)
+		in.config.Quarantine.WorkerCrashed(ctx, before.Instance, suspects)
 	}()
 }
--- a/internal/traffic/worker_runs.go
+++ b/internal/traffic/worker_runs.go
@@ -13,16 +13,16 @@
 	// worker: it goes on where the worker doesn't notice that its connection is closed.
 	abandonedFor = time.Second
 
-	// doubtedFor is within which time a new instance in the worker's place tells that a run
+	// brokenFor is within which time a new instance in the worker's place tells that a run
 	// which broke off was the end of the one before.
-	doubtedFor = 5 * time.Second
+	brokenFor = 5 * time.Second
 
 	// answeredFor is for how long an answer clears other copies of a request: a popular one
 	// that happens to be at three workers that end for other reasons, such as a rack
 	// without power, is not suspected. Twice that time at most.
 	answeredFor = 5 * time.Second
 
-	mostRuns     = 64   // that are remembered as abandoned, or as in doubt
+	mostRuns     = 64   // that are remembered as abandoned, or as broken off
 	mostAnswered = 1024 // that are remembered as answered, within answeredFor
 )
 
@@ -33,67 +33,71 @@
 	at          time.Time
 }
 
+// pastRuns are the last of such runs, oldest first.
+type pastRuns []pastRun
+
+func (p *pastRuns) add(run pastRun) {
+	if len(*p) >= mostRuns {
+		*p = append((*p)[:0], (*p)[1:]...)
+	}
+	*p = append(*p, run)
+}
+
+// since returns the requests that an instance has run since a time.
+func (p pastRuns) since(instance string, from time.Time) []quarantine.Fingerprint {
+	var found []quarantine.Fingerprint
+	for _, run := range p {
+		if run.instance == instance && !run.at.Before(from) {
+			found = append(found, run.fingerprint)
+		}
+	}
+	return found
+}
+
 // workerRuns remembers for a moment what became of runs at the local worker.
 type workerRuns struct {
-	mutex    sync.Mutex
-	left     []pastRun // abandoned, oldest first
-	inDoubt  []pastRun // broken off, oldest first
-	recent   map[quarantine.Fingerprint]struct{}
-	previous map[quarantine.Fingerprint]struct{} // the recent ones before
-	turned   time.Time                           // when recent was begun
+	mutex     sync.Mutex
+	abandoned pastRuns // given up before their ends
+	broken    pastRuns // broken off while the worker took connections
+	recent    map[quarantine.Fingerprint]struct{}
+	previous  map[quarantine.Fingerprint]struct{} // the recent ones before
+	turned    time.Time                           // when recent was begun
 }
 
 func newWorkerRuns() *workerRuns {
 	return &workerRuns{recent: map[quarantine.Fingerprint]struct{}{}}
 }
 
-// abandon notes a run that is given up before its end.
-func (w *workerRuns) abandon(instance string, fingerprint quarantine.Fingerprint, now time.Time) {
+// noteAbandoned notes a run that is given up before its end.
+func (w *workerRuns) noteAbandoned(run pastRun) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.left = remember(w.left, pastRun{instance, fingerprint, now})
+	w.abandoned.add(run)
 }
 
-// abandoned returns the requests that the instance may still have been running.
-func (w *workerRuns) abandoned(instance string, now time.Time) []quarantine.Fingerprint {
+// mayStillRun returns the abandoned requests that the instance may be running.
+func (w *workerRuns) mayStillRun(instance string, now time.Time) []quarantine.Fingerprint {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return since(w.left, instance, now.Add(-abandonedFor))
+	return w.abandoned.since(instance, now.Add(-abandonedFor))
 }
 
-// doubt notes a run that broke off while the worker takes connections.
-func (w *workerRuns) doubt(instance string, fingerprint quarantine.Fingerprint, now time.Time) {
+// noteBroken notes a run that broke off while the worker takes connections.
+func (w *workerRuns) noteBroken(run pastRun) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.inDoubt = remember(w.inDoubt, pastRun{instance, fingerprint, now})
+	w.broken.add(run)
 }
 
-// doubted returns the requests that broke off at the instance of late.
-func (w *workerRuns) doubted(instance string, now time.Time) []quarantine.Fingerprint {
+// brokeOff returns the requests that broke off at the instance of late.
+func (w *workerRuns) brokeOff(instance string, now time.Time) []quarantine.Fingerprint {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return since(w.inDoubt, instance, now.Add(-doubtedFor))
-}
-
-func remember(runs []pastRun, run pastRun) []pastRun {
-	if len(runs) >= mostRuns {
-		runs = append(runs[:0], runs[1:]...)
-	}
-	return append(runs, run)
-}
-
-func since(runs []pastRun, instance string, from time.Time) []quarantine.Fingerprint {
-	var found []quarantine.Fingerprint
-	for _, run := range runs {
-		if run.instance == instance && !run.at.Before(from) {
-			found = append(found, run.fingerprint)
-		}
-	}
-	return found
+	return w.broken.since(instance, now.Add(-brokenFor))
 }
 
-// answered notes a request that the worker has answered.
-func (w *workerRuns) answered(fingerprint quarantine.Fingerprint, now time.Time) {
+// noteAnswered notes a request that the worker has answered.
+func (w *workerRuns) noteAnswered(fingerprint quarantine.Fingerprint, now time.Time) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.turn(now)
