--- a/internal/quarantine/event.go
+++ b/internal/quarantine/event.go
@@ -5,7 +5,7 @@
 // Event is an input of the machine.
 type Event interface{ event() }
 
-// Tick lets time pass. It is due every 100 ms.
+// Tick lets time pass. Machine.Due says when it is due.
 type Tick struct{}
 
 // WorkerCrashed tells that the worker beside this node ended while it ran these requests.
--- a/internal/quarantine/keeper/keeper.go
+++ b/internal/quarantine/keeper/keeper.go
@@ -19,8 +19,8 @@
 	"sliphead/internal/quarantine"
 )
 
-// tickEvery is how often time passes for the machine.
-const tickEvery = 200 * time.Millisecond
+// readPause is the wait after a failure to read from the socket.
+const readPause = 200 * time.Millisecond
 
 // inputQueue is how many inputs wait for the owner.
 const inputQueue = 256
@@ -66,6 +66,9 @@
 	return &Keeper{config: config, machine: machine, inputs: make(chan input, inputQueue)}
 }
 
+// Empty reports whether no request is known.
+func (k *Keeper) Empty() bool { return k.view.Load().Empty() }
+
 // Knows reports whether some request with this head is known.
 func (k *Keeper) Knows(head quarantine.Head) bool { return k.view.Load().Knows(head) }
 
@@ -176,7 +179,7 @@
 		}
 		if err != nil {
 			logging.Problem(k.config.Logger, "quarantine.messageLost", err, nil)
-			time.Sleep(tickEvery) // short of buffers, most likely
+			time.Sleep(readPause) // short of buffers, most likely
 			continue
 		}
 		message, err := decode(buffer[:count], k.config.Now())
@@ -193,17 +196,19 @@
 
 // own is the goroutine that owns the state.
 func (k *Keeper) own(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 			k.step(quarantine.Tick{})
 		case given := <-k.inputs:
 			k.handle(given)
 		}
+		now := k.config.Now()
+		timer.Reset(k.machine.Due(now).Sub(now))
 	}
 }
 
--- a/internal/quarantine/machine.go
+++ b/internal/quarantine/machine.go
@@ -25,9 +25,10 @@
 	mostWaiting = 512
 
 	// askEvery is how often one other node is asked whether it knows more, by a node that
-	// knows of any request: some 300 bytes a second both ways. Whoever is asked asks back, so
-	// that a node that missed all it was told is found by those that know.
-	askEvery = time.Second
+	// knows of any request: some 150 bytes a second both ways. Whoever is asked asks back, so
+	// that a node that missed all it was told is found by those that know. A node that was
+	// cut off asks, or is asked, within the three seconds after which it counts as in contact.
+	askEvery = 2 * time.Second
 
 	// askSoon is the same for newsFor after something new: nodes that the fan-out missed
 	// hear of it after 0.6 s at worst in place of 2.3 s (850 nodes, one message of twenty
@@ -45,7 +46,11 @@
 	mostPages = 4
 
 	// pauseAfter is the time without a step after which the process must have stood still.
-	pauseAfter = time.Second
+	pauseAfter = 2 * time.Second
+
+	// idleStep is how often time passes for a node that has nothing to tell or to ask: half
+	// of pauseAfter, since each step wakes the process up.
+	idleStep = time.Second
 
 	// peerMemory is for how long a node is told and asked that the catalog tells of no
 	// more: its worker may have ended, and be back. mostPeers bounds them.
@@ -240,9 +245,26 @@
 	}
 }
 
+// Due is when the next Tick is due, if no other event comes before.
+func (m *Machine) Due(now time.Time) time.Time {
+	due := now.Add(idleStep)
+	if len(m.waiting) > 0 {
+		due = now.Add(tellEvery)
+	}
+	if m.wantsToAsk() {
+		due = earlier(due, m.nextAsk)
+	}
+	return later(due, now)
+}
+
+// wantsToAsk reports whether other nodes may know what this one doesn't.
+func (m *Machine) wantsToAsk() bool {
+	return len(m.peers) > 0 && (!m.caughtUp || len(m.ledger.cases) > 0)
+}
+
 // ask asks other nodes for what this one lacks.
 func (m *Machine) ask(now time.Time) {
-	if now.Before(m.nextAsk) || len(m.peers) == 0 || m.caughtUp && len(m.ledger.cases) == 0 {
+	if now.Before(m.nextAsk) || !m.wantsToAsk() {
 		return
 	}
 	count, wait := 1, askEvery
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -71,6 +71,9 @@
 	cases map[Fingerprint]*history
 }
 
+// Empty reports whether no request is known.
+func (v *View) Empty() bool { return v == nil || len(v.cases) == 0 }
+
 // Knows reports whether some request with this head is known: only then is the digest of
 // a body worth its cost.
 func (v *View) Knows(head Head) bool {
--- a/internal/traffic/quarantine.go
+++ b/internal/traffic/quarantine.go
@@ -11,6 +11,8 @@
 
 // Quarantine knows the requests under which workers have ended, at whatever nodes.
 type Quarantine interface {
+	// Empty reports whether no request is known: then none is worth a digest.
+	Empty() bool
 	// Knows reports whether some request with this head is known: only then is the rest
 	// of it worth a digest.
 	Knows(quarantine.Head) bool
@@ -25,10 +27,10 @@
 	BeginTrial(ctx context.Context, request quarantine.Fingerprint, instance string) bool
 }
 
-// verdictOn says how a request is to be treated, and for how long. Most requests cost it
-// the digest of their head alone, and that only where there is a quarantine.
+// verdictOn says how a request is to be treated, and for how long. While any request is
+// known, most others cost it the digest of their head alone.
 func verdictOn(known Quarantine, x *exchange) (verdict quarantine.Verdict, fingerprint quarantine.Fingerprint, left time.Duration) {
-	if known == nil {
+	if known == nil || known.Empty() {
 		return verdict, fingerprint, 0
 	}
 	asked := x.asked()
