Tenants and keys from the store to the worker; the interface of quotas

Ruled out: the key told to the worker's node (docs/design/tenants.md). Change: catalog.Tenant with digests of keys, its differences and checks; the view's index; the node that takes a request finds the tenant, the next one is told; 401; a hook where quotas will bound tenants.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -14,6 +14,7 @@
 	Routes   []Route            `json:"routes"`
 	Services map[string]Service `json:"services"`
 	Limits   Limits             `json:"limits"`
+	Tenants  []Tenant           `json:"tenants"` // nil: callers need no key
 }
 
 // Route sends the requests of one host below one path prefix to services.
@@ -29,6 +30,7 @@
 	Timeout     time.Duration    `json:"timeout"`               // the longest that a request is held
 	Target      time.Duration    `json:"target"`                // the latency objective; 0: none
 	Regions     []string         `json:"regions,omitempty"`     // in which alone its requests may be; empty: in any
+	Public      bool             `json:"public,omitempty"`      // whether callers need no key where there are tenants
 }
 
 // WeightedTarget is a service that takes a share of a route's requests.
--- a/internal/catalog/difference.go
+++ b/internal/catalog/difference.go
@@ -11,6 +11,7 @@
 	Remove   []string           `json:"remove,omitempty"` // names of routes
 	Services map[string]Service `json:"services"`         // nil: as before
 	Limits   Limits             `json:"limits"`
+	Tenants  *TenantChange      `json:"tenants,omitempty"` // nil: as before
 }
 
 // differenceOf returns what leads from one configuration to another.
@@ -34,12 +35,13 @@
 	if !sameServices(from.Services, to.Services) {
 		difference.Services = to.Services
 	}
+	difference.Tenants = tenantsChanged(from.Tenants, to.Tenants)
 	return difference
 }
 
 func (r *Route) equals(other *Route) bool {
 	return slices.Equal(r.Targets, other.Targets) && slices.Equal(r.Regions, other.Regions) && r.Name == other.Name && r.Host == other.Host && r.PathPrefix == other.PathPrefix &&
-		r.Repeatable == other.Repeatable && r.Upload == other.Upload && r.Priority == other.Priority &&
+		r.Repeatable == other.Repeatable && r.Upload == other.Upload && r.Public == other.Public && r.Priority == other.Priority &&
 		r.MaxAttempts == other.MaxAttempts && r.Timeout == other.Timeout && r.Target == other.Target
 }
 
@@ -61,7 +63,7 @@
 	if from == nil || from.Version != d.From {
 		return nil
 	}
-	to := &Configuration{Version: d.To, Services: from.Services, Limits: d.Limits}
+	to := &Configuration{Version: d.To, Services: from.Services, Limits: d.Limits, Tenants: d.Tenants.applyTo(from.Tenants)}
 	if d.Services != nil {
 		to.Services = d.Services
 	}
--- a/internal/catalog/state_test.go
+++ b/internal/catalog/state_test.go
@@ -115,7 +115,14 @@
 		"goes nowhere":          func(c *Configuration) { c.Routes[0].Targets = nil },
 		"which is not declared": func(c *Configuration) { c.Routes[0].Targets[0].Service = "other" },
 		"has weight -1":         func(c *Configuration) { c.Routes[0].Targets[0].Weight = -1 },
-		"has no weight":         func(c *Configuration) { c.Routes[0].Targets[0].Weight = 0 },
+		"tenant 0 has no name":  func(c *Configuration) { c.Tenants = []Tenant{{}} },
+		"two tenants are named": func(c *Configuration) { c.Tenants = []Tenant{{Name: "a"}, {Name: "a"}} },
+		"requests a second":     func(c *Configuration) { c.Tenants = []Tenant{{Name: "a", RatePerSecond: -1}} },
+		"hold the same key": func(c *Configuration) {
+			shared := []KeyDigest{DigestKey("k")}
+			c.Tenants = []Tenant{{Name: "a", Keys: shared}, {Name: "b", Keys: shared}}
+		},
+		"has no weight": func(c *Configuration) { c.Routes[0].Targets[0].Weight = 0 },
 	} {
 		bad := good()
 		spoil(bad)
@@ -139,9 +146,32 @@
 			})
 		}
 	}
+	configuration.Tenants = drawTenants(t)
 	return configuration
 }
 
+// drawTenants draws no tenants at all, none of those that there may be, or some.
+func drawTenants(t *rapid.T) []Tenant {
+	if rapid.Bool().Draw(t, "keyless") {
+		return nil
+	}
+	tenants := []Tenant{}
+	for _, name := range []string{"press", "shop", "till"} {
+		if rapid.Bool().Draw(t, "customer") {
+			key := DigestKey(name + rapid.SampledFrom([]string{"1", "2"}).Draw(t, "key"))
+			tenants = append(tenants, Tenant{Name: name, Keys: []KeyDigest{key}, RatePerSecond: rapid.Float64Range(0, 2).Draw(t, "rate")})
+		}
+	}
+	return tenants
+}
+
+// byTenant sorts tenants, whose order means nothing.
+func byTenant(tenants []Tenant) []Tenant {
+	sorted := slices.Clone(tenants)
+	slices.SortFunc(sorted, func(a, b Tenant) int { return strings.Compare(a.Name, b.Name) })
+	return sorted
+}
+
 // byName sorts routes, whose order means nothing.
 func byName(routes []Route) []Route {
 	sorted := slices.Clone(routes)
@@ -172,6 +202,8 @@
 			usable, _ := peer.Join(sent(t, truth.Since(peer.Position())))
 			must.True(t, usable)
 			must.Eq(t, byName(truth.Configuration().Routes), byName(peer.Configuration().Routes))
+			must.Eq(t, byTenant(truth.Configuration().Tenants), byTenant(peer.Configuration().Tenants))
+			must.Eq(t, truth.Configuration().Tenants == nil, peer.Configuration().Tenants == nil)
 			must.Eq(t, truth.Configuration().Services, peer.Configuration().Services)
 			must.Eq(t, truth.Configuration().Version, peer.Configuration().Version)
 			return
--- a/internal/catalog/validate.go
+++ b/internal/catalog/validate.go
@@ -20,7 +20,7 @@
 			return err
 		}
 	}
-	return nil
+	return c.validateTenants()
 }
 
 func (c *Configuration) validateRoute(route *Route) error {
--- a/internal/snapshot/catalog.go
+++ b/internal/snapshot/catalog.go
@@ -87,6 +87,7 @@
 	view := NewView(version.Version{Revision: configuration.Version}, input.At, routes)
 	view.indexHosts()
 	view.Limits = configuration.Limits
+	view.tenants = newTenants(configuration.Tenants)
 	view.configuration = configuration
 	return view
 }
@@ -144,6 +145,7 @@
 		Objective:   from.Target,
 		Upload:      from.Upload,
 		Regions:     from.Regions,
+		Public:      from.Public,
 	}
 	for _, target := range from.Targets {
 		if target.Weight > 0 {
--- a/internal/snapshot/view.go
+++ b/internal/snapshot/view.go
@@ -39,6 +39,7 @@
 	Objective   time.Duration // the latency within which an answer is worth most; 0: none
 	Upload      bool          // whether bodies are large
 	Regions     []string      // in which alone its requests may be; empty: in any
+	Public      bool          // whether callers need no key where there are tenants
 }
 
 // View is what traffic reads: one version, resolved at one moment for one
@@ -54,6 +55,7 @@
 	Limits    catalog.Limits
 	byName    map[string]*Route
 	byHost    map[string][]*Route // by host in lower case; nil: not indexed
+	tenants   *tenants            // nil: callers need no key
 
 	// What only a catalog tells.
 	configuration *catalog.Configuration // that the routes were made of
--- a/internal/traffic/catalog_mesh_test.go
+++ b/internal/traffic/catalog_mesh_test.go
@@ -27,6 +27,7 @@
 	TargetInstance: "X-Test-Target",
 	NotExecuted:    "X-Test-Not-Executed",
 	Signature:      "X-Test-Signature",
+	Tenant:         "X-Test-Tenant",
 	Instance:       "X-Test-Instance",
 	WorkerLoad:     "X-Test-Load",
 }
--- a/internal/traffic/decision.go
+++ b/internal/traffic/decision.go
@@ -63,6 +63,10 @@
 	if !x.deadline.IsZero() {
 		fields["left_ms"] = x.millisecondsLeft()
 	}
+	if x.tenant.name != "" {
+		fields["tenant"] = x.tenant.name
+		fields["key"] = x.tenant.tag
+	}
 	if x.instance != "" {
 		fields["instance"] = x.instance
 	}
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -182,7 +182,7 @@
 		if failure.arrived {
 			d.attempts++
 		}
-		if failure.arrived && d.attempts >= d.x.route.MaxAttempts || failure.cause == causeCallerGone || failure.cause == causeQuarantine {
+		if failure.arrived && d.attempts >= d.x.route.MaxAttempts || failure.cause == causeCallerGone || failure.cause == causeQuarantine || failure.cause == causeKey {
 			return d.giveUp(), true
 		}
 		return result{}, false
@@ -219,7 +219,11 @@
 	if ended.outcome != outcome.NotRun {
 		return ended
 	}
-	if ended.cause != causeCallerGone {
+	switch ended.cause {
+	case causeCallerGone:
+	case causeKey:
+		return rejectKey()
+	default:
 		ended.status = http.StatusServiceUnavailable
 	}
 	ended.retryAfter = d.comeBack(time.Now())
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -36,6 +36,7 @@
 	onSign      func() // called at the first sign of the next hop; nil: nobody asks
 	onSilence   func() // called in place of giving a silent node up; nil: it is given up
 	instance    string // id of the instance that is to run the request
+	tenant      credential
 	caller      string // service beside the node that took the request
 	class       class
 	trialOwner  string        // instance that alone may run it, since it is on trial in the quarantine; "": any
@@ -107,6 +108,8 @@
 	causeShed       cause = "shed"
 	causeCold       cause = "cold"       // the worker is cold, and gets as much as it bears
 	causeRegion     cause = "region"     // no worker in the regions that the route allows
+	causeKey        cause = "key"        // the caller gave no key of a tenant
+	causeQuota      cause = "quota"      // the tenant has no room left in its limit
 	causeQuarantine cause = "quarantine" // workers ended under this request, it is sent to none
 )
 
--- a/internal/traffic/hop.go
+++ b/internal/traffic/hop.go
@@ -36,6 +36,7 @@
 	class     class
 	elsewhere bool          // whether to refuse rather than to queue
 	moveTime  time.Duration // with elsewhere: up to this wait, to queue all the same
+	tenant    credential
 }
 
 // encode returns the fields, joined; texts are escaped.
@@ -43,7 +44,7 @@
 	flags := flag('r', h.class.repeatable) + flag('p', h.class.patient) + flag('b', h.class.returned) + flag('e', h.elsewhere)
 	return strings.Join([]string{
 		h.attempt, url.PathEscape(h.instance), url.PathEscape(h.caller), url.PathEscape(h.route),
-		strconv.Itoa(h.class.rank), flags, inMilliseconds(h.class.objective), inMilliseconds(h.moveTime),
+		strconv.Itoa(h.class.rank), flags, inMilliseconds(h.class.objective), inMilliseconds(h.moveTime), h.tenant.encode(),
 	}, hopSeparator)
 }
 
@@ -56,7 +57,7 @@
 
 // decodeHopRequest reads what encode wrote.
 func decodeHopRequest(text string) (hopRequest, bool) {
-	const parts = 8
+	const parts = 9
 	split := strings.Split(text, hopSeparator)
 	if len(split) != parts {
 		return hopRequest{}, false
@@ -75,11 +76,13 @@
 		elsewhere: strings.Contains(split[5], "e"),
 		moveTime:  milliseconds(split[7]),
 	}
+	tenant, tenantSound := decodeCredential(split[8])
+	read.tenant = tenant
 	var instanceErr, callerErr, routeErr error
 	read.instance, instanceErr = url.PathUnescape(split[1])
 	read.caller, callerErr = url.PathUnescape(split[2])
 	read.route, routeErr = url.PathUnescape(split[3])
-	sound := rankErr == nil && objectiveErr == nil && instanceErr == nil && callerErr == nil && routeErr == nil
+	sound := rankErr == nil && objectiveErr == nil && instanceErr == nil && callerErr == nil && routeErr == nil && tenantSound
 	return read, sound && validID(read.attempt) && read.instance != ""
 }
 
@@ -90,6 +93,7 @@
 	arrived       bool // whether the worker itself refused
 	full          bool // whether it was refused because another endpoint seemed to be free
 	held          bool // whether it is held in quarantine
+	withdrawn     bool // whether the caller's key was withdrawn
 	crashedBefore bool // whether this is not the first worker that ended while it ran the request
 	load          balance.Load
 	loaded        bool
@@ -99,7 +103,7 @@
 func encodeHopAnswer(x *exchange, told outcome.Outcome, ended *result) string {
 	flags := string(told[:1])
 	if ended != nil {
-		flags += flag('w', ended.arrived) + flag('f', ended.cause == causeFull) + flag('q', ended.cause == causeQuarantine) + flag('c', ended.crashedBefore)
+		flags += flag('w', ended.arrived) + flag('f', ended.cause == causeFull) + flag('q', ended.cause == causeQuarantine) + flag('k', ended.cause == causeKey) + flag('c', ended.crashedBefore)
 	}
 	return strings.Join([]string{x.attempt, flags, encodeLoad(x.load())}, hopSeparator)
 }
@@ -108,7 +112,7 @@
 func decodeHopAnswer(text string) hopAnswer {
 	attempt, rest, _ := strings.Cut(text, hopSeparator)
 	flags, load, _ := strings.Cut(rest, hopSeparator)
-	read := hopAnswer{attempt: attempt, outcome: outcome.Unknown, arrived: strings.Contains(flags, "w"), full: strings.Contains(flags, "f"), held: strings.Contains(flags, "q"), crashedBefore: strings.Contains(flags, "c")}
+	read := hopAnswer{attempt: attempt, outcome: outcome.Unknown, arrived: strings.Contains(flags, "w"), full: strings.Contains(flags, "f"), held: strings.Contains(flags, "q"), withdrawn: strings.Contains(flags, "k"), crashedBefore: strings.Contains(flags, "c")}
 	switch {
 	case strings.HasPrefix(flags, "a"):
 		read.outcome = outcome.Answered
@@ -137,6 +141,8 @@
 	switch {
 	case h.held:
 		refused.cause = causeQuarantine
+	case h.withdrawn:
+		refused.cause = causeKey
 	case h.full:
 		refused.cause = causeFull
 	}
--- a/internal/traffic/instance.go
+++ b/internal/traffic/instance.go
@@ -37,6 +37,7 @@
 	x.attempt = told.attempt
 	x.instance = told.instance
 	x.caller = told.caller
+	x.tenant = told.tenant
 	x.class = told.class
 	x.elsewhere = told.elsewhere
 	x.moveTime = told.moveTime
@@ -68,6 +69,10 @@
 		refused := refuse(causeRegion, time.Second, "send it again, its route does not allow the region of this worker")
 		return &refused
 	}
+	if x.tenant.withdrawnBy(x.view) {
+		refused := rejectKey()
+		return &refused
+	}
 	in.adjustTo(local)
 	return nil
 }
--- a/internal/traffic/offer.go
+++ b/internal/traffic/offer.go
@@ -15,7 +15,7 @@
 	if endpoint.Local && out.local != nil {
 		return out.offerLocal(x, endpoint)
 	}
-	told := hopRequest{attempt: out.newAttempt(), instance: endpoint.Worker, caller: x.caller, route: x.route.Name, class: x.classLeft(), elsewhere: x.elsewhere, moveTime: x.moveTime}
+	told := hopRequest{attempt: out.newAttempt(), instance: endpoint.Worker, caller: x.caller, route: x.route.Name, class: x.classLeft(), elsewhere: x.elsewhere, moveTime: x.moveTime, tenant: x.tenant}
 	seen := balance.Observation{}
 	began := time.Now()
 	check := func(response *http.Response) *result {
@@ -105,7 +105,7 @@
 // blamesNode reports whether a failure speaks against an endpoint.
 func blamesNode(failure *result, seen balance.Observation) bool {
 	switch failure.cause {
-	case causeCallerGone, causeFull, causeQueue, causeDeadline, causeNested, causeCold, causeRegion, causeQuarantine:
+	case causeCallerGone, causeFull, causeQueue, causeDeadline, causeNested, causeCold, causeRegion, causeQuarantine, causeKey:
 		return false
 	case causeRefused:
 		return !seen.Loaded || seen.Load.Busy < seen.Load.Slots && seen.Load.Closed == 0
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -72,7 +72,7 @@
 	out.ending, out.end = context.WithCancel(context.Background())
 	out.handle = pipe(out.choose, out.classify, limitDepth(config.Limits.MaxDepth), limitTime, readBody(&out.config.Limits))
 	if !config.Protocol.own() {
-		out.handle = pipe(out.dispatch, out.classifyCatalog, limitTime, out.leaveInTime, readWholeBody(&out.config.Limits), out.noteBody, out.keepQuarantined)
+		out.handle = pipe(out.dispatch, out.classifyCatalog, out.authenticate, limitTime, out.leaveInTime, readWholeBody(&out.config.Limits), out.noteBody, out.keepQuarantined, out.keepQuota)
 	}
 	return out
 }
--- a/internal/traffic/outcome.go
+++ b/internal/traffic/outcome.go
@@ -59,6 +59,9 @@
 	if ended.retryAfter > 0 {
 		header.set("Retry-After", x.retryAfter(ended.retryAfter))
 	}
+	if ended.status == http.StatusUnauthorized {
+		header.set("Www-Authenticate", keyScheme)
+	}
 	if ended.final && x.attempt != "" {
 		header.set(finalHeader, "1")
 	}
--- a/internal/traffic/protocol.go
+++ b/internal/traffic/protocol.go
@@ -18,6 +18,7 @@
 	TargetInstance string // on requests to workers: any other instance is to refuse
 	NotExecuted    string // on a worker's answers: it did not run the request
 	Signature      string // on a worker's answers: a success without it is no answer of a worker
+	Tenant         string // on requests to workers: the tenant whose key the caller gave
 	Instance       string // on a worker's answers: its id
 	WorkerLoad     string // on a worker's answers: requests running, waiting and slots
 	ColdRemaining  string // on a worker's health answers: milliseconds for which it stays cold
@@ -29,7 +30,7 @@
 // sets reports whether a header is one that the system sets itself on requests
 // to workers, so that callers' values count for nothing.
 func (p *Protocol) sets(name string) bool {
-	return name == p.CallerService || name == p.TargetInstance
+	return name == p.CallerService || name == p.TargetInstance || name == p.Tenant
 }
 
 // acceptCaller turns a caller's headers into sliphead's own and drops those
@@ -55,6 +56,9 @@
 	if x.caller != "" {
 		fields = append(fields, field{p.CallerService, x.caller})
 	}
+	if x.tenant.name != "" {
+		fields = append(fields, field{p.Tenant, x.tenant.name})
+	}
 	return fields
 }
 
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -69,6 +69,8 @@
 	Observe func(succeeded bool)
 	// Quarantine knows the requests that end workers; nil: none is kept from them.
 	Quarantine Quarantine
+	// Quotas holds tenants to their limits; nil: they have none.
+	Quotas Quotas
 	// Calls joins the inbound and the outbound handler of one node; see Calls.
 	Calls *Calls
 }
