End a queued request when its caller leaves before its body was asked for

Cause: a server connection stops reading while a request's body is outstanding. Between nodes a request that may run once is offered and its body asked for only once a slot is held, so the close of a caller who left was not seen: the request kept its place in a busy worker's queue to its deadline (19 s in the test). Ruled out: the outbound side, which closes the connection between nodes at once. Change: while a body is still to be asked for, the connection is watched.

--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
+	"time"
 )
 
 // requestBody is the body of the only request that runs on a connection. Its
@@ -13,10 +14,11 @@
 	response *response
 	source   io.Reader
 	chunked  bool
-	left     int64 // of a body with a length
-	awaited  bool  // whether the caller waits for 100 Continue
-	done     bool  // whether all of it was read
-	ended    bool  // whether the request has ended, so that nothing more is read
+	left     int64     // of a body with a length
+	awaited  bool      // whether the caller waits for 100 Continue
+	until    time.Time // when reading ends; zero: never
+	done     bool      // whether all of it was read
+	ended    bool      // whether the request has ended, so that nothing more is read
 }
 
 // newRequestBody puts a body into a request that was parsed without.
@@ -75,7 +77,11 @@
 		return false, io.EOF
 	}
 	awaited, b.awaited = b.awaited, false
-	return awaited, nil
+	if awaited {
+		conn.stopWatching()
+		err = conn.conn.SetReadDeadline(b.until)
+	}
+	return awaited, err
 }
 
 // finish lets the connection read on.
--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -60,12 +60,64 @@
 
 // awaitRoom returns when another request may be read, false when none is to be.
 func (c *connection) awaitRoom() bool {
+	for {
+		c.mutex.Lock()
+		for !c.closing && !c.hasRoom() && !c.isBodyUnasked() {
+			c.changed.Wait()
+		}
+		closing, room := c.closing, c.hasRoom()
+		c.mutex.Unlock()
+		switch {
+		case closing || room:
+			return !closing
+		case !c.watchUnasked():
+			return false
+		}
+	}
+}
+
+// isBodyUnasked reports whether the caller waits to be asked for the body of the last
+// request, and has sent nothing of it. The mutex is held.
+func (c *connection) isBodyUnasked() bool {
+	if len(c.queue) == 0 {
+		return false
+	}
+	body := c.queue[len(c.queue)-1].body
+	return body != nil && body.awaited && c.reader.Buffered() == 0
+}
+
+// watchUnasked watches for the caller's leaving until it is asked for its body, and then
+// ends the request. Else a request that waits for a slot kept its place in the queue of a
+// busy worker to its deadline, 19 s in place of none, after its caller had left. It
+// reports false when the caller has left.
+func (c *connection) watchUnasked() bool {
+	c.mutex.Lock()
+	if !c.isBodyUnasked() {
+		c.mutex.Unlock()
+		return true
+	}
+	c.idling = true
+	_ = c.conn.SetReadDeadline(time.Time{})
+	c.mutex.Unlock()
+	_, err := c.reader.Peek(1)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for !c.closing && !c.hasRoom() {
+	c.idling = false
+	c.changed.Broadcast()
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return true
+	}
+	c.closing = true
+	c.cancel()
+	return false
+}
+
+// stopWatching returns when the reader has left the connection to the body. The mutex is held.
+func (c *connection) stopWatching() {
+	for c.idling {
+		_ = c.conn.SetReadDeadline(time.Unix(1, 0)) // wakes the reader
 		c.changed.Wait()
 	}
-	return !c.closing
 }
 
 // hasRoom reports whether the bounds allow another request and the reader is not
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -133,6 +133,10 @@
 	if r.body == nil || r.body.done || r.body.ended {
 		return nil
 	}
+	r.body.until = until
+	if r.body.awaited {
+		return nil // it is watched for the caller's leaving until it is asked for
+	}
 	return r.conn.conn.SetReadDeadline(until)
 }
 
--- a/internal/traffic/catalog_mesh_test.go
+++ b/internal/traffic/catalog_mesh_test.go
@@ -45,12 +45,13 @@
 	bodies []string
 	others int           // requests that were for another instance
 	gate   chan struct{} // when set, "wait" answers once it is closed
+	left   chan struct{} // told when "watch" has seen the connection end
 }
 
 func newInstanceWorker(t testing.TB, id string) *instanceWorker {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	w := &instanceWorker{id: id, listener: listener, gate: make(chan struct{})}
+	w := &instanceWorker{id: id, listener: listener, gate: make(chan struct{}), left: make(chan struct{}, 8)}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
@@ -162,6 +163,10 @@
 	switch behaviour {
 	case "wait":
 		<-w.gate
+	case "watch": // works until the caller is gone
+		_, _ = conn.Read(make([]byte, 1))
+		w.left <- struct{}{}
+		return false
 	case "error":
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 500 Error\r\n%s\r\nContent-Length: 5\r\n\r\nerror", w.headers(request))
 		return true
