Serve more after all workers have started anew: the slack evenly, last tries wait

Cause: after a loss of all power all workers are cold for 3 s and bear a bounded rate. Ruled out: the catalog (nodes knew the configuration 0.02 to 0.2 s after their start) and connections. Change: three eighths of the slack that the operator allows beside the rate goes out evenly (22.5 requests a second in place of 19.5); a caller that was refused before and won't come back waits at a cold worker's node until the worker is warm, if its time reaches beyond that, one round of its slots at most; such a caller is offered to endpoints that told to stay away when no other is left.

--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -23,6 +23,7 @@
 	callers  *callers
 	cold     coldstart.Guard // of the local worker
 	recorded snapshot.Local  // what the catalog said of it last
+	warming  int             // requests that wait for it to be warm
 }
 
 func newAdmitter(service string, limits Limits) *admitter {
--- a/internal/traffic/balance/forecast.go
+++ b/internal/traffic/balance/forecast.go
@@ -17,6 +17,7 @@
 	Refused   bool          // whether an endpoint has refused it for lack of room
 	Near      bool          // whether it is not to leave the zone any more
 	Urgent    bool          // whether it goes before others at a cold worker
+	Last      bool          // whether its caller won't come back: endpoints that told to stay away are asked when no other is left
 }
 
 // The parts of an endpoint's price, in parts of a request's worth.
@@ -27,6 +28,7 @@
 	queuePrice    = 0.05  // of a wait for a slot
 	lapsedPrice   = 0.1   // of an endpoint whose record is gone
 	failingPrice  = 100   // of an endpoint that is backed off
+	closedPrice   = 50    // of one that told to stay away, for a caller that won't come back
 	noise         = 0.02  // by which prices are blurred, so that nodes don't choose alike
 	likely        = 0.5   // share of answers in time, from which an endpoint is taken to answer in time
 )
@@ -75,11 +77,18 @@
 		if expected.held.isUnreachable(now) {
 			continue
 		}
-		if closed := expected.held.closedUntil[urgencyIndex(need.Urgent)].Sub(now); closed > 0 {
+		closed := expected.held.closedUntil[urgencyIndex(need.Urgent)].Sub(now)
+		if closed > 0 {
 			choice.noteClosed(closed)
+		}
+		if closed > 0 && !need.Last {
 			continue
 		}
 		price, free := b.price(now, need, &endpoints[index], expected)
+		if closed > 0 {
+			price += closedPrice
+			free = false
+		}
 		inTimeElsewhere = inTimeElsewhere || free && expected.inTime(need)
 		if price < best {
 			if free || choice.Index >= 0 && chosen.free && !chosen.held.leftAlone(now) {
--- a/internal/traffic/cold.go
+++ b/internal/traffic/cold.go
@@ -21,7 +21,7 @@
 // openToCold refuses at once what a cold worker does not bear, as not run.
 func (in *Inbound) openToCold(next stage) stage {
 	return func(x *exchange) result {
-		if !in.askCold(x, in.admitter.coldOpen) {
+		if !in.askCold(x, in.admitter.coldOpen) && !in.waitUntilWarm(x) {
 			return refuseCold()
 		}
 		return next(x)
--- a/internal/traffic/coldstart/guard.go
+++ b/internal/traffic/coldstart/guard.go
@@ -23,9 +23,11 @@
 	// burstShare is the part of a second's requests that may go out at once where no slack
 	// is declared. In any second a cold worker so gets at most 1.2 times its rate.
 	burstShare = 0.2
-	// slackShare is the part of the slack that may go out at once. The rest is left for
-	// requests that take longer from here to the worker than others.
-	slackShare = 0.5
+	// Parts of the slack that is allowed beside the rate: what may go out at once, and what
+	// goes out evenly. The rest, 2 of 8 requests, is left for those that a node whose share
+	// of its processor is spent sends up to a tenth of a second late.
+	slackAtOnce = 0.375
+	slackEvenly = 0.375
 	// unheardFor is for how long a worker may say nothing and is still known to be as it
 	// was: a worker that starts anew is away for longer.
 	unheardFor = time.Second
@@ -46,11 +48,11 @@
 // rate is the number of requests a second that a cold worker is sent. What the operator
 // allows beyond the declared rate is used: after a loss of all power, all workers are cold,
 // and each request a second more is one that a caller gets served.
-func (b Bound) rate() float64 { return b.PerSecond * max(1, b.Overage) }
+func (b Bound) rate() float64 { return b.PerSecond*max(1, b.Overage) + slackEvenly*b.Slack }
 
 // burst is the number of requests that may go out at once.
 func (b Bound) burst() int {
-	return max(1, int(max(burstShare*b.PerSecond, slackShare*b.Slack)))
+	return max(1, int(max(burstShare*b.PerSecond, slackAtOnce*b.Slack)))
 }
 
 // Guard is what a node knows of how cold its worker is. It is not safe for use by
@@ -139,6 +141,14 @@
 	return g.bound.PerSecond > 0 && now.Before(g.coldUntil)
 }
 
+// ColdFor is for how long the worker gets no more than a cold one bears.
+func (g *Guard) ColdFor(now time.Time) time.Duration {
+	if !g.Limits(now) {
+		return 0
+	}
+	return g.coldUntil.Sub(now)
+}
+
 // Open reports whether a request that comes now may pass. One that may not is booked
 // behind the ones that were refused before it: see Closed.
 func (g *Guard) Open(urgency Urgency, now time.Time) bool {
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -109,6 +109,7 @@
 		Deadline:  time.Until(d.x.deadline),
 		Kilobytes: float64(d.x.body.length+headerBytes) / kilo,
 		Urgent:    urgencyOf(d.x.class.rank) == coldstart.Urgent,
+		Last:      d.x.class.returned,
 	}
 }
 
