--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -20,6 +20,8 @@
 	"sliphead/internal/logging"
 	"sliphead/internal/quarantine"
 	"sliphead/internal/quarantine/keeper"
+	"sliphead/internal/quota"
+	quotakeeper "sliphead/internal/quota/keeper"
 	"sliphead/internal/replication"
 	"sliphead/internal/replicator"
 	"sliphead/internal/settings"
@@ -44,6 +46,7 @@
 	holder     *snapshot.Holder
 	replicator *replicator.Replicator
 	quarantine *keeper.Keeper
+	quota      *quotakeeper.Keeper // nil: tenants have no limit
 	inbound    *traffic.Inbound
 	outbound   *traffic.Outbound
 	stopping   chan struct{} // closed when a planned stop begins
@@ -84,6 +87,9 @@
 		Received:  func(bytes int) { n.inbound.Received(int64(bytes)) },
 	})
 	n.quarantine = keeper.New(keeper.Config{Address: advertisedHost(configured, address), Listen: address, Port: port, Logger: options.Logger})
+	if n.quota, err = newQuota(configured, options.Logger); err != nil {
+		return nil, err
+	}
 	config := n.trafficConfig(adapter.Protocol)
 	n.inbound = traffic.NewInbound(config)
 	n.outbound = traffic.NewOutbound(config)
@@ -112,7 +118,7 @@
 const bodyPatience = 500 * time.Millisecond
 
 func (n *CatalogNode) trafficConfig(protocol traffic.Protocol) traffic.Config {
-	return traffic.Config{
+	config := traffic.Config{
 		Node:          n.settings.Name,
 		Zone:          n.settings.Zone,
 		Region:        n.settings.Region,
@@ -142,6 +148,10 @@
 			LinkMbps:       n.settings.Limits.LinkMbps,
 		},
 	}
+	if n.quota != nil {
+		config.Quotas = n.quota
+	}
+	return config
 }
 
 // connectPatience bounds opening a connection, so that time is left for another
@@ -151,6 +161,7 @@
 // publish puts what the catalog says in force.
 func (n *CatalogNode) publish(state *catalog.State, lapses []replication.Lapse) {
 	n.quarantine.Peers(hostsOf(state))
+	n.configureQuota(state)
 	_, port, _ := net.SplitHostPort(n.settings.Listen.Inbound)
 	before, _ := n.holder.Current(time.Now())
 	view := snapshot.FromCatalog(state, snapshot.CatalogInput{
@@ -235,6 +246,9 @@
 	logging.Event(n.options.Logger, "node.started", logging.Fields{"node": n.settings.Name, "zone": n.settings.Zone, "service": n.settings.Service})
 	group.Go(func() error { return n.replicator.Run(ctx) })
 	group.Go(func() error { return n.quarantine.Run(ctx) })
+	if n.quota != nil {
+		group.Go(func() error { return n.quota.Run(ctx) })
+	}
 	limits := n.trafficConfig(traffic.Protocol{}).Limits
 	callers := n.listener("outbound", n.settings.Listen.Outbound, n.outbound)
 	callers.safe = n.outbound.MayRunAhead
@@ -298,7 +312,8 @@
 	InFlight    int               `json:"inFlight"`
 	Evacuated   []string          `json:"evacuated,omitempty"` // zones whose workers are sent nothing
 	Quarantine  keeper.Status     `json:"quarantine"`
-	Off         []string          `json:"off"` // parts that the store makes needless
+	Quota       *quota.Status     `json:"quota,omitempty"` // nil: tenants have no limit
+	Off         []string          `json:"off"`             // parts that the store makes needless
 }
 
 // evacuated returns the zones whose workers are sent nothing.
@@ -325,8 +340,8 @@
 		Ready: ready, Reason: reason,
 		Replication: n.replicator.Status(ctx),
 		Slots:       n.inbound.Busy(), Queued: n.inbound.Queued(), InFlight: n.InFlight(),
-		Quarantine: n.quarantine.Status(),
-		Off:        partsOff(), Evacuated: n.evacuated(),
+		Quarantine: n.quarantine.Status(), Quota: n.quotaStatus(ctx),
+		Off: partsOff(), Evacuated: n.evacuated(),
 	}
 }
 
--- a/internal/node/catalog_metrics.go
+++ b/internal/node/catalog_metrics.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	quotakeeper "sliphead/internal/quota/keeper"
 )
 
 // catalogState is what a catalog node's own metrics are read from when they are
@@ -20,6 +22,10 @@
 	heldMetric      = describe("sliphead_quarantine_requests", "Requests under which workers have ended, by what becomes of them.", "state")
 	tellingsMetric  = describe("sliphead_quarantine_messages_total", "Messages to other nodes on such requests.")
 	toldBytesMetric = describe("sliphead_quarantine_bytes_total", "Bytes of these messages.")
+	quotaMetric     = describe("sliphead_quota_requests_total", "Requests of tenants with a limit, by where their token came from.", "result")
+	asksMetric      = describe("sliphead_quota_messages_total", "Messages to other nodes on tenants' limits.")
+	askBytesMetric  = describe("sliphead_quota_bytes_total", "Bytes of these messages.")
+	lostAsksMetric  = describe("sliphead_quota_messages_dropped_total", "Messages of other nodes on tenants' limits that found the queue full.")
 	linesMetric     = describe("sliphead_log_lines_dropped_total", "Lines of the log that were left out.")
 )
 
@@ -27,7 +33,7 @@
 func (catalogState) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, description := range []*prometheus.Desc{
 		readyMetric, readerMetric, revisionMetric, ageMetric, storeMetric, callsMetric, followersMetric, instancesMetric, linesMetric,
-		heldMetric, tellingsMetric, toldBytesMetric,
+		heldMetric, tellingsMetric, toldBytesMetric, quotaMetric, asksMetric, askBytesMetric, lostAsksMetric,
 	} {
 		descriptions <- description
 	}
@@ -42,6 +48,7 @@
 		sink.counter(linesMetric, s.node.options.DroppedLines())
 	}
 	s.collectQuarantine(sink)
+	s.collectQuota(sink)
 	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
 	status := s.node.replicator.Status(ctx)
@@ -66,3 +73,17 @@
 	sink.counter(tellingsMetric, messages)
 	sink.counter(toldBytesMetric, bytes)
 }
+
+func (s catalogState) collectQuota(sink sink) {
+	keeper := s.node.quota
+	if keeper == nil {
+		return
+	}
+	for _, result := range quotakeeper.Results() {
+		sink.counter(quotaMetric, keeper.Counted(result), string(result))
+	}
+	messages, bytes := keeper.Sent()
+	sink.counter(asksMetric, messages)
+	sink.counter(askBytesMetric, bytes)
+	sink.counter(lostAsksMetric, keeper.Dropped())
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,7 @@
 	Drain        Drain             `yaml:"drain"`
 	Retry        Retry             `yaml:"retry"`
 	Cold         Cold              `yaml:"cold"`
+	Quota        Quota             `yaml:"quota"`
 	Regions      map[string]string `yaml:"regions,omitempty"` // by zone; where a store serves the mesh
 }
 
@@ -58,6 +59,7 @@
 	Inbound  string `yaml:"inbound,omitempty" validate:"omitempty,address"` // required with a worker, absent without
 	Outbound string `yaml:"outbound" validate:"address"`
 	Admin    string `yaml:"admin" validate:"address"`
+	Quota    string `yaml:"quota,omitempty" validate:"omitempty,address"` // for datagrams on tenants' limits, with a store; absent: tenants have none
 }
 
 // Advertise are the addresses that peers are told; by default those of Listen.
@@ -137,6 +139,14 @@
 	Slack   float64 `yaml:"slack" validate:"min=0,max=10000"` // requests beside, within any second
 }
 
+// Quota bounds what a tenant may run over the whole mesh beyond its rate and burst, with a
+// store and listen.quota.
+type Quota struct {
+	Window  Duration `yaml:"window" validate:"atLeast=1s,atMost=1h"` // in any of which the bound holds
+	Overage float64  `yaml:"overage" validate:"min=0,max=10"`        // part of rate x window + burst
+	Slack   float64  `yaml:"slack" validate:"min=0,max=10000"`       // requests beside, in a window
+}
+
 // Retry bounds repeated arrivals at workers, with a store.
 type Retry struct {
 	Ratio float64 `yaml:"ratio" validate:"min=0,max=1"`    // of the requests
@@ -183,6 +193,7 @@
 		Drain: Drain{Timeout: Duration{10 * time.Minute}},
 		Retry: Retry{Ratio: 0.2, Slack: 64},
 		Cold:  Cold{Overage: 1},
+		Quota: Quota{Window: Duration{5 * time.Second}, Overage: 0.25, Slack: 20},
 	}
 }
 
