--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -160,8 +160,7 @@
 
 // publish puts what the catalog says in force.
 func (n *CatalogNode) publish(state *catalog.State, lapses []replication.Lapse) {
-	n.quarantine.Peers(hostsOf(state))
-	n.configureQuota(state)
+	n.tellHosts(state)
 	_, port, _ := net.SplitHostPort(n.settings.Listen.Inbound)
 	before, _ := n.holder.Current(time.Now())
 	view := snapshot.FromCatalog(state, snapshot.CatalogInput{
@@ -184,19 +183,6 @@
 	n.logPublished(before, view, state.Revision())
 }
 
-// hostsOf returns the IP addresses of the machines that have a worker on record, each of
-// which has a node.
-func hostsOf(state *catalog.State) []string {
-	instances := state.Instances()
-	hosts := make([]string, 0, len(instances))
-	for _, instance := range instances {
-		if host, _, err := net.SplitHostPort(instance.Address); err == nil {
-			hosts = append(hosts, host)
-		}
-	}
-	return hosts
-}
-
 // lapsedPart is the part of the time that a leaving worker may still be sent
 // requests for which one without a record is.
 const lapsedPart = 0.75
@@ -246,9 +232,7 @@
 	logging.Event(n.options.Logger, "node.started", logging.Fields{"node": n.settings.Name, "zone": n.settings.Zone, "service": n.settings.Service})
 	group.Go(func() error { return n.replicator.Run(ctx) })
 	group.Go(func() error { return n.quarantine.Run(ctx) })
-	if n.quota != nil {
-		group.Go(func() error { return n.quota.Run(ctx) })
-	}
+	group.Go(func() error { return n.runQuota(ctx) })
 	limits := n.trafficConfig(traffic.Protocol{}).Limits
 	callers := n.listener("outbound", n.settings.Listen.Outbound, n.outbound)
 	callers.safe = n.outbound.MayRunAhead
--- a/internal/node/catalog_quota.go
+++ b/internal/node/catalog_quota.go
@@ -37,19 +37,38 @@
 	}), nil
 }
 
-// configureQuota tells of tenants, and of the nodes that hold their limits.
-func (n *CatalogNode) configureQuota(state *catalog.State) {
-	configuration := state.Configuration()
-	if n.quota == nil || configuration == nil {
-		return
+// runQuota talks to other nodes until ctx ends; without quotas it opens no socket.
+func (n *CatalogNode) runQuota(ctx context.Context) error {
+	if n.quota == nil {
+		return nil
+	}
+	return n.quota.Run(ctx)
+}
+
+// tellHosts tells the quarantine of the nodes that it may ask, and the quotas of those that
+// hold the limits of tenants.
+func (n *CatalogNode) tellHosts(state *catalog.State) {
+	hosts := n.hostsOf(state)
+	addresses := make([]string, 0, len(hosts))
+	for _, host := range hosts {
+		addresses = append(addresses, host.Address)
+	}
+	n.quarantine.Peers(addresses)
+	if configuration := state.Configuration(); n.quota != nil && configuration != nil {
+		n.quota.Configure(quota.Configured{Tenants: configuration.Tenants, Hosts: hosts})
 	}
-	var hosts []quota.Host
-	for _, instance := range state.Instances() {
+}
+
+// hostsOf returns the machines that have a worker on record, each of which has a node.
+func (n *CatalogNode) hostsOf(state *catalog.State) []quota.Host {
+	instances := state.Instances()
+	hosts := make([]quota.Host, 0, len(instances))
+	for _, instance := range instances {
 		if host, _, err := net.SplitHostPort(instance.Address); err == nil {
 			hosts = append(hosts, quota.Host{Address: host, Zone: instance.Zone, Region: n.settings.Regions[instance.Zone]})
 		}
 	}
-	n.quota.Configure(quota.Configured{Tenants: configuration.Tenants, Hosts: hosts})
+	return hosts
 }
 
 // quotaStatus tells the state of the quotas, nil where tenants have no limit.
