--- a/internal/command/status/status.go
+++ b/internal/command/status/status.go
@@ -118,6 +118,9 @@
 	if err != nil {
 		return err
 	}
+	if limits := status.Quota; limits != nil {
+		fmt.Fprintf(output, "quota      %d tenants with a limit, %d stripes here, %d tokens in hand\n", limits.Tenants, limits.Stripes, limits.Credits)
+	}
 	for _, each := range status.Quarantine.Requests {
 		fmt.Fprintf(output, "%-10s %s, next trial in %.0f s after %d, workers %s\n", each.State, each.Fingerprint, each.TrialIn, each.Trials, strings.Join(each.Workers, ", "))
 	}
--- a/internal/quota/asking.go
+++ b/internal/quota/asking.go
@@ -294,6 +294,11 @@
 // expire lets time pass for questions and for tokens in hand.
 func (m *Machine) expire(now time.Time) {
 	m.hosts.expire(now)
+	for host, until := range m.silent {
+		if !now.Before(until) {
+			delete(m.silent, host)
+		}
+	}
 	for _, asked := range slices.Clone(m.questions) {
 		if !asked.passed && !now.Before(asked.until) {
 			m.passOver(asked, now)
--- a/internal/quota/holding.go
+++ b/internal/quota/holding.go
@@ -33,18 +33,17 @@
 
 // shareOf returns how many tokens this node may spend alone in a window. All nodes' add up
 // to the share of all: what can't be divided goes to the first by rank.
-func (m *Machine) shareOf(held *tenant, ranked []rankedHost) int {
-	whole := m.config.Settings.share(held.rate, held.burst)
-	for place, host := range ranked {
-		if host.Address == m.config.Self {
-			share := whole / len(ranked)
-			if place < whole%len(ranked) {
-				share++
-			}
-			return share
-		}
+func (m *Machine) shareOf(held *tenant) int {
+	place, known := m.hosts.place(held.name, m.config.Self)
+	if !known {
+		return 0
+	}
+	whole, hosts := m.config.Settings.share(held.rate, held.burst), len(m.hosts.known)
+	share := whole / hosts
+	if place < whole%hosts {
+		share++
 	}
-	return 0
+	return share
 }
 
 // spendAlone takes a token of this node's share, if one is left in the window that ends now.
--- a/internal/quota/machine.go
+++ b/internal/quota/machine.go
@@ -140,16 +140,15 @@
 		return
 	}
 	held.generation = m.hosts.generation
-	ranked := m.hosts.ranked(held.name)
-	count := m.config.Settings.stripes(held.rate, held.burst, m.hosts.zones, len(ranked))
+	count := m.config.Settings.stripes(held.rate, held.burst, len(m.hosts.byZone), len(m.hosts.known))
 	before := held.holders
 	held.holders = make([]holder, 0, count)
 	own := false
-	for _, host := range deal(ranked, count) {
+	for _, host := range m.hosts.deal(held.name, count) {
 		own = own || host.Address == m.config.Self
 		held.holders = append(held.holders, m.holderOf(host, before))
 	}
-	held.share = m.shareOf(held, ranked)
+	held.share = m.shareOf(held)
 	m.placeOwn(held, own, count, now)
 }
 
--- a/internal/quota/placement.go
+++ b/internal/quota/placement.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"hash/fnv"
-	"maps"
 	"slices"
 	"time"
 )
@@ -25,7 +24,7 @@
 	known      map[string]*knownHost // by address
 	generation uint64                // rises when the set changes
 	changed    time.Time             // when it last did, but for the first time
-	zones      int
+	byZone     map[string][]listedHost
 }
 
 type knownHost struct {
@@ -85,15 +84,21 @@
 	if before > 0 {
 		h.changed = now
 	}
-	h.countZones()
+	h.list()
 }
 
-func (h *hosts) countZones() {
-	zones := map[string]bool{}
+// list sorts the hosts by zone.
+func (h *hosts) list() {
+	h.byZone = map[string][]listedHost{}
 	for _, host := range h.known {
-		zones[host.Zone] = true
+		h.byZone[host.Zone] = append(h.byZone[host.Zone], listedHost{Host: host.Host, hash: hashOf(host.Address)})
 	}
-	h.zones = len(zones)
+}
+
+// listedHost is a host with the hash of its address.
+type listedHost struct {
+	Host
+	hash uint64
 }
 
 // rankedHost is a host with its rank for one tenant: the lower the sooner.
@@ -102,48 +107,84 @@
 	rank uint64
 }
 
-// ranked returns all hosts in the order of their ranks for a tenant. A host that comes or
-// goes changes the order of no others.
-func (h *hosts) ranked(tenant string) []rankedHost {
-	ranked := make([]rankedHost, 0, len(h.known))
-	for _, host := range h.known {
-		ranked = append(ranked, rankedHost{Host: host.Host, rank: rankOf(tenant, host.Address)})
-	}
-	slices.SortFunc(ranked, func(a, b rankedHost) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.Address, b.Address))
-	})
-	return ranked
+// before orders hosts by their ranks.
+func (r rankedHost) before(other rankedHost) bool {
+	return r.rank < other.rank || r.rank == other.rank && r.Address < other.Address
 }
 
-// rankOf is the hash of a tenant and a host, mixed: names that differ in their last sign
-// alone differ in few bits of the plain hash.
-func rankOf(tenant, address string) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(tenant)) // never fails
-	_, _ = hash.Write([]byte{0})
-	_, _ = hash.Write([]byte(address))
-	sum := hash.Sum64()
-	sum = (sum ^ sum>>33) * 0xff51afd7ed558ccd
-	sum = (sum ^ sum>>33) * 0xc4ceb9fe1a85ec53
-	return sum ^ sum>>33
+// rank is that of a host for a tenant. A host that comes or goes changes no other's.
+func (l listedHost) rank(tenant uint64) rankedHost {
+	return rankedHost{Host: l.Host, rank: mix(l.hash ^ tenant)}
 }
 
-// deal returns the hosts of so many stripes, one zone after the other.
-func deal(ranked []rankedHost, count int) []Host {
-	byZone := map[string][]rankedHost{}
-	for _, host := range ranked {
-		byZone[host.Zone] = append(byZone[host.Zone], host)
+// deal returns the hosts of so many stripes of a tenant: the first by rank of each zone, one
+// zone after the other.
+func (h *hosts) deal(tenant string, count int) []Host {
+	hash := hashOf(tenant)
+	firsts := make([][]rankedHost, 0, len(h.byZone))
+	for _, listed := range h.byZone {
+		firsts = append(firsts, firstByRank(listed, hash, count))
 	}
-	zones := slices.SortedFunc(maps.Keys(byZone), func(a, b string) int {
-		return cmp.Compare(byZone[a][0].rank, byZone[b][0].rank)
-	})
+	slices.SortFunc(firsts, func(a, b []rankedHost) int { return cmp.Compare(a[0].rank, b[0].rank) })
 	holders := make([]Host, 0, count)
-	for round := 0; len(holders) < count && round < len(ranked); round++ {
-		for _, zone := range zones {
-			if round < len(byZone[zone]) && len(holders) < count {
-				holders = append(holders, byZone[zone][round].Host)
+	for round := 0; len(holders) < count && round < count; round++ {
+		for _, zone := range firsts {
+			if round < len(zone) && len(holders) < count {
+				holders = append(holders, zone[round].Host)
 			}
 		}
 	}
 	return holders
 }
+
+// firstByRank returns up to so many hosts, in the order of their ranks. A sort of all 850
+// hosts of a large mesh took nine times as long (1.2 ms in place of 0.13, beside other work).
+func firstByRank(listed []listedHost, tenant uint64, count int) []rankedHost {
+	firsts := make([]rankedHost, 0, count+1)
+	for _, host := range listed {
+		ranked := host.rank(tenant)
+		if len(firsts) == count && !ranked.before(firsts[count-1]) {
+			continue
+		}
+		place := len(firsts)
+		for place > 0 && ranked.before(firsts[place-1]) {
+			place--
+		}
+		firsts = slices.Insert(firsts, place, ranked)
+		firsts = firsts[:min(count, len(firsts))]
+	}
+	return firsts
+}
+
+// place is how many hosts come before one by their ranks for a tenant, false if it is none
+// of them.
+func (h *hosts) place(tenant, address string) (place int, known bool) {
+	self := h.known[address]
+	if self == nil {
+		return 0, false
+	}
+	hash := hashOf(tenant)
+	own := listedHost{Host: self.Host, hash: hashOf(address)}.rank(hash)
+	for _, listed := range h.byZone {
+		for _, host := range listed {
+			if host.rank(hash).before(own) {
+				place++
+			}
+		}
+	}
+	return place, true
+}
+
+func hashOf(text string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(text)) // never fails
+	return mix(hash.Sum64())
+}
+
+// mix spreads each bit over all: names that differ in their last sign alone differ in few
+// bits of the plain hash.
+func mix(sum uint64) uint64 {
+	sum = (sum ^ sum>>33) * 0xff51afd7ed558ccd
+	sum = (sum ^ sum>>33) * 0xc4ceb9fe1a85ec53
+	return sum ^ sum>>33
+}
