--- a/internal/quota/asking.go
+++ b/internal/quota/asking.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -306,8 +307,8 @@
 	}
 	life := m.config.Settings.life()
 	m.questions = slices.DeleteFunc(m.questions, func(each *question) bool { return now.Sub(each.sent) >= life })
-	for _, held := range m.creditors {
-		m.dropOld(held, now)
+	for _, name := range slices.Sorted(maps.Keys(m.creditors)) { // in one order, for tests
+		m.dropOld(m.creditors[name], now)
 	}
 }
 
