--- a/internal/quota/asking.go
+++ b/internal/quota/asking.go
@@ -147,10 +147,11 @@
 func (m *Machine) nextHolder(waiting *want, held *tenant, now time.Time) *holder {
 	var best *holder
 	var bestCost, alike int
+	mayWait := waiting.silent < mostSilent && !held.isRefused(waiting, now)
 	for index := range held.holders {
 		each := &held.holders[index]
 		silent := now.Before(m.silent[each.Address])
-		if now.Before(each.emptyTill) || slices.Contains(waiting.asked, each.Address) || silent && waiting.silent >= mostSilent {
+		if now.Before(each.emptyTill) || slices.Contains(waiting.asked, each.Address) || silent && !mayWait {
 			continue
 		}
 		cost := each.distance
@@ -250,8 +251,8 @@
 // of them has told that it has no room. Else this node spends what it may spend alone.
 func (m *Machine) giveUp(waiting *want, held *tenant, now time.Time) {
 	delete(m.wants, waiting.id)
-	wait, told := held.firstRoom(now)
-	if told || waiting.answered || held.onlyOwn() {
+	wait := held.firstRoom(now)
+	if held.isRefused(waiting, now) || held.onlyOwn() {
 		m.refuse(waiting, wait)
 		return
 	}
@@ -274,21 +275,29 @@
 	m.emit(Decided{ID: waiting.id, Result: Refused, RetryAfter: wait + spread})
 }
 
-// firstRoom tells after how long a stripe has room again, and whether one at another node
-// has told so.
-func (t *tenant) firstRoom(now time.Time) (wait time.Duration, told bool) {
-	wait = unknownWait
+// firstRoom tells after how long a stripe has room again.
+func (t *tenant) firstRoom(now time.Time) time.Duration {
+	wait := unknownWait
 	for index := range t.holders {
-		each := &t.holders[index]
-		if !each.refused || !now.Before(each.emptyTill) {
-			continue
+		if each := &t.holders[index]; each.isEmpty(now) {
+			wait = min(wait, each.emptyTill.Sub(now))
 		}
-		wait = min(wait, each.emptyTill.Sub(now))
-		told = told || each.distance != ownNode
 	}
-	return wait, told
+	return wait
+}
+
+// isRefused reports whether another node has told that its stripe has no room now, or has
+// answered the request that waits. Then it doesn't wait for those that are known to be
+// silent: a flood while a stripe's node was gone had each request wait for 80 ms.
+func (t *tenant) isRefused(waiting *want, now time.Time) bool {
+	return waiting.answered || slices.ContainsFunc(t.holders, func(each holder) bool {
+		return each.distance != ownNode && each.isEmpty(now)
+	})
 }
 
+// isEmpty reports whether the holder has told that its stripe has no token now.
+func (h *holder) isEmpty(now time.Time) bool { return h.refused && now.Before(h.emptyTill) }
+
 // onlyOwn reports whether this node holds all of the tenant's stripes.
 func (t *tenant) onlyOwn() bool { return len(t.holders) == 1 && t.holders[0].distance == ownNode }
 
