Read the store once for all regions; count each confirmation once

Cause: each zone read the store by itself, also over 20 ms, and a node whose worker had no record yet took itself for its zone's reader. Change: order of regions and zones by hash; the first of a zone follows the zone before its own and stands in at 0.6 of the freshness; serials of questions; a node without a record ranks last in its zone.

--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -74,6 +74,7 @@
 		Port:      port,
 		Listen:    address,
 		Zone:      configured.Zone,
+		Regions:   configured.Regions,
 		Freshness: configured.Source.Freshness.Duration,
 		Fast:      replication.FastLink(configured.Limits.LinkMbps, configured.Source.Freshness.Duration),
 		Store:     adapter.OpenStore(configured.Source.Store, address),
--- a/internal/replication/event.go
+++ b/internal/replication/event.go
@@ -38,6 +38,7 @@
 type News struct {
 	From   string
 	Reader string // address of the node whose question the store answered
+	Serial uint64 // of that question: see confirm.go; 0: not told
 	Batch  catalog.Batch
 	Age    time.Duration
 	// Preferred are the nodes that are to read the store for the sender's zone.
--- a/internal/replication/fleet_test.go
+++ b/internal/replication/fleet_test.go
@@ -66,6 +66,13 @@
 	problemSince  time.Time // since when it is in touch: now less this is how long
 	vouches       bool
 	fast          bool // whether its link is fast
+	underway      []delivery
+}
+
+// delivery is news on its way to a node.
+type delivery struct {
+	at   time.Time
+	news News
 }
 
 // fleet is a store and its nodes.
@@ -77,6 +84,9 @@
 	nodes     []*simNode
 	calls     int
 	follows   int
+	shortWay  time.Duration     // of news within a region
+	regions   map[string]string // by zone
+	apart     map[string]bool   // regions that are cut off from all others and from the store
 }
 
 func newFleet(zones, perZone int) *fleet {
@@ -99,8 +109,8 @@
 }
 
 func (f *fleet) start(node *simNode) {
-	node.machine = New(Config{Self: node.address, Zone: node.zone, Freshness: freshness, Fast: node.fast}, f.now)
-	node.question, node.record, node.following = nil, nil, ""
+	node.machine = New(Config{Self: node.address, Zone: node.zone, Regions: f.regions, Freshness: freshness, Fast: node.fast}, f.now)
+	node.question, node.record, node.following, node.underway = nil, nil, "", nil
 	node.problemSince = f.now
 }
 
@@ -134,7 +144,7 @@
 			node.question = &question{ask: effect, since: f.now}
 		case Follow:
 			f.follows++
-			node.following, node.sent, node.told = effect.Address, node.machine.State().Position(), time.Time{}
+			node.following, node.sent, node.told, node.underway = effect.Address, node.machine.State().Position(), time.Time{}, nil
 		case AskRecord:
 			node.record = &recordQuestion{id: effect.ID, since: f.now}
 		case Knock:
@@ -148,7 +158,7 @@
 // knock tells a node that another one has spoken to it.
 func (f *fleet) knock(by *simNode, at Knock) {
 	to := f.node(at.Address)
-	if to != nil && to.up && !to.frozen && !to.cut && !by.cut {
+	if to != nil && to.up && !to.frozen && !f.separated(to, by) {
 		f.step(to, PeerSeen{Address: by.address, Fast: by.fast, Preferred: at.Preferred})
 	}
 }
@@ -159,7 +169,7 @@
 	if asked == nil {
 		return
 	}
-	waited := f.now.Sub(asked.since)
+	waited := f.now.Sub(asked.since) - f.storeWay(node)
 	limit := asked.ask.Wait + freshness/5
 	if asked.ask.Whole {
 		limit = freshness * 3 / 5
@@ -213,7 +223,7 @@
 		f.step(node, PeerLost{Address: node.following})
 		return
 	}
-	if from.frozen || from.cut || node.cut {
+	if from.frozen || f.separated(from, node) {
 		return
 	}
 	state := from.machine.State()
@@ -223,7 +233,18 @@
 	batch := state.Since(node.sent)
 	node.sent, node.told, node.confirmed = state.Position(), f.now, from.machine.Confirmed()
 	age, _ := from.machine.Age(f.now)
-	f.step(node, News{From: node.following, Reader: from.machine.ConfirmedBy(), Batch: batch, Age: age, Preferred: from.machine.Preferred()})
+	reader, serial := from.machine.ConfirmedBy()
+	news := News{From: node.following, Reader: reader, Serial: serial, Batch: batch, Age: age, Preferred: from.machine.Preferred()}
+	node.underway = append(node.underway, delivery{at: f.now.Add(f.way(from, node)), news: news})
+}
+
+// arrive lets news that has been underway for long enough arrive.
+func (f *fleet) arrive(node *simNode) {
+	for len(node.underway) > 0 && !f.now.Before(node.underway[0].at) {
+		news := node.underway[0].news
+		node.underway = node.underway[1:]
+		f.step(node, news)
+	}
 }
 
 // run lets time pass.
@@ -238,6 +259,7 @@
 			f.answer(node)
 			f.answerRecord(node)
 			f.push(node)
+			f.arrive(node)
 		}
 	}
 }
@@ -383,6 +405,22 @@
 	}
 }
 
+// Two nodes that follow each other, since the store refuses the zone's first, handed the
+// same confirmation back and forth: at each of its ways it seemed younger by the time
+// underway, and never grew old.
+func TestConfirmationIsNotRenewedByPassingItOn(t *testing.T) {
+	f := newFleet(1, 4)
+	f.shortWay = tickStep
+	f.run(5 * time.Second)
+	reader := f.reader()
+	reader.access, reader.problemSince = refuses, f.now
+	for range 10 {
+		f.configure()
+		f.run(freshness / 2)
+		must.SliceEmpty(t, f.late())
+	}
+}
+
 // reader is a node that reads the store, nil if there is none.
 func (f *fleet) reader() *simNode {
 	for _, node := range f.nodes {
--- a/internal/replication/follow.go
+++ b/internal/replication/follow.go
@@ -11,7 +11,13 @@
 // follows instead.
 func (m *Machine) leader(now time.Time) string {
 	first := m.firstOfZone(now)
-	if first == m.config.Self && !m.config.Fast {
+	if first != m.config.Self {
+		return first
+	}
+	if above := m.upstream(now); above != "" {
+		return above
+	}
+	if !m.config.Fast {
 		return cmp.Or(m.fastOutside(now), first)
 	}
 	return first
@@ -38,7 +44,10 @@
 // far as it can tell. It reads on after another node has become the first, until
 // that one is proven to read: see believe.
 func (m *Machine) takeDuty(now time.Time) {
-	if m.failures == 0 && m.state.Revision() > 0 && m.leader(now) == m.config.Self {
+	if m.failures > 0 || m.state.Revision() == 0 {
+		return
+	}
+	if m.leader(now) == m.config.Self || m.standsIn(now) {
 		m.reading = true
 	}
 }
@@ -96,6 +105,9 @@
 	if m.reading && m.leader(now) == m.config.Self {
 		return ""
 	}
+	if above := m.upstream(now); above != "" && !m.isStale(now) {
+		return above
+	}
 	if m.firstOfZone(now) == m.config.Self && !m.config.Fast {
 		if outside := m.fastOutside(now); outside != "" {
 			return outside
@@ -124,7 +136,7 @@
 // followed.
 func (m *Machine) isStale(now time.Time) bool {
 	age, known := m.Age(now)
-	return known && age > m.share(switchShare)
+	return known && age > m.share(m.staleShare(now))
 }
 
 // followsOutside reports whether a node of another zone is followed.
@@ -137,15 +149,12 @@
 // otherZones is a trusted node of another zone, "" if there is none. All nodes of a
 // zone whose reader is slow come here at once, so each begins at its own place.
 func (m *Machine) otherZones(now time.Time) string {
-	first := slices.IndexFunc(m.ranked, func(candidate peer) bool { return candidate.zone != m.config.Zone })
-	if first < 0 {
-		return ""
-	}
-	outside := m.ranked[first:]
-	for offset := range outside {
-		candidate := outside[(m.ownRank()+offset)%len(outside)]
-		if m.trusts(candidate.address, now) {
-			return candidate.address
+	for _, outside := range m.outside() {
+		for offset := range outside {
+			candidate := outside[(m.ownRank()+offset)%len(outside)]
+			if m.trusts(candidate.address, now) {
+				return candidate.address
+			}
 		}
 	}
 	return ""
--- a/internal/replication/machine.go
+++ b/internal/replication/machine.go
@@ -16,8 +16,9 @@
 
 // Config tunes one node's machine.
 type Config struct {
-	Self      string // IP address of this node
-	Zone      string // of this node
+	Self      string            // IP address of this node
+	Zone      string            // of this node
+	Regions   map[string]string // by zone; nil where they are not known: see region.go
 	Freshness time.Duration
 	Fast      bool // whether this node's link is fast: see prefer.go
 }
@@ -52,13 +53,18 @@
 type Machine struct {
 	config      Config
 	state       *catalog.State
-	confirmed   time.Time     // when the store was last known to have no newer revision
-	confirmedBy string        // the node whose question told so
-	last        time.Time     // of the step before
-	paused      time.Duration // how long the last pause was
-	resumed     time.Time     // when it ended
+	confirmed   time.Time         // when the store was last known to have no newer revision
+	confirmedBy confirmation      // the question that told so
+	asked       uint64            // serial of the last question of this node that was answered
+	serials     map[string]uint64 // by reader: of its last question that is known
+	last        time.Time         // of the step before
+	paused      time.Duration     // how long the last pause was
+	resumed     time.Time         // when it ended
 	out         []Effect
 
+	region   string // of this node
+	regional bool   // whether there are several regions
+
 	ranked []peer // of this zone and then of others, best first
 	hints  map[string]bool
 	fast   map[string]bool // nodes whose links are fast, as far as is known
@@ -96,12 +102,16 @@
 // New returns the machine of a node that knows nothing.
 func New(config Config, now time.Time) *Machine {
 	return &Machine{
-		config: config,
-		state:  catalog.NewState(),
-		last:   now,
-		hints:  map[string]bool{},
-		fast:   map[string]bool{config.Self: config.Fast},
-		doubts: map[string]doubt{},
+		config:   config,
+		region:   config.Regions[config.Zone],
+		regional: severalRegions(config.Regions),
+		state:    catalog.NewState(),
+		last:     now,
+		hints:    map[string]bool{},
+		fast:     map[string]bool{config.Self: config.Fast},
+		doubts:   map[string]doubt{},
+		serials:  map[string]uint64{},
+		asked:    uint64(now.UnixNano()), // past the serials of an earlier life
 	}
 }
 
@@ -125,8 +135,10 @@
 func (m *Machine) Following() string { return m.following }
 
 // ConfirmedBy returns the address of the node whose question to the store
-// confirmed what is known, "" when nothing is known.
-func (m *Machine) ConfirmedBy() string { return m.confirmedBy }
+// confirmed what is known, "" when nothing is known, and the question's serial.
+func (m *Machine) ConfirmedBy() (reader string, serial uint64) {
+	return m.confirmedBy.reader, m.confirmedBy.serial
+}
 
 // Reader reports whether this node has the duty to read the store.
 func (m *Machine) Reader(now time.Time) bool {
@@ -178,24 +190,6 @@
 	m.emit(Log{Event: EventPaused, Duration: gap})
 }
 
-// confirmedAt is as of when an answer of the store confirms what is known. One to a
-// question from before a pause may have waited here for the whole of it.
-func (m *Machine) confirmedAt(told time.Time) time.Time {
-	if m.askedAt.Before(m.resumed) && m.askedAt.Before(told) {
-		return m.askedAt
-	}
-	return told
-}
-
-// ageOf is the age of news that has come now. Right after a pause it may have waited here
-// for the whole of it: taken for fresh, it put off the question that would tell more.
-func (m *Machine) ageOf(event News, now time.Time) time.Duration {
-	if m.paused > 0 && now.Sub(m.resumed) < m.share(chanceShare) {
-		return event.Age + m.paused
-	}
-	return event.Age
-}
-
 func (m *Machine) onAnswer(event StoreAnswered, now time.Time) {
 	m.asking = false
 	if m.failures > 0 {
@@ -207,7 +201,8 @@
 	if event.Batch.Whole {
 		m.needWhole = false
 	}
-	m.join(event.Batch, m.confirmedAt(event.ConfirmedAt), m.config.Self)
+	m.asked++
+	m.join(event.Batch, m.confirmedAt(event.ConfirmedAt), confirmation{reader: m.config.Self, serial: m.asked})
 	if len(event.Batch.Changes) > 0 {
 		m.nextAsk = now.Add(m.spacing())
 	}
@@ -223,28 +218,6 @@
 	return m.share(settlingShare)
 }
 
-// join takes a batch in that a reader's question brought, and tells what is new.
-// It reports false when the batch starts after what is known.
-func (m *Machine) join(batch catalog.Batch, confirmedAt time.Time, reader string) bool {
-	usable, changed := m.state.Join(batch)
-	if !usable {
-		m.needWhole = true
-		return false
-	}
-	if changed {
-		m.noteLapses(m.confirmed)
-	}
-	if batch.To >= m.state.Revision() && confirmedAt.After(m.confirmed) {
-		m.confirmed = confirmedAt
-		m.confirmedBy = reader
-	}
-	if changed {
-		m.rank()
-		m.emit(Changed{})
-	}
-	return true
-}
-
 func (m *Machine) onFailure(event StoreFailed, now time.Time) {
 	m.asking = false
 	if event.HistoryGone {
@@ -287,20 +260,23 @@
 		return
 	}
 	before, told := m.confirmed, now.Add(-m.ageOf(event, now))
-	if !m.join(event.Batch, told, event.Reader) {
+	by := confirmation{reader: event.Reader, serial: event.Serial}
+	repeated := m.known(by)
+	if !m.join(event.Batch, told, by) {
 		m.emit(Follow{Address: m.following})
 		return
 	}
-	if !told.Before(before) {
+	if !told.Before(before) && !repeated {
 		m.believe(event)
 	}
 }
 
 // believe notes that a followed node has told something fresh. If another node
-// has read it, this one needs to read no longer, unless it is the zone's first.
+// has read it, this one needs to read no longer, unless it is the zone's first, or
+// stands in and comes before that one.
 func (m *Machine) believe(event News) {
 	delete(m.doubts, event.From)
-	if event.Reader != m.config.Self {
+	if event.Reader != m.config.Self && !m.precedes(event.Reader) {
 		m.reading = false
 	}
 }
@@ -348,11 +324,11 @@
 	reader := m.Reader(now)
 	age, known := m.Age(now)
 	old := known && age > m.share(readShare)+time.Duration(m.ownRank())*m.share(staggerShare)
-	if known && !reader && !old && !m.needWhole && !m.deaf {
+	if known && !reader && !old && !m.needWhole && !m.deaf && !m.returns(now) {
 		return
 	}
 	question := Ask{Whole: !known || m.needWhole || m.deaf, After: m.state.Revision()}
-	if reader && m.failures == 0 {
+	if reader && m.failures == 0 && !m.standsIn(now) {
 		question.Wait = m.readWait(now)
 	}
 	m.asking = true
--- a/internal/replication/rank.go
+++ b/internal/replication/rank.go
@@ -17,8 +17,8 @@
 	preferred bool
 }
 
-// rank orders the nodes that the catalog names, those of this zone first. Each
-// node of a zone comes to the same order.
+// rank orders the nodes that the catalog names, those of this zone first, then those of
+// this region. Each node of a zone comes to the same order.
 func (m *Machine) rank() {
 	zones := map[string]string{m.config.Self: m.config.Zone}
 	for _, instance := range m.state.Instances() {
@@ -43,17 +43,39 @@
 func (m *Machine) compare(a, b peer) int {
 	return cmp.Or(
 		cmp.Compare(m.distance(a), m.distance(b)),
+		m.compareRecorded(a, b),
+		m.compareZones(a, b),
 		comparePreferred(a, b),
 		cmp.Compare(b.weight, a.weight),
 		cmp.Compare(a.address, b.address),
 	)
 }
 
+// compareRecorded puts this node behind those of its zone while its worker has no record:
+// the others do not know it then, and one of them reads the store.
+func (m *Machine) compareRecorded(a, b peer) int {
+	switch {
+	case m.settled || a.address == b.address:
+		return 0
+	case a.address == m.config.Self:
+		return 1
+	case b.address == m.config.Self:
+		return -1
+	default:
+		return 0
+	}
+}
+
+// distance is 0 for this node's zone, 1 for others and 2 for those of other regions.
 func (m *Machine) distance(of peer) int {
-	if of.zone == m.config.Zone {
+	switch {
+	case of.zone == m.config.Zone:
 		return 0
+	case m.regional && m.regionOf(of.zone) != m.region:
+		return 2
+	default:
+		return 1
 	}
-	return 1
 }
 
 // ownRank is this node's place among the nodes of its zone, from 0.
--- a/internal/replicator/link.go
+++ b/internal/replicator/link.go
@@ -27,6 +27,7 @@
 	Batch  catalog.Batch
 	Age    time.Duration // since the store confirmed that nothing was newer
 	Reader string        // address of the node to which it did
+	Serial uint64        // of that node's question
 	// Preferred are the nodes that are to read the store for the sender's zone.
 	Preferred []string
 }
@@ -166,7 +167,8 @@
 	state := r.machine.State()
 	if r.encoded.line == nil || r.encoded.from != mine.sent || r.encoded.to != state.Revision() {
 		age, _ := r.machine.Age(r.config.Now())
-		line, err := json.Marshal(news{Batch: state.Since(mine.sent), Age: age, Reader: r.machine.ConfirmedBy(), Preferred: r.machine.Preferred()})
+		reader, serial := r.machine.ConfirmedBy()
+		line, err := json.Marshal(news{Batch: state.Since(mine.sent), Age: age, Reader: reader, Serial: serial, Preferred: r.machine.Preferred()})
 		if err != nil {
 			return
 		}
--- a/internal/replicator/packing.go
+++ b/internal/replicator/packing.go
@@ -26,6 +26,7 @@
 	Packed    []byte          `json:"packed,omitempty"` // the batch as JSON, deflated
 	Age       int64           `json:"age"`              // in nanoseconds
 	Reader    string          `json:"reader,omitempty"`
+	Serial    uint64          `json:"serial,omitempty"` // of the reader's question
 	Preferred []string        `json:"preferred,omitempty"`
 }
 
@@ -35,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	wire := packedNews{Age: int64(n.Age), Reader: n.Reader, Preferred: n.Preferred}
+	wire := packedNews{Age: int64(n.Age), Reader: n.Reader, Serial: n.Serial, Preferred: n.Preferred}
 	if len(batch) <= packAbove {
 		wire.Batch = batch
 	} else if wire.Packed, err = pack(batch); err != nil {
@@ -52,6 +53,7 @@
 	}
 	n.Age = time.Duration(wire.Age)
 	n.Reader = wire.Reader
+	n.Serial = wire.Serial
 	n.Preferred = wire.Preferred
 	batch := []byte(wire.Batch)
 	if wire.Packed != nil {
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -37,14 +37,15 @@
 	Recorded(ctx context.Context, id string) (bool, error)
 }
 
-// Config is what a replicator is made of. All fields but Fast are required.
+// Config is what a replicator is made of. All fields but Fast and Regions are required.
 type Config struct {
-	Address   string        // IP address by which other nodes reach this one
-	Port      string        // of the peer listener, the same on all nodes
-	Listen    string        // IP address of the peer listener and of this node's connections
-	Zone      string        //
-	Freshness time.Duration // the age within which a change has to be known
-	Fast      bool          // whether this node's link is fast (replication.FastLink); false where not known
+	Address   string            // IP address by which other nodes reach this one
+	Port      string            // of the peer listener, the same on all nodes
+	Listen    string            // IP address of the peer listener and of this node's connections
+	Zone      string            //
+	Regions   map[string]string // by zone; nil where they are not known
+	Freshness time.Duration     // the age within which a change has to be known
+	Fast      bool              // whether this node's link is fast (replication.FastLink); false where not known
 	Store     Store
 	Problem   func(error) // told of items of the store that can't be used
 	Logger    log.Interface
@@ -93,7 +94,7 @@
 	if config.Now == nil {
 		config.Now = clock.Now
 	}
-	machine := replication.New(replication.Config{Self: config.Address, Zone: config.Zone, Freshness: config.Freshness, Fast: config.Fast}, config.Now())
+	machine := replication.New(replication.Config{Self: config.Address, Zone: config.Zone, Regions: config.Regions, Freshness: config.Freshness, Fast: config.Fast}, config.Now())
 	return &Replicator{config: config, machine: machine, inputs: make(chan any, inputQueue), followers: map[*follower]struct{}{}, knocking: map[string]bool{}}
 }
 
@@ -209,7 +210,7 @@
 		r.step(ctx, replication.PeerLost{Address: message.stream.address})
 		return
 	}
-	r.step(ctx, replication.News{From: message.stream.address, Reader: message.news.Reader, Batch: message.news.Batch, Age: message.news.Age, Preferred: message.news.Preferred})
+	r.step(ctx, replication.News{From: message.stream.address, Reader: message.news.Reader, Serial: message.news.Serial, Batch: message.news.Batch, Age: message.news.Age, Preferred: message.news.Preferred})
 }
 
 // passConfirmation tells followers at once that the store has confirmed what
