--- a/internal/replication/machine.go
+++ b/internal/replication/machine.go
@@ -271,16 +271,6 @@
 	}
 }
 
-// believe notes that a followed node has told something fresh. If another node
-// has read it, this one needs to read no longer, unless it is the zone's first, or
-// stands in and comes before that one.
-func (m *Machine) believe(event News) {
-	delete(m.doubts, event.From)
-	if event.Reader != m.config.Self && !m.precedes(event.Reader) {
-		m.reading = false
-	}
-}
-
 func (m *Machine) onLost(address string, now time.Time) {
 	if address == m.following {
 		m.giveUp(address, now, true)
--- a/internal/replication/rank.go
+++ b/internal/replication/rank.go
@@ -43,7 +43,6 @@
 func (m *Machine) compare(a, b peer) int {
 	return cmp.Or(
 		cmp.Compare(m.distance(a), m.distance(b)),
-		m.compareRecorded(a, b),
 		m.compareZones(a, b),
 		comparePreferred(a, b),
 		cmp.Compare(b.weight, a.weight),
@@ -51,21 +50,6 @@
 	)
 }
 
-// compareRecorded puts this node behind those of its zone while its worker has no record:
-// the others do not know it then, and one of them reads the store.
-func (m *Machine) compareRecorded(a, b peer) int {
-	switch {
-	case m.settled || a.address == b.address:
-		return 0
-	case a.address == m.config.Self:
-		return 1
-	case b.address == m.config.Self:
-		return -1
-	default:
-		return 0
-	}
-}
-
 // distance is 0 for this node's zone, 1 for others and 2 for those of other regions.
 func (m *Machine) distance(of peer) int {
 	switch {
--- a/internal/replication/region.go
+++ b/internal/replication/region.go
@@ -80,7 +80,7 @@
 		if candidate.zone == m.config.Zone || !m.trusts(candidate.address, now) {
 			continue
 		}
-		if !m.settled || m.compareZones(candidate, own) < 0 {
+		if m.compareZones(candidate, own) < 0 {
 			return candidate.address
 		}
 	}
