A key that moved to another tenant is that tenant's at the worker's node

Ruled out: the caller's node, which knew the key by its own version. Change: the worker's node looks the key's tag up in its later configuration.

--- a/internal/traffic/instance.go
+++ b/internal/traffic/instance.go
@@ -69,6 +69,7 @@
 		refused := refuse(causeRegion, time.Second, "send it again, its route does not allow the region of this worker")
 		return &refused
 	}
+	x.tenant = x.tenant.asOf(x.view)
 	if x.tenant.withdrawnBy(x.view) {
 		refused := rejectKey()
 		return &refused
--- a/internal/traffic/tenant.go
+++ b/internal/traffic/tenant.go
@@ -54,6 +54,19 @@
 	return credential{name: name, tag: split[1], version: version}, nameErr == nil && versionErr == nil && name != ""
 }
 
+// asOf returns the credential as a view of a later configuration knows it: a key may have
+// moved to another tenant since. One that no tenant holds any more stays as it is.
+func (c credential) asOf(view *snapshot.View) credential {
+	if c.name == "" || view.Version.Revision <= c.version {
+		return c
+	}
+	tenant := view.TenantOfTag(c.tag)
+	if tenant == nil {
+		return c
+	}
+	return credential{name: tenant.Name, tag: c.tag, version: view.Version.Revision}
+}
+
 // withdrawnBy reports whether a view is of a later configuration than the one that knew the
 // key, and one in which the tenant no longer holds it.
 func (c credential) withdrawnBy(view *snapshot.View) bool {
--- a/internal/traffic/tenant_test.go
+++ b/internal/traffic/tenant_test.go
@@ -108,6 +108,20 @@
 	must.Eq(t, http.StatusOK, response.StatusCode)
 }
 
+// A key that a later configuration gives to another tenant is that tenant's at the worker's
+// node, and no reason to reject the request: all configurations hold it.
+func TestKeyMovesToAnotherTenant(t *testing.T) {
+	m := newTenantMesh(t, nil)
+	moved := pressTenant()
+	moved[0].Name = "till"
+	m.publishTenants(1, 2, moved)
+	response, _, err := m.call(http.MethodPost, "/order/1", "x", "Authorization", "Bearer "+pressKey)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, response.StatusCode)
+	got, _ := m.nodes[1].worker.last()
+	must.Eq(t, "till", got.Header.Get(testProtocol.Tenant))
+}
+
 // fixedQuota lets a number of requests pass.
 type fixedQuota struct {
 	mutex sync.Mutex
