Keys: an old node has unknown ones come back, a withdrawn one is looked at again; homes of tenants

A node that had heard nothing for a while answered 401 to a key that it had not heard of: a caller never repeats a 401, so a proper one was lost for good. A key was looked at once, at the first node: one withdrawn while its request was between two offers went on. Only the route's allowed regions were looked at, a tenant's nowhere.

The key is looked at again before each offer and at the worker's node after the wait; on a public route the request then goes on without a tenant. Homes are those that route and tenant both allow, at both nodes.

Ruled out: 401 at once everywhere (loses callers of new keys at cut off nodes); holding the request until the node has heard (held requests cost more than refused ones).

--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -126,6 +126,7 @@
 		Dial:          dialFrom(n.settings.Listen.Peer),
 		Seen:          n.replicator.Seen,
 		Quarantine:    n.quarantine,
+		KnowledgeAge:  n.knowledgeAge,
 		Limits: traffic.Limits{
 			SmallBody:      wholeBody,
 			SmallAnswer:    wholeAnswer,
@@ -140,10 +141,19 @@
 			MaxHeaderBytes: n.settings.Limits.MaxHeaderBytes,
 			QueueLength:    n.settings.Limits.QueueLength,
 			LinkMbps:       n.settings.Limits.LinkMbps,
+			KeysInForce:    n.settings.Source.Freshness.Duration,
+			KeysFailClosed: n.settings.Tenants.FailClosedAfter.Duration,
 		},
 	}
 }
 
+// knowledgeAge is how long ago the store was last known to have nothing newer than this
+// node. While nothing is known, callers are refused for that.
+func (n *CatalogNode) knowledgeAge() time.Duration {
+	age, _ := n.replicator.Age()
+	return age
+}
+
 // connectPatience bounds opening a connection, so that time is left for another
 // node.
 const connectPatience = 250 * time.Millisecond
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -84,8 +85,9 @@
 	beat             time.Time // when followers were last written to
 	stream           *stream   // the node that is followed, nil for none
 	encoded          encodedNews
-	answered, failed uint64          // questions to the store
-	knocking         map[string]bool // by address: nodes that are knocked at
+	answered, failed uint64                    // questions to the store
+	knocking         map[string]bool           // by address: nodes that are knocked at
+	confirmed        atomic.Pointer[time.Time] // when the store was last known to have nothing newer; nil while nothing is known
 }
 
 // New returns a replicator that knows nothing yet.
@@ -124,6 +126,25 @@
 	}
 }
 
+// Age returns how long ago the store was last known to have nothing newer than what this
+// node knows, false while it knows nothing. Any goroutine may ask; it does not wait.
+func (r *Replicator) Age() (time.Duration, bool) {
+	confirmed := r.confirmed.Load()
+	if confirmed == nil {
+		return 0, false
+	}
+	return r.config.Now().Sub(*confirmed), true
+}
+
+// noteConfirmed lets Age know when the store last confirmed what is known.
+func (r *Replicator) noteConfirmed() {
+	confirmed := r.machine.Confirmed()
+	if held := r.confirmed.Load(); confirmed.IsZero() || held != nil && held.Equal(confirmed) {
+		return
+	}
+	r.confirmed.Store(&confirmed)
+}
+
 // Seen tells that a node has spoken to this one. It does not wait.
 func (r *Replicator) Seen(address string) {
 	select {
@@ -221,7 +242,9 @@
 }
 
 func (r *Replicator) step(ctx context.Context, event replication.Event) {
-	for _, effect := range r.machine.Step(event, r.config.Now()) {
+	effects := r.machine.Step(event, r.config.Now())
+	r.noteConfirmed()
+	for _, effect := range effects {
 		switch effect := effect.(type) {
 		case replication.Ask:
 			go r.question(ctx, effect)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,7 @@
 	Drain        Drain             `yaml:"drain"`
 	Retry        Retry             `yaml:"retry"`
 	Cold         Cold              `yaml:"cold"`
+	Tenants      Tenants           `yaml:"tenants"`
 	Regions      map[string]string `yaml:"regions,omitempty"` // by zone; where a store serves the mesh
 }
 
@@ -137,6 +138,11 @@
 	Slack   float64 `yaml:"slack" validate:"min=0,max=10000"` // requests beside, within any second
 }
 
+// Tenants says how strictly callers' keys are held, with a store.
+type Tenants struct {
+	FailClosedAfter Duration `yaml:"failClosedAfter" validate:"atLeast=0s,atMost=10m"` // a node that has not heard for so long which keys are in force lets no caller in that needs one; 0: it goes by what it knows
+}
+
 // Retry bounds repeated arrivals at workers, with a store.
 type Retry struct {
 	Ratio float64 `yaml:"ratio" validate:"min=0,max=1"`    // of the requests
--- a/internal/traffic/decision.go
+++ b/internal/traffic/decision.go
@@ -67,6 +67,9 @@
 		fields["tenant"] = x.tenant.name
 		fields["key"] = x.tenant.tag
 	}
+	if x.knowledgeAge > 0 {
+		fields["knowledge_age_ms"] = x.knowledgeAge.Milliseconds()
+	}
 	if x.instance != "" {
 		fields["instance"] = x.instance
 	}
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"time"
 
 	"sliphead/internal/outcome"
@@ -78,20 +77,20 @@
 	return result{}, false
 }
 
-// allowed returns the endpoints in the regions that the route's requests must not leave.
+// allowed returns the endpoints in the regions that the request must not leave.
 func (d *dispatch) allowed(endpoints []snapshot.Endpoint) []snapshot.Endpoint {
-	regions := d.x.route.Regions
-	if len(regions) == 0 {
+	home := homeOf(d.x.view, d.x.route, d.x.tenant.name)
+	if home.anywhere() {
 		return endpoints
 	}
 	var inside []snapshot.Endpoint
 	for _, endpoint := range endpoints {
-		if slices.Contains(regions, endpoint.Region) {
+		if home.includes(endpoint.Region) {
 			inside = append(inside, endpoint)
 		}
 	}
 	if len(inside) == 0 {
-		d.last = refuse(causeRegion, 0, "send it again later, no worker in the regions that the route allows takes it now")
+		d.last = refuse(causeRegion, 0, "send it again later, no worker in the regions that its route and its tenant allow takes it now")
 	}
 	return inside
 }
@@ -115,6 +114,11 @@
 // try makes one offer; another says that there is an endpoint which seems to be free
 // beside this one. It reports whether the request has ended.
 func (d *dispatch) try(target snapshot.Target, endpoint snapshot.Endpoint, another bool) (result, bool) {
+	if refused := d.out.recheckCaller(d.x); refused != nil {
+		d.out.chooser.release(endpoint)
+		d.last = *refused
+		return d.giveUp(), true
+	}
 	if d.attempts > 0 && !d.out.budget.take(target.Service, d.out.nodes()) {
 		d.out.chooser.release(endpoint)
 		return d.giveUp(), true
@@ -223,6 +227,8 @@
 	case causeCallerGone:
 	case causeKey:
 		return rejectKey()
+	case causeStaleKeys:
+		return ended
 	default:
 		ended.status = http.StatusServiceUnavailable
 	}
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -30,22 +30,23 @@
 	body     body
 
 	// With a catalog.
-	closing     bool   // whether the caller's connection ends with the answer
-	offers      int    // nodes that it was offered to
-	attempts    int    // workers that it was sent to
-	onSign      func() // called at the first sign of the next hop; nil: nobody asks
-	onSilence   func() // called in place of giving a silent node up; nil: it is given up
-	instance    string // id of the instance that is to run the request
-	tenant      credential
-	caller      string // service beside the node that took the request
-	class       class
-	trialOwner  string        // instance that alone may run it, since it is on trial in the quarantine; "": any
-	protocol    *Protocol     // of the callers; nil: sliphead's own
-	between     bool          // whether it came from another node of a catalog's mesh
-	elsewhere   bool          // whether the caller's node knows of another endpoint that seems to be free
-	moveTime    time.Duration // with elsewhere: what going on to another endpoint takes, so that a shorter wait is better
-	bodyAwaited bool          // whether the body is still to be asked for
-	signal      bool          // whether the caller's node waits for a sign that the request has come
+	closing      bool   // whether the caller's connection ends with the answer
+	offers       int    // nodes that it was offered to
+	attempts     int    // workers that it was sent to
+	onSign       func() // called at the first sign of the next hop; nil: nobody asks
+	onSilence    func() // called in place of giving a silent node up; nil: it is given up
+	instance     string // id of the instance that is to run the request
+	tenant       credential
+	knowledgeAge time.Duration // of this node's configuration, where it decided whether a caller is let in; 0: it didn't
+	caller       string        // service beside the node that took the request
+	class        class
+	trialOwner   string        // instance that alone may run it, since it is on trial in the quarantine; "": any
+	protocol     *Protocol     // of the callers; nil: sliphead's own
+	between      bool          // whether it came from another node of a catalog's mesh
+	elsewhere    bool          // whether the caller's node knows of another endpoint that seems to be free
+	moveTime     time.Duration // with elsewhere: what going on to another endpoint takes, so that a shorter wait is better
+	bodyAwaited  bool          // whether the body is still to be asked for
+	signal       bool          // whether the caller's node waits for a sign that the request has come
 
 	wholeUnframed  bool                // whether an answer without a length is taken, once it has ended in order
 	concurrentBody bool                // whether a long whole body is written while the answer is read
@@ -109,6 +110,7 @@
 	causeCold       cause = "cold"       // the worker is cold, and gets as much as it bears
 	causeRegion     cause = "region"     // no worker in the regions that the route allows
 	causeKey        cause = "key"        // the caller gave no key of a tenant
+	causeStaleKeys  cause = "stale-keys" // this node has not heard lately which keys are in force
 	causeQuota      cause = "quota"      // the tenant has no room left in its limit
 	causeQuarantine cause = "quarantine" // workers ended under this request, it is sent to none
 )
--- a/internal/traffic/hop.go
+++ b/internal/traffic/hop.go
@@ -20,7 +20,8 @@
 
 // class is how a worker's node is to treat a request.
 type class struct {
-	rank       int           // priority, 0 is served first
+	tenant     int           // priority of its tenant, 0 is served first; 0 without a tenant
+	rank       int           // priority of its route among those of tenants with the same, 0 is served first
 	repeatable bool          // whether it may run more than once
 	patient    bool          // whether it may wait to its deadline, not just for its objective
 	returned   bool          // whether its caller was refused before and may be answered late
@@ -44,7 +45,7 @@
 	flags := flag('r', h.class.repeatable) + flag('p', h.class.patient) + flag('b', h.class.returned) + flag('e', h.elsewhere)
 	return strings.Join([]string{
 		h.attempt, url.PathEscape(h.instance), url.PathEscape(h.caller), url.PathEscape(h.route),
-		strconv.Itoa(h.class.rank), flags, inMilliseconds(h.class.objective), inMilliseconds(h.moveTime), h.tenant.encode(),
+		h.class.priority(), flags, inMilliseconds(h.class.objective), inMilliseconds(h.moveTime), h.tenant.encode(),
 	}, hopSeparator)
 }
 
@@ -62,11 +63,12 @@
 	if len(split) != parts {
 		return hopRequest{}, false
 	}
-	rank, rankErr := strconv.Atoi(split[4])
+	tenantPriority, rank, prioritySound := decodePriority(split[4])
 	objective, objectiveErr := strconv.ParseInt(split[6], 10, 64)
 	read := hopRequest{
 		attempt: split[0],
 		class: class{
+			tenant:     tenantPriority,
 			rank:       rank,
 			repeatable: strings.Contains(split[5], "r"),
 			patient:    strings.Contains(split[5], "p"),
@@ -82,10 +84,33 @@
 	read.instance, instanceErr = url.PathUnescape(split[1])
 	read.caller, callerErr = url.PathUnescape(split[2])
 	read.route, routeErr = url.PathUnescape(split[3])
-	sound := rankErr == nil && objectiveErr == nil && instanceErr == nil && callerErr == nil && routeErr == nil && tenantSound
+	sound := prioritySound && objectiveErr == nil && instanceErr == nil && callerErr == nil && routeErr == nil && tenantSound
 	return read, sound && validID(read.attempt) && read.instance != ""
 }
 
+// prioritySeparator stands between the priorities of the route and of the tenant.
+const prioritySeparator = "."
+
+// priority is the route's priority and, if it is not 0, the tenant's.
+func (c class) priority() string {
+	rank := strconv.Itoa(c.rank)
+	if c.tenant == 0 {
+		return rank
+	}
+	return rank + prioritySeparator + strconv.Itoa(c.tenant)
+}
+
+// decodePriority reads what priority wrote.
+func decodePriority(text string) (tenant, rank int, sound bool) {
+	first, second, both := strings.Cut(text, prioritySeparator)
+	rank, err := strconv.Atoi(first)
+	if err != nil || !both {
+		return 0, rank, err == nil
+	}
+	tenant, err = strconv.Atoi(second)
+	return tenant, rank, err == nil
+}
+
 // hopAnswer is what a worker's node tells the caller's node.
 type hopAnswer struct {
 	attempt       string
--- a/internal/traffic/instance.go
+++ b/internal/traffic/instance.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/http"
-	"slices"
 	"time"
 
 	"sliphead/internal/clock"
@@ -65,28 +64,20 @@
 		refused := refuse(causeNotLocal, time.Second, "send it again, the worker of this node does not take it now")
 		return &refused
 	}
-	if regions := in.regionsOf(x); len(regions) > 0 && !slices.Contains(regions, in.config.Region) {
-		refused := refuse(causeRegion, time.Second, "send it again, its route does not allow the region of this worker")
+	route := x.view.Route(x.route.Name)
+	if !homeOf(x.view, route, x.tenant.name).includes(in.config.Region) {
+		refused := refuse(causeRegion, time.Second, "send it again, its route or its tenant does not allow the region of this worker")
 		return &refused
 	}
 	if x.tenant.withdrawnBy(x.view) {
-		refused := rejectKey()
-		return &refused
+		if refused := in.config.loseTenant(x, route); refused != nil {
+			return refused
+		}
 	}
 	in.adjustTo(local)
 	return nil
 }
 
-// regionsOf returns the regions that a request must not leave, as this node knows its
-// route; none: it may be anywhere.
-func (in *Inbound) regionsOf(x *exchange) []string {
-	route := x.view.Route(x.route.Name)
-	if route == nil {
-		return nil
-	}
-	return route.Regions
-}
-
 // lapsed reports whether the worker's record is gone for good, as far as this node
 // knows: it may be sent requests for the time that a leaving one may, and for as
 // long as this node vouches for it.
--- a/internal/traffic/offer.go
+++ b/internal/traffic/offer.go
@@ -105,7 +105,7 @@
 // blamesNode reports whether a failure speaks against an endpoint.
 func blamesNode(failure *result, seen balance.Observation) bool {
 	switch failure.cause {
-	case causeCallerGone, causeFull, causeQueue, causeDeadline, causeNested, causeCold, causeRegion, causeQuarantine, causeKey:
+	case causeCallerGone, causeFull, causeQueue, causeDeadline, causeNested, causeCold, causeRegion, causeQuarantine, causeKey, causeStaleKeys:
 		return false
 	case causeRefused:
 		return !seen.Loaded || seen.Load.Busy < seen.Load.Slots && seen.Load.Closed == 0
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -195,10 +195,13 @@
 	}
 }
 
+// knowledgeWait is after how long a request is to come back that this node knows too little
+// to serve: other nodes and the store tell it what it lacks in about that time.
+const knowledgeWait = 200 * time.Millisecond
+
 // unready is the refusal of a node that knows no configuration yet.
 func unready() result {
-	const soon = 200 * time.Millisecond
 	refused := refuse(causeLease, 0, "send it again, this node has no configuration yet")
-	refused.retryAfter = soon
+	refused.retryAfter = knowledgeWait
 	return refused
 }
--- a/internal/traffic/tenant.go
+++ b/internal/traffic/tenant.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"sliphead/internal/catalog"
 	"sliphead/internal/snapshot"
@@ -71,21 +72,92 @@
 		if !x.view.HasTenants() {
 			return next(x)
 		}
-		key, given := takeKey(x.request.Header)
-		var tenant *catalog.Tenant
-		if given {
-			tenant = x.view.TenantOf(key)
+		if key, given := takeKey(x.request.Header); given {
+			x.identify(key)
 		}
-		if tenant == nil && !x.route.Public {
-			return rejectKey()
-		}
-		if tenant != nil {
-			x.tenant = credential{name: tenant.Name, tag: key.Tag(), version: x.view.Version.Revision}
+		if refused := out.refuseCaller(x); refused != nil {
+			return *refused
 		}
 		return next(x)
 	}
 }
 
+// identify notes the tenant that holds the key, if there is one.
+func (x *exchange) identify(key catalog.KeyDigest) {
+	tenant := x.view.TenantOf(key)
+	if tenant == nil {
+		return
+	}
+	x.tenant = credential{name: tenant.Name, tag: key.Tag(), version: x.view.Version.Revision}
+	x.class.tenant = tenant.Priority
+}
+
+// refuseCaller refuses a request whose route needs a key and whose caller gave none that a
+// tenant holds, nil if it may go on. A caller does not repeat what is answered 401, so a
+// node that may not have heard of the key yet has the request sent again instead.
+func (out *Outbound) refuseCaller(x *exchange) *result {
+	if x.route.Public {
+		return nil
+	}
+	known := x.tenant.name != ""
+	if known && out.config.Limits.KeysFailClosed <= 0 {
+		return nil
+	}
+	x.knowledgeAge = out.config.knowledgeAge()
+	switch {
+	case isOlder(x.knowledgeAge, out.config.Limits.KeysFailClosed):
+		return refuseStaleKeys()
+	case !known:
+		return out.config.rejectCaller(x)
+	default:
+		return nil
+	}
+}
+
+// isOlder reports whether an age is beyond a bound; 0 is no bound.
+func isOlder(age, bound time.Duration) bool { return bound > 0 && age > bound }
+
+// knowledgeAge is how long ago this node was last known to hold the newest configuration.
+func (c *Config) knowledgeAge() time.Duration {
+	if c.KnowledgeAge == nil {
+		return 0
+	}
+	return c.KnowledgeAge()
+}
+
+// rejectCaller refuses a request whose key no tenant holds, as far as this node knows: for
+// good, or, if it may not have heard of the key yet, until it has.
+func (c *Config) rejectCaller(x *exchange) *result {
+	x.knowledgeAge = c.knowledgeAge()
+	if isOlder(x.knowledgeAge, c.Limits.KeysInForce) {
+		return refuseStaleKeys()
+	}
+	refused := rejectKey()
+	return &refused
+}
+
+// recheckCaller refuses a request whose key was withdrawn since the last look, before it
+// is offered to a node, nil if it may go on. On a public route it goes on without a tenant.
+func (out *Outbound) recheckCaller(x *exchange) *result {
+	if x.tenant.name == "" {
+		return nil
+	}
+	if view, _ := out.config.Holder.Current(x.started); x.tenant.withdrawnBy(view) {
+		return out.config.loseTenant(x, x.route)
+	}
+	return out.refuseCaller(x)
+}
+
+// loseTenant is what becomes of a request whose key was withdrawn: its route, nil if it is
+// not known, may take callers without one.
+func (c *Config) loseTenant(x *exchange, route *snapshot.Route) *result {
+	if route == nil || !route.Public {
+		return c.rejectCaller(x)
+	}
+	x.tenant = credential{}
+	return nil
+}
+
 // takeKey removes the caller's key from a request and returns its digest, false when
 // there is none, or more than one.
 func takeKey(header http.Header) (catalog.KeyDigest, bool) {
@@ -102,6 +174,13 @@
 	return catalog.DigestKey(key), true
 }
 
+// refuseStaleKeys is the refusal of a node whose knowledge of keys is too old to be gone by.
+func refuseStaleKeys() *result {
+	refused := refuse(causeStaleKeys, 0, "send it again, this node has not heard lately which keys are in force")
+	refused.retryAfter = knowledgeWait
+	return &refused
+}
+
 // rejectKey is the answer to a caller who gave no key that a tenant holds.
 func rejectKey() result {
 	return reject(http.StatusUnauthorized, causeKey, "send the key of a tenant, this one is not known or was withdrawn")
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -69,6 +69,9 @@
 	Observe func(succeeded bool)
 	// Quarantine knows the requests that end workers; nil: none is kept from them.
 	Quarantine Quarantine
+	// KnowledgeAge tells how long ago the configuration in force was last known to be the
+	// newest; nil: it always is. It must not wait.
+	KnowledgeAge func() time.Duration
 	// Quotas holds tenants to their limits; nil: they have none.
 	Quotas Quotas
 	// Calls joins the inbound and the outbound handler of one node; see Calls.
@@ -84,6 +87,8 @@
 	Slots          int           // requests that the local worker runs at once, unless declared
 	Connections    int           // connections to the local worker, unless declared
 	QueueLength    int           // requests that wait for a slot at most
+	KeysInForce    time.Duration // within which a change of the keys is in force: knowledge that is older does not tell which are unknown; 0: any does
+	KeysFailClosed time.Duration // age of the knowledge beyond which no request that needs a key is let in; 0: none
 	RetryRatio     float64       // retries per request of this node, over time
 	RetryBurst     float64       // retries that may be saved up
 	RetryBudget    int           // retries of one call tree, in thousandths
