Tenants' priority before routes', fair queueing among tenants at the worker

The queue knew four classes, of the route's priority alone; among equal ones the order was that of arrival, so one tenant's flood was everybody's loss.

Class is (tenant's priority, route's), any small numbers; lines are made as classes come and share a quarter of the queue as reserves (a sixteenth each with four classes, as before). Within a class start-time fair queueing by tenant, weighted by limits, charged for what is let in; nobody is passed who would then be too late; a full queue gives up the last of a tenant of the same class that has had more. The late line goes by class on the same condition. Callers of higher priority don't come back behind lower ones. Cold workers: urgent are tenants of priority 0 with routes of priority 0 and 1. Run times are learnt by kind over all classes.

--- a/internal/snapshot/tenants.go
+++ b/internal/snapshot/tenants.go
@@ -6,6 +6,8 @@
 type tenants struct {
 	byKey  map[catalog.KeyDigest]*catalog.Tenant
 	byName map[string]*catalog.Tenant
+	most   float64 // the highest limit, in requests a second; 1 where there is none
+	usual  float64 // the mean of the tenants' weights
 }
 
 // newTenants returns the index of a configuration's tenants, nil where callers need no key.
@@ -20,10 +22,49 @@
 		for _, key := range tenant.Keys {
 			index.byKey[key] = tenant
 		}
+		index.most = max(index.most, tenant.RatePerSecond)
 	}
+	index.weigh(held)
 	return index
 }
 
+// weigh finds what the weights of tenants without a limit, and of unknown ones, are.
+func (t *tenants) weigh(held []catalog.Tenant) {
+	if t.most == 0 {
+		t.most = 1
+	}
+	t.usual = t.most
+	if len(held) == 0 {
+		return
+	}
+	total := 0.0
+	for place := range held {
+		total += t.weight(&held[place])
+	}
+	t.usual = total / float64(len(held))
+}
+
+func (t *tenants) weight(tenant *catalog.Tenant) float64 {
+	if tenant.RatePerSecond > 0 {
+		return tenant.RatePerSecond
+	}
+	return t.most
+}
+
+// TenantWeight returns how much a tenant may have in proportion to others: as its limit
+// says, as the tenant with the highest one where it has none, and as much as tenants have
+// in the middle where it is not known.
+func (v *View) TenantWeight(name string) float64 {
+	switch tenant := v.Tenant(name); {
+	case v.tenants == nil:
+		return 1
+	case tenant == nil:
+		return v.tenants.usual
+	default:
+		return v.tenants.weight(tenant)
+	}
+}
+
 // HasTenants reports whether callers need a tenant's key, but for public routes.
 func (v *View) HasTenants() bool { return v.tenants != nil }
 
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -1,12 +1,13 @@
 // Package admission decides which requests run at a worker now, which wait and
-// which are refused: slots with a bounded queue by priority class. It is pure:
-// the caller passes the time and carries out what is decided.
+// which are refused: slots with a bounded queue by priority class (see class.go). It is
+// pure: the caller passes the time and carries out what is decided.
 //
 // Lower classes wait while higher ones are queued, but a request that has
 // waited long is aged: one grant in Settings.AgedEvery goes to the oldest aged
 // request, so that no class starves and aged requests can't crowd out a higher
 // class. A request whose predicted wait leaves too little time for its run is
-// refused on arrival. Each class has some places in the queue to itself.
+// refused on arrival. Each class has some places in the queue to itself. Within a class
+// those go first whose tenants have had less of what they may have (see fair.go).
 //
 // A request that can't be answered in time any more, but whose caller won't come back,
 // waits in the late line (see late.go).
@@ -15,41 +16,8 @@
 import (
 	"container/list"
 	"time"
-
-	"sliphead/internal/declaration"
-)
-
-// Class is a priority class, the lowest number first served.
-type Class int
-
-// The classes, in the order in which they are served.
-const (
-	Internal Class = iota
-	Interactive
-	Upload
-	Batch
-	classes
 )
 
-// ClassOf returns the class of a declared priority.
-func ClassOf(priority declaration.Priority) Class {
-	switch priority {
-	case declaration.PriorityInternal:
-		return Internal
-	case declaration.PriorityInteractive:
-		return Interactive
-	case declaration.PriorityUpload:
-		return Upload
-	default:
-		return Batch
-	}
-}
-
-// ClassOfRank returns the class of a priority given as a number, 0 the first.
-func ClassOfRank(rank int) Class {
-	return min(max(Class(rank), Internal), Batch)
-}
-
 // Settings bound the queue.
 type Settings struct {
 	Slots     int           // requests that run at once
@@ -87,11 +55,12 @@
 	GiveUp     time.Time     // when queued: the last moment at which a grant is of use
 
 	class    Class
+	start    float64 // see fairness
 	kind     kind
 	arrived  time.Time
 	granted  time.Time
 	deadline time.Time
-	line     *list.List // in which it waits
+	waits    *list.List // in which it waits
 	element  *list.Element
 }
 
@@ -99,8 +68,9 @@
 // safe for use by several goroutines at once.
 type Queue[W any] struct {
 	settings Settings
-	waiting  [classes]*list.List // of *Ticket[W], oldest first
-	late     *list.List          // of *Ticket[W], oldest first: see late.go
+	lines    []*line    // by class, the first served first
+	late     *list.List // of *Ticket[W]: see late.go
+	fair     fairness
 	length   int
 	busy     map[kind]int // running requests
 	running  int
@@ -116,11 +86,7 @@
 
 // New returns an empty queue.
 func New[W any](settings Settings) *Queue[W] {
-	queue := &Queue[W]{settings: settings, late: list.New(), busy: map[kind]int{}, service: map[kind]*estimate{}}
-	for class := range queue.waiting {
-		queue.waiting[class] = list.New()
-	}
-	return queue
+	return &Queue[W]{settings: settings, lines: baseLines(), late: list.New(), fair: newFairness(), busy: map[kind]int{}, service: map[kind]*estimate{}}
 }
 
 // Running returns the number of requests that hold a slot.
@@ -143,8 +109,8 @@
 			return true
 		}
 	}
-	for lower := class + 1; lower < classes; lower++ {
-		if q.waiting[lower].Len() > 0 {
+	for _, lower := range q.lines {
+		if lower.class > class && lower.waiting.Len() > 0 {
 			return true
 		}
 	}
@@ -166,6 +132,8 @@
 // Arrival is a request that is to be taken in.
 type Arrival[W any] struct {
 	Class    Class
+	Tenant   string    // "" for none
+	Weight   float64   // of the tenant: it may have so much in proportion to others
 	Kind     string    // requests of one kind take like times; "" for the class's
 	Deadline time.Time // after which an answer is of no use
 	Waiter   W         // whom to tell
@@ -178,14 +146,20 @@
 func (q *Queue[W]) Take(arrival Arrival[W], now time.Time) (ticket *Ticket[W], decided []*Ticket[W]) {
 	class, deadline := arrival.Class, arrival.Deadline
 	ticket = &Ticket[W]{
-		Waiter: arrival.Waiter, class: class, kind: kind{class, arrival.Kind},
+		Waiter: arrival.Waiter, class: class, start: q.fair.start(arrival.Tenant), kind: kind{class, arrival.Kind},
 		arrived: now, deadline: deadline,
 	}
+	defer func() {
+		if ticket.Verdict != Refused {
+			q.fair.accept(arrival.Tenant, arrival.Weight, ticket.start)
+		}
+	}()
 	if q.Free() {
 		q.grant(ticket, now)
 		return ticket, nil
 	}
-	first, queued := q.ahead(class, now)
+	first := q.firstEnd(now)
+	before, queued := q.place(class, ticket.start, ticket.kind, first, now)
 	wait := first + queued
 	spare := deadline.Sub(now) - first - q.most(ticket.kind, now)
 	if spare < 0 || queued > spare/WaitShare {
@@ -195,16 +169,17 @@
 		return ticket, nil
 	}
 	if !q.hasRoom(class) {
-		victim := q.youngestBelow(class)
+		victim := q.givesWayTo(ticket)
 		if victim == nil {
 			refuse(ticket, wait)
 			return ticket, nil
 		}
 		q.remove(victim)
-		refuse(victim, q.predict(victim.class, now))
+		refuse(victim, q.predict(victim.class, victim.start, now))
 		decided = append(decided, victim)
+		before, _ = q.place(class, ticket.start, ticket.kind, first, now)
 	}
-	q.enqueue(ticket, q.waiting[class], now)
+	q.enqueue(ticket, q.lineOf(class).waiting, before, now)
 	return ticket, decided
 }
 
@@ -215,20 +190,26 @@
 		return false
 	}
 	q.remove(ticket)
-	refuse(ticket, q.predict(ticket.class, now))
+	refuse(ticket, q.predict(ticket.class, ticket.start, now))
 	return true
 }
 
 // Clear refuses all requests that wait, and returns their tickets.
 func (q *Queue[W]) Clear(now time.Time) []*Ticket[W] {
 	var decided []*Ticket[W]
-	for _, line := range append(q.waiting[:], q.late) {
-		for front := line.Front(); front != nil; front = line.Front() {
-			ticket := front.Value.(*Ticket[W])
-			q.remove(ticket)
-			refuse(ticket, 0)
-			decided = append(decided, ticket)
-		}
+	for _, line := range q.lines {
+		decided = append(decided, q.clearLine(line.waiting)...)
+	}
+	return append(decided, q.clearLine(q.late)...)
+}
+
+func (q *Queue[W]) clearLine(waiting *list.List) []*Ticket[W] {
+	var decided []*Ticket[W]
+	for front := waiting.Front(); front != nil; front = waiting.Front() {
+		ticket := front.Value.(*Ticket[W])
+		q.remove(ticket)
+		refuse(ticket, 0)
+		decided = append(decided, ticket)
 	}
 	return decided
 }
@@ -241,18 +222,23 @@
 	return q.fill(now)
 }
 
-func (q *Queue[W]) enqueue(ticket *Ticket[W], line *list.List, now time.Time) {
+// enqueue puts a request into a line, before an element or, if that is nil, at the end.
+func (q *Queue[W]) enqueue(ticket *Ticket[W], waits *list.List, before *list.Element, now time.Time) {
 	const marginShare = 20
 	margin := max(q.run(ticket.kind, now)/2, ticket.deadline.Sub(now)/marginShare)
 	ticket.GiveUp = ticket.deadline.Add(-margin)
 	ticket.Verdict = Queued
-	ticket.line = line
-	ticket.element = line.PushBack(ticket)
+	ticket.waits = waits
+	if before == nil {
+		ticket.element = waits.PushBack(ticket)
+	} else {
+		ticket.element = waits.InsertBefore(ticket, before)
+	}
 	q.length++
 }
 
 func (q *Queue[W]) remove(ticket *Ticket[W]) {
-	ticket.line.Remove(ticket.element)
+	ticket.waits.Remove(ticket.element)
 	ticket.element = nil
 	q.length--
 }
@@ -263,6 +249,7 @@
 	q.running++
 	q.busy[ticket.kind]++
 	q.grants++
+	q.fair.granted(ticket.start)
 }
 
 func refuse[W any](ticket *Ticket[W], wait time.Duration) {
@@ -278,7 +265,7 @@
 		ticket := q.next(now)
 		q.remove(ticket)
 		if now.After(ticket.GiveUp) {
-			refuse(ticket, q.predict(ticket.class, now))
+			refuse(ticket, q.predict(ticket.class, ticket.start, now))
 		} else {
 			q.grant(ticket, now)
 		}
@@ -297,8 +284,8 @@
 			return aged
 		}
 	}
-	for class := range q.waiting {
-		if front := q.waiting[class].Front(); front != nil {
+	for _, line := range q.lines {
+		if front := line.waiting.Front(); front != nil {
 			return front.Value.(*Ticket[W])
 		}
 	}
@@ -307,8 +294,8 @@
 
 func (q *Queue[W]) oldestAged(now time.Time) *Ticket[W] {
 	var oldest *Ticket[W]
-	for class := range q.waiting {
-		front := q.waiting[class].Front()
+	for _, line := range q.lines {
+		front := line.waiting.Front()
 		if front == nil {
 			continue
 		}
@@ -320,32 +307,3 @@
 	}
 	return oldest
 }
-
-// reserve is the number of places in the queue that no other class may take.
-func (q *Queue[W]) reserve() int {
-	const share = 16
-	return q.settings.Length / share
-}
-
-// hasRoom reports whether the class may take a place and leave the others
-// their reserves.
-func (q *Queue[W]) hasRoom(class Class) bool {
-	taken := q.length
-	for other := range q.waiting {
-		if Class(other) != class {
-			taken += max(0, q.reserve()-q.waiting[other].Len())
-		}
-	}
-	return taken < q.settings.Length
-}
-
-// youngestBelow returns the youngest request of the lowest class below the
-// given one that holds more than its reserve.
-func (q *Queue[W]) youngestBelow(class Class) *Ticket[W] {
-	for lower := classes - 1; lower > class; lower-- {
-		if q.waiting[lower].Len() > q.reserve() {
-			return q.waiting[lower].Back().Value.(*Ticket[W])
-		}
-	}
-	return nil
-}
--- a/internal/traffic/admission/admission_test.go
+++ b/internal/traffic/admission/admission_test.go
@@ -87,16 +87,26 @@
 	must.Zero(t, queue.Running())
 }
 
-// flow is one class's load in the simulation.
+// flow is one class's load in the simulation, or a tenant's in it.
 type flow struct {
 	class    Class
 	perSec   float64
 	service  time.Duration
 	deadline time.Duration
+	tenant   string
+	weight   float64
 }
 
-// tally counts what became of a class's requests.
-type tally struct{ offered, inTime, late, refused int }
+// tally counts what became of a flow's requests; held are those refused after a wait.
+type tally struct{ offered, inTime, late, refused, held int }
+
+func (t *tally) add(other *tally) {
+	t.offered += other.offered
+	t.inTime += other.inTime
+	t.late += other.late
+	t.refused += other.refused
+	t.held += other.held
+}
 
 type event struct {
 	at     time.Time
@@ -116,18 +126,31 @@
 	return last
 }
 
-// simulate offers Poisson flows to a queue in virtual time. Runs have
-// exponential service times.
+// simulate returns what became of flows by class.
 func simulate(settings Settings, flows []flow, length time.Duration) map[Class]*tally {
+	byClass := map[Class]*tally{}
+	tallies := simulateFlows(settings, flows, length)
+	for index := range flows {
+		if byClass[flows[index].class] == nil {
+			byClass[flows[index].class] = &tally{}
+		}
+		byClass[flows[index].class].add(tallies[&flows[index]])
+	}
+	return byClass
+}
+
+// simulateFlows offers Poisson flows to a queue in virtual time. Runs have
+// exponential service times.
+func simulateFlows(settings Settings, flows []flow, length time.Duration) map[*flow]*tally {
 	random := rand.New(rand.NewPCG(7, 7))
 	queue := New[*flow](settings)
-	tallies := map[Class]*tally{}
+	tallies := map[*flow]*tally{}
 	var pending events
 	next := func(f *flow, now time.Time) {
 		heap.Push(&pending, event{at: now.Add(time.Duration(random.ExpFloat64() / f.perSec * float64(time.Second))), flow: f})
 	}
 	for index := range flows {
-		tallies[flows[index].class] = &tally{}
+		tallies[&flows[index]] = &tally{}
 		next(&flows[index], start)
 	}
 	decide := func(ticket *Ticket[*flow], now time.Time) {
@@ -135,7 +158,10 @@
 		case Granted:
 			heap.Push(&pending, event{at: now.Add(time.Duration(random.ExpFloat64() * float64(ticket.Waiter.service))), ticket: ticket})
 		case Refused:
-			tallies[ticket.class].refused++
+			tallies[ticket.Waiter].refused++
+			if !ticket.GiveUp.IsZero() {
+				tallies[ticket.Waiter].held++
+			}
 		}
 	}
 	for now := start; now.Before(start.Add(length)); {
@@ -143,16 +169,16 @@
 		now = e.at
 		var decided []*Ticket[*flow]
 		if e.flow != nil {
-			tallies[e.flow.class].offered++
+			tallies[e.flow].offered++
 			next(e.flow, now)
 			var ticket *Ticket[*flow]
-			ticket, decided = queue.Arrive(e.flow.class, now.Add(e.flow.deadline), now, e.flow)
+			ticket, decided = queue.Take(Arrival[*flow]{Class: e.flow.class, Tenant: e.flow.tenant, Weight: e.flow.weight, Deadline: now.Add(e.flow.deadline), Waiter: e.flow}, now)
 			decide(ticket, now)
 		} else {
 			if now.After(e.ticket.deadline) {
-				tallies[e.ticket.class].late++
+				tallies[e.ticket.Waiter].late++
 			} else {
-				tallies[e.ticket.class].inTime++
+				tallies[e.ticket.Waiter].inTime++
 			}
 			decided = queue.Done(e.ticket, now)
 		}
@@ -170,10 +196,10 @@
 	const capacity, run = 600.0, 10 * time.Millisecond
 	rest := max(0, multiple-0.35)
 	return []flow{
-		{Internal, 0.10 * capacity, run, 100 * time.Millisecond},
-		{Interactive, 0.25 * capacity, run, 250 * time.Millisecond},
-		{Upload, 0.2 * rest * capacity, run, 5 * time.Second},
-		{Batch, 0.8 * rest * capacity, run, 20 * time.Second},
+		{class: Internal, perSec: 0.10 * capacity, service: run, deadline: 100 * time.Millisecond},
+		{class: Interactive, perSec: 0.25 * capacity, service: run, deadline: 250 * time.Millisecond},
+		{class: Upload, perSec: 0.2 * rest * capacity, service: run, deadline: 5 * time.Second},
+		{class: Batch, perSec: 0.8 * rest * capacity, service: run, deadline: 20 * time.Second},
 	}
 }
 
--- a/internal/traffic/admission/estimate.go
+++ b/internal/traffic/admission/estimate.go
@@ -36,8 +36,18 @@
 // maxKinds bounds the kinds whose times are remembered.
 const maxKinds = 512
 
+// timed is the kind under which times are remembered: those of a name are the same in all
+// classes.
+func (k kind) timed() kind {
+	if k.name != "" {
+		k.class = 0
+	}
+	return k
+}
+
 // learn takes in how long a request of a kind ran.
 func (q *Queue[W]) learn(of kind, ran time.Duration, now time.Time) {
+	of = of.timed()
 	held := q.service[of]
 	if held == nil {
 		if len(q.service) >= maxKinds {
@@ -51,7 +61,7 @@
 
 // run returns how long requests of a kind take, 0 when that is not known.
 func (q *Queue[W]) run(of kind, now time.Time) time.Duration {
-	if held := q.service[of]; held != nil {
+	if held := q.service[of.timed()]; held != nil {
 		return held.at(now)
 	}
 	return 0
@@ -63,7 +73,7 @@
 	if run == 0 {
 		return 0
 	}
-	return run + q.service[of].deviation
+	return run + q.service[of.timed()].deviation
 }
 
 // end takes a request of a kind off those that run.
@@ -74,38 +84,32 @@
 	}
 }
 
-// Forecast returns the expected wait of a request of the class and kind that
-// arrives now, and how long it is expected to run, 0 when that is not known.
+// Forecast returns the expected wait of a request of the class and kind that arrives now,
+// of a tenant that has not had more than others, and how long it is expected to run, 0
+// when that is not known.
 func (q *Queue[W]) Forecast(class Class, name string, now time.Time) (wait, run time.Duration) {
 	if !q.Free() {
-		wait = q.predict(class, now)
+		wait = q.predict(class, q.fair.virtual, now)
 	}
 	return wait, q.run(kind{class, name}, now)
 }
 
 // predict returns the expected wait of a request of the class that arrives now.
-func (q *Queue[W]) predict(class Class, now time.Time) time.Duration {
-	first, queued := q.ahead(class, now)
+func (q *Queue[W]) predict(class Class, start float64, now time.Time) time.Duration {
+	first := q.firstEnd(now)
+	_, queued := q.place(class, start, kind{}, first, now)
 	return first + queued
 }
 
-// ahead returns the parts of that wait: until the first of the running requests ends,
-// which are taken to be evenly spread over their time, and then the work queued ahead
-// over the slots.
-func (q *Queue[W]) ahead(class Class, now time.Time) (first, queued time.Duration) {
-	var ahead, running time.Duration
-	for other := range q.waiting {
-		if Class(other) > class {
-			break
-		}
-		for element := q.waiting[other].Front(); element != nil; element = element.Next() {
-			ahead += q.run(element.Value.(*Ticket[W]).kind, now)
-		}
-	}
+// firstEnd is the expected time until the first of the running requests ends, which are
+// taken to be evenly spread over their time.
+func (q *Queue[W]) firstEnd(now time.Time) time.Duration {
+	var running time.Duration
 	for of, count := range q.busy {
 		running += q.run(of, now) * time.Duration(count)
 	}
-	slots := time.Duration(max(1, q.settings.Slots))
-	first = running / time.Duration(max(1, q.running)) / (slots + 1)
-	return first, ahead / slots
+	return running / time.Duration(max(1, q.running)) / (q.slots() + 1)
 }
+
+// slots is the number of slots to divide by.
+func (q *Queue[W]) slots() time.Duration { return time.Duration(max(1, q.settings.Slots)) }
--- a/internal/traffic/admission/late.go
+++ b/internal/traffic/admission/late.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"container/list"
+	"time"
+)
 
 // The late line holds requests that can't be answered in time any more although their
 // callers are at their last try: an answer that comes late is then the only one that
@@ -19,28 +22,46 @@
 const LateEvery = 10
 
 // joinLate puts a request into the late line if it will get a slot there early enough
-// for a run that ends by the last moment. It reports false otherwise. First is the time
-// until the first of the running requests ends.
+// for a run that ends by the last moment. It reports false otherwise. Requests of higher
+// classes go before others as long as these get their slots early enough all the same.
+// First is the time until the first of the running requests ends.
 func (q *Queue[W]) joinLate(ticket *Ticket[W], first time.Duration, last, now time.Time) bool {
 	if last.IsZero() {
 		return false
 	}
-	if now.Add(q.lateWait(ticket.kind, first, now) + q.most(ticket.kind, now)).After(last) {
+	ahead := q.late.Len()
+	var before *list.Element
+	for element := q.late.Back(); element != nil; element = element.Prev() {
+		other := element.Value.(*Ticket[W])
+		if other.class <= ticket.class || !q.servedLate(other.kind, other.deadline, ahead, first, now) {
+			break
+		}
+		before = element
+		ahead--
+	}
+	if !q.servedLate(ticket.kind, last, ahead, first, now) {
 		return false
 	}
 	ticket.deadline = last
-	q.enqueue(ticket, q.late, now)
+	q.enqueue(ticket, q.late, before, now)
 	return true
 }
 
-// lateWait is the longest wait of one more request in the late line: slots free one after
-// the other, as runs of its kind end, and as the first one does where these are not known.
-func (q *Queue[W]) lateWait(of kind, first time.Duration, now time.Time) time.Duration {
+// servedLate reports whether a request with so many ahead of it in the late line gets its
+// slot early enough for a run that ends by the last moment.
+func (q *Queue[W]) servedLate(of kind, last time.Time, ahead int, first time.Duration, now time.Time) bool {
+	return !now.Add(q.lateWait(of, ahead, first, now) + q.most(of, now)).After(last)
+}
+
+// lateWait is the longest wait of a request with so many ahead of it in the late line:
+// slots free one after the other, as runs of its kind end, and as the first one does where
+// these are not known.
+func (q *Queue[W]) lateWait(of kind, ahead int, first time.Duration, now time.Time) time.Duration {
 	apart := first
 	if run := q.run(of, now); run > 0 {
-		apart = run / time.Duration(max(1, q.settings.Slots))
+		apart = run / q.slots()
 	}
-	return apart * time.Duration((q.late.Len()+1)*LateEvery)
+	return apart * time.Duration((ahead+1)*LateEvery)
 }
 
 // lateTurn reports whether the next grant is the late line's.
--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -83,6 +83,9 @@
 	a.callers.note(x.route.Name, x.caller == a.service)
 	rank := a.classOf(x)
 	arrival := admission.Arrival[*exchange]{Class: rank, Kind: x.route.Name, Deadline: x.deadline, Waiter: x}
+	if x.tenant.name != "" {
+		arrival.Tenant, arrival.Weight = x.tenant.name, x.view.TenantWeight(x.tenant.name)
+	}
 	if x.class.returned {
 		arrival.Last = x.deadline
 	}
@@ -92,13 +95,14 @@
 	return a.queue.Take(arrival, now)
 }
 
-// classOf is the class of a request. Calls of runs go first: a run that waits for
+// classOf is the class of a request: the priority of its tenant comes before that of its
+// route. Calls of runs go first: a run that waits for
 // one holds a slot elsewhere.
 func (a *admitter) classOf(x *exchange) admission.Class {
 	if a.callers.internal(x.route.Name) {
 		return admission.Internal
 	}
-	return admission.ClassOfRank(x.class.rank)
+	return admission.ClassOfRank(x.class.tenant, x.class.rank)
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -185,7 +189,7 @@
 	rank := a.classOf(x)
 	load.Wait, load.Run = a.queue.Forecast(rank, x.route.Name, now)
 	load.Link = a.linkWait(x, now)
-	load.Closed = a.cold.Closed(urgencyOf(x.class.rank), now)
+	load.Closed = a.cold.Closed(x.class.urgency(), now)
 	return load
 }
 
--- a/internal/traffic/cold.go
+++ b/internal/traffic/cold.go
@@ -49,12 +49,13 @@
 	if in.admitter.probeDue(now) {
 		go in.probe(x.view.Local)
 	}
-	return may(urgencyOf(x.class.rank), now)
+	return may(x.class.urgency(), now)
 }
 
-// urgencyOf is how urgent requests of a rank are to a cold worker.
-func urgencyOf(rank int) coldstart.Urgency {
-	if admission.ClassOfRank(rank) <= admission.Interactive {
+// urgency is how urgent requests of a class are to a cold worker. It knows two degrees, the
+// tenants' priority comes first: no request goes before one of a more urgent tenant.
+func (c class) urgency() coldstart.Urgency {
+	if admission.ClassOfRank(c.tenant, c.rank) <= admission.Interactive {
 		return coldstart.Urgent
 	}
 	return coldstart.Patient
--- a/internal/traffic/comeback/comeback.go
+++ b/internal/traffic/comeback/comeback.go
@@ -8,14 +8,23 @@
 // overload of which they were refused all at once.
 package comeback
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Schedule spreads the returns of one node's refused requests over what one service
 // answers.
 type Schedule struct {
 	answers float64   // in the last rateMemory, older ones fading
 	counted time.Time // when answers was brought up to date
-	next    time.Time // when the next refused request may come back
+	turns   []turn    // by priority
+}
+
+// turn is when the next refused request of a priority may come back.
+type turn struct {
+	priority int
+	next     time.Time
 }
 
 // rateMemory is over how long the rate of answers is taken. Bursts last a few seconds.
@@ -46,20 +55,46 @@
 }
 
 // Book returns after how long a refused request is to come back: not before the wait
-// that the service's nodes foresee, behind the ones that were refused before it, and
-// not later than most.
-func (s *Schedule) Book(foreseen, most time.Duration, now time.Time) time.Duration {
-	at := s.next
+// that the service's nodes foresee, behind the ones of its priority and of higher ones
+// that were refused before it, and not later than most. Of priorities 0 is the highest.
+func (s *Schedule) Book(priority int, foreseen, most time.Duration, now time.Time) time.Duration {
+	at := s.after(priority)
 	if earliest := now.Add(foreseen); at.Before(earliest) {
 		at = earliest
 	}
-	if latest := now.Add(most); at.After(latest) {
+	latest := now.Add(most)
+	if at.After(latest) {
 		return most // nobody comes later, and the schedule does not grow without bound
 	}
-	s.next = at.Add(s.interval(now))
+	s.turns = slices.DeleteFunc(s.turns, func(held turn) bool { return held.next.Before(now) })
+	s.take(priority, at, s.interval(now), latest)
 	return at.Sub(now)
 }
 
+// after returns when the last request of the priority and of higher ones has had its turn.
+func (s *Schedule) after(priority int) time.Time {
+	var latest time.Time
+	for _, held := range s.turns {
+		if held.priority <= priority && held.next.After(latest) {
+			latest = held.next
+		}
+	}
+	return latest
+}
+
+// take notes a request that comes back then: the next of its priority comes an interval
+// later, and so do those of lower ones that are to come yet, up to the latest.
+func (s *Schedule) take(priority int, at time.Time, interval time.Duration, latest time.Time) {
+	s.turns = slices.DeleteFunc(s.turns, func(held turn) bool { return held.priority == priority })
+	for index := range s.turns {
+		held := &s.turns[index]
+		if later := held.next.Add(interval); held.priority > priority && !later.After(latest) {
+			held.next = later
+		}
+	}
+	s.turns = append(s.turns, turn{priority, at.Add(interval)})
+}
+
 // UsualTime learns how much time callers give requests of one route when they send them
 // first: a caller that comes back has less. It follows the longer times closely and the
 // shorter ones slowly, so that many returns don't pass for the usual.
--- a/internal/traffic/comeback/comeback_test.go
+++ b/internal/traffic/comeback/comeback_test.go
@@ -23,14 +23,14 @@
 	const foreseen, most = 30 * time.Millisecond, 400 * time.Millisecond
 	told := []time.Duration{}
 	for range 8 {
-		told = append(told, schedule.Book(foreseen, most, now))
+		told = append(told, schedule.Book(0, foreseen, most, now))
 	}
 	must.Eq(t, foreseen, told[0])
 	must.True(t, slices.IsSorted(told))
 	must.Greater(t, 40*time.Millisecond, told[1]-told[0])
 	must.Less(t, 120*time.Millisecond, told[1]-told[0])
 	must.Eq(t, most, told[7])
-	must.Eq(t, foreseen, schedule.Book(foreseen, most, now.Add(5*time.Second)))
+	must.Eq(t, foreseen, schedule.Book(0, foreseen, most, now.Add(5*time.Second)))
 }
 
 // A caller that comes back is told from a new one, also where many come back, and one
@@ -142,7 +142,7 @@
 				each.returned = true
 				wait := 20 * time.Millisecond
 				if spread {
-					wait = schedule.Book(wait, each.deadline.Sub(now)/3, now)
+					wait = schedule.Book(0, wait, each.deadline.Sub(now)/3, now)
 				}
 				at := now.Add(wait).Truncate(step).Add(step)
 				waiting[at] = append(waiting[at], each)
@@ -151,3 +151,28 @@
 	}
 	return ended
 }
+
+// Callers of a tenant of higher priority come back before those of a lower one that were
+// refused earlier and are told nothing yet; the lower ones come behind them.
+func TestReturnsByPriority(t *testing.T) {
+	now := time.Unix(1000, 0)
+	schedule := Schedule{}
+	const apart = 100 * time.Millisecond
+	for range 10 {
+		schedule.Answered(now)
+	}
+	book := func(priority int) time.Duration { return schedule.Book(priority, apart, time.Second, now) }
+	must.Eq(t, apart, book(1))
+	must.Eq(t, 2*apart, book(1))
+	must.Eq(t, apart, book(0))
+	must.Eq(t, 2*apart, book(0))
+	must.Eq(t, 5*apart, book(1)) // behind two of each
+	must.Eq(t, 6*apart, book(2))
+	for range 100 {
+		must.LessEq(t, time.Second, book(0))
+		must.LessEq(t, time.Second, book(2))
+	}
+	now = now.Add(2 * time.Second)
+	must.Eq(t, apart, book(2))
+	must.Len(t, 1, schedule.turns)
+}
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -107,7 +107,7 @@
 		Objective: max(time.Millisecond, d.x.route.Objective-time.Since(d.x.started)),
 		Deadline:  time.Until(d.x.deadline),
 		Kilobytes: float64(d.x.body.length+headerBytes) / kilo,
-		Urgent:    urgencyOf(d.x.class.rank) == coldstart.Urgent,
+		Urgent:    d.x.class.urgency() == coldstart.Urgent,
 	}
 }
 
@@ -139,7 +139,7 @@
 
 // conclude decides what follows a try. It reports whether the request has ended.
 func (d *dispatch) conclude(target snapshot.Target, endpoint snapshot.Endpoint, got *answer, seen balance.Observation, failure *result) (result, bool) {
-	seen.Urgent = urgencyOf(d.x.class.rank) == coldstart.Urgent
+	seen.Urgent = d.x.class.urgency() == coldstart.Urgent
 	d.out.chooser.ended(d.x, endpoint, seen)
 	if seen.Refused {
 		d.full++
@@ -243,7 +243,7 @@
 // were refused, but while time is left for it to be served.
 func (d *dispatch) comeBack(now time.Time) time.Duration {
 	most := min(max(leastWait, d.x.deadline.Sub(now)/returnShare), mostWait)
-	return d.out.returns.comeBack(d.service, min(max(d.soonest, leastWait), most), most, now)
+	return d.out.returns.comeBack(d.service, d.x.class.tenant, min(max(d.soonest, leastWait), most), most, now)
 }
 
 // release takes back a choice to which no request was sent.
--- /dev/null
+++ b/internal/traffic/fairness_test.go
@@ -0,0 +1,117 @@
+package traffic
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"sliphead/internal/catalog"
+	"sliphead/internal/snapshot"
+	"sliphead/internal/traffic/coldstart"
+)
+
+// fairMesh is two nodes, the second with a worker of one slot, that know four tenants by
+// keys of their names: two of priority 0, two of priority 1.
+func fairMesh(t *testing.T) *catalogMesh {
+	var tenants []catalog.Tenant
+	for priority, names := range [][]string{{"first", "second"}, {"third", "fourth"}} {
+		for _, name := range names {
+			tenants = append(tenants, catalog.Tenant{Name: name, Keys: []catalog.KeyDigest{catalog.DigestKey(name)}, Priority: priority, RatePerSecond: 10})
+		}
+	}
+	m := newTenantMesh(t, func(route *snapshot.Route) {
+		if route.Name == "order" {
+			route.Rank = 2
+		}
+	})
+	for node := range m.nodes {
+		m.publishTenants(node, 1, tenants)
+	}
+	view, _ := m.nodes[1].holder.Current(time.Now())
+	view.Local.Slots = 1
+	m.nodes[1].in.admitter.resize(1)
+	return m
+}
+
+// runOrder has the worker's slot held, sends requests of tenants one after the other, each
+// once the one before it waits, and returns the order in which they ran.
+func (m *catalogMesh) runOrder(requests [][2]string) []string {
+	node := m.nodes[1]
+	node.worker.script = []string{"wait"}
+	ended := make(chan error, len(requests)+1)
+	send := func(tenant, path string) {
+		request, _ := http.NewRequest(http.MethodGet, m.nodes[0].outbound+path, nil)
+		request.Host = "shop.example"
+		request.Header.Set(testProtocol.RequestID, fmt.Sprintf("%s-%d", tenant, m.serial.Add(1)))
+		request.Header.Set(testProtocol.Deadline, "20000")
+		request.Header.Set("Authorization", "Bearer "+tenant)
+		response, err := m.client.Do(request)
+		if err == nil {
+			err = response.Body.Close()
+		}
+		ended <- err
+	}
+	go send("first", "/order/1")
+	waitFor(m.t, func() bool { return node.worker.runs() == 1 })
+	for index, each := range requests {
+		go send(each[0], each[1])
+		waitFor(m.t, func() bool { return node.in.Queued() == index+1 })
+	}
+	close(node.worker.gate)
+	for range len(requests) + 1 {
+		must.NoError(m.t, <-ended)
+	}
+	var order []string
+	for _, request := range node.worker.got[1:] {
+		order = append(order, request.Header.Get(testProtocol.Tenant)+request.URL.Path)
+	}
+	return order
+}
+
+// At a worker that is busy, the priority of tenants decides, and among equal ones that of
+// routes.
+func TestTenantsPriorityComesFirst(t *testing.T) {
+	order := fairMesh(t).runOrder([][2]string{{"third", "/order/1"}, {"fourth", "/lookup/1"}, {"second", "/order/1"}, {"second", "/lookup/1"}})
+	must.Eq(t, []string{"second/lookup/1", "second/order/1", "fourth/lookup/1", "third/order/1"}, order)
+}
+
+// A tenant that sends much waits behind itself: another one's request goes before what it
+// has waiting, but for the first.
+func TestTenantWaitsBehindItself(t *testing.T) {
+	var requests [][2]string
+	for range 5 {
+		requests = append(requests, [2]string{"third", "/lookup/1"})
+	}
+	order := fairMesh(t).runOrder(append(requests, [2]string{"fourth", "/lookup/1"}, [2]string{"fourth", "/lookup/1"}))
+	must.Eq(t, []string{"third/lookup/1", "fourth/lookup/1", "third/lookup/1", "fourth/lookup/1"}, order[:4])
+	must.False(t, slices.Contains(order[4:], "fourth/lookup/1"))
+}
+
+// At a cold worker no request goes before one of a more urgent tenant; without tenants, the
+// routes decide.
+func TestUrgencyOfTenants(t *testing.T) {
+	for _, each := range []struct {
+		tenant, rank int
+		urgency      coldstart.Urgency
+	}{{0, 0, coldstart.Urgent}, {0, 1, coldstart.Urgent}, {0, 2, coldstart.Patient}, {1, 0, coldstart.Patient}, {1, 2, coldstart.Patient}} {
+		must.Eq(t, each.urgency, class{tenant: each.tenant, rank: each.rank}.urgency())
+	}
+}
+
+// The caller's node tells the priority of the tenant and that of the route.
+func TestHopTellsPriorities(t *testing.T) {
+	for text, priorities := range map[string]class{"0": {}, "2": {rank: 2}, "2.1": {rank: 2, tenant: 1}, "0.3": {tenant: 3}} {
+		must.Eq(t, text, priorities.priority())
+		tenant, rank, sound := decodePriority(text)
+		must.True(t, sound)
+		must.Eq(t, priorities, class{tenant: tenant, rank: rank})
+	}
+	for _, text := range []string{"", ".", "1.", ".1", "1.1.1", "x"} {
+		_, _, sound := decodePriority(text)
+		must.False(t, sound, must.Sprint(text))
+	}
+}
--- a/internal/traffic/returns.go
+++ b/internal/traffic/returns.go
@@ -42,11 +42,12 @@
 	known(r.schedules, service).Answered(now)
 }
 
-// comeBack returns after how long a refused request is to come back.
-func (r *returns) comeBack(service string, foreseen, most time.Duration, now time.Time) time.Duration {
+// comeBack returns after how long a refused request is to come back, by the priority of its
+// tenant.
+func (r *returns) comeBack(service string, priority int, foreseen, most time.Duration, now time.Time) time.Duration {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return known(r.schedules, service).Book(foreseen, most, now)
+	return known(r.schedules, service).Book(priority, foreseen, most, now)
 }
 
 // returned notes a request with the time that its caller gave it, and reports whether
