Age of the knowledge counts from when what was learnt is in force

Cause: the age that callers are refused by was brought up to date before the view was published, so that for a moment a node seemed to know what its view did not hold yet, and would have answered 401 to a key that the change had just brought.

Test: age_test.go, red with the two lines in the old order.

--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -242,9 +242,7 @@
 }
 
 func (r *Replicator) step(ctx context.Context, event replication.Event) {
-	effects := r.machine.Step(event, r.config.Now())
-	r.noteConfirmed()
-	for _, effect := range effects {
+	for _, effect := range r.machine.Step(event, r.config.Now()) {
 		switch effect := effect.(type) {
 		case replication.Ask:
 			go r.question(ctx, effect)
@@ -263,6 +261,7 @@
 			r.log(effect)
 		}
 	}
+	r.noteConfirmed() // now that what was learnt is in force
 }
 
 // question asks the store and hands the answer to the owner.
