Compute the order of zones once for each change; test what stand-ins spare

Cause: the order was hashed anew at each comparison, and the first node of all walked all others in each step. Change: places of zones are part of a peer; the nodes above are ranked with the rest. TestFirstsStandIn: each of four guards removed by hand fails it (stand-in, its age for a refused first, other regions first, the first question without a wait).

--- a/internal/replication/confirm.go
+++ b/internal/replication/confirm.go
@@ -76,11 +76,10 @@
 }
 
 // believe notes that a followed node has told something fresh. If another node
-// has read it, this one needs to read no longer, unless it is the zone's first, or
-// stands in and comes before that one.
+// has read it, this one needs to read no longer, unless it is the zone's first.
 func (m *Machine) believe(event News) {
 	delete(m.doubts, event.From)
-	if event.Reader != m.config.Self && !m.precedes(event.Reader) {
+	if event.Reader != m.config.Self {
 		m.reading = false
 	}
 }
--- a/internal/replication/machine.go
+++ b/internal/replication/machine.go
@@ -62,10 +62,10 @@
 	resumed     time.Time         // when it ended
 	out         []Effect
 
-	region   string // of this node
-	regional bool   // whether there are several regions
+	regional bool // whether there are several regions
 
 	ranked []peer // of this zone and then of others, best first
+	above  []peer // of zones before this one, best first; empty where there is one region
 	hints  map[string]bool
 	fast   map[string]bool // nodes whose links are fast, as far as is known
 
@@ -103,7 +103,6 @@
 func New(config Config, now time.Time) *Machine {
 	return &Machine{
 		config:   config,
-		region:   config.Regions[config.Zone],
 		regional: severalRegions(config.Regions),
 		state:    catalog.NewState(),
 		last:     now,
--- a/internal/replication/prefer.go
+++ b/internal/replication/prefer.go
@@ -82,7 +82,7 @@
 			chosen++
 		}
 	}
-	slices.SortStableFunc(m.ranked, m.compare)
+	slices.SortStableFunc(m.ranked, compare)
 }
 
 // comparePreferred puts preferred nodes first.
--- a/internal/replication/rank.go
+++ b/internal/replication/rank.go
@@ -15,6 +15,7 @@
 	weight  uint64 // by rendezvous hashing: the highest reads the store
 	// preferred nodes come first, however low their weight.
 	preferred bool
+	place     place // of its zone
 }
 
 // rank orders the nodes that the catalog names, those of this zone first, then those of
@@ -33,35 +34,30 @@
 		}
 	}
 	m.ranked = m.ranked[:0]
+	places := map[string]place{}
 	for address, zone := range zones {
-		m.ranked = append(m.ranked, peer{address: address, zone: zone, weight: xxhash.Sum64String(address)})
+		where, known := places[zone]
+		if !known {
+			where = m.placeOf(zone)
+			places[zone] = where
+		}
+		m.ranked = append(m.ranked, peer{address: address, zone: zone, weight: xxhash.Sum64String(address), place: where})
 	}
-	slices.SortFunc(m.ranked, m.compare)
+	slices.SortFunc(m.ranked, compare)
 	m.prefer()
+	m.above = m.rankAbove()
 }
 
-func (m *Machine) compare(a, b peer) int {
+func compare(a, b peer) int {
 	return cmp.Or(
-		cmp.Compare(m.distance(a), m.distance(b)),
-		m.compareZones(a, b),
+		cmp.Compare(a.place.distance, b.place.distance),
+		comparePlaces(a.place, b.place),
 		comparePreferred(a, b),
 		cmp.Compare(b.weight, a.weight),
 		cmp.Compare(a.address, b.address),
 	)
 }
 
-// distance is 0 for this node's zone, 1 for others and 2 for those of other regions.
-func (m *Machine) distance(of peer) int {
-	switch {
-	case of.zone == m.config.Zone:
-		return 0
-	case m.regional && m.regionOf(of.zone) != m.region:
-		return 2
-	default:
-		return 1
-	}
-}
-
 // ownRank is this node's place among the nodes of its zone, from 0.
 func (m *Machine) ownRank() int {
 	for index, candidate := range m.ranked {
--- a/internal/replication/region.go
+++ b/internal/replication/region.go
@@ -38,21 +38,38 @@
 	return false
 }
 
-// regionOf returns the region of a zone, "" where it is not known.
-func (m *Machine) regionOf(zone string) string { return m.config.Regions[zone] }
+// place tells where a zone comes among all, seen from this node.
+type place struct {
+	distance     int // 0: this node's zone; 1: of its region, or where there is but one; 2: of another region
+	region, zone string
+	// The hashes of the names; 0 where there is one region, or none is known.
+	regionHash, zoneHash uint64
+}
 
-// compareZones orders nodes of other zones by their regions and zones, where there are
-// several regions.
-func (m *Machine) compareZones(a, b peer) int {
-	if !m.regional || a.zone == b.zone {
-		return 0
+// placeOf returns a zone's place.
+func (m *Machine) placeOf(zone string) place {
+	at := place{distance: 1}
+	if zone == m.config.Zone {
+		at.distance = 0
+	}
+	if !m.regional {
+		return at
+	}
+	at.region, at.zone = m.config.Regions[zone], zone
+	at.regionHash, at.zoneHash = xxhash.Sum64String(at.region), xxhash.Sum64String(at.zone)
+	if at.region != m.config.Regions[m.config.Zone] {
+		at.distance = 2
 	}
-	return cmp.Or(compareNames(m.regionOf(a.zone), m.regionOf(b.zone)), compareNames(a.zone, b.zone))
+	return at
 }
 
-// compareNames orders names by their hashes: a zone that is added or gone moves no other.
-func compareNames(a, b string) int {
-	return cmp.Or(cmp.Compare(xxhash.Sum64String(b), xxhash.Sum64String(a)), cmp.Compare(a, b))
+// comparePlaces orders zones by the hashes of their regions' and their own names: one that
+// is added or gone moves no other.
+func comparePlaces(a, b place) int {
+	return cmp.Or(
+		cmp.Compare(b.regionHash, a.regionHash), cmp.Compare(a.region, b.region),
+		cmp.Compare(b.zoneHash, a.zoneHash), cmp.Compare(a.zone, b.zone),
+	)
 }
 
 // heads reports whether no trusted node of this zone ranks before this one.
@@ -68,19 +85,30 @@
 	return true
 }
 
+// rankAbove returns the nodes of zones before this node's.
+func (m *Machine) rankAbove() []peer {
+	if !m.regional {
+		return nil
+	}
+	own := m.placeOf(m.config.Zone)
+	var above []peer
+	for _, candidate := range m.ranked {
+		if candidate.zone != m.config.Zone && comparePlaces(candidate.place, own) < 0 {
+			above = append(above, candidate)
+		}
+	}
+	return above
+}
+
 // upstream is the node that the first of a zone follows while it serves: one of a zone
 // before its own in the region, else one of a region before its own. "" for all other
 // nodes, for the first of all, and where there is one region.
 func (m *Machine) upstream(now time.Time) string {
-	if !m.regional || !m.heads(now) {
+	if len(m.above) == 0 || !m.heads(now) {
 		return ""
 	}
-	own := peer{address: m.config.Self, zone: m.config.Zone}
-	for _, candidate := range m.ranked {
-		if candidate.zone == m.config.Zone || !m.trusts(candidate.address, now) {
-			continue
-		}
-		if m.compareZones(candidate, own) < 0 {
+	for _, candidate := range m.above {
+		if m.trusts(candidate.address, now) {
 			return candidate.address
 		}
 	}
@@ -96,21 +124,6 @@
 	return known && age > m.share(standInShare)
 }
 
-// precedes reports whether this node's zone comes before that of another node: of several
-// that stand in for a reader only the first reads on, else each would give the duty up to
-// another one.
-func (m *Machine) precedes(address string) bool {
-	if !m.regional {
-		return false
-	}
-	for _, candidate := range m.ranked {
-		if candidate.address == address {
-			return m.compareZones(peer{zone: m.config.Zone}, candidate) < 0
-		}
-	}
-	return false
-}
-
 // returns reports whether this node is to find out whether the store serves it again: it
 // would read for all, and lives on another region's news since the store refused it.
 func (m *Machine) returns(now time.Time) bool {
@@ -133,7 +146,7 @@
 		return nil
 	}
 	others := m.ranked[first:]
-	far := slices.IndexFunc(others, func(candidate peer) bool { return m.distance(candidate) > 1 })
+	far := slices.IndexFunc(others, func(candidate peer) bool { return candidate.place.distance > 1 })
 	if far < 0 {
 		return [][]peer{others}
 	}
--- a/internal/replication/region_test.go
+++ b/internal/replication/region_test.go
@@ -178,6 +178,35 @@
 	}
 }
 
+// When the reader of all fails, the first of each zone stands in for its zone: the others
+// neither ask the store nor look for another node, and none is behind for long.
+func TestFirstsStandIn(t *testing.T) {
+	disturb := map[string]func(*fleet, *simNode){
+		"frozen": func(_ *fleet, reader *simNode) { reader.frozen = true },
+		"region refused": func(f *fleet, reader *simNode) {
+			for _, node := range f.members(f.regions[reader.zone]) {
+				node.access = refuses
+			}
+		},
+	}
+	for what, fail := range disturb {
+		t.Run(what, func(t *testing.T) {
+			f := newRegionFleet(3, 2, 14)
+			f.run(6 * time.Second)
+			fail(f, f.reader())
+			f.calls, f.follows = 0, 0
+			f.configure()
+			f.run(3 * freshness / 4)
+			for _, node := range f.nodes {
+				must.True(t, node.frozen || node.machine.State().Revision() == f.revision, must.Sprint(node.address))
+			}
+			f.run(2 * freshness)
+			must.Less(t, len(f.nodes)/2, f.calls)
+			must.Less(t, len(f.nodes)/2, f.follows)
+		})
+	}
+}
+
 // A third of the nodes are turned away by the store, and it is slow for all others.
 func TestThirdIsTurnedAway(t *testing.T) {
 	for name, access := range map[string]storeAccess{"refused": refuses, "silent": silent} {
