--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"sliphead/internal/snapshot"
+	"sliphead/internal/traffic/coldstart"
 )
 
 // Settings tune the choice.
@@ -59,8 +60,8 @@
 	Latency   time.Duration // 0: not to be counted
 	Kilobytes float64       // of the answer, its header included; 0: not to be counted
 	Load      Load
-	Loaded    bool // whether Load was told
-	Urgent    bool // whether the request goes before others at a cold worker
+	Loaded    bool              // whether Load was told
+	Urgency   coldstart.Urgency // of the request
 }
 
 // Balancer chooses among endpoints. It is not safe for use by several
@@ -86,8 +87,8 @@
 	observed     time.Time
 	load         Load
 	loadAt       time.Time
-	forecasts    map[string]forecast // by route
-	closedUntil  [2]time.Time        // to urgent requests and to others: the endpoint has told to stay away until then
+	forecasts    map[string]forecast            // by route
+	closedUntil  [coldstart.Urgencies]time.Time // by urgency: the endpoint has told to stay away until then
 	used         time.Time
 }
 
--- a/internal/traffic/balance/forecast.go
+++ b/internal/traffic/balance/forecast.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sliphead/internal/snapshot"
+	"sliphead/internal/traffic/coldstart"
 )
 
 // Need is what a request asks of an endpoint.
@@ -16,7 +17,7 @@
 	Kilobytes float64       // of the request
 	Refused   bool          // whether an endpoint has refused it for lack of room
 	Near      bool          // whether it is not to leave the zone any more
-	Urgent    bool          // whether it goes before others at a cold worker
+	Urgency   coldstart.Urgency
 }
 
 // The parts of an endpoint's price, in parts of a request's worth.
@@ -75,7 +76,7 @@
 		if expected.held.isUnreachable(now) {
 			continue
 		}
-		if closed := expected.held.closedUntil[urgencyIndex(need.Urgent)].Sub(now); closed > 0 {
+		if closed := expected.held.closedUntil[need.Urgency].Sub(now); closed > 0 {
 			choice.noteClosed(closed)
 			continue
 		}
--- a/internal/traffic/balance/observe.go
+++ b/internal/traffic/balance/observe.go
@@ -21,7 +21,7 @@
 	if seen.Loaded {
 		held.load = seen.Load
 		held.loadAt = now
-		held.closedUntil[urgencyIndex(seen.Urgent)] = now.Add(seen.Load.Closed)
+		held.closedUntil[seen.Urgency] = now.Add(seen.Load.Closed)
 		held.tell(route, seen.Load, now)
 	}
 	if endpoint.Zone != b.settings.Zone && (seen.Refused || !seen.Failed) {
@@ -42,14 +42,6 @@
 	}
 }
 
-// urgencyIndex is the place of urgent requests, and of others, where both are kept.
-func urgencyIndex(urgent bool) int {
-	if urgent {
-		return 0
-	}
-	return 1
-}
-
 // failed backs off exponentially, with jitter so that nodes don't come back to
 // an endpoint at once.
 func (b *Balancer) failed(held *state, now time.Time) {
--- a/internal/traffic/cold.go
+++ b/internal/traffic/cold.go
@@ -52,13 +52,17 @@
 	return may(x.class.urgency(), now)
 }
 
-// urgency is how urgent requests of a class are to a cold worker. It knows two degrees, the
-// tenants' priority comes first: no request goes before one of a more urgent tenant.
+// urgency is how urgent requests of a class are to a cold worker: tenants' priorities come
+// first, of which it knows the first and the others, and then the routes'.
 func (c class) urgency() coldstart.Urgency {
-	if admission.ClassOfRank(c.tenant, c.rank) <= admission.Interactive {
-		return coldstart.Urgent
+	urgency := coldstart.Urgent
+	if c.tenant > 0 {
+		urgency = coldstart.LaterUrgent
 	}
-	return coldstart.Patient
+	if admission.ClassOfRank(0, c.rank) > admission.Interactive {
+		urgency++
+	}
+	return urgency
 }
 
 func (a *admitter) coldOpen(urgency coldstart.Urgency, now time.Time) bool {
--- a/internal/traffic/coldstart/guard.go
+++ b/internal/traffic/coldstart/guard.go
@@ -59,27 +59,41 @@
 	bound     Bound
 	limiter   *rate.Limiter
 	coldUntil time.Time
-	asking    bool         // whether the worker may have started anew, and its health was not told since
-	heard     time.Time    // when the worker last answered
-	probed    time.Time    // when its health was last asked for
-	booked    [2]time.Time // by urgency: until when the refused requests are told to stay away
+	asking    bool                 // whether the worker may have started anew, and its health was not told since
+	heard     time.Time            // when the worker last answered
+	probed    time.Time            // when its health was last asked for
+	booked    [Urgencies]time.Time // by urgency: until when the refused requests are told to stay away
 }
 
-// Urgency says whether a request goes before others while the worker is cold.
+// Urgency says before which others a request goes while the worker is cold. Those of the
+// least number go first.
 type Urgency int
 
-// The urgencies.
+// The urgencies: two of the tenants that go first and of callers without a tenant, and two
+// of all other tenants.
 const (
 	Urgent Urgency = iota
 	Patient
+	LaterUrgent
+	LaterPatient
+	Urgencies int = iota // their number
 )
 
 // reserveShare is the part of the burst that is left to urgent requests: while they come
 // faster than the worker bears, others get nothing, and else what is left. Served as they
 // came, after a loss of all power orders were refused for look-ups whose price checks were
-// refused in turn.
+// refused in turn. The rest is divided so that of the others each leaves something to those
+// that go before it.
 const reserveShare = 0.5
 
+// reserve is the part of the burst that requests of an urgency leave to others.
+func (u Urgency) reserve() float64 {
+	if u == Urgent {
+		return 0
+	}
+	return reserveShare + (1-reserveShare)*float64(u-Patient)/float64(Urgencies-1)
+}
+
 // Bind sets how the worker is while it is cold.
 func (g *Guard) Bind(bound Bound) {
 	if bound == g.bound {
@@ -163,10 +177,7 @@
 	if !g.Limits(now) {
 		return true
 	}
-	needed := 1.0
-	if urgency == Patient {
-		needed += reserveShare * float64(g.limiter.Burst()-1)
-	}
+	needed := 1 + urgency.reserve()*float64(g.limiter.Burst()-1)
 	return g.limiter.TokensAt(now) >= needed
 }
 
--- a/internal/traffic/coldstart/guard_test.go
+++ b/internal/traffic/coldstart/guard_test.go
@@ -156,3 +156,28 @@
 		must.GreaterEq(t, 55, passed[Patient])
 	}
 }
+
+// Of any two urgencies that come together, the first gets what the worker bears; each gets
+// it alone.
+func TestUrgenciesGoInTheirOrder(t *testing.T) {
+	wide := bound
+	wide.Overage, wide.Slack = 1.5, 8
+	for first := Urgent; int(first) < Urgencies; first++ {
+		for second := first; int(second) < Urgencies; second++ {
+			guard := guardOf(wide, start)
+			passed := map[Urgency]int{}
+			for step := range 3000 {
+				now := start.Add(time.Duration(step) * time.Millisecond)
+				for _, urgency := range []Urgency{second, first} {
+					if guard.Open(urgency, now) && guard.Take(urgency, now) {
+						passed[urgency]++
+					}
+				}
+			}
+			must.GreaterEq(t, 52, passed[first], must.Sprint(first, second))
+			if first != second {
+				must.LessEq(t, 4, passed[second], must.Sprint(first, second))
+			}
+		}
+	}
+}
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -7,7 +7,6 @@
 	"sliphead/internal/outcome"
 	"sliphead/internal/snapshot"
 	"sliphead/internal/traffic/balance"
-	"sliphead/internal/traffic/coldstart"
 )
 
 // Bounds of one request's way through a catalog's mesh.
@@ -107,7 +106,7 @@
 		Objective: max(time.Millisecond, d.x.route.Objective-time.Since(d.x.started)),
 		Deadline:  time.Until(d.x.deadline),
 		Kilobytes: float64(d.x.body.length+headerBytes) / kilo,
-		Urgent:    d.x.class.urgency() == coldstart.Urgent,
+		Urgency:   d.x.class.urgency(),
 	}
 }
 
@@ -139,7 +138,7 @@
 
 // conclude decides what follows a try. It reports whether the request has ended.
 func (d *dispatch) conclude(target snapshot.Target, endpoint snapshot.Endpoint, got *answer, seen balance.Observation, failure *result) (result, bool) {
-	seen.Urgent = d.x.class.urgency() == coldstart.Urgent
+	seen.Urgency = d.x.class.urgency()
 	d.out.chooser.ended(d.x, endpoint, seen)
 	if seen.Refused {
 		d.full++
