--- a/internal/traffic/balance/forecast.go
+++ b/internal/traffic/balance/forecast.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sliphead/internal/snapshot"
+	"sliphead/internal/traffic/coldstart"
 )
 
 // Need is what a request asks of an endpoint.
@@ -16,8 +17,8 @@
 	Kilobytes float64       // of the request
 	Refused   bool          // whether an endpoint has refused it for lack of room
 	Near      bool          // whether it is not to leave the zone any more
-	Urgent    bool          // whether it goes before others at a cold worker
-	Last      bool          // whether its caller won't come back: endpoints that told to stay away are asked when no other is left
+	Urgency   coldstart.Urgency
+	Last      bool // whether its caller won't come back: endpoints that told to stay away are asked when no other is left
 }
 
 // The parts of an endpoint's price, in parts of a request's worth.
@@ -77,7 +78,7 @@
 		if expected.held.isUnreachable(now) {
 			continue
 		}
-		closed := expected.held.closedUntil[urgencyIndex(need.Urgent)].Sub(now)
+		closed := expected.held.closedUntil[need.Urgency].Sub(now)
 		if closed > 0 {
 			choice.noteClosed(closed)
 		}
