Tell a region 40 ms away from the zone beside

Cause: the choice of an endpoint knew this zone and any other.

Change: the round trip is measured by zone and counts against the objective; a byte between regions costs limits.regionBytes (4) times one between zones; a refused request goes to another region only where it is as much likelier to be taken; two offers to other regions at most; silence is judged by distance, and a region without a sign of life as a whole.

--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -140,6 +140,7 @@
 			MaxHeaderBytes: n.settings.Limits.MaxHeaderBytes,
 			QueueLength:    n.settings.Limits.QueueLength,
 			LinkMbps:       n.settings.Limits.LinkMbps,
+			RegionBytes:    n.settings.Limits.RegionBytes,
 		},
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -127,6 +127,7 @@
 	BodyIdleTimeout Duration `yaml:"bodyIdleTimeout" validate:"atLeast=1s"`
 	QueueLength     int      `yaml:"queueLength" validate:"min=1,max=100000"`
 	MaxConnections  int      `yaml:"maxConnections" validate:"min=1,max=1000000"`
+	RegionBytes     float64  `yaml:"regionBytes" validate:"min=1,max=1000"`           // price of a byte between regions, in parts of one between zones
 	LinkMbps        float64  `yaml:"linkMbps,omitempty" validate:"min=0,max=1000000"` // what the machine's link carries, megabits a second; 0: not known, long bodies are not paced
 }
 
@@ -179,6 +180,7 @@
 			BodyIdleTimeout: Duration{30 * time.Second},
 			QueueLength:     256,
 			MaxConnections:  4096,
+			RegionBytes:     4, // assumed: a few times as dear; an operator who knows the prices says more
 		},
 		Drain: Drain{Timeout: Duration{10 * time.Minute}},
 		Retry: Retry{Ratio: 0.2, Slack: 64},
--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -21,6 +21,7 @@
 type Settings struct {
 	Zone, Region string        // of this node
 	LinkMbps     float64       // what its machine's link carries; 0: not known
+	RegionBytes  float64       // price of a byte that leaves the region, in parts of one that leaves the zone; 0: once
 	SlowStart    time.Duration // over which a cold worker is brought to its full share
 	BackoffFirst time.Duration // after the first failure in a row, doubled with each more
 	BackoffMost  time.Duration
@@ -59,8 +60,9 @@
 	Latency   time.Duration // 0: not to be counted
 	Kilobytes float64       // of the answer, its header included; 0: not to be counted
 	Load      Load
-	Loaded    bool // whether Load was told
-	Urgent    bool // whether the request goes before others at a cold worker
+	Loaded    bool          // whether Load was told
+	Urgent    bool          // whether the request goes before others at a cold worker
+	RoundTrip time.Duration // of a message to its node and the answer, as far as this request shows; 0: not seen
 }
 
 // Balancer chooses among endpoints. It is not safe for use by several
@@ -73,6 +75,8 @@
 	typical   map[string]time.Duration // answer time by route, over all endpoints
 	sizes     map[string]float64       // kilobytes of an answer by route
 	rooms     map[roomKey]room         // of other zones
+	distances map[place]distance       // of other zones
+	reaches   map[string]reach         // of other regions
 	pruned    time.Time
 }
 
@@ -93,7 +97,7 @@
 
 // New returns a balancer that knows nothing yet.
 func New(settings Settings, random *rand.Rand) *Balancer {
-	return &Balancer{settings: settings, random: random, endpoints: map[Key]*state{}, typical: map[string]time.Duration{}, sizes: map[string]float64{}, rooms: map[roomKey]room{}}
+	return &Balancer{settings: settings, random: random, endpoints: map[Key]*state{}, typical: map[string]time.Duration{}, sizes: map[string]float64{}, rooms: map[roomKey]room{}, distances: map[place]distance{}, reaches: map[string]reach{}}
 }
 
 // Pick returns the index of the endpoint for a request and counts it as in
--- a/internal/traffic/balance/forecast.go
+++ b/internal/traffic/balance/forecast.go
@@ -14,8 +14,10 @@
 	Objective time.Duration // within which an answer is worth most; 0: none
 	Deadline  time.Duration // after which an answer is of no use
 	Kilobytes float64       // of the request
+	Trips     int           // ways there and back until the answer has come: 2 with a body that is asked for first; 0: 1
 	Refused   bool          // whether an endpoint has refused it for lack of room
 	Near      bool          // whether it is not to leave the zone any more
+	Home      bool          // whether it is not to leave the region any more
 	Urgent    bool          // whether it goes before others at a cold worker
 }
 
@@ -97,6 +99,7 @@
 	choice.Another = second < best+b.waitPrice(need, &endpoints[choice.Index], chosen)
 	chosen.held.inFlight++
 	chosen.held.used = now
+	b.noteTry(&endpoints[choice.Index])
 	b.prune(now)
 	return choice
 }
@@ -111,14 +114,14 @@
 // estimate is what a request has to expect at an endpoint.
 type estimate struct {
 	held *state
-	wait time.Duration // for the link, and for a slot where none is free
+	wait time.Duration // on the way, for the link, and for a slot where none is free
 	run  time.Duration
 	free bool // whether a slot is free
 }
 
 func (b *Balancer) estimate(need Need, endpoint *snapshot.Endpoint, now time.Time) estimate {
 	held := b.stateOf(*endpoint, now)
-	expected := estimate{held: held, run: b.run(held, need, now), wait: held.linkWait(need.Route, now)}
+	expected := estimate{held: held, run: b.run(held, need, now), wait: b.onTheWay(need, endpoint) + held.linkWait(need.Route, now)}
 	occupied := b.occupied(held, now)
 	expected.free = occupied < float64(max(1, endpoint.Slots))
 	if !expected.free {
@@ -143,6 +146,7 @@
 func (b *Balancer) Release(now time.Time, endpoint snapshot.Endpoint) {
 	held := b.stateOf(endpoint, now)
 	held.inFlight = max(0, held.inFlight-1)
+	b.noteReleased(&endpoint)
 }
 
 // price is what a request is expected to cost at an endpoint; free says whether it is
@@ -157,7 +161,7 @@
 		price += (need.Kilobytes + b.answerSize(need.Route)) * b.settings.linkPrice()
 	}
 	if endpoint.Zone != b.settings.Zone {
-		price += crossingPrice + (need.Kilobytes+b.answerSize(need.Route))*bytePrice
+		price += crossingPrice + (need.Kilobytes+b.answerSize(need.Route))*bytePrice*b.byteFactor(endpoint)
 	}
 	if endpoint.Lapsed {
 		price += lapsedPrice
@@ -172,6 +176,15 @@
 	return price, free
 }
 
+// byteFactor is the price of a byte to another zone's endpoint, in parts of one within the
+// region.
+func (b *Balancer) byteFactor(endpoint *snapshot.Endpoint) float64 {
+	if !b.isFar(endpoint) {
+		return 1
+	}
+	return max(1, b.settings.RegionBytes)
+}
+
 // leftAlone reports whether the endpoint is backed off, or has failed last and is
 // being tried by another request just now: one is enough to find out.
 func (s *state) leftAlone(now time.Time) bool {
--- a/internal/traffic/balance/observe.go
+++ b/internal/traffic/balance/observe.go
@@ -27,6 +27,8 @@
 	if endpoint.Zone != b.settings.Zone && (seen.Refused || !seen.Failed) {
 		b.noteRoom(now, endpoint.Zone, route, !seen.Refused)
 	}
+	b.noteRoundTrip(now, &endpoint, seen.RoundTrip)
+	b.noteReach(now, &endpoint, seen)
 	held.unreachable = seen.Failed && seen.Unreachable
 	if seen.Failed {
 		b.failed(held, now)
@@ -53,11 +55,16 @@
 // failed backs off exponentially, with jitter so that nodes don't come back to
 // an endpoint at once.
 func (b *Balancer) failed(held *state, now time.Time) {
+	held.backoffUntil = now.Add(b.pause(held.failures))
+	held.failures++
+}
+
+// pause is for how long something is left alone that has failed before so many times.
+func (b *Balancer) pause(failures int) time.Duration {
 	const mostDoublings = 16
-	wait := b.settings.BackoffFirst << min(held.failures, mostDoublings)
+	wait := b.settings.BackoffFirst << min(failures, mostDoublings)
 	wait = min(wait, b.settings.BackoffMost)
-	held.failures++
-	held.backoffUntil = now.Add(wait/2 + time.Duration(b.random.Int64N(int64(wait/2)+1)))
+	return wait/2 + time.Duration(b.random.Int64N(int64(wait/2)+1))
 }
 
 // learn compares an answer's time with what is typical for the route, so that
--- a/internal/traffic/balance/room.go
+++ b/internal/traffic/balance/room.go
@@ -56,18 +56,33 @@
 	return (r.taken + prior*priorCount) / (r.asked + priorCount)
 }
 
-// hasRoom reports whether a further question to another zone is likely enough to be
-// taken. Of a zone that was not asked of late, the same is expected as of the others.
-func (b *Balancer) hasRoom(now time.Time, zone, route string) bool {
+// chanceOf is how likely a further question to another zone is taken. Of a zone that was
+// not asked of late, the same is expected as of the others.
+func (b *Balancer) chanceOf(now time.Time, zone, route string) float64 {
 	others := b.rooms[roomKey{"", route}].fadedTo(now).chance(priorRoom)
-	return b.rooms[roomKey{zone, route}].fadedTo(now).chance(others) >= leastRoom
+	return b.rooms[roomKey{zone, route}].fadedTo(now).chance(others)
+}
+
+// hasRoom reports whether a further question to another zone is likely enough to be taken.
+func (b *Balancer) hasRoom(now time.Time, zone, route string) bool {
+	return b.chanceOf(now, zone, route) >= leastRoom
+}
+
+// hasRoomFar reports the same of another region: the dearer its bytes, the likelier it has
+// to be.
+func (b *Balancer) hasRoomFar(now time.Time, endpoint *snapshot.Endpoint, route string) bool {
+	return b.chanceOf(now, endpoint.Zone, route) >= leastRoom*b.byteFactor(endpoint)
 }
 
 // passedOver reports whether an endpoint of another zone is not to be asked: enough of
-// them were, or one has refused the request and this one's zone has no room either.
+// them were, or one has refused the request and this one's zone has no room either; nor one
+// of another region that is lost, or from which no answer can come before the deadline.
 func (b *Balancer) passedOver(now time.Time, need Need, endpoint *snapshot.Endpoint) bool {
 	if endpoint.Zone == b.settings.Zone {
 		return false
 	}
-	return need.Near || need.Refused && !b.hasRoom(now, endpoint.Zone, need.Route)
+	if need.Near || need.Refused && !b.hasRoom(now, endpoint.Zone, need.Route) {
+		return true
+	}
+	return b.isFar(endpoint) && (need.Home || need.Refused && !b.hasRoomFar(now, endpoint, need.Route) || b.isLost(now, endpoint) || b.isTooFar(need, endpoint))
 }
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -13,13 +13,14 @@
 
 // Bounds of one request's way through a catalog's mesh.
 const (
-	leastWait   = 20 * time.Millisecond  // told as Retry-After
-	mostWait    = time.Second            // told as Retry-After
-	returnShare = 3                      // part of the time left after which it comes back at the latest
-	firstSilent = 80 * time.Millisecond  // without a sign, after which a node is given up
-	mostSilent  = 300 * time.Millisecond // the same, where there is time
-	silentShare = 6                      // part of the time left that is spent on a silent node
-	usualShare  = 3                      // the same, where the node takes long as a rule
+	leastWait    = 20 * time.Millisecond  // told as Retry-After
+	mostWait     = time.Second            // told as Retry-After
+	returnShare  = 3                      // part of the time left after which it comes back at the latest
+	firstSilent  = 80 * time.Millisecond  // without a sign, after which a node is given up
+	mostSilent   = 300 * time.Millisecond // the same, where there is time
+	silentShare  = 6                      // part of the time left that is spent on a silent node
+	usualShare   = 3                      // the same, where the node takes long as a rule
+	distantShare = 2                      // the same, where the way is long: the other half is left for a near node
 )
 
 // dispatch takes a request to a worker where views come from a catalog: it
@@ -49,6 +50,7 @@
 	attempts   int    // workers that the request was sent to
 	offers     int
 	crossing   int           // offers to other zones
+	far        int           // offers to other regions
 	full       int           // offers that were refused for lack of room
 	soonest    time.Duration // the shortest wait that a refusing node told; 0: none
 	open       []*openTry    // tries that have not ended
@@ -63,7 +65,7 @@
 	endpoints := d.allowed(d.onTrial(d.x.view.EndpointsOf(target)))
 	var excluded []int
 	for d.offers < d.out.offers.most && d.x.context.Err() == nil {
-		need.Refused, need.Near = d.full > 0, d.crossing >= d.out.offers.crossing
+		need.Refused, need.Near, need.Home = d.full > 0, d.crossing >= d.out.offers.crossing, d.far >= mostFar
 		choice := d.out.chooser.cheapest(need, endpoints, excluded)
 		if choice.Index < 0 {
 			d.noteWait(choice.Opens)
@@ -108,6 +110,7 @@
 		Objective: max(time.Millisecond, d.x.route.Objective-time.Since(d.x.started)),
 		Deadline:  time.Until(d.x.deadline),
 		Kilobytes: float64(d.x.body.length+headerBytes) / kilo,
+		Trips:     d.x.trips(),
 		Urgent:    urgencyOf(d.x.class.rank) == coldstart.Urgent,
 	}
 }
@@ -123,9 +126,13 @@
 	if endpoint.Zone != d.out.config.Zone {
 		d.crossing++
 	}
+	if endpoint.Region != d.out.config.Region {
+		d.far++
+	}
 	d.x.offers, d.x.instance = d.offers, endpoint.Worker
 	d.x.elsewhere = another && d.offers < d.out.offers.most
-	d.x.moveTime = d.out.signs.moveTime()
+	d.x.roundTrip, d.x.measured = d.out.chooser.roundTrip(endpoint)
+	d.x.moveTime = d.out.signs.moveTime() + d.x.roundTrip
 	if !endpoint.Local && !d.x.offersBody() {
 		return d.tryOpenly(target, endpoint)
 	}
@@ -253,3 +260,10 @@
 	defer c.mutex.Unlock()
 	return c.balancer.Cheapest(time.Now(), need, endpoints, excluded)
 }
+
+// roundTrip returns how far an endpoint is, and whether that was measured.
+func (c *chooser) roundTrip(endpoint snapshot.Endpoint) (time.Duration, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.balancer.RoundTrip(&endpoint)
+}
--- /dev/null
+++ b/internal/traffic/distance_test.go
@@ -0,0 +1,125 @@
+package traffic
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"sliphead/internal/declaration"
+	"sliphead/internal/snapshot"
+)
+
+// distantNode is a node so far away: opening a connection to it takes the way there and
+// back, and so does its sign.
+type distantNode struct {
+	roundTrip time.Duration
+	offers    int
+}
+
+func (n *distantNode) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	timer := time.NewTimer(n.roundTrip)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-timer.C:
+	}
+	near, far := net.Pipe()
+	go n.serve(far)
+	return near, nil
+}
+
+// serve answers one request after the other until the caller's node hangs up.
+func (n *distantNode) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		n.offers++
+		time.Sleep(n.roundTrip)
+		attempt, _, _ := strings.Cut(request.Header.Get(hopHeader), hopSeparator)
+		_, err = fmt.Fprintf(conn, "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n%s: %s;a;\r\nContent-Length: 4\r\n\r\ndone", hopHeader, attempt)
+		if err != nil {
+			return
+		}
+	}
+}
+
+// offerTo offers a request without a body that has so much time to a node of another region.
+func (n *distantNode) offerTo(t *testing.T, out *Outbound, left time.Duration) *result {
+	t.Helper()
+	far := snapshot.Endpoint{Worker: "i-far", Zone: "z9", Region: "r2", Address: "far:1", Slots: 6}
+	request, err := http.NewRequest(http.MethodGet, "http://shop.example/lookup/1", http.NoBody)
+	must.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), left)
+	defer cancel()
+	x := &exchange{
+		request: request.WithContext(ctx), context: ctx, started: time.Now(), deadline: time.Now().Add(left), concurrentBody: true, smallAnswer: 100,
+		route: &snapshot.Route{Route: declaration.Route{Name: "lookup", Repeatable: true}}, protocol: &out.config.Protocol,
+	}
+	x.roundTrip, x.measured = out.chooser.roundTrip(far)
+	got, seen, failure := out.offer(x, far)
+	out.chooser.ended(x, far, seen)
+	if got != nil {
+		_, _ = io.Copy(io.Discard, got.response.Body)
+		_ = got.response.Body.Close()
+	}
+	return failure
+}
+
+// An offer to a node that is further away than near nodes may be silent is not given up:
+// neither the first one, of which nothing was measured and which opens a connection, nor
+// those after it. The distance is learnt from it.
+func TestDistantNodeIsNotTakenForSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		node := &distantNode{roundTrip: firstSilent + 70*time.Millisecond}
+		out := NewOutbound(Config{Zone: "z1", Region: "r1", Dial: node.dial, Protocol: testProtocol, Logger: quiet(), Holder: &snapshot.Holder{}})
+		for range 3 {
+			must.Nil(t, node.offerTo(t, out, 450*time.Millisecond))
+		}
+		far := snapshot.Endpoint{Zone: "z9", Region: "r2"}
+		took, measured := out.chooser.roundTrip(far)
+		must.Eq(t, node.roundTrip, took)
+		must.True(t, measured)
+		out.pool.close()
+	})
+}
+
+// Of a call with little time, half is left for a near node where a far one is silent.
+func TestDistantSilenceLeavesTimeForANearNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := &exchange{deadline: time.Now().Add(180 * time.Millisecond), roundTrip: 40 * time.Millisecond, measured: true}
+		must.Eq(t, 90*time.Millisecond, x.silenceLimit(0))
+		x.deadline = time.Now().Add(300 * time.Millisecond)
+		must.Eq(t, firstSilent+x.roundTrip, x.silenceLimit(0))
+		x.roundTrip = 0
+		must.Eq(t, firstSilent, x.silenceLimit(0))
+	})
+}
+
+// A body that goes out only once it is asked for takes the way to the node twice, and the
+// choice is told so.
+func TestOfferedBodyTakesTheWayTwice(t *testing.T) {
+	out := NewOutbound(Config{Protocol: testProtocol, Logger: quiet(), Holder: &snapshot.Holder{}})
+	trips := func(length int64, repeatable bool) int {
+		x := &exchange{body: body{length: length}, route: &snapshot.Route{Route: declaration.Route{Repeatable: repeatable}}}
+		d := dispatch{out: out, x: x}
+		return d.need().Trips
+	}
+	must.Eq(t, 1, trips(0, false))
+	must.Eq(t, 2, trips(300, false))
+	must.Eq(t, 1, trips(300, true))
+	must.Eq(t, 2, trips(directBody+1, true))
+}
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -30,12 +30,12 @@
 	body     body
 
 	// With a catalog.
-	closing     bool   // whether the caller's connection ends with the answer
-	offers      int    // nodes that it was offered to
-	attempts    int    // workers that it was sent to
-	onSign      func() // called at the first sign of the next hop; nil: nobody asks
-	onSilence   func() // called in place of giving a silent node up; nil: it is given up
-	instance    string // id of the instance that is to run the request
+	closing     bool                     // whether the caller's connection ends with the answer
+	offers      int                      // nodes that it was offered to
+	attempts    int                      // workers that it was sent to
+	onSign      func(took time.Duration) // called at the first sign of the next hop, with its time since the request went out; nil: nobody asks
+	onSilence   func()                   // called in place of giving a silent node up; nil: it is given up
+	instance    string                   // id of the instance that is to run the request
 	tenant      credential
 	caller      string // service beside the node that took the request
 	class       class
@@ -43,6 +43,8 @@
 	protocol    *Protocol     // of the callers; nil: sliphead's own
 	between     bool          // whether it came from another node of a catalog's mesh
 	elsewhere   bool          // whether the caller's node knows of another endpoint that seems to be free
+	roundTrip   time.Duration // to the node that it is offered to
+	measured    bool          // whether that is known, and not only assumed
 	moveTime    time.Duration // with elsewhere: what going on to another endpoint takes, so that a shorter wait is better
 	bodyAwaited bool          // whether the body is still to be asked for
 	signal      bool          // whether the caller's node waits for a sign that the request has come
--- a/internal/traffic/forward.go
+++ b/internal/traffic/forward.go
@@ -48,7 +48,7 @@
 	protocol  *Protocol
 	offer     bool                                        // whether a whole body waits for 100 Continue, so that a request that is refused or meets silence has not run
 	silence   time.Duration                               // within which the other side has to give a sign; 0: the deadline
-	onSign    func()                                      // called at the first sign; nil: nobody asks
+	onSign    func(took time.Duration)                    // called at each sign, with its time since the request went out; nil: nobody asks
 	onSilence func()                                      // called when there was no sign in time; nil: the try ends
 	onBytes   func(failure *result, sent, received int64) // told at the end of a try, of a pooled connection; nil: nobody asks
 	endures   func() bool                                 // asked when there was no sign: whether to wait to the deadline; nil: not
--- a/internal/traffic/hedge.go
+++ b/internal/traffic/hedge.go
@@ -32,7 +32,7 @@
 	own := *d.x
 	own.context, began.cancel = context.WithCancel(d.x.context)
 	own.onSilence = func() { close(began.silent) }
-	own.onSign = func() { began.signed.Store(true) }
+	own.onSign = func(time.Duration) { began.signed.Store(true) }
 	go func() {
 		began.got, began.seen, began.failure = d.out.offer(&own, endpoint)
 		close(began.ended)
--- a/internal/traffic/offer.go
+++ b/internal/traffic/offer.go
@@ -27,6 +27,7 @@
 		return said.refusal(response)
 	}
 	to := out.hopTo(x, endpoint, &told)
+	to.onSign = noteRoundTrip(&seen, to.onSign)
 	got, failure := send(x, to, check)
 	if failure == nil {
 		seen.Latency = time.Since(began)
@@ -65,20 +66,31 @@
 
 // noteSign returns what is to be called at each sign of a node from now on: it learns how
 // long the first one took, and passes signs on to whoever asks.
-func (out *Outbound) noteSign(address string, passOn func()) func() {
+func (out *Outbound) noteSign(address string, passOn func(time.Duration)) func(time.Duration) {
 	began := time.Now()
 	signed := false
-	return func() {
+	return func(took time.Duration) {
 		if !signed {
 			out.signs.note(address, time.Since(began))
 		}
 		signed = true
 		if passOn != nil {
-			passOn()
+			passOn(took)
 		}
 	}
 }
 
+// noteRoundTrip returns what is to be called at each sign of a node: it notes the first one's
+// time, which shows how far the node is.
+func noteRoundTrip(seen *balance.Observation, passOn func(time.Duration)) func(time.Duration) {
+	return func(took time.Duration) {
+		if seen.RoundTrip == 0 {
+			seen.RoundTrip = took
+		}
+		passOn(took)
+	}
+}
+
 // offerLocal runs the request at the worker beside this node.
 func (out *Outbound) offerLocal(x *exchange, endpoint snapshot.Endpoint) (*answer, balance.Observation, *result) {
 	inner := *x
@@ -129,10 +141,23 @@
 	return x.body.length > 0 && (!x.route.Repeatable || x.body.length > directBody)
 }
 
+// trips is how often the request takes the way to a node and back until it is answered.
+func (x *exchange) trips() int {
+	if x.offersBody() {
+		return 2
+	}
+	return 1
+}
+
 // silenceLimit is how long a node may give no sign before it is given up, or others
-// are tried beside it: longer than it takes as a rule, while time is left for another.
+// are tried beside it: longer than the way there and back, and than it takes as a rule,
+// while time is left for another.
 func (x *exchange) silenceLimit(usual time.Duration) time.Duration {
 	left := time.Until(x.deadline)
 	limit := min(max(left/silentShare, firstSilent), mostSilent)
-	return max(limit, min(usual, left/usualShare))
+	distant := min(limit+x.roundTrip, left/distantShare)
+	if x.roundTrip > 0 && !x.measured {
+		distant = min(mostSilent, left/distantShare) // else a node further away could never be measured
+	}
+	return max(limit, distant, min(usual, left/usualShare))
 }
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -60,6 +60,7 @@
 	out.transport = newTransport(config.Dial, 0, config.Limits.IdlePerNode)
 	settings := balance.DefaultSettings(config.Zone, config.Region)
 	settings.LinkMbps = config.Limits.LinkMbps
+	settings.RegionBytes = config.Limits.RegionBytes
 	out.chooser = &chooser{balancer: balance.New(settings, rand.New(config.Random))}
 	out.retries = newRetryBucket(config.Limits)
 	out.metrics = newMetrics(config, "outbound", gauges{inFlight: out.gate.count})
--- a/internal/traffic/roundtrip.go
+++ b/internal/traffic/roundtrip.go
@@ -15,6 +15,7 @@
 	c.body = nil
 	sign := c.awaitSign(to)
 	defer sign.Stop()
+	began := time.Now()
 	if err := writeRequest(c.writer, x, to); err != nil {
 		return nil, err
 	}
@@ -34,7 +35,7 @@
 			return nil, errSilent
 		}
 		if to.onSign != nil {
-			to.onSign()
+			to.onSign(time.Since(began))
 		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
 			c.limit = math.MaxInt64
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -96,6 +96,7 @@
 	IdleTimeout    time.Duration // between requests on a connection
 	BodyTimeout    time.Duration // between two reads of a request body
 	MaxHeaderBytes int
+	RegionBytes    float64 // price of a byte that leaves the region, in parts of one that leaves the zone; 0: once
 	LinkMbps       float64 // what the machine's link carries, in megabits a second; 0: not known, and bodies are not paced
 }
 
