A worker whose region nobody told of counts as near; no own bound on offers to other regions

Change: an endpoint of the own zone, or of no known region, is near. The bound of two offers to other regions goes: where own workers are gone it refuses what another region would take; how likely a region is to take a refused request bounds the offers already.

--- a/internal/traffic/balance/distance.go
+++ b/internal/traffic/balance/distance.go
@@ -81,9 +81,10 @@
 	return 0, false
 }
 
-// isFar reports whether an endpoint is in another region.
+// isFar reports whether an endpoint is in another region. One of which no region is known
+// counts as near: its distance is measured all the same.
 func (b *Balancer) isFar(endpoint *snapshot.Endpoint) bool {
-	return endpoint.Region != b.settings.Region
+	return endpoint.Zone != b.settings.Zone && endpoint.Region != "" && endpoint.Region != b.settings.Region
 }
 
 // onTheWay is how long a request and its answer are on the way to an endpoint and back. A
--- a/internal/traffic/balance/forecast.go
+++ b/internal/traffic/balance/forecast.go
@@ -17,7 +17,6 @@
 	Trips     int           // ways there and back until the answer has come: 2 with a body that is asked for first; 0: 1
 	Refused   bool          // whether an endpoint has refused it for lack of room
 	Near      bool          // whether it is not to leave the zone any more
-	Home      bool          // whether it is not to leave the region any more
 	Urgent    bool          // whether it goes before others at a cold worker
 }
 
--- a/internal/traffic/balance/room.go
+++ b/internal/traffic/balance/room.go
@@ -84,5 +84,5 @@
 	if need.Near || need.Refused && !b.hasRoom(now, endpoint.Zone, need.Route) {
 		return true
 	}
-	return b.isFar(endpoint) && (need.Home || need.Refused && !b.hasRoomFar(now, endpoint, need.Route) || b.isLost(now, endpoint) || b.isTooFar(need, endpoint))
+	return b.isFar(endpoint) && (need.Refused && !b.hasRoomFar(now, endpoint, need.Route) || b.isLost(now, endpoint) || b.isTooFar(need, endpoint))
 }
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -50,7 +50,6 @@
 	attempts   int    // workers that the request was sent to
 	offers     int
 	crossing   int           // offers to other zones
-	far        int           // offers to other regions
 	full       int           // offers that were refused for lack of room
 	soonest    time.Duration // the shortest wait that a refusing node told; 0: none
 	open       []*openTry    // tries that have not ended
@@ -65,7 +64,7 @@
 	endpoints := d.allowed(d.onTrial(d.x.view.EndpointsOf(target)))
 	var excluded []int
 	for d.offers < d.out.offers.most && d.x.context.Err() == nil {
-		need.Refused, need.Near, need.Home = d.full > 0, d.crossing >= d.out.offers.crossing, d.far >= mostFar
+		need.Refused, need.Near = d.full > 0, d.crossing >= d.out.offers.crossing
 		choice := d.out.chooser.cheapest(need, endpoints, excluded)
 		if choice.Index < 0 {
 			d.noteWait(choice.Opens)
@@ -126,9 +125,6 @@
 	if endpoint.Zone != d.out.config.Zone {
 		d.crossing++
 	}
-	if endpoint.Region != d.out.config.Region {
-		d.far++
-	}
 	d.x.offers, d.x.instance = d.offers, endpoint.Worker
 	d.x.elsewhere = another && d.offers < d.out.offers.most
 	d.x.roundTrip, d.x.measured = d.out.chooser.roundTrip(endpoint)
--- a/internal/traffic/offer_bounds.go
+++ b/internal/traffic/offer_bounds.go
@@ -10,7 +10,6 @@
 	mostOffers  = 10  // however fast the link is
 	leastOffers = 3   // however slow it is
 	crossingOf  = 0.6 // part of the offers that may go to other zones
-	mostFar     = 2   // that may go to other regions: each costs a long way, also when it is refused
 	// offerKilobytes is about what an offer and its refusal take of a link, with the
 	// headers of their packets.
 	offerKilobytes = 1.0
