--- a/internal/traffic/balance/distance.go
+++ b/internal/traffic/balance/distance.go
@@ -81,10 +81,15 @@
 	return 0, false
 }
 
-// isFar reports whether an endpoint is in another region. One of which no region is known
-// counts as near: its distance is measured all the same.
+// IsFar reports whether an endpoint is in another region than a node's. One of which no
+// region is known counts as near: its distance is measured all the same.
+func IsFar(zone, region string, endpoint *snapshot.Endpoint) bool {
+	return endpoint.Zone != zone && endpoint.Region != "" && endpoint.Region != region
+}
+
+// isFar reports whether an endpoint is in another region.
 func (b *Balancer) isFar(endpoint *snapshot.Endpoint) bool {
-	return endpoint.Zone != b.settings.Zone && endpoint.Region != "" && endpoint.Region != b.settings.Region
+	return IsFar(b.settings.Zone, b.settings.Region, endpoint)
 }
 
 // onTheWay is how long a request and its answer are on the way to an endpoint and back. A
--- a/internal/traffic/balance/region.go
+++ b/internal/traffic/balance/region.go
@@ -49,16 +49,19 @@
 		return false
 	}
 	known := b.reaches[endpoint.Region]
-	return known.silent >= silentEndpoints && (known.trying || now.Before(known.until))
+	return b.Lost(endpoint.Region) && (known.trying || now.Before(known.until))
 }
 
+// Lost reports whether a region is taken for lost.
+func (b *Balancer) Lost(region string) bool { return b.reaches[region].silent >= silentEndpoints }
+
 // noteTry takes in that a request goes to an endpoint.
 func (b *Balancer) noteTry(endpoint *snapshot.Endpoint) {
 	if !b.isFar(endpoint) {
 		return
 	}
 	known := b.reaches[endpoint.Region]
-	known.trying = known.silent >= silentEndpoints
+	known.trying = b.Lost(endpoint.Region)
 	b.reaches[endpoint.Region] = known
 }
 
--- a/internal/traffic/choose.go
+++ b/internal/traffic/choose.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
+	"sliphead/internal/logging"
 	"sliphead/internal/outcome"
 	"sliphead/internal/snapshot"
 	"sliphead/internal/traffic/balance"
@@ -14,6 +17,7 @@
 type chooser struct {
 	mutex    sync.Mutex
 	balancer *balance.Balancer
+	logger   log.Interface
 }
 
 // pick chooses an endpoint and tells whether another one seems to be free.
@@ -27,7 +31,20 @@
 func (c *chooser) ended(x *exchange, endpoint snapshot.Endpoint, seen balance.Observation) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	before := c.balancer.Lost(endpoint.Region)
 	c.balancer.Ended(time.Now(), x.route.Name, endpoint, seen)
+	c.tellRegion(endpoint.Region, before)
+}
+
+// tellRegion logs that a region was lost, or is reached again.
+func (c *chooser) tellRegion(region string, before bool) {
+	now := c.balancer.Lost(region)
+	switch {
+	case now && !before:
+		c.logger.WithFields(logging.Fields{"region": region}).Warn("region.lost")
+	case before && !now:
+		c.logger.WithFields(logging.Fields{"region": region}).Info("region.reached")
+	}
 }
 
 // choose tries endpoints until one answers or no further try is allowed.
--- a/internal/traffic/distance_test.go
+++ b/internal/traffic/distance_test.go
@@ -12,10 +12,13 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"github.com/shoenig/test/must"
 
 	"sliphead/internal/declaration"
 	"sliphead/internal/snapshot"
+	"sliphead/internal/traffic/balance"
 )
 
 // distantNode is a node so far away: opening a connection to it takes the way there and
@@ -123,3 +126,30 @@
 	must.Eq(t, 1, trips(300, true))
 	must.Eq(t, 2, trips(directBody+1, true))
 }
+
+// The operator is told once that a region was lost, and once that it is reached again.
+func TestLostRegionIsTold(t *testing.T) {
+	events := memory.New()
+	out := NewOutbound(Config{Zone: "z1", Region: "r1", Protocol: testProtocol, Logger: &log.Logger{Handler: events}, Holder: &snapshot.Holder{}})
+	x := &exchange{route: &snapshot.Route{}}
+	far := snapshot.Endpoint{Worker: "i-far", Zone: "z9", Region: "r2"}
+	near := snapshot.Endpoint{Worker: "i-near", Zone: "z2", Region: "r1"}
+	for range 10 {
+		out.chooser.ended(x, far, balance.Observation{Failed: true, Unreachable: true})
+		out.chooser.ended(x, near, balance.Observation{Failed: true, Unreachable: true})
+	}
+	out.chooser.ended(x, far, balance.Observation{})
+	var told []string
+	for _, entry := range events.Entries {
+		told = append(told, entry.Message+" "+entry.Fields.Get("region").(string))
+	}
+	must.Eq(t, []string{"region.lost r2", "region.reached r2"}, told)
+}
+
+// Bytes are counted by how far they go.
+func TestHowFarATryGoes(t *testing.T) {
+	out := NewOutbound(Config{Zone: "z1", Region: "r1", Protocol: testProtocol, Logger: quiet(), Holder: &snapshot.Holder{}})
+	must.Eq(t, toZone, out.howFar(snapshot.Endpoint{Zone: "z1", Region: "r1"}))
+	must.Eq(t, toRegion, out.howFar(snapshot.Endpoint{Zone: "z2", Region: "r1"}))
+	must.Eq(t, toFar, out.howFar(snapshot.Endpoint{Zone: "z9", Region: "r2"}))
+}
--- a/internal/traffic/offer.go
+++ b/internal/traffic/offer.go
@@ -55,7 +55,7 @@
 		offer:   x.offersBody(),
 		silence: x.silenceLimit(out.signs.usual(endpoint.Address)),
 		onSign:  out.noteSign(endpoint.Address, x.onSign),
-		onBytes: out.hopBytes.add,
+		onBytes: out.hopBytes.addTo(out.howFar(endpoint)),
 	}
 	if !to.offer {
 		to.endures = out.leaving // a worker may be at it: giving it up would cut it
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -61,7 +61,7 @@
 	settings := balance.DefaultSettings(config.Zone, config.Region)
 	settings.LinkMbps = config.Limits.LinkMbps
 	settings.RegionBytes = config.Limits.RegionBytes
-	out.chooser = &chooser{balancer: balance.New(settings, rand.New(config.Random))}
+	out.chooser = &chooser{balancer: balance.New(settings, rand.New(config.Random)), logger: config.Logger}
 	out.retries = newRetryBucket(config.Limits)
 	out.metrics = newMetrics(config, "outbound", gauges{inFlight: out.gate.count})
 	out.weights = newWeights(rand.New(config.Random))
