--- a/internal/traffic/distance_test.go
+++ b/internal/traffic/distance_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -17,6 +18,7 @@
 	"github.com/shoenig/test/must"
 
 	"sliphead/internal/declaration"
+	"sliphead/internal/outcome"
 	"sliphead/internal/snapshot"
 	"sliphead/internal/traffic/balance"
 )
@@ -60,21 +62,35 @@
 	}
 }
 
-// offerTo offers a request without a body that has so much time to a node of another region.
-func (n *distantNode) offerTo(t *testing.T, out *Outbound, left time.Duration) *result {
+// farEndpoint is the worker beside a distant node.
+var farEndpoint = snapshot.Endpoint{Worker: "i-far", Zone: "z9", Region: "r2", Address: "far:1", Slots: 6}
+
+// newDistantOutbound is the handler of a node that dials nothing but a distant node.
+func newDistantOutbound(node *distantNode) *Outbound {
+	return NewOutbound(Config{Zone: "z1", Region: "r1", Dial: node.dial, Protocol: testProtocol, Logger: quiet(), Holder: &snapshot.Holder{}})
+}
+
+// distantExchange is a request without a body that has so much time.
+func distantExchange(t *testing.T, out *Outbound, left time.Duration) *exchange {
 	t.Helper()
-	far := snapshot.Endpoint{Worker: "i-far", Zone: "z9", Region: "r2", Address: "far:1", Slots: 6}
 	request, err := http.NewRequest(http.MethodGet, "http://shop.example/lookup/1", http.NoBody)
 	must.NoError(t, err)
 	ctx, cancel := context.WithTimeout(t.Context(), left)
-	defer cancel()
-	x := &exchange{
-		request: request.WithContext(ctx), context: ctx, started: time.Now(), deadline: time.Now().Add(left), concurrentBody: true, smallAnswer: 100,
-		route: &snapshot.Route{Route: declaration.Route{Name: "lookup", Repeatable: true}}, protocol: &out.config.Protocol,
+	t.Cleanup(cancel)
+	return &exchange{
+		writer: httptest.NewRecorder(), request: request.WithContext(ctx), context: ctx, started: time.Now(), deadline: time.Now().Add(left),
+		concurrentBody: true, smallAnswer: 100, protocol: &out.config.Protocol,
+		route: &snapshot.Route{Route: declaration.Route{Name: "lookup", Repeatable: true}, MaxAttempts: 2},
 	}
-	x.roundTrip, x.measured = out.chooser.roundTrip(far)
-	got, seen, failure := out.offer(x, far)
-	out.chooser.ended(x, far, seen)
+}
+
+// offerTo offers a request that has so much time to a node of another region.
+func (n *distantNode) offerTo(t *testing.T, out *Outbound, left time.Duration) *result {
+	t.Helper()
+	x := distantExchange(t, out, left)
+	x.roundTrip, x.measured = out.chooser.roundTrip(farEndpoint)
+	got, seen, failure := out.offer(x, farEndpoint)
+	out.chooser.ended(x, farEndpoint, seen)
 	if got != nil {
 		_, _ = io.Copy(io.Discard, got.response.Body)
 		_ = got.response.Body.Close()
@@ -88,18 +104,35 @@
 func TestDistantNodeIsNotTakenForSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		node := &distantNode{roundTrip: firstSilent + 70*time.Millisecond}
-		out := NewOutbound(Config{Zone: "z1", Region: "r1", Dial: node.dial, Protocol: testProtocol, Logger: quiet(), Holder: &snapshot.Holder{}})
+		out := newDistantOutbound(node)
 		for range 3 {
 			must.Nil(t, node.offerTo(t, out, 450*time.Millisecond))
 		}
-		far := snapshot.Endpoint{Zone: "z9", Region: "r2"}
-		took, measured := out.chooser.roundTrip(far)
+		took, measured := out.chooser.roundTrip(farEndpoint)
 		must.Eq(t, node.roundTrip, took)
 		must.True(t, measured)
 		out.pool.close()
 	})
 }
 
+// A request that may run twice is not made again elsewhere while its far node's sign is on
+// the way: one offer, one answer.
+func TestDistantNodeIsNotHedged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		node := &distantNode{roundTrip: firstSilent + 70*time.Millisecond}
+		out := newDistantOutbound(node)
+		x := distantExchange(t, out, 450*time.Millisecond)
+		d := &dispatch{out: out, x: x, ended: make(chan *openTry, mostOffers)}
+		defer d.close()
+		ended, done := d.try(snapshot.Target{Service: "shop"}, farEndpoint, false)
+		must.True(t, done)
+		must.Eq(t, outcome.Answered, ended.outcome)
+		must.Eq(t, 1, node.offers)
+		must.SliceEmpty(t, d.open)
+		out.pool.close()
+	})
+}
+
 // Of a call with little time, half is left for a near node where a far one is silent.
 func TestDistantSilenceLeavesTimeForANearNode(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
