--- a/internal/traffic/balance/region.go
+++ b/internal/traffic/balance/region.go
@@ -24,7 +24,8 @@
 	trying bool // whether a request finds out just now
 }
 
-// noteReach takes in whether an endpoint of another region gave a sign of life.
+// noteReach takes in whether an endpoint of another region gave a sign of life, or none in
+// time.
 func (b *Balancer) noteReach(now time.Time, endpoint *snapshot.Endpoint, seen Observation) {
 	if !b.isFar(endpoint) {
 		return
@@ -32,9 +33,9 @@
 	known := b.reaches[endpoint.Region]
 	known.trying = false
 	switch {
-	case !seen.Failed || !seen.Unreachable:
+	case seen.RoundTrip > 0 || seen.Loaded:
 		known = reach{}
-	default:
+	case seen.Unreachable: // not so a try that its caller or its deadline ended: it shows nothing
 		known.silent++
 		if known.silent >= silentEndpoints {
 			known.until = now.Add(b.pause(known.silent - silentEndpoints))
