--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -150,6 +150,7 @@
 			LinkMbps:       n.settings.Limits.LinkMbps,
 			KeysInForce:    n.settings.Source.Freshness.Duration,
 			KeysFailClosed: n.settings.Tenants.FailClosedAfter.Duration,
+			RegionBytes:    n.settings.Limits.RegionBytes,
 		},
 	}
 	if n.quota != nil {
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -11,13 +11,14 @@
 
 // Bounds of one request's way through a catalog's mesh.
 const (
-	leastWait   = 20 * time.Millisecond  // told as Retry-After
-	mostWait    = time.Second            // told as Retry-After
-	returnShare = 3                      // part of the time left after which it comes back at the latest
-	firstSilent = 80 * time.Millisecond  // without a sign, after which a node is given up
-	mostSilent  = 300 * time.Millisecond // the same, where there is time
-	silentShare = 6                      // part of the time left that is spent on a silent node
-	usualShare  = 3                      // the same, where the node takes long as a rule
+	leastWait    = 20 * time.Millisecond  // told as Retry-After
+	mostWait     = time.Second            // told as Retry-After
+	returnShare  = 3                      // part of the time left after which it comes back at the latest
+	firstSilent  = 80 * time.Millisecond  // without a sign, after which a node is given up
+	mostSilent   = 300 * time.Millisecond // the same, where there is time
+	silentShare  = 6                      // part of the time left that is spent on a silent node
+	usualShare   = 3                      // the same, where the node takes long as a rule
+	distantShare = 2                      // the same, where the way is long: the other half is left for a near node
 )
 
 // dispatch takes a request to a worker where views come from a catalog: it
@@ -106,6 +107,7 @@
 		Objective: max(time.Millisecond, d.x.route.Objective-time.Since(d.x.started)),
 		Deadline:  time.Until(d.x.deadline),
 		Kilobytes: float64(d.x.body.length+headerBytes) / kilo,
+		Trips:     d.x.trips(),
 		Urgency:   d.x.class.urgency(),
 		Last:      d.x.class.returned,
 	}
@@ -129,7 +131,8 @@
 	}
 	d.x.offers, d.x.instance = d.offers, endpoint.Worker
 	d.x.elsewhere = another && d.offers < d.out.offers.most
-	d.x.moveTime = d.out.signs.moveTime()
+	d.x.roundTrip, d.x.measured = d.out.chooser.roundTrip(endpoint)
+	d.x.moveTime = d.out.signs.moveTime() + d.x.roundTrip
 	if !endpoint.Local && !d.x.offersBody() {
 		return d.tryOpenly(target, endpoint)
 	}
@@ -259,3 +262,10 @@
 	defer c.mutex.Unlock()
 	return c.balancer.Cheapest(time.Now(), need, endpoints, excluded)
 }
+
+// roundTrip returns how far an endpoint is, and whether that was measured.
+func (c *chooser) roundTrip(endpoint snapshot.Endpoint) (time.Duration, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.balancer.RoundTrip(&endpoint)
+}
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -60,7 +60,8 @@
 	out.transport = newTransport(config.Dial, 0, config.Limits.IdlePerNode)
 	settings := balance.DefaultSettings(config.Zone, config.Region)
 	settings.LinkMbps = config.Limits.LinkMbps
-	out.chooser = &chooser{balancer: balance.New(settings, rand.New(config.Random))}
+	settings.RegionBytes = config.Limits.RegionBytes
+	out.chooser = &chooser{balancer: balance.New(settings, rand.New(config.Random)), logger: config.Logger}
 	out.retries = newRetryBucket(config.Limits)
 	out.metrics = newMetrics(config, "outbound", gauges{inFlight: out.gate.count})
 	out.weights = newWeights(rand.New(config.Random))
