--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -23,6 +23,7 @@
 	callers  *callers
 	cold     coldstart.Guard // of the local worker
 	recorded snapshot.Local  // what the catalog said of it last
+	rejects  admission.Rejects
 }
 
 func newAdmitter(service string, limits Limits) *admitter {
@@ -81,6 +82,7 @@
 		return a.queue.Arrive(admission.ClassOf(x.route.Priority), x.deadline, now, x)
 	}
 	a.callers.note(x.route.Name, x.caller == a.service)
+	x.internal = a.callers.internal(x.route.Name)
 	rank := a.classOf(x)
 	arrival := admission.Arrival[*exchange]{Class: rank, Kind: x.route.Name, Deadline: x.deadline, Waiter: x}
 	if x.class.returned {
@@ -186,6 +188,7 @@
 	load.Wait, load.Run = a.queue.Forecast(rank, x.route.Name, now)
 	load.Link = a.linkWait(x, now)
 	load.Closed = a.cold.Closed(urgencyOf(x.class.rank), now)
+	load.Rejects = a.rejects.Share(now)
 	return load
 }
 
--- a/internal/traffic/answer.go
+++ b/internal/traffic/answer.go
@@ -19,6 +19,8 @@
 	whole    []byte // the body when it is small and of known length
 	isWhole  bool
 	replayed bool // whether it was kept from an earlier run
+
+	callFailed bool // whether calls of the worker failed while it ran the request
 }
 
 // kilobytes is the size of an answer of known length with its header, 0 of another.
--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -47,6 +47,7 @@
 	Wait, Run           time.Duration
 	Link                time.Duration // for which a body waits before it is asked for
 	Closed              time.Duration // for which the worker is sent no more such requests from here
+	Rejects             float64       // share of what reaches the worker that it rejects, 0 to 1
 }
 
 // Observation is what came of one request.
--- a/internal/traffic/balance/forecast.go
+++ b/internal/traffic/balance/forecast.go
@@ -149,7 +149,7 @@
 // expected to take it at once.
 func (b *Balancer) price(now time.Time, need Need, endpoint *snapshot.Endpoint, expected estimate) (price float64, free bool) {
 	free = expected.free
-	price = b.loss(need, expected.wait, expected.run)
+	price = b.loss(need, expected.wait, expected.run) + expected.held.rejection(now)
 	if !free {
 		price += queuePrice
 	}
--- a/internal/traffic/budget.go
+++ b/internal/traffic/budget.go
@@ -1,51 +1,104 @@
 package traffic
 
-import "sync"
+import (
+	"math"
+	"sync"
+	"time"
+)
 
-// serviceBudget bounds, for each service, the arrivals at workers beyond the
-// first of each request to a share of the requests, with a small allowance that
-// the nodes of the mesh divide among them. A node that restarts starts with its
-// part of the allowance and no more.
+// serviceBudget bounds, for each service, the arrivals at workers beyond the first of each
+// request to a share of the requests, with a small allowance that the nodes of the mesh
+// divide among them. Each node earns a part of a repeat with each request and saves up no
+// more than its part of the allowance, so the sum over all nodes stays under the bound
+// without a word between them, also where many start at once.
 type serviceBudget struct {
-	mutex  sync.Mutex
-	ratio  float64
-	slack  float64 // of the whole mesh
-	tokens map[string]float64
+	mutex    sync.Mutex
+	ratio    float64 // repeats earned by a request
+	slack    float64 // repeats of the whole mesh
+	services map[string]*savedRepeats
 }
 
-// budgetRoom is the part of the bounds that a node uses: windows of counting
-// differ between nodes, and a repeated run repeats its calls.
-const budgetRoom = 0.6
+// savedRepeats are the repeats of one service that a node may still make.
+type savedRepeats struct {
+	saved   float64
+	at      time.Time // when saved was brought up to date
+	pressed time.Time // when a last chance wanted one last
+}
+
+// The parts of the bounds that are used. What is left covers what a node can't count: the
+// calls of a run that is itself a repeat, and a second node that is tried beside a silent
+// one. Both together were 0.03 of the requests while half of a service's arrivals were
+// rejected; 0.85 leaves as much of a ratio of 0.2.
+const (
+	budgetRoom = 0.85 // of the ratio
+	savedPart  = 0.6  // of the allowance: what all nodes together may have saved up
+	firstPart  = 0.2  // of the allowance: what all nodes together have when they start
+)
+
+// savedFor is over which time repeats that a node saved beyond its part of the allowance
+// fade to a third. In a mesh of more nodes than the allowance has repeats, each part is
+// less than one, and a node must save up one to make any.
+const savedFor = 10 * time.Second
 
 func newServiceBudget(limits Limits) *serviceBudget {
-	return &serviceBudget{ratio: limits.RetryRatio * budgetRoom, slack: float64(limits.RetrySlack) * budgetRoom, tokens: map[string]float64{}}
+	return &serviceBudget{ratio: limits.RetryRatio * budgetRoom, slack: float64(limits.RetrySlack), services: map[string]*savedRepeats{}}
 }
 
 // count notes a request for a service.
-func (b *serviceBudget) count(service string) {
+func (b *serviceBudget) count(service string, nodes int, now time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.tokens[service] += b.ratio
+	held := b.of(service, nodes, now)
+	held.saved = min(held.saved+b.ratio, b.most(nodes))
 }
 
-// take reports whether one more arrival is allowed and counts it. Below zero,
-// the node lives on its part of the mesh's allowance.
-func (b *serviceBudget) take(service string, nodes int) bool {
+// take reports whether one more arrival is allowed and counts it. While repeats are short
+// they are kept for last chances: requests that nobody sends again if they are refused.
+// The caller of another comes back by itself, which costs no repeat.
+func (b *serviceBudget) take(service string, nodes int, lastChance bool, now time.Time) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	allowance := b.slack / float64(max(1, nodes))
-	held := min(b.tokens[service], allowance)
-	if held < 1-allowance {
-		b.tokens[service] = held
+	held := b.of(service, nodes, now)
+	if lastChance {
+		held.pressed = now
+	}
+	if held.saved < 1 || !lastChance && now.Sub(held.pressed) < pressedFor && held.saved < b.most(nodes)*plenty {
 		return false
 	}
-	b.tokens[service] = held - 1
+	held.saved--
 	return true
 }
 
+// Repeats are taken to be short for pressedFor after a last chance wanted one, unless a node
+// has saved up a plenty part of what it may.
+const (
+	pressedFor = time.Second
+	plenty     = 0.9
+)
+
 // giveBack undoes a take whose request reached no worker.
-func (b *serviceBudget) giveBack(service string) {
+func (b *serviceBudget) giveBack(service string, nodes int, now time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.tokens[service]++
+	held := b.of(service, nodes, now)
+	held.saved = min(held.saved+1, b.most(nodes))
+}
+
+// most is what a node may have saved up.
+func (b *serviceBudget) most(nodes int) float64 { return max(1, b.part(nodes)) }
+
+// part is a node's part of what all may have saved up.
+func (b *serviceBudget) part(nodes int) float64 { return b.slack * savedPart / float64(max(1, nodes)) }
+
+// of returns what is saved of a service, faded to now. The mutex is held.
+func (b *serviceBudget) of(service string, nodes int, now time.Time) *savedRepeats {
+	held := b.services[service]
+	if held == nil {
+		held = &savedRepeats{saved: b.slack * firstPart / float64(max(1, nodes)), at: now}
+		b.services[service] = held
+	}
+	beyond := max(0, held.saved-b.part(nodes))
+	held.saved -= beyond * (1 - math.Exp(-float64(now.Sub(held.at))/float64(savedFor)))
+	held.at = now
+	return held
 }
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -27,6 +27,14 @@
 // costs nothing; a request that a worker has seen is sent again only within the
 // route's attempts and the retry budget.
 func (out *Outbound) dispatch(x *exchange) result {
+	x.lastChance = out.lastChance(x)
+	ended := out.seek(x)
+	out.noteEnd(x, &ended)
+	return ended
+}
+
+// seek offers a request until one takes it.
+func (out *Outbound) seek(x *exchange) result {
 	d := dispatch{out: out, x: x, ended: make(chan *openTry, mostOffers), last: refuse(causeEndpoints, 0, "send it again later, no worker takes this route now")}
 	defer d.close()
 	x.class.returned = out.returns.returned(x.route.Name, x.given)
@@ -50,6 +58,7 @@
 	offers     int
 	crossing   int           // offers to other zones
 	full       int           // offers that were refused for lack of room
+	rejected   bool          // whether a worker with free slots has rejected it last
 	soonest    time.Duration // the shortest wait that a refusing node told; 0: none
 	open       []*openTry    // tries that have not ended
 	ended      chan *openTry // tries that have
@@ -57,7 +66,7 @@
 
 // offerTo tries the endpoints of one service.
 func (d *dispatch) offerTo(target snapshot.Target) (result, bool) {
-	d.out.budget.count(target.Service)
+	d.out.budget.count(target.Service, d.out.nodes(), time.Now())
 	d.service = target.Service
 	need := d.need()
 	endpoints := d.allowed(d.onTrial(d.x.view.EndpointsOf(target)))
@@ -115,7 +124,7 @@
 // try makes one offer; another says that there is an endpoint which seems to be free
 // beside this one. It reports whether the request has ended.
 func (d *dispatch) try(target snapshot.Target, endpoint snapshot.Endpoint, another bool) (result, bool) {
-	if d.attempts > 0 && !d.out.budget.take(target.Service, d.out.nodes()) {
+	if d.attempts > 0 && !d.out.budget.take(target.Service, d.out.nodes(), d.x.lastChance, time.Now()) {
 		d.out.chooser.release(endpoint)
 		return d.giveUp(), true
 	}
@@ -140,8 +149,9 @@
 	if seen.Refused {
 		d.full++
 	}
+	d.rejected = isRejection(failure, seen.Load)
 	if d.attempts > 0 && failure != nil && failure.outcome == outcome.NotRun && !failure.arrived {
-		d.out.budget.giveBack(target.Service)
+		d.out.budget.giveBack(target.Service, d.out.nodes(), time.Now())
 	}
 	if failure == nil {
 		return d.accept(got)
@@ -162,7 +172,7 @@
 func (d *dispatch) accept(got *answer) (result, bool) {
 	d.attempts++
 	failed := got.isWhole && got.response.StatusCode >= http.StatusInternalServerError
-	if failed && d.mayRepeat() {
+	if failed && !got.callFailed && d.mayRepeat() {
 		d.answered = got
 		d.mayHaveRun = true
 		return result{}, false
@@ -234,8 +244,12 @@
 }
 
 // comeBack is after how long the refused request is to come back: behind others that
-// were refused, but while time is left for it to be served.
+// were refused, but while time is left for it to be served. One that a worker with free
+// slots rejected comes back at once: there is no overload that it would add to.
 func (d *dispatch) comeBack(now time.Time) time.Duration {
+	if d.rejected {
+		return leastWait
+	}
 	most := min(max(leastWait, d.x.deadline.Sub(now)/returnShare), mostWait)
 	return d.out.returns.comeBack(d.service, min(max(d.soonest, leastWait), most), most, now)
 }
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -39,6 +39,9 @@
 	tenant      credential
 	caller      string // service beside the node that took the request
 	class       class
+	internal    bool          // whether only runs of other services call its route, as far as is known
+	callFailed  bool          // whether calls of the local worker failed while it ran the request
+	lastChance  bool          // whether nobody sends it again if it is refused
 	trialOwner  string        // instance that alone may run it, since it is on trial in the quarantine; "": any
 	protocol    *Protocol     // of the callers; nil: sliphead's own
 	between     bool          // whether it came from another node of a catalog's mesh
@@ -66,6 +69,7 @@
 	cut           bool    // whether the answer has to be cut because it is not whole
 	final         bool    // whether a level below has already spent its retries
 	arrived       bool    // whether it reached a worker, which then refused it
+	rejected      bool    // whether that worker is the one that was meant, and takes others
 	crashedBefore bool    // whether this is not the first worker that ended while it ran the request
 	answer        *answer // a whole answer that is still to be passed on
 }
--- a/internal/traffic/hop.go
+++ b/internal/traffic/hop.go
@@ -95,15 +95,18 @@
 	held          bool // whether it is held in quarantine
 	withdrawn     bool // whether the caller's key was withdrawn
 	crashedBefore bool // whether this is not the first worker that ended while it ran the request
+	rejected      bool // whether the worker itself refused, and takes others
+	internal      bool // whether only runs of other services call the route
+	callFailed    bool // whether calls of the worker failed while it ran the request
 	load          balance.Load
 	loaded        bool
 }
 
 // encodeHopAnswer returns the header of an answer.
 func encodeHopAnswer(x *exchange, told outcome.Outcome, ended *result) string {
-	flags := string(told[:1])
+	flags := string(told[:1]) + flag('i', x.internal) + flag('d', x.callFailed)
 	if ended != nil {
-		flags += flag('w', ended.arrived) + flag('f', ended.cause == causeFull) + flag('q', ended.cause == causeQuarantine) + flag('k', ended.cause == causeKey) + flag('c', ended.crashedBefore)
+		flags += flag('j', ended.rejected) + flag('w', ended.arrived) + flag('f', ended.cause == causeFull) + flag('q', ended.cause == causeQuarantine) + flag('k', ended.cause == causeKey) + flag('c', ended.crashedBefore)
 	}
 	return strings.Join([]string{x.attempt, flags, encodeLoad(x.load())}, hopSeparator)
 }
@@ -119,6 +122,9 @@
 	case strings.HasPrefix(flags, "n"):
 		read.outcome = outcome.NotRun
 	}
+	read.rejected = strings.Contains(flags, "j")
+	read.internal = strings.Contains(flags, "i")
+	read.callFailed = strings.Contains(flags, "d")
 	read.load, read.loaded = parseLoad(load)
 	return read
 }
@@ -136,6 +142,7 @@
 		remedy:        "send it again later, the workers are busy or leave",
 		retryAfter:    h.load.Wait + h.load.Link + h.load.Closed,
 		arrived:       h.arrived,
+		rejected:      h.rejected,
 		crashedBefore: h.crashedBefore,
 	}
 	switch {
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -22,6 +22,7 @@
 	handle   stage
 	gone     atomic.Pointer[string] // the last instance that the worker said it is not
 	runs     *workerRuns
+	nested   *nestedCalls
 	vouches  atomic.Bool // whether this node answers for a worker whose record is gone
 }
 
@@ -32,6 +33,7 @@
 	in.admitter = newAdmitter(config.Service, config.Limits)
 	in.worker = newWorkerLink(config)
 	in.runs = newWorkerRuns()
+	in.nested = newNestedCalls()
 	in.metrics = newMetrics(config, "inbound", gauges{inFlight: in.gate.count, queued: in.admitter.waiting})
 	in.handle = pipe(in.forward, in.classify, limitDepth(config.Limits.MaxDepth), limitTime, readBody(&in.config.Limits), in.admitter.admit, in.claim)
 	if !config.Protocol.own() {
@@ -147,11 +149,16 @@
 		fields = append(fields, field{"Authorization", "Bearer " + x.route.Credential})
 	}
 	in.config.Calls.begin(x.id)
+	began := time.Now()
 	direct, transport := in.worker.connections()
 	to := hop{pool: direct, transport: transport, address: in.config.WorkerAddress, fields: fields, protocol: &in.config.Protocol}
 	got, failure := send(x, &to, func(response *http.Response) *result { return in.checkWorker(x, response) })
 	callFailed := in.config.Calls.end(x.id)
 	in.noteColdness(failure)
+	in.noteRejection(failure)
+	if failure == nil {
+		in.markNested(x, got, began)
+	}
 	ended := result{outcome: outcome.Answered, cause: causeNone, answer: got}
 	switch {
 	case failure != nil:
--- a/internal/traffic/instance.go
+++ b/internal/traffic/instance.go
@@ -150,6 +150,7 @@
 	if protocol.workerRefused(response) {
 		refused := refuse(causeShed, time.Second, "send it again later, the worker does not take it")
 		refused.arrived = true
+		refused.rejected = response.StatusCode != http.StatusMisdirectedRequest
 		return &refused
 	}
 	success := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
--- a/internal/traffic/offer.go
+++ b/internal/traffic/offer.go
@@ -18,12 +18,15 @@
 	told := hopRequest{attempt: out.newAttempt(), instance: endpoint.Worker, caller: x.caller, route: x.route.Name, class: x.classLeft(), elsewhere: x.elsewhere, moveTime: x.moveTime, tenant: x.tenant}
 	seen := balance.Observation{}
 	began := time.Now()
+	callFailed := false
 	check := func(response *http.Response) *result {
 		said := decodeHopAnswer(get(response.Header, hopHeader))
 		if said.attempt != told.attempt {
 			return foreign()
 		}
 		seen.Load, seen.Loaded = said.load, said.loaded
+		out.nested.learn(x.route.Name, said.internal, time.Now())
+		callFailed = said.callFailed
 		return said.refusal(response)
 	}
 	to := out.hopTo(x, endpoint, &told)
@@ -31,6 +34,7 @@
 	if failure == nil {
 		seen.Latency = time.Since(began)
 		seen.Kilobytes = got.kilobytes()
+		got.callFailed = callFailed
 		return got, seen, nil
 	}
 	if failure.cause == causeSilent {
@@ -104,6 +108,9 @@
 
 // blamesNode reports whether a failure speaks against an endpoint.
 func blamesNode(failure *result, seen balance.Observation) bool {
+	if failure.rejected {
+		return false // its node tells how many it rejects
+	}
 	switch failure.cause {
 	case causeCallerGone, causeFull, causeQueue, causeDeadline, causeNested, causeCold, causeRegion, causeQuarantine, causeKey:
 		return false
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -31,6 +31,8 @@
 	weights   *weights
 	budget    *serviceBudget
 	returns   *returns
+	nested    *nestedCalls
+	turned    *turnedAway
 	signs     *signDelays
 	offers    offerBounds
 	hopBytes  *hopBytes
@@ -66,6 +68,8 @@
 	out.weights = newWeights(rand.New(config.Random))
 	out.budget = newServiceBudget(config.Limits)
 	out.returns = newReturns()
+	out.nested = newNestedCalls()
+	out.turned = newTurnedAway()
 	out.signs = newSignDelays()
 	out.offers = boundOffers(config.Limits.LinkMbps)
 	out.hopBytes = newHopBytes(config.Registerer)
