--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -91,6 +91,9 @@
 	if !x.class.patient && x.class.objective > 0 && !a.queue.Outranks(rank) {
 		arrival.Deadline = earlier(x.deadline, x.started.Add(x.class.objective))
 	}
+	if x.class.unlikely {
+		arrival.Deadline = now // runs that are likelier to succeed go first
+	}
 	return a.queue.Take(arrival, now)
 }
 
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -37,7 +37,6 @@
 func (out *Outbound) seek(x *exchange) result {
 	d := dispatch{out: out, x: x, ended: make(chan *openTry, mostOffers), last: refuse(causeEndpoints, 0, "send it again later, no worker takes this route now")}
 	defer d.close()
-	x.class.returned = x.returned
 	if target, found := d.target(); found {
 		if ended, done := d.offerTo(target); done {
 			return ended
@@ -179,6 +178,7 @@
 		d.mayHaveRun = true
 		return result{}, false
 	}
+	d.x.callFailed = got.callFailed
 	d.out.returns.answered(d.service, time.Now())
 	return got.pass(d.x), true
 }
--- a/internal/traffic/hop.go
+++ b/internal/traffic/hop.go
@@ -24,6 +24,7 @@
 	repeatable bool          // whether it may run more than once
 	patient    bool          // whether it may wait to its deadline, not just for its objective
 	returned   bool          // whether its caller was refused before and may be answered late
+	unlikely   bool          // whether its run has failed before, since calls that it needs had
 	objective  time.Duration // left of the latency objective; 0: none
 }
 
@@ -41,7 +42,7 @@
 
 // encode returns the fields, joined; texts are escaped.
 func (h hopRequest) encode() string {
-	flags := flag('r', h.class.repeatable) + flag('p', h.class.patient) + flag('b', h.class.returned) + flag('e', h.elsewhere)
+	flags := flag('r', h.class.repeatable) + flag('p', h.class.patient) + flag('b', h.class.returned) + flag('u', h.class.unlikely) + flag('e', h.elsewhere)
 	return strings.Join([]string{
 		h.attempt, url.PathEscape(h.instance), url.PathEscape(h.caller), url.PathEscape(h.route),
 		strconv.Itoa(h.class.rank), flags, inMilliseconds(h.class.objective), inMilliseconds(h.moveTime), h.tenant.encode(),
@@ -71,6 +72,7 @@
 			repeatable: strings.Contains(split[5], "r"),
 			patient:    strings.Contains(split[5], "p"),
 			returned:   strings.Contains(split[5], "b"),
+			unlikely:   strings.Contains(split[5], "u"),
 			objective:  time.Duration(objective) * time.Millisecond,
 		},
 		elsewhere: strings.Contains(split[5], "e"),
--- a/internal/traffic/nested.go
+++ b/internal/traffic/nested.go
@@ -91,8 +91,12 @@
 		x.group = out.together.join(x.route.Name, x.started)
 		return true
 	}
-	x.returned = out.turned.any(now) && out.turned.has(x.fingerprint(), now)
-	return x.returned
+	if !out.turned.any(now) {
+		return false
+	}
+	how, returned := out.turned.find(x.fingerprint(), now)
+	x.class.returned, x.class.unlikely = returned, how.callsFailed
+	return returned
 }
 
 // noteEnd takes in how a request ended here.
@@ -102,7 +106,7 @@
 		out.local.nested.ended(ended.status, now)
 	}
 	if ended.status >= http.StatusInternalServerError && !x.lastChance {
-		out.turned.note(x.fingerprint(), now)
+		out.turned.note(x.fingerprint(), turn{callsFailed: x.callFailed}, now)
 	}
 }
 
--- a/internal/traffic/nested_calls_test.go
+++ b/internal/traffic/nested_calls_test.go
@@ -93,11 +93,13 @@
 func TestTurnedAwayIsForgotten(t *testing.T) {
 	turned, now := newTurnedAway(), time.Unix(1_000_000, 0)
 	for index := range 3 * mostTurnedAway {
-		turned.note(quarantine.Fingerprint{byte(index), byte(index >> 8)}, now)
+		turned.note(quarantine.Fingerprint{byte(index), byte(index >> 8)}, turn{callsFailed: true}, now)
 	}
 	must.Eq(t, mostTurnedAway, len(turned.recent))
-	must.True(t, turned.has(quarantine.Fingerprint{}, now.Add(turnedAwayFor)))
-	must.False(t, turned.has(quarantine.Fingerprint{}, now.Add(2*turnedAwayFor)))
+	how, found := turned.find(quarantine.Fingerprint{}, now.Add(turnedAwayFor))
+	must.True(t, found && how.callsFailed)
+	_, found = turned.find(quarantine.Fingerprint{}, now.Add(2*turnedAwayFor))
+	must.False(t, found)
 	must.False(t, turned.any(now.Add(4*turnedAwayFor)))
 }
 
--- a/internal/traffic/turned_away.go
+++ b/internal/traffic/turned_away.go
@@ -13,10 +13,15 @@
 // to caller than from a first to a second try.
 type turnedAway struct {
 	mutex            sync.Mutex
-	recent, previous map[quarantine.Fingerprint]struct{}
+	recent, previous map[quarantine.Fingerprint]turn
 	turned           time.Time // when recent was begun
 }
 
+// turn is how a request was turned away.
+type turn struct {
+	callsFailed bool // its run failed, after calls that it needs had
+}
+
 const (
 	// turnedAwayFor is for how long a request is remembered, and twice that at most:
 	// callers come back within a third of the time that they have left.
@@ -26,16 +31,16 @@
 )
 
 func newTurnedAway() *turnedAway {
-	return &turnedAway{recent: map[quarantine.Fingerprint]struct{}{}}
+	return &turnedAway{recent: map[quarantine.Fingerprint]turn{}}
 }
 
 // note remembers a request.
-func (t *turnedAway) note(request quarantine.Fingerprint, now time.Time) {
+func (t *turnedAway) note(request quarantine.Fingerprint, how turn, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.turn(now)
+	t.forget(now)
 	if len(t.recent) < mostTurnedAway {
-		t.recent[request] = struct{}{}
+		t.recent[request] = how
 	}
 }
 
@@ -43,22 +48,24 @@
 func (t *turnedAway) any(now time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.turn(now)
+	t.forget(now)
 	return len(t.recent)+len(t.previous) > 0
 }
 
-// has reports whether a copy of a request was turned away.
-func (t *turnedAway) has(request quarantine.Fingerprint, now time.Time) bool {
+// find reports whether a copy of a request was turned away, and how.
+func (t *turnedAway) find(request quarantine.Fingerprint, now time.Time) (how turn, found bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.turn(now)
-	_, recent := t.recent[request]
-	_, previous := t.previous[request]
-	return recent || previous
+	t.forget(now)
+	if how, found = t.recent[request]; found {
+		return how, true
+	}
+	how, found = t.previous[request]
+	return how, found
 }
 
-// turn forgets what was turned away before the last turn. The mutex is held.
-func (t *turnedAway) turn(now time.Time) {
+// forget drops what was turned away before the last turn. The mutex is held.
+func (t *turnedAway) forget(now time.Time) {
 	switch passed := now.Sub(t.turned); {
 	case passed < turnedAwayFor:
 		return
@@ -67,6 +74,6 @@
 	default:
 		t.previous = nil
 	}
-	t.recent = map[quarantine.Fingerprint]struct{}{}
+	t.recent = map[quarantine.Fingerprint]turn{}
 	t.turned = now
 }
