--- a/internal/traffic/budget.go
+++ b/internal/traffic/budget.go
@@ -26,12 +26,11 @@
 	denied  time.Time // when one was denied last
 }
 
-// The parts of the bounds that are used. What is left covers what a node can't count: the
-// calls of a run that is itself a repeat, and a second node that is tried beside a silent
-// one. Both together were 0.03 of the requests while half of a service's arrivals were
-// rejected; 0.85 leaves as much of a ratio of 0.2.
+// The parts of the bounds that are used. What is left of the ratio covers what a node can't
+// count: a second node that is tried beside a silent one, and calls of repeated runs beyond
+// the average that is charged for them.
 const (
-	budgetRoom = 0.85 // of the ratio
+	budgetRoom = 0.92 // of the ratio
 	savedPart  = 0.8  // of the allowance: what all nodes together may have saved up
 	firstPart  = 0.2  // of the allowance: what all nodes together have when they start
 )
@@ -82,6 +81,14 @@
 	plenty     = 0.9
 )
 
+// charge takes off arrivals that this node does not decide on, also where none are left:
+// then it makes no repeats until it has earned them.
+func (b *serviceBudget) charge(service string, nodes int, arrivals float64, now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.of(service, nodes, now).saved -= arrivals
+}
+
 // short reports whether a repeat was denied of late.
 func (b *serviceBudget) short(service string, now time.Time) bool {
 	b.mutex.Lock()
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -28,15 +28,15 @@
 // route's attempts and the retry budget.
 func (out *Outbound) dispatch(x *exchange) result {
 	x.lastChance = out.lastChance(x)
-	ended := out.seek(x)
-	out.noteEnd(x, &ended)
+	d := dispatch{out: out, x: x, ended: make(chan *openTry, mostOffers), last: refuse(causeEndpoints, 0, "send it again later, no worker takes this route now")}
+	defer d.close()
+	ended := d.seek()
+	out.noteEnd(x, d.service, &ended)
 	return ended
 }
 
-// seek offers a request until one takes it.
-func (out *Outbound) seek(x *exchange) result {
-	d := dispatch{out: out, x: x, ended: make(chan *openTry, mostOffers), last: refuse(causeEndpoints, 0, "send it again later, no worker takes this route now")}
-	defer d.close()
+// seek offers the request to nodes until one takes it.
+func (d *dispatch) seek() result {
 	if target, found := d.target(); found {
 		if ended, done := d.offerTo(target); done {
 			return ended
@@ -129,6 +129,7 @@
 		return d.giveUp(), true
 	}
 	d.offers++
+	d.x.repeat = d.attempts > 0
 	if endpoint.Zone != d.out.config.Zone {
 		d.crossing++
 	}
--- a/internal/traffic/hop.go
+++ b/internal/traffic/hop.go
@@ -38,11 +38,12 @@
 	elsewhere bool          // whether to refuse rather than to queue
 	moveTime  time.Duration // with elsewhere: up to this wait, to queue all the same
 	tenant    credential
+	repeat    bool // whether a worker has had the request before
 }
 
 // encode returns the fields, joined; texts are escaped.
 func (h hopRequest) encode() string {
-	flags := flag('r', h.class.repeatable) + flag('p', h.class.patient) + flag('b', h.class.returned) + flag('u', h.class.unlikely) + flag('e', h.elsewhere)
+	flags := flag('r', h.class.repeatable) + flag('p', h.class.patient) + flag('b', h.class.returned) + flag('u', h.class.unlikely) + flag('a', h.repeat) + flag('e', h.elsewhere)
 	return strings.Join([]string{
 		h.attempt, url.PathEscape(h.instance), url.PathEscape(h.caller), url.PathEscape(h.route),
 		strconv.Itoa(h.class.rank), flags, inMilliseconds(h.class.objective), inMilliseconds(h.moveTime), h.tenant.encode(),
@@ -76,6 +77,7 @@
 			objective:  time.Duration(objective) * time.Millisecond,
 		},
 		elsewhere: strings.Contains(split[5], "e"),
+		repeat:    strings.Contains(split[5], "a"),
 		moveTime:  milliseconds(split[7]),
 	}
 	tenant, tenantSound := decodeCredential(split[8])
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -23,7 +23,8 @@
 	gone     atomic.Pointer[string] // the last instance that the worker said it is not
 	runs     *workerRuns
 	nested   *nestedCalls
-	vouches  atomic.Bool // whether this node answers for a worker whose record is gone
+	charge   func(service string, arrivals float64) // takes arrivals off the budget of the handler beside; nil: there is none
+	vouches  atomic.Bool                            // whether this node answers for a worker whose record is gone
 }
 
 // NewInbound returns the handler of the inbound listener.
@@ -149,6 +150,7 @@
 		fields = append(fields, field{"Authorization", "Bearer " + x.route.Credential})
 	}
 	in.config.Calls.begin(x.id)
+	in.countRun(x)
 	began := time.Now()
 	direct, transport := in.worker.connections()
 	to := hop{pool: direct, transport: transport, address: in.config.WorkerAddress, fields: fields, protocol: &in.config.Protocol}
--- a/internal/traffic/instance.go
+++ b/internal/traffic/instance.go
@@ -41,6 +41,7 @@
 	x.class = told.class
 	x.elsewhere = told.elsewhere
 	x.moveTime = told.moveTime
+	x.repeat = told.repeat
 	x.route = routeOf(told.route, told.class)
 	x.request.Header[outcome.Deadline] = x.request.Header[protocol.Deadline]
 }
--- a/internal/traffic/nested.go
+++ b/internal/traffic/nested.go
@@ -16,12 +16,20 @@
 	mutex  sync.Mutex
 	routes map[string]time.Time // when a node said last that only runs call it
 	failed time.Time            // when the last call failed for good
+	runs   float64              // of the worker
+	calls  map[string]float64   // that these made, by service
 }
 
+// mostRunsCounted is how many runs are counted before all counts are halved, so that older
+// ones fade.
+const mostRunsCounted = 400
+
 // internalFor is how long a node's word counts that only runs call a route.
 const internalFor = 10 * time.Second
 
-func newNestedCalls() *nestedCalls { return &nestedCalls{routes: map[string]time.Time{}} }
+func newNestedCalls() *nestedCalls {
+	return &nestedCalls{routes: map[string]time.Time{}, calls: map[string]float64{}}
+}
 
 // learn takes in what a node said of a route.
 func (n *nestedCalls) learn(route string, internal bool, now time.Time) {
@@ -54,6 +62,53 @@
 	n.failed = now
 }
 
+// called counts a call for a service.
+func (n *nestedCalls) called(service string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if len(n.calls) >= mostCallsRoutes {
+		clear(n.calls)
+	}
+	n.calls[service]++
+}
+
+// ran counts a run of the worker.
+func (n *nestedCalls) ran() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.runs++
+	if n.runs < mostRunsCounted {
+		return
+	}
+	n.runs /= 2
+	for service := range n.calls {
+		n.calls[service] /= 2
+	}
+}
+
+// callsOfRun returns how many calls a run makes on average, by service.
+func (n *nestedCalls) callsOfRun() map[string]float64 {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	made := make(map[string]float64, len(n.calls))
+	for service, calls := range n.calls {
+		made[service] = calls / max(1, n.runs)
+	}
+	return made
+}
+
+// countRun counts a run that begins at the worker. Calls of a run that is itself a repeat are
+// repeats at the services that it calls: they are charged to this node's budgets.
+func (in *Inbound) countRun(x *exchange) {
+	in.nested.ran()
+	if !x.repeat || in.charge == nil {
+		return
+	}
+	for service, calls := range in.nested.callsOfRun() {
+		in.charge(service, calls)
+	}
+}
+
 // failedSince reports whether a call has failed for good since a time.
 func (n *nestedCalls) failedSince(began time.Time) bool {
 	n.mutex.Lock()
@@ -100,10 +155,11 @@
 }
 
 // noteEnd takes in how a request ended here.
-func (out *Outbound) noteEnd(x *exchange, ended *result) {
+func (out *Outbound) noteEnd(x *exchange, service string, ended *result) {
 	now := time.Now()
-	if out.local != nil && out.nested.internal(x.route.Name, now) {
+	if out.local != nil && x.group != nil {
 		out.local.nested.ended(ended.status, now)
+		out.local.nested.called(service)
 	}
 	if ended.status >= http.StatusInternalServerError && !x.lastChance {
 		out.turned.note(x.fingerprint(), turn{callsFailed: x.callFailed}, now)
--- a/internal/traffic/offer.go
+++ b/internal/traffic/offer.go
@@ -15,7 +15,7 @@
 	if endpoint.Local && out.local != nil {
 		return out.offerLocal(x, endpoint)
 	}
-	told := hopRequest{attempt: out.newAttempt(), instance: endpoint.Worker, caller: x.caller, route: x.route.Name, class: x.classLeft(), elsewhere: x.elsewhere, moveTime: x.moveTime, tenant: x.tenant}
+	told := hopRequest{attempt: out.newAttempt(), instance: endpoint.Worker, caller: x.caller, route: x.route.Name, class: x.classLeft(), elsewhere: x.elsewhere, moveTime: x.moveTime, tenant: x.tenant, repeat: x.repeat}
 	seen := balance.Observation{}
 	began := time.Now()
 	callFailed := false
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -44,7 +44,12 @@
 
 // UseLocal lets the handler reach the worker beside it without a connection
 // between nodes. It is called before the first request.
-func (out *Outbound) UseLocal(local *Inbound) { out.local = local }
+func (out *Outbound) UseLocal(local *Inbound) {
+	out.local = local
+	local.charge = func(service string, arrivals float64) {
+		out.budget.charge(service, out.nodes(), arrivals, time.Now())
+	}
+}
 
 // nodes is the number of nodes in the mesh, as far as the catalog tells.
 func (out *Outbound) nodes() int {
