The bound on repeats holds with calls of repeated runs; a run that failed goes to the late line at once

The new test showed 273 arrivals over the bound where a fifth of the calling runs fails, since calls of repeated runs earned repeats when they came: charged with what they earn. Room of the ratio 0.88.

--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -92,7 +92,7 @@
 		arrival.Deadline = earlier(x.deadline, x.started.Add(x.class.objective))
 	}
 	if x.class.unlikely {
-		arrival.Deadline = now // runs that are likelier to succeed go first
+		arrival.Deadline = now.Add(-1) // to the late line: runs that are likelier to succeed go first
 	}
 	return a.queue.Take(arrival, now)
 }
--- a/internal/traffic/budget.go
+++ b/internal/traffic/budget.go
@@ -28,9 +28,10 @@
 
 // The parts of the bounds that are used. What is left of the ratio covers what a node can't
 // count: a second node that is tried beside a silent one, and calls of repeated runs beyond
-// the average that is charged for them.
+// the average that is charged for them. With 0.9 the model of a service whose calling runs
+// mostly fail was over the bound by 16 arrivals in a window, with 0.88 and 0.85 under it.
 const (
-	budgetRoom = 0.92 // of the ratio
+	budgetRoom = 0.88 // of the ratio
 	savedPart  = 0.8  // of the allowance: what all nodes together may have saved up
 	firstPart  = 0.2  // of the allowance: what all nodes together have when they start
 )
@@ -86,7 +87,7 @@
 func (b *serviceBudget) charge(service string, nodes int, arrivals float64, now time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.of(service, nodes, now).saved -= arrivals
+	b.of(service, nodes, now).saved -= arrivals * (1 + b.ratio) // they are counted as requests when they come
 }
 
 // short reports whether a repeat was denied of late.
--- a/internal/traffic/budget_test.go
+++ b/internal/traffic/budget_test.go
@@ -131,3 +131,39 @@
 	must.False(t, b.take("shop", 82, false, now))
 	must.True(t, b.take("shop", 82, true, now))
 }
+
+// Runs that fail are repeated, and their calls are made again: these count at the called
+// service, of whose requests its workers reject half. Its bound holds all the same, whatever
+// share of the runs fails.
+func TestCallsOfRepeatedRunsStayInTheBound(t *testing.T) {
+	const callsOfRun = 2
+	for seed, failing := range []float64{0, 0.05, 0.2, 0.6, 0.6, 1} {
+		m := newBudgetMesh(82, Limits{RetryRatio: 0.2, RetrySlack: 204}, uint64(seed))
+		for range 3 * budgetWindow {
+			m.step(0, 82, 0)
+			last := len(m.repeats) - 1
+			runs := 100
+			for run := 0; run < runs; run++ {
+				first, worker := m.nodes[m.random.IntN(82)], m.nodes[m.random.IntN(82)]
+				repeat := run >= 100
+				if repeat {
+					worker.charge("shop", 82, callsOfRun, m.now)
+					m.repeats[last] += callsOfRun
+				} else {
+					first.count("ledger", 82, m.now)
+					m.requests[last] += callsOfRun
+				}
+				for range callsOfRun {
+					worker.count("shop", 82, m.now)
+					for m.random.Float64() < 0.5 && worker.take("shop", 82, true, m.now) {
+						m.repeats[last]++
+					}
+				}
+				if m.random.Float64() < failing && !repeat && first.take("ledger", 82, true, m.now) {
+					runs++
+				}
+			}
+		}
+		must.LessEq(t, 0, m.worst(), must.Sprint(failing))
+	}
+}
--- a/internal/traffic/callers_test.go
+++ b/internal/traffic/callers_test.go
@@ -68,3 +68,28 @@
 	must.Eq(t, admission.Granted, price.Verdict)
 	must.Eq(t, admission.Queued, order.Verdict)
 }
+
+// Where slots are short, a run that failed before since its calls had comes last: it is
+// likelier to fail again than one that comes for the first time.
+func TestRunsWhoseCallsFailedComeLast(t *testing.T) {
+	a := newAdmitter("shop", Limits{Slots: 1, QueueLength: 10})
+	request := func(unlikely bool) *exchange {
+		now := time.Now()
+		return &exchange{
+			instance: "i-1", caller: "shop", started: now, deadline: now.Add(time.Hour),
+			route: &snapshot.Route{Route: declaration.Route{Name: "order"}},
+			class: class{rank: 1, objective: time.Hour, returned: unlikely, unlikely: unlikely},
+		}
+	}
+	running, refused := a.arrive(request(false))
+	must.Nil(t, refused)
+	again, refused := a.arrive(request(true))
+	must.Nil(t, refused)
+	first, refused := a.arrive(request(false))
+	must.Nil(t, refused)
+	a.done(running)
+	must.Eq(t, admission.Granted, first.Verdict)
+	must.Eq(t, admission.Queued, again.Verdict)
+	a.done(first)
+	must.Eq(t, admission.Granted, again.Verdict)
+}
