--- a/internal/traffic/admit.go
+++ b/internal/traffic/admit.go
@@ -24,6 +24,7 @@
 	cold     coldstart.Guard // of the local worker
 	recorded snapshot.Local  // what the catalog said of it last
 	warming  int             // requests that wait for it to be warm
+	rejects  admission.Rejects
 }
 
 func newAdmitter(service string, limits Limits) *admitter {
@@ -82,6 +83,7 @@
 		return a.queue.Arrive(admission.ClassOf(x.route.Priority), x.deadline, now, x)
 	}
 	a.callers.note(x.route.Name, x.caller == a.service)
+	x.internal = a.callers.internal(x.route.Name)
 	rank := a.classOf(x)
 	arrival := admission.Arrival[*exchange]{Class: rank, Kind: x.route.Name, Deadline: x.deadline, Waiter: x}
 	if x.tenant.name != "" {
@@ -93,6 +95,9 @@
 	if !x.class.patient && x.class.objective > 0 && !a.queue.Outranks(rank) {
 		arrival.Deadline = earlier(x.deadline, x.started.Add(x.class.objective))
 	}
+	if x.class.unlikely {
+		arrival.Deadline = now.Add(-1) // to the late line: runs that are likelier to succeed go first
+	}
 	return a.queue.Take(arrival, now)
 }
 
@@ -191,6 +196,7 @@
 	load.Wait, load.Run = a.queue.Forecast(rank, x.route.Name, now)
 	load.Link = a.linkWait(x, now)
 	load.Closed = a.cold.Closed(x.class.urgency(), now)
+	load.Rejects = a.rejects.Share(now)
 	return load
 }
 
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -26,9 +26,16 @@
 // costs nothing; a request that a worker has seen is sent again only within the
 // route's attempts and the retry budget.
 func (out *Outbound) dispatch(x *exchange) result {
+	x.lastChance = out.lastChance(x)
 	d := dispatch{out: out, x: x, ended: make(chan *openTry, mostOffers), last: refuse(causeEndpoints, 0, "send it again later, no worker takes this route now")}
 	defer d.close()
-	x.class.returned = out.returns.returned(x.route.Name, x.given)
+	ended := d.seek()
+	out.noteEnd(x, d.service, &ended)
+	return ended
+}
+
+// seek offers the request to nodes until one takes it.
+func (d *dispatch) seek() result {
 	if target, found := d.target(); found {
 		if ended, done := d.offerTo(target); done {
 			return ended
@@ -39,24 +46,26 @@
 
 // dispatch is the state of one request's offers.
 type dispatch struct {
-	out        *Outbound
-	x          *exchange
-	last       result
-	answered   *answer // a worker's own failure, to be passed on if no other worker does better
-	mayHaveRun bool
-	service    string // that it was offered to last
-	attempts   int    // workers that the request was sent to
-	offers     int
-	crossing   int           // offers to other zones
-	full       int           // offers that were refused for lack of room
-	soonest    time.Duration // the shortest wait that a refusing node told; 0: none
-	open       []*openTry    // tries that have not ended
-	ended      chan *openTry // tries that have
+	out          *Outbound
+	x            *exchange
+	last         result
+	answered     *answer // a worker's own failure, to be passed on if no other worker does better
+	mayHaveRun   bool
+	service      string // that it was offered to last
+	attempts     int    // workers that the request was sent to
+	offers       int
+	crossing     int           // offers to other zones
+	full         int           // offers that were refused for lack of room
+	rejectedOnce bool          // whether its group counts it as rejected
+	rejected     bool          // whether a worker with free slots has rejected it last
+	soonest      time.Duration // the shortest wait that a refusing node told; 0: none
+	open         []*openTry    // tries that have not ended
+	ended        chan *openTry // tries that have
 }
 
 // offerTo tries the endpoints of one service.
 func (d *dispatch) offerTo(target snapshot.Target) (result, bool) {
-	d.out.budget.count(target.Service)
+	d.out.budget.count(target.Service, d.out.nodes(), time.Now())
 	d.service = target.Service
 	need := d.need()
 	endpoints := d.allowed(d.onTrial(d.x.view.EndpointsOf(target)))
@@ -121,11 +130,12 @@
 		d.last = *refused
 		return d.giveUp(), true
 	}
-	if d.attempts > 0 && !d.out.budget.take(target.Service, d.out.nodes()) {
+	if d.attempts > 0 && (!d.worthRepeat() || !d.out.budget.take(target.Service, d.out.nodes(), d.x.lastChance, time.Now())) {
 		d.out.chooser.release(endpoint)
 		return d.giveUp(), true
 	}
 	d.offers++
+	d.x.repeat = d.attempts > 0
 	if endpoint.Zone != d.out.config.Zone {
 		d.crossing++
 	}
@@ -147,8 +157,10 @@
 	if seen.Refused {
 		d.full++
 	}
+	d.rejected = isRejection(failure, seen.Load)
+	d.noteGroup(failure)
 	if d.attempts > 0 && failure != nil && failure.outcome == outcome.NotRun && !failure.arrived {
-		d.out.budget.giveBack(target.Service)
+		d.out.budget.giveBack(target.Service, d.out.nodes(), time.Now())
 	}
 	if failure == nil {
 		return d.accept(got)
@@ -169,11 +181,12 @@
 func (d *dispatch) accept(got *answer) (result, bool) {
 	d.attempts++
 	failed := got.isWhole && got.response.StatusCode >= http.StatusInternalServerError
-	if failed && d.mayRepeat() {
+	if failed && !got.callFailed && d.mayRepeat() {
 		d.answered = got
 		d.mayHaveRun = true
 		return result{}, false
 	}
+	d.x.callFailed = got.callFailed
 	d.out.returns.answered(d.service, time.Now())
 	return got.pass(d.x), true
 }
@@ -243,8 +256,12 @@
 }
 
 // comeBack is after how long the refused request is to come back: behind others that
-// were refused, but while time is left for it to be served.
+// were refused, but while time is left for it to be served. One that a worker with free
+// slots rejected comes back at once: there is no overload that it would add to.
 func (d *dispatch) comeBack(now time.Time) time.Duration {
+	if d.rejected {
+		return leastWait
+	}
 	most := min(max(leastWait, d.x.deadline.Sub(now)/returnShare), mostWait)
 	return d.out.returns.comeBack(d.service, d.x.class.tenant, min(max(d.soonest, leastWait), most), most, now)
 }
--- a/internal/traffic/hop.go
+++ b/internal/traffic/hop.go
@@ -25,6 +25,7 @@
 	repeatable bool          // whether it may run more than once
 	patient    bool          // whether it may wait to its deadline, not just for its objective
 	returned   bool          // whether its caller was refused before and may be answered late
+	unlikely   bool          // whether its run has failed before, since calls that it needs had
 	objective  time.Duration // left of the latency objective; 0: none
 }
 
@@ -38,11 +39,12 @@
 	elsewhere bool          // whether to refuse rather than to queue
 	moveTime  time.Duration // with elsewhere: up to this wait, to queue all the same
 	tenant    credential
+	repeat    bool // whether a worker has had the request before
 }
 
 // encode returns the fields, joined; texts are escaped.
 func (h hopRequest) encode() string {
-	flags := flag('r', h.class.repeatable) + flag('p', h.class.patient) + flag('b', h.class.returned) + flag('e', h.elsewhere)
+	flags := flag('r', h.class.repeatable) + flag('p', h.class.patient) + flag('b', h.class.returned) + flag('u', h.class.unlikely) + flag('a', h.repeat) + flag('e', h.elsewhere)
 	return strings.Join([]string{
 		h.attempt, url.PathEscape(h.instance), url.PathEscape(h.caller), url.PathEscape(h.route),
 		h.class.priority(), flags, inMilliseconds(h.class.objective), inMilliseconds(h.moveTime), h.tenant.encode(),
@@ -73,9 +75,11 @@
 			repeatable: strings.Contains(split[5], "r"),
 			patient:    strings.Contains(split[5], "p"),
 			returned:   strings.Contains(split[5], "b"),
+			unlikely:   strings.Contains(split[5], "u"),
 			objective:  time.Duration(objective) * time.Millisecond,
 		},
 		elsewhere: strings.Contains(split[5], "e"),
+		repeat:    strings.Contains(split[5], "a"),
 		moveTime:  milliseconds(split[7]),
 	}
 	tenant, tenantSound := decodeCredential(split[8])
@@ -120,15 +124,18 @@
 	held          bool // whether it is held in quarantine
 	withdrawn     bool // whether the caller's key was withdrawn
 	crashedBefore bool // whether this is not the first worker that ended while it ran the request
+	rejected      bool // whether the worker itself refused, and takes others
+	internal      bool // whether only runs of other services call the route
+	callFailed    bool // whether calls of the worker failed while it ran the request
 	load          balance.Load
 	loaded        bool
 }
 
 // encodeHopAnswer returns the header of an answer.
 func encodeHopAnswer(x *exchange, told outcome.Outcome, ended *result) string {
-	flags := string(told[:1])
+	flags := string(told[:1]) + flag('i', x.internal) + flag('d', x.callFailed)
 	if ended != nil {
-		flags += flag('w', ended.arrived) + flag('f', ended.cause == causeFull) + flag('q', ended.cause == causeQuarantine) + flag('k', ended.cause == causeKey) + flag('c', ended.crashedBefore)
+		flags += flag('j', ended.rejected) + flag('w', ended.arrived) + flag('f', ended.cause == causeFull) + flag('q', ended.cause == causeQuarantine) + flag('k', ended.cause == causeKey) + flag('c', ended.crashedBefore)
 	}
 	return strings.Join([]string{x.attempt, flags, encodeLoad(x.load())}, hopSeparator)
 }
@@ -144,6 +151,9 @@
 	case strings.HasPrefix(flags, "n"):
 		read.outcome = outcome.NotRun
 	}
+	read.rejected = strings.Contains(flags, "j")
+	read.internal = strings.Contains(flags, "i")
+	read.callFailed = strings.Contains(flags, "d")
 	read.load, read.loaded = parseLoad(load)
 	return read
 }
@@ -161,6 +171,7 @@
 		remedy:        "send it again later, the workers are busy or leave",
 		retryAfter:    h.load.Wait + h.load.Link + h.load.Closed,
 		arrived:       h.arrived,
+		rejected:      h.rejected,
 		crashedBefore: h.crashedBefore,
 	}
 	switch {
--- a/internal/traffic/instance.go
+++ b/internal/traffic/instance.go
@@ -40,6 +40,7 @@
 	x.class = told.class
 	x.elsewhere = told.elsewhere
 	x.moveTime = told.moveTime
+	x.repeat = told.repeat
 	x.route = routeOf(told.route, told.class)
 	x.request.Header[outcome.Deadline] = x.request.Header[protocol.Deadline]
 }
@@ -142,6 +143,7 @@
 	if protocol.workerRefused(response) {
 		refused := refuse(causeShed, time.Second, "send it again later, the worker does not take it")
 		refused.arrived = true
+		refused.rejected = response.StatusCode != http.StatusMisdirectedRequest
 		return &refused
 	}
 	success := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -31,6 +31,9 @@
 	weights   *weights
 	budget    *serviceBudget
 	returns   *returns
+	nested    *nestedCalls
+	turned    *turnedAway
+	together  *together
 	signs     *signDelays
 	offers    offerBounds
 	hopBytes  *hopBytes
@@ -41,7 +44,12 @@
 
 // UseLocal lets the handler reach the worker beside it without a connection
 // between nodes. It is called before the first request.
-func (out *Outbound) UseLocal(local *Inbound) { out.local = local }
+func (out *Outbound) UseLocal(local *Inbound) {
+	out.local = local
+	local.charge = func(service string, arrivals float64) {
+		out.budget.charge(service, out.nodes(), arrivals, time.Now())
+	}
+}
 
 // nodes is the number of nodes in the mesh, as far as the catalog tells.
 func (out *Outbound) nodes() int {
@@ -67,6 +75,9 @@
 	out.weights = newWeights(rand.New(config.Random))
 	out.budget = newServiceBudget(config.Limits)
 	out.returns = newReturns()
+	out.nested = newNestedCalls()
+	out.turned = newTurnedAway()
+	out.together = newTogether()
 	out.signs = newSignDelays()
 	out.offers = boundOffers(config.Limits.LinkMbps)
 	out.hopBytes = newHopBytes(config.Registerer)
