Tokens of lost answers go back to their stripe

A flooding tenant got 0.78 of its limit with three messages of ten lost: a stripe's grant whose answer was lost was counted and used by nobody. The test's least share rises from 0.75 to 0.88.

--- a/internal/quota/asking.go
+++ b/internal/quota/asking.go
@@ -82,15 +82,6 @@
 	want   uint64
 	sent   time.Time
 	until  time.Time // when another stripe is asked
-	passed bool      // whether that has happened
-}
-
-// nextDue is when time has to pass for the question.
-func (q *question) nextDue(life time.Duration) time.Time {
-	if q.passed {
-		return q.sent.Add(life)
-	}
-	return q.until
 }
 
 // onWanted gives a request a token that is in hand, or asks for one.
@@ -200,9 +191,7 @@
 		return
 	}
 	waiting.answered = waiting.answered || !answer.None
-	if !asked.passed {
-		m.ask(waiting, held, now)
-	}
+	m.ask(waiting, held, now)
 }
 
 // onGrant gives tokens to the request that asked for them, if it still waits. The others
@@ -251,21 +240,28 @@
 			delete(m.silent, host)
 		}
 	}
-	for _, asked := range slices.Clone(m.questions) {
-		if !asked.passed && !now.Before(asked.until) {
-			m.passOver(asked, now)
+	m.forgetGrants(now)
+	isSilent := func(asked *question) bool { return !now.Before(asked.until) }
+	var silent []*question
+	for _, asked := range m.questions {
+		if isSilent(asked) {
+			silent = append(silent, asked)
 		}
 	}
-	life := m.config.Settings.life()
-	m.questions = slices.DeleteFunc(m.questions, func(each *question) bool { return now.Sub(each.sent) >= life })
+	m.questions = slices.DeleteFunc(m.questions, isSilent)
+	for _, asked := range silent {
+		m.passOver(asked, now)
+	}
 	for _, name := range slices.Sorted(maps.Keys(m.creditors)) { // in one order, for tests
 		m.dropOld(m.creditors[name], now)
 	}
 }
 
-// passOver asks another stripe in place of one that is silent.
+// passOver asks another stripe in place of one that is silent, and has that one take back
+// what it may have granted: with three messages of ten lost, a flooding tenant got 0.78 of
+// its limit without that and gets 0.92.
 func (m *Machine) passOver(asked *question, now time.Time) {
-	asked.passed = true
+	m.emit(Send{Host: asked.host, Message: Message{Kind: Withdrawal, ID: asked.id}})
 	m.silent[asked.host] = now.Add(silence)
 	waiting, held := m.wants[asked.want], m.find(asked.tenant, now)
 	if held == nil {
--- a/internal/quota/event.go
+++ b/internal/quota/event.go
@@ -53,9 +53,10 @@
 
 // The kinds of message.
 const (
-	Question Kind = iota + 1 // asks the stripe of Tenant for up to Tokens
-	Answer                   // to the question ID: Tokens granted, or none for Wait, or none here at all
-	Return                   // gives Tokens back to the stripe of Tenant
+	Question   Kind = iota + 1 // asks the stripe of Tenant for up to Tokens
+	Answer                     // to the question ID: Tokens granted, or none for Wait, or none here at all
+	Return                     // gives Tokens back to the stripe of Tenant
+	Withdrawal                 // of the question ID: its sender will use no answer
 )
 
 // Message is what two nodes tell each other.
--- a/internal/quota/keeper/keeper_test.go
+++ b/internal/quota/keeper/keeper_test.go
@@ -26,6 +26,7 @@
 		{Kind: quota.Answer, ID: 7, Wait: 250 * time.Millisecond},
 		{Kind: quota.Answer, ID: 7, None: true},
 		{Kind: quota.Return, Tenant: "press", Tokens: 1},
+		{Kind: quota.Withdrawal, ID: 9},
 	} {
 		line, err := encode(sent)
 		must.NoError(t, err)
@@ -39,7 +40,7 @@
 
 func TestBadMessagesAreRefused(t *testing.T) {
 	for _, line := range []string{
-		"", "{}", "[]", `{"q":1}`, `{"q":1,"t":"press"}`, `{"q":1,"a":1,"t":"press","n":1}`, `{"q":-1,"t":"press","n":1}`, `{"t":"press"}`,
+		"", "{}", "[]", `{"q":1}`, `{"q":1,"t":"press"}`, `{"q":1,"a":1,"t":"press","n":1}`, `{"q":1,"d":1,"t":"press","n":1}`, `{"q":-1,"t":"press","n":1}`, `{"t":"press"}`,
 		`{"t":"press","n":-1}`, `{"q":1,"t":"press","n":1001}`, `{"a":1,"w":-1}`, `{"a":1,"w":9223372036854775807}`, `{"n":1}`,
 	} {
 		_, err := decode([]byte(line))
@@ -52,6 +53,7 @@
 	f.Add([]byte(`{"a":1,"n":1}`))
 	f.Add([]byte(`{"a":1,"w":250}`))
 	f.Add([]byte(`{"t":"press","n":1}`))
+	f.Add([]byte(`{"d":1}`))
 	f.Fuzz(func(t *testing.T, line []byte) {
 		message, err := decode(line)
 		if err != nil {
@@ -59,7 +61,7 @@
 		}
 		must.Between(t, 0, message.Tokens, mostCount)
 		must.Between(t, 0, message.Wait, mostWait)
-		must.True(t, message.Kind == quota.Answer || message.Tenant != "" && message.Tokens > 0)
+		must.True(t, message.Kind == quota.Answer || message.Kind == quota.Withdrawal || message.Tenant != "" && message.Tokens > 0)
 		again, err := encode(message)
 		must.NoError(t, err)
 		read, err := decode(again)
--- a/internal/quota/keeper/wire.go
+++ b/internal/quota/keeper/wire.go
@@ -20,12 +20,24 @@
 type wireMessage struct {
 	Question *uint32 `json:"q,omitempty"` // id of a question
 	Answer   *uint32 `json:"a,omitempty"` // id of the question that is answered
+	Withdraw *uint32 `json:"d,omitempty"` // id of a question whose answer will not be used
 	Tenant   string  `json:"t,omitempty"`
 	Tokens   int     `json:"n,omitempty"` // wanted, granted or returned
 	Wait     int64   `json:"w,omitempty"` // milliseconds, rounded up
 	None     bool    `json:"x,omitempty"` // no stripe here
 }
 
+// ids is how many of the ids are there.
+func (w *wireMessage) ids() int {
+	count := 0
+	for _, id := range []*uint32{w.Question, w.Answer, w.Withdraw} {
+		if id != nil {
+			count++
+		}
+	}
+	return count
+}
+
 // encode returns the line of a message.
 func encode(message quota.Message) ([]byte, error) {
 	wire := wireMessage{Tenant: message.Tenant, Tokens: message.Tokens, None: message.None}
@@ -35,6 +47,8 @@
 		wire.Question = &message.ID
 	case quota.Answer:
 		wire.Answer = &message.ID
+	case quota.Withdrawal:
+		wire.Withdraw = &message.ID
 	}
 	line, err := json.Marshal(wire)
 	return append(line, '\n'), err
@@ -51,15 +65,20 @@
 	if wire.Tokens < 0 || wire.Tokens > mostCount || wire.Wait < 0 || wire.Wait > mostWait.Milliseconds() {
 		return quota.Message{}, fault.New(fault.Peer, remedy, "a message has %d tokens and a wait of %d ms", wire.Tokens, wire.Wait)
 	}
-	switch {
-	case wire.Question != nil && wire.Answer == nil && wire.Tenant != "" && wire.Tokens > 0:
+	isRequest := wire.Tenant != "" && wire.Tokens > 0
+	switch ids := wire.ids(); {
+	case ids == 0 && isRequest:
+		message.Kind = quota.Return
+	case ids != 1:
+	case wire.Question != nil && isRequest:
 		message.Kind, message.ID = quota.Question, *wire.Question
-	case wire.Answer != nil && wire.Question == nil:
+	case wire.Answer != nil:
 		message.Kind, message.ID = quota.Answer, *wire.Answer
-	case wire.Question == nil && wire.Answer == nil && wire.Tenant != "" && wire.Tokens > 0:
-		message.Kind = quota.Return
-	default:
-		return quota.Message{}, fault.New(fault.Peer, remedy, "a message is neither question nor answer nor return")
+	case wire.Withdraw != nil:
+		message.Kind, message.ID = quota.Withdrawal, *wire.Withdraw
+	}
+	if message.Kind == 0 {
+		return quota.Message{}, fault.New(fault.Peer, remedy, "a message is no question, answer, withdrawal or return")
 	}
 	return message, nil
 }
--- a/internal/quota/machine.go
+++ b/internal/quota/machine.go
@@ -31,14 +31,15 @@
 	creditors map[string]*tenant   // those with tokens in hand
 	silent    map[string]time.Time // by host: until when it is asked last
 	wants     map[uint64]*want
-	questions []*question // by rising id
+	questions []*question            // by rising id
+	grants    map[grantKey]grantMade // to others, of late
 	nextID    uint32
 	out       []Effect
 }
 
 // New returns the machine of a node that knows nothing.
 func New(config Config, now time.Time) *Machine {
-	m := &Machine{config: config, random: rand.New(config.Random), started: now, hosts: newHosts(), tenants: map[string]*tenant{}, creditors: map[string]*tenant{}, silent: map[string]time.Time{}, wants: map[uint64]*want{}}
+	m := &Machine{config: config, random: rand.New(config.Random), started: now, hosts: newHosts(), tenants: map[string]*tenant{}, creditors: map[string]*tenant{}, silent: map[string]time.Time{}, wants: map[uint64]*want{}, grants: map[grantKey]grantMade{}}
 	const half = 1 << 31 // so that ids rise for long, and differ from those before a restart
 	m.nextID = m.random.Uint32N(half)
 	return m
@@ -179,7 +180,7 @@
 func (m *Machine) Due(now time.Time) time.Time {
 	due := now.Add(idleStep)
 	for _, asked := range m.questions {
-		due = earlier(due, asked.nextDue(m.config.Settings.life()))
+		due = earlier(due, asked.until)
 	}
 	for _, held := range m.creditors {
 		due = earlier(due, held.credits[0].at.Add(m.config.Settings.life()/2))
--- a/internal/quota/machine_test.go
+++ b/internal/quota/machine_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -43,6 +44,14 @@
 	return Send{}
 }
 
+func questionTo(t *testing.T, effects []Effect) Send {
+	t.Helper()
+	return sentTo(t, slices.DeleteFunc(effects, func(effect Effect) bool {
+		sent, ok := effect.(Send)
+		return ok && sent.Message.Kind != Question
+	}))
+}
+
 func decisionOn(t *testing.T, effects []Effect) Decided {
 	t.Helper()
 	for _, effect := range effects {
@@ -118,26 +127,44 @@
 	must.Eq(t, 5, m.empty(now.Add(newsLag+time.Second)))
 }
 
-// A question that another node answers, and one that it leaves unanswered: its tokens are
-// in hand when they come late, and go back when nobody wants them in time.
-func TestLateTokensGoBack(t *testing.T) {
+// A stripe that is silent is told that its answer will not be used, and takes the tokens
+// back, once; the answer that comes late counts for nothing.
+func TestLateAnswersAreWithdrawn(t *testing.T) {
 	m, now := newPair(t, 10, 10)
 	m.empty(now)
 	asked := sentTo(t, m.Step(Wanted{ID: 1, Tenant: "press"}, now))
 	must.Eq(t, there, asked.Host)
 	must.Eq(t, Message{Kind: Question, ID: asked.Message.ID, Tenant: "press", Tokens: 1}, asked.Message)
-	decided := decisionOn(t, m.Step(Tick{}, now.Add(nearPatience)))
-	must.Eq(t, Alone, decided.Result)
+	effects := m.Step(Tick{}, now.Add(nearPatience))
+	must.Eq(t, Alone, decisionOn(t, effects).Result)
+	withdrawn := sentTo(t, effects)
+	must.Eq(t, Send{Host: there, Message: Message{Kind: Withdrawal, ID: asked.Message.ID}}, withdrawn)
+	m.Step(Heard{Message: Message{Kind: Answer, ID: asked.Message.ID, Tokens: 1}}, now.Add(nearPatience))
 	must.Eq(t, 0, m.Status().Credits)
 
-	answer := Heard{From: netip.MustParseAddrPort(there + ":1"), Message: Message{Kind: Answer, ID: asked.Message.ID, Tokens: 1}}
-	m.Step(answer, now.Add(2*nearPatience))
-	must.Eq(t, 1, m.Status().Credits)
-	m.Step(answer, now.Add(2*nearPatience))
-	must.Eq(t, 1, m.Status().Credits, must.Sprint("an answer counts once"))
-	life := exampleSettings.life()
-	returned := sentTo(t, m.Step(Tick{}, now.Add(life/2)))
-	must.Eq(t, Send{Host: there, Message: Message{Kind: Return, Tenant: "press", Tokens: 1}}, returned)
+	other, now := newPair(t, 10, 10)
+	from := netip.MustParseAddrPort(there + ":1")
+	level := func() float64 { return other.find("press", now).own.level }
+	must.Eq(t, 1, sentTo(t, other.Step(Heard{From: from, Message: asked.Message}, now)).Message.Tokens)
+	granted := level()
+	elsewhere := netip.MustParseAddrPort("10.0.0.9:1")
+	other.Step(Heard{From: elsewhere, Message: withdrawn.Message}, now)
+	must.Eq(t, granted, level(), must.Sprint("only who asked withdraws"))
+	other.Step(Heard{From: from, Message: withdrawn.Message}, now)
+	must.Eq(t, granted+1, level())
+	other.Step(Heard{From: from, Message: withdrawn.Message}, now)
+	must.Eq(t, granted+1, level())
+}
+
+// Tokens that nobody wants go back to their stripe.
+func TestUnusedTokensGoBack(t *testing.T) {
+	m, now := newPair(t, 10, 10)
+	m.empty(now)
+	asked := sentTo(t, m.Step(Wanted{ID: 1, Tenant: "press"}, now))
+	m.Step(Heard{Message: Message{Kind: Answer, ID: asked.Message.ID, Tokens: 3}}, now)
+	must.Eq(t, 2, m.Status().Credits)
+	returned := sentTo(t, m.Step(Tick{}, now.Add(exampleSettings.life()/2)))
+	must.Eq(t, Send{Host: there, Message: Message{Kind: Return, Tenant: "press", Tokens: 2}}, returned)
 	must.Eq(t, 0, m.Status().Credits)
 }
 
@@ -200,7 +227,7 @@
 	m.empty(now)
 	const wait = 150 * time.Millisecond
 	first := sentTo(t, m.Step(Wanted{ID: 1, Tenant: "press"}, now))
-	second := sentTo(t, m.Step(Tick{}, now.Add(nearPatience)))
+	second := questionTo(t, m.Step(Tick{}, now.Add(nearPatience)))
 	must.NotEq(t, first.Host, second.Host)
 	now = now.Add(nearPatience)
 	must.Eq(t, Refused, decisionOn(t, m.Step(Heard{Message: Message{Kind: Answer, ID: second.Message.ID, Wait: wait}}, now)).Result)
@@ -208,6 +235,6 @@
 	now = now.Add(silence)
 	m.empty(now)
 	asked := []string{sentTo(t, m.Step(Wanted{ID: 3, Tenant: "press"}, now)).Host}
-	asked = append(asked, sentTo(t, m.Step(Tick{}, now.Add(nearPatience))).Host)
+	asked = append(asked, questionTo(t, m.Step(Tick{}, now.Add(nearPatience))).Host)
 	must.SliceContains(t, asked, first.Host, must.Sprint("it may be back"))
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -55,7 +55,7 @@
 
 // A flood of a large and of a small tenant stays under the bound, and the others are served.
 func TestFloods(t *testing.T) {
-	for loss, least := range map[float64]float64{0: 0.98, 0.05: 0.95, 0.3: 0.75} { // every lost answer takes its tokens with it
+	for loss, least := range map[float64]float64{0: 0.98, 0.05: 0.97, 0.3: 0.88} {
 		t.Run(fmt.Sprint("loss ", loss), func(t *testing.T) {
 			eachSeed(t, func(t *testing.T, f *fleet) {
 				f.loss = loss
