--- a/internal/quota/machine_test.go
+++ b/internal/quota/machine_test.go
@@ -238,3 +238,33 @@
 	asked = append(asked, questionTo(t, m.Step(Tick{}, now.Add(nearPatience))).Host)
 	must.SliceContains(t, asked, first.Host, must.Sprint("it may be back"))
 }
+
+// The shares that nodes spend alone add up to the share of all, and a node that the catalog
+// doesn't know has none.
+func TestSharesAddUp(t *testing.T) {
+	const nodes, zones = 73, 4
+	for _, rate := range []float64{2, 251, 10_000} {
+		sum := 0
+		for _, each := range append(hostsIn(zones, nodes), Host{Address: "10.9.9.9"}) {
+			m := New(Config{Settings: exampleSettings, Self: each.Address, Lag: newsLag, Random: rand.NewPCG(1, 2)}, began)
+			m.Step(Configured{Tenants: []catalog.Tenant{{Name: "press", RatePerSecond: rate, Burst: rate}}, Hosts: hostsIn(zones, nodes)}, began)
+			sum += m.find("press", began).share
+		}
+		must.Eq(t, exampleSettings.share(rate, rate), sum)
+	}
+}
+
+// A node spends its share once in any window.
+func TestShareIsSpentOnceInAWindow(t *testing.T) {
+	m, now := newPair(t, 10, 10)
+	held := m.find("press", now)
+	spent := 0
+	for range 10 * held.share {
+		if m.spendAlone(held, now) {
+			spent++
+		}
+	}
+	must.Eq(t, held.share, spent)
+	must.False(t, m.spendAlone(held, now.Add(exampleSettings.Window-1)))
+	must.True(t, m.spendAlone(held, now.Add(exampleSettings.Window)))
+}
