--- a/internal/traffic/comeback/comeback.go
+++ b/internal/traffic/comeback/comeback.go
@@ -1,5 +1,4 @@
-// Package comeback treats callers that were refused and come back: it tells when a
-// refused request is to come back, and knows one that has. It is pure: the caller
+// Package comeback tells when a refused request is to come back. It is pure: the caller
 // passes the time.
 //
 // A caller comes back once at most, so a second refusal is its last. Two things follow:
@@ -59,32 +58,3 @@
 	s.next = at.Add(s.interval(now))
 	return at.Sub(now)
 }
-
-// UsualTime learns how much time callers give requests of one route when they send them
-// first: a caller that comes back has less. It follows the longer times closely and the
-// shorter ones slowly, so that many returns don't pass for the usual.
-type UsualTime struct{ usual time.Duration }
-
-const (
-	riseWeight = 32  // a longer time than usual counts one in so many
-	fallWeight = 512 // and a shorter one: with four returns in ten, the usual stays within 2 %
-	mostRise   = 2   // times the usual that one request may count as, so that none moves it far
-	// returnedShare is the share of the usual time below which a request has come back.
-	// The rest is for what its first way took: a refusal is told within a few
-	// milliseconds, and a caller comes back no sooner than leastWait of the dispatch.
-	returnedShare = 0.95
-)
-
-// Returned notes the time that a request was given and reports whether its caller has
-// spent some of it before.
-func (u *UsualTime) Returned(given time.Duration) bool {
-	if u.usual == 0 {
-		u.usual = given
-	}
-	if given > u.usual {
-		u.usual += (min(given, mostRise*u.usual) - u.usual) / riseWeight
-	} else {
-		u.usual -= (u.usual - given) / fallWeight
-	}
-	return float64(given) < returnedShare*float64(u.usual)
-}
--- a/internal/traffic/returns.go
+++ b/internal/traffic/returns.go
@@ -10,8 +10,7 @@
 // returns lets request goroutines share what a node knows of callers that come back.
 type returns struct {
 	mutex     sync.Mutex
-	schedules map[string]*comeback.Schedule  // by service
-	usual     map[string]*comeback.UsualTime // by route
+	schedules map[string]*comeback.Schedule // by service
 }
 
 // maxReturns bounds the services and the routes that are remembered: twice the routes of
@@ -19,7 +18,7 @@
 const maxReturns = 4096
 
 func newReturns() *returns {
-	return &returns{schedules: map[string]*comeback.Schedule{}, usual: map[string]*comeback.UsualTime{}}
+	return &returns{schedules: map[string]*comeback.Schedule{}}
 }
 
 // known returns the entry of a name, a new one if there is none.
@@ -48,14 +47,3 @@
 	defer r.mutex.Unlock()
 	return known(r.schedules, service).Book(foreseen, most, now)
 }
-
-// returned notes a request with the time that its caller gave it, and reports whether
-// the caller has been here before. Of one that tells no time, nothing is known.
-func (r *returns) returned(route string, given time.Duration) bool {
-	if given <= 0 {
-		return false
-	}
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return known(r.usual, route).Returned(given)
-}
