Age and status of replication, and hosts of the mesh, in files of their own

Age returns 0 while nothing is known, since the only caller did not tell that from fresh (callers are refused for the missing configuration).

--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -92,15 +92,6 @@
 	return n, nil
 }
 
-// advertisedHost is the IP address by which other nodes reach this one.
-func advertisedHost(configured *settings.Settings, listen string) string {
-	advertised, err := netip.ParseAddrPort(configured.Advertise.Peer)
-	if err != nil {
-		return listen
-	}
-	return advertised.Addr().String()
-}
-
 // Bounds of bodies that a catalog node holds whole, in bytes.
 const (
 	wholeBody   = 4 << 20
@@ -126,7 +117,7 @@
 		Dial:          dialFrom(n.settings.Listen.Peer),
 		Seen:          n.replicator.Seen,
 		Quarantine:    n.quarantine,
-		KnowledgeAge:  n.knowledgeAge,
+		KnowledgeAge:  n.replicator.Age,
 		Limits: traffic.Limits{
 			SmallBody:      wholeBody,
 			SmallAnswer:    wholeAnswer,
@@ -147,13 +138,6 @@
 	}
 }
 
-// knowledgeAge is how long ago the store was last known to have nothing newer than this
-// node. While nothing is known, callers are refused for that.
-func (n *CatalogNode) knowledgeAge() time.Duration {
-	age, _ := n.replicator.Age()
-	return age
-}
-
 // connectPatience bounds opening a connection, so that time is left for another
 // node.
 const connectPatience = 250 * time.Millisecond
@@ -183,19 +167,6 @@
 	n.logPublished(before, view, state.Revision())
 }
 
-// hostsOf returns the IP addresses of the machines that have a worker on record, each of
-// which has a node.
-func hostsOf(state *catalog.State) []string {
-	instances := state.Instances()
-	hosts := make([]string, 0, len(instances))
-	for _, instance := range instances {
-		if host, _, err := net.SplitHostPort(instance.Address); err == nil {
-			hosts = append(hosts, host)
-		}
-	}
-	return hosts
-}
-
 // lapsedPart is the part of the time that a leaving worker may still be sent
 // requests for which one without a record is.
 const lapsedPart = 0.75
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -99,52 +99,6 @@
 	return &Replicator{config: config, machine: machine, inputs: make(chan any, inputQueue), followers: map[*follower]struct{}{}, knocking: map[string]bool{}}
 }
 
-// Status is what the replicator tells operators.
-type Status struct {
-	Revision  uint64  `json:"revision"`
-	Version   uint64  `json:"version"` // of the configuration in force
-	AgeS      float64 `json:"ageSeconds"`
-	Reader    bool    `json:"reader"`
-	Following string  `json:"following,omitempty"`
-	Followers int     `json:"followers"`
-	Instances int     `json:"instances"`
-	Answered  uint64  `json:"storeAnswers"`  // questions to the store that were answered
-	Failed    uint64  `json:"storeFailures"` // and that were not
-}
-
-type statusRequest struct{ reply chan Status }
-
-// Status returns the state of now, the zero Status when ctx ends before.
-func (r *Replicator) Status(ctx context.Context) Status {
-	request := statusRequest{reply: make(chan Status, 1)}
-	r.submit(ctx, request)
-	select {
-	case status := <-request.reply:
-		return status
-	case <-ctx.Done():
-		return Status{}
-	}
-}
-
-// Age returns how long ago the store was last known to have nothing newer than what this
-// node knows, false while it knows nothing. Any goroutine may ask; it does not wait.
-func (r *Replicator) Age() (time.Duration, bool) {
-	confirmed := r.confirmed.Load()
-	if confirmed == nil {
-		return 0, false
-	}
-	return r.config.Now().Sub(*confirmed), true
-}
-
-// noteConfirmed lets Age know when the store last confirmed what is known.
-func (r *Replicator) noteConfirmed() {
-	confirmed := r.machine.Confirmed()
-	if held := r.confirmed.Load(); confirmed.IsZero() || held != nil && held.Equal(confirmed) {
-		return
-	}
-	r.confirmed.Store(&confirmed)
-}
-
 // Seen tells that a node has spoken to this one. It does not wait.
 func (r *Replicator) Seen(address string) {
 	select {
@@ -321,25 +275,6 @@
 	return r.config.Store.Changes(ctx, ask.After, ask.Wait, began)
 }
 
-func (r *Replicator) status() Status {
-	now := r.config.Now()
-	age, _ := r.machine.Age(now)
-	status := Status{
-		Revision:  r.machine.State().Revision(),
-		AgeS:      age.Seconds(),
-		Reader:    r.machine.Reader(now),
-		Following: r.machine.Following(),
-		Followers: len(r.followers),
-		Answered:  r.answered,
-		Failed:    r.failed,
-		Instances: len(r.machine.State().Instances()),
-	}
-	if configuration := r.machine.State().Configuration(); configuration != nil {
-		status.Version = configuration.Version
-	}
-	return status
-}
-
 func (r *Replicator) log(event replication.Log) {
 	fields := logging.Fields{"revision": r.machine.State().Revision()}
 	if event.Peer != "" {
