--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -99,15 +99,6 @@
 	return n, nil
 }
 
-// advertisedHost is the IP address by which other nodes reach this one.
-func advertisedHost(configured *settings.Settings, listen string) string {
-	advertised, err := netip.ParseAddrPort(configured.Advertise.Peer)
-	if err != nil {
-		return listen
-	}
-	return advertised.Addr().String()
-}
-
 // Bounds of bodies that a catalog node holds whole, in bytes.
 const (
 	wholeBody   = 4 << 20
@@ -133,7 +124,7 @@
 		Dial:          dialFrom(n.settings.Listen.Peer),
 		Seen:          n.replicator.Seen,
 		Quarantine:    n.quarantine,
-		KnowledgeAge:  n.knowledgeAge,
+		KnowledgeAge:  n.replicator.Age,
 		Limits: traffic.Limits{
 			SmallBody:      wholeBody,
 			SmallAnswer:    wholeAnswer,
@@ -159,13 +150,6 @@
 	return config
 }
 
-// knowledgeAge is how long ago the store was last known to have nothing newer than this
-// node. While nothing is known, callers are refused for that.
-func (n *CatalogNode) knowledgeAge() time.Duration {
-	age, _ := n.replicator.Age()
-	return age
-}
-
 // connectPatience bounds opening a connection, so that time is left for another
 // node.
 const connectPatience = 250 * time.Millisecond
