--- a/internal/traffic/budget.go
+++ b/internal/traffic/budget.go
@@ -23,7 +23,6 @@
 	saved   float64
 	at      time.Time // when saved was brought up to date
 	pressed time.Time // when a last chance wanted one last
-	denied  time.Time // when one was denied last
 }
 
 // The parts of the bounds that are used. What is left of the ratio covers what a node can't
@@ -68,7 +67,6 @@
 		held.pressed = now
 	}
 	if held.saved < 1 || !lastChance && now.Sub(held.pressed) < pressedFor && held.saved < b.most(nodes)*plenty {
-		held.denied = now
 		return false
 	}
 	held.saved--
@@ -90,17 +88,6 @@
 	b.of(service, nodes, now).saved -= arrivals * (1 + b.ratio) // they are counted as requests when they come
 }
 
-// short reports whether a repeat was denied of late.
-func (b *serviceBudget) short(service string, now time.Time) bool {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	held := b.services[service]
-	return held != nil && now.Sub(held.denied) < shortFor
-}
-
-// shortFor is for how long after one was denied repeats are taken to be short.
-const shortFor = 2 * time.Second
-
 // giveBack undoes a take whose request reached no worker.
 func (b *serviceBudget) giveBack(service string, nodes int, now time.Time) {
 	b.mutex.Lock()
--- a/internal/traffic/budget_test.go
+++ b/internal/traffic/budget_test.go
@@ -167,3 +167,24 @@
 		must.LessEq(t, 0, m.worst(), must.Sprint(failing))
 	}
 }
+
+// The calls of a run that is itself a repeat are taken off the budget of the service that it
+// calls, also where nothing is left; repeats are earned anew before any is made.
+func TestCallsOfRepeatedRunsAreCharged(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	nested := newNestedCalls()
+	for range 10 {
+		nested.ran()
+		nested.called("dunning")
+		nested.called("dunning")
+	}
+	must.Eq(t, map[string]float64{"dunning": 2}, nested.callsOfRun())
+	b := newServiceBudget(Limits{RetryRatio: 0.2, RetrySlack: 10})
+	must.True(t, b.take("dunning", 1, true, now))
+	b.charge("dunning", 1, 3, now)
+	must.False(t, b.take("dunning", 1, true, now))
+	for range 30 {
+		b.count("dunning", 1, now)
+	}
+	must.True(t, b.take("dunning", 1, true, now))
+}
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -47,21 +47,20 @@
 
 // dispatch is the state of one request's offers.
 type dispatch struct {
-	out          *Outbound
-	x            *exchange
-	last         result
-	answered     *answer // a worker's own failure, to be passed on if no other worker does better
-	mayHaveRun   bool
-	service      string // that it was offered to last
-	attempts     int    // workers that the request was sent to
-	offers       int
-	crossing     int           // offers to other zones
-	full         int           // offers that were refused for lack of room
-	rejectedOnce bool          // whether its group counts it as rejected
-	rejected     bool          // whether a worker with free slots has rejected it last
-	soonest      time.Duration // the shortest wait that a refusing node told; 0: none
-	open         []*openTry    // tries that have not ended
-	ended        chan *openTry // tries that have
+	out        *Outbound
+	x          *exchange
+	last       result
+	answered   *answer // a worker's own failure, to be passed on if no other worker does better
+	mayHaveRun bool
+	service    string // that it was offered to last
+	attempts   int    // workers that the request was sent to
+	offers     int
+	crossing   int           // offers to other zones
+	full       int           // offers that were refused for lack of room
+	rejected   bool          // whether a worker with free slots has rejected it last
+	soonest    time.Duration // the shortest wait that a refusing node told; 0: none
+	open       []*openTry    // tries that have not ended
+	ended      chan *openTry // tries that have
 }
 
 // offerTo tries the endpoints of one service.
@@ -124,7 +123,7 @@
 // try makes one offer; another says that there is an endpoint which seems to be free
 // beside this one. It reports whether the request has ended.
 func (d *dispatch) try(target snapshot.Target, endpoint snapshot.Endpoint, another bool) (result, bool) {
-	if d.attempts > 0 && (!d.worthRepeat() || !d.out.budget.take(target.Service, d.out.nodes(), d.x.lastChance, time.Now())) {
+	if d.attempts > 0 && !d.out.budget.take(target.Service, d.out.nodes(), d.x.lastChance, time.Now()) {
 		d.out.chooser.release(endpoint)
 		return d.giveUp(), true
 	}
@@ -151,7 +150,6 @@
 		d.full++
 	}
 	d.rejected = isRejection(failure, seen.Load)
-	d.noteGroup(failure)
 	if d.attempts > 0 && failure != nil && failure.outcome == outcome.NotRun && !failure.arrived {
 		d.out.budget.giveBack(target.Service, d.out.nodes(), time.Now())
 	}
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -42,7 +42,7 @@
 	internal    bool          // whether only runs of other services call its route, as far as is known
 	callFailed  bool          // whether calls of the local worker failed while it ran the request
 	repeat      bool          // whether a worker has had it before
-	group       *callGroup    // calls that a run made at once; nil: no call
+	callOfRun   bool          // whether a run of the local worker makes it, as far as is known
 	lastChance  bool          // whether nobody sends it again if it is refused
 	trialOwner  string        // instance that alone may run it, since it is on trial in the quarantine; "": any
 	protocol    *Protocol     // of the callers; nil: sliphead's own
--- a/internal/traffic/nested.go
+++ b/internal/traffic/nested.go
@@ -143,7 +143,7 @@
 func (out *Outbound) lastChance(x *exchange) bool {
 	now := time.Now()
 	if out.nested.internal(x.route.Name, now) {
-		x.group = out.together.join(x.route.Name, x.started)
+		x.callOfRun = true
 		return true
 	}
 	if !out.turned.any(now) {
@@ -157,7 +157,7 @@
 // noteEnd takes in how a request ended here.
 func (out *Outbound) noteEnd(x *exchange, service string, ended *result) {
 	now := time.Now()
-	if out.local != nil && x.group != nil {
+	if out.local != nil && x.callOfRun {
 		out.local.nested.ended(ended.status, now)
 		out.local.nested.called(service)
 	}
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -33,7 +33,6 @@
 	returns   *returns
 	nested    *nestedCalls
 	turned    *turnedAway
-	together  *together
 	signs     *signDelays
 	offers    offerBounds
 	hopBytes  *hopBytes
@@ -76,7 +75,6 @@
 	out.returns = newReturns()
 	out.nested = newNestedCalls()
 	out.turned = newTurnedAway()
-	out.together = newTogether()
 	out.signs = newSignDelays()
 	out.offers = boundOffers(config.Limits.LinkMbps)
 	out.hopBytes = newHopBytes(config.Registerer)
