A far worker is asked only while its sign can come before half of the time has gone

Cause: a call with less than twice the round trip left was offered to a far node, which was given up as silent at half of that time, while its sign was on the way; three such calls made a region that lives count as lost.

Change: a worker to which the way takes half of the time left or more is not asked. TestTooFarIsNotAsked failed before on this case.

--- a/internal/traffic/balance/distance.go
+++ b/internal/traffic/balance/distance.go
@@ -99,7 +99,11 @@
 	return time.Duration(max(1, need.Trips)) * took
 }
 
-// isTooFar reports whether the way to an endpoint alone takes the time that is left.
+// mostOnTheWay is the part of the time left that may be spent on the way: no node is waited
+// for longer without a sign, since the rest is left for a near one.
+const mostOnTheWay = 2
+
+// isTooFar reports whether the way to an endpoint takes too much of the time that is left.
 func (b *Balancer) isTooFar(need Need, endpoint *snapshot.Endpoint) bool {
-	return need.Deadline > 0 && b.onTheWay(need, endpoint) >= need.Deadline
+	return need.Deadline > 0 && b.onTheWay(need, endpoint) >= need.Deadline/mostOnTheWay
 }
--- a/internal/traffic/balance/distance_test.go
+++ b/internal/traffic/balance/distance_test.go
@@ -71,12 +71,15 @@
 	must.Eq(t, 2*longWay, b.estimate(call, &far, start).wait)
 }
 
-// A worker from which no answer can come before the deadline is not asked, also when it is
-// the only one: the offer would take the time in which the caller can still be told.
+// A worker to which the way takes half of the time left is not asked, also when it is the
+// only one: its node would be given up as silent while its sign is on the way, and its
+// region be taken for lost after a few such calls.
 func TestTooFarIsNotAsked(t *testing.T) {
 	b, far := newDistantBalancer()
 	need := Need{Route: "probe", Objective: time.Millisecond, Deadline: longWay}
 	must.Eq(t, -1, b.Cheapest(start, need, []snapshot.Endpoint{far}, nil).Index)
+	need.Deadline = 2 * longWay // its sign would come when half of the time has gone, and it be given up
+	must.Eq(t, -1, b.Cheapest(start, need, []snapshot.Endpoint{far}, nil).Index)
 	need.Deadline = 3 * longWay
 	must.Eq(t, 0, b.Cheapest(start, need, []snapshot.Endpoint{far}, nil).Index)
 	need.Trips = 3
--- a/internal/traffic/balance/room.go
+++ b/internal/traffic/balance/room.go
@@ -76,7 +76,7 @@
 
 // passedOver reports whether an endpoint of another zone is not to be asked: enough of
 // them were, or one has refused the request and this one's zone has no room either; nor one
-// of another region that is lost, or from which no answer can come before the deadline.
+// of another region that is lost, or to which the way takes too much of the time left.
 func (b *Balancer) passedOver(now time.Time, need Need, endpoint *snapshot.Endpoint) bool {
 	if endpoint.Zone == b.settings.Zone {
 		return false
--- a/internal/traffic/distance_test.go
+++ b/internal/traffic/distance_test.go
@@ -142,6 +142,10 @@
 		must.Eq(t, firstSilent+x.roundTrip, x.silenceLimit(0))
 		x.roundTrip = 0
 		must.Eq(t, firstSilent, x.silenceLimit(0))
+		for _, roundTrip := range []time.Duration{90 * time.Millisecond, 140 * time.Millisecond} { // less than half of what is left
+			x.roundTrip = roundTrip
+			must.Greater(t, roundTrip, x.silenceLimit(0))
+		}
 	})
 }
 
