--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -100,6 +100,7 @@
 		"no security":         {edge, "security: {plain: true}\n", "", "node.yaml", "plain: true"},
 		"plain and keys":      {edge, "plain: true", "plain: true, keyFile: a", "node.yaml:6", "security.plain"},
 		"one key missing":     {beside, ", datagramKeyFile: d", "", "node.yaml:11", "datagramKeyFile"},
+		"closed too late":     {beside, "drain: {timeout: 10m}", "drain: {timeout: 10m}\ntenants: {failClosedAfter: 11m}", "node.yaml:17", "at most 10m"},
 		"caller key alone":    {edge, "security:", "callers: {keyFile: a}\nsecurity:", "node.yaml:6", "set certificateFile"},
 	} {
 		must.StrContains(t, wrong.text, wrong.from, must.Sprint(name))
