One way to the nodes of the catalog's machines

Ruled out: keeping the one that lists addresses alone: the quotas need zones. Change: hosts of the catalog are listed in catalog_hosts.go alone. Measured: make lint clean; tests of node and docs pass.

--- a/internal/node/catalog_quota.go
+++ b/internal/node/catalog_quota.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 
 	"github.com/apex/log"
 
-	"sliphead/internal/catalog"
 	"sliphead/internal/fault"
 	"sliphead/internal/quota"
 	quotakeeper "sliphead/internal/quota/keeper"
@@ -45,32 +43,6 @@
 	return n.quota.Run(ctx)
 }
 
-// tellHosts tells the quarantine of the nodes that it may ask, and the quotas of those that
-// hold the limits of tenants.
-func (n *CatalogNode) tellHosts(state *catalog.State) {
-	hosts := n.hostsOf(state)
-	addresses := make([]string, 0, len(hosts))
-	for _, host := range hosts {
-		addresses = append(addresses, host.Address)
-	}
-	n.quarantine.Peers(addresses)
-	if configuration := state.Configuration(); n.quota != nil && configuration != nil {
-		n.quota.Configure(quota.Configured{Tenants: configuration.Tenants, Hosts: hosts})
-	}
-}
-
-// hostsOf returns the machines that have a worker on record, each of which has a node.
-func (n *CatalogNode) hostsOf(state *catalog.State) []quota.Host {
-	instances := state.Instances()
-	hosts := make([]quota.Host, 0, len(instances))
-	for _, instance := range instances {
-		if host, _, err := net.SplitHostPort(instance.Address); err == nil {
-			hosts = append(hosts, quota.Host{Address: host, Zone: instance.Zone, Region: n.settings.Regions[instance.Zone]})
-		}
-	}
-	return hosts
-}
-
 // quotaStatus tells the state of the quotas, nil where tenants have no limit.
 func (n *CatalogNode) quotaStatus(ctx context.Context) *quota.Status {
 	if n.quota == nil {
