Tell of answers of the store that are not used, and of a history that is gone

Cause: the log said that the store answered again (replication.storeRegained), not whether the answer could be used: three hypotheses of the incident could not be told apart. Ruled out: a line for each such answer, up to four a second at each node; the first in a row is told. Change: events replication.answerOlder (told, revision) and replication.historyGone; the stand-in store can come back from a copy.

--- a/internal/replication/event.go
+++ b/internal/replication/event.go
@@ -102,7 +102,7 @@
 type Log struct {
 	Event    LogEvent
 	Peer     string
-	Revision uint64
+	Revision uint64 // that the store told; 0: none
 	Duration time.Duration
 	Err      error
 }
@@ -115,6 +115,8 @@
 	EventPaused        LogEvent = "replication.paused"        // the process stood still
 	EventStoreLost     LogEvent = "replication.storeLost"     // a question to the store failed
 	EventStoreRegained LogEvent = "replication.storeRegained" // the store answers again
+	EventHistoryGone   LogEvent = "replication.historyGone"   // the store doesn't know the changes that were asked for
+	EventAnswerOlder   LogEvent = "replication.answerOlder"   // the store's answer is older than what is held: it is not used
 	EventPeerLost      LogEvent = "replication.peerLost"      // a followed node is given up
 	EventFollowing     LogEvent = "replication.following"     // another node is followed
 )
--- a/internal/replication/machine.go
+++ b/internal/replication/machine.go
@@ -76,6 +76,7 @@
 	nextAsk    time.Time
 	failures   int       // questions to the store that failed in a row
 	needWhole  bool      // because changes are missing
+	unused     bool      // whether the last answer of the store told less than is known, or no history
 	settled    bool      // whether this node's worker was recorded since the start
 	deaf       bool      // because a question for changes met silence, which one for everything may not
 	waryUntil  time.Time // until when the store's silence is expected again
@@ -201,12 +202,22 @@
 		m.needWhole = false
 	}
 	m.asked++
+	m.noteOlder(event.Batch)
 	m.join(event.Batch, m.confirmedAt(event.ConfirmedAt), confirmation{reader: m.config.Self, serial: m.asked})
 	if len(event.Batch.Changes) > 0 {
 		m.nextAsk = now.Add(m.spacing())
 	}
 }
 
+// noteOlder tells of an answer that is older than what is known, the first one in a row.
+func (m *Machine) noteOlder(batch catalog.Batch) {
+	older := batch.To < m.state.Revision()
+	if older && !m.unused {
+		m.emit(Log{Event: EventAnswerOlder, Revision: batch.To})
+	}
+	m.unused = older
+}
+
 // spacing is the time between an answer that brought changes and the next question. A
 // mesh that starts is recorded worker by worker, and until a node knows of others each
 // takes itself for its zone's first: then all of them would ask after each change.
@@ -220,6 +231,9 @@
 func (m *Machine) onFailure(event StoreFailed, now time.Time) {
 	m.asking = false
 	if event.HistoryGone {
+		if !m.unused {
+			m.emit(Log{Event: EventHistoryGone})
+		}
 		m.needWhole = true
 		m.nextAsk = now
 		return
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -281,6 +281,9 @@
 	if event.Peer != "" {
 		fields["peer"] = event.Peer
 	}
+	if event.Revision > 0 {
+		fields["told"] = event.Revision
+	}
 	if event.Duration > 0 {
 		fields["gap_ms"] = event.Duration.Milliseconds()
 	}
--- a/lab/store/store.go
+++ b/lab/store/store.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -36,6 +37,7 @@
 // Store is the stand-in. Make one with New.
 type Store struct {
 	mutex     sync.Mutex
+	era       uint64 // rises by one each time the store comes back from a copy
 	revision  uint64
 	items     map[string]Item
 	history   []Item // oldest first
@@ -47,7 +49,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{items: map[string]Item{}, changed: make(chan struct{}), treatment: map[string]Treatment{}, calls: map[string]int{}}
+	return &Store{era: 1, items: map[string]Item{}, changed: make(chan struct{}), treatment: map[string]Treatment{}, calls: map[string]int{}}
 }
 
 // Put writes a key and returns the revision, which acknowledges it.
@@ -126,6 +128,41 @@
 	return calls
 }
 
+// Copy is a state of the store that it can come back from.
+type Copy struct {
+	revision uint64
+	items    map[string]Item
+	history  []Item
+	dropped  uint64
+}
+
+// Copy returns a copy of the state of now.
+func (s *Store) Copy() Copy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return Copy{revision: s.revision, items: maps.Clone(s.items), history: slices.Clone(s.history), dropped: s.dropped}
+}
+
+// Restore brings the store back from a copy: what was written since is lost, and its
+// revisions are given out again. The era rises.
+func (s *Store) Restore(from Copy) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.era++
+	s.revision = from.revision
+	s.items = maps.Clone(from.items)
+	s.history = slices.Clone(from.history)
+	s.dropped = from.dropped
+	s.wake()
+}
+
+// Era tells how often the store has come back from a copy, from 1.
+func (s *Store) Era() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.era
+}
+
 // Get returns a key and the store's revision.
 func (s *Store) Get(key string) (item Item, found bool, at uint64) {
 	s.mutex.Lock()
@@ -174,7 +211,7 @@
 func (s *Store) since(prefix string, after uint64) (events []Item, at uint64, known bool, changed chan struct{}) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if after < s.dropped {
+	if after < s.dropped || after > s.revision {
 		return nil, s.revision, false, s.changed
 	}
 	for _, item := range s.history {
