--- a/lab/store/store.go
+++ b/lab/store/store.go
@@ -128,6 +128,13 @@
 	return calls
 }
 
+// Position is a state in the store's life: the revision of the last change, and how often
+// the store had come back from a copy, from 1.
+type Position struct{ Era, Revision uint64 }
+
+// at is the position of now. The mutex is held.
+func (s *Store) at() Position { return Position{Era: s.era, Revision: s.revision} }
+
 // Copy is a state of the store that it can come back from.
 type Copy struct {
 	revision uint64
@@ -156,23 +163,16 @@
 	s.wake()
 }
 
-// Era tells how often the store has come back from a copy, from 1.
-func (s *Store) Era() uint64 {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.era
-}
-
-// Get returns a key and the store's revision.
-func (s *Store) Get(key string) (item Item, found bool, at uint64) {
+// Get returns a key and the store's position.
+func (s *Store) Get(key string) (item Item, found bool, at Position) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	item, found = s.items[key]
-	return item, found, s.revision
+	return item, found, s.at()
 }
 
 // Range returns up to limit items below a prefix and after a key, in order.
-func (s *Store) Range(prefix, after string, limit int) (items []Item, more bool, at uint64) {
+func (s *Store) Range(prefix, after string, limit int) (items []Item, more bool, at Position) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for key, item := range s.items {
@@ -182,15 +182,15 @@
 	}
 	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
 	if len(items) > limit {
-		return items[:limit], true, s.revision
+		return items[:limit], true, s.at()
 	}
-	return items, false, s.revision
+	return items, false, s.at()
 }
 
 // Watch returns the changes below a prefix and after a revision, once there is
 // one or the wait is over. It reports false when the history does not reach
 // back so far.
-func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (events []Item, at uint64, known bool) {
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (events []Item, at Position, known bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -208,16 +208,16 @@
 	}
 }
 
-func (s *Store) since(prefix string, after uint64) (events []Item, at uint64, known bool, changed chan struct{}) {
+func (s *Store) since(prefix string, after uint64) (events []Item, at Position, known bool, changed chan struct{}) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if after < s.dropped || after > s.revision {
-		return nil, s.revision, false, s.changed
+		return nil, s.at(), false, s.changed
 	}
 	for _, item := range s.history {
 		if item.Revision > after && strings.HasPrefix(item.Key, prefix) {
 			events = append(events, item)
 		}
 	}
-	return events, s.revision, true, s.changed
+	return events, s.at(), true, s.changed
 }
