Order what the store says by era and revision

Cause: a store that comes back from an older copy gives out revisions anew, for other changes. Nodes ordered all that they hold by the revision alone: they threw the copy away as older, asked for changes after a revision that was not there, again and again, and once it was there again lacked what lay before it for good. Class: an order that rests on a number which only its owner promises to raise. Ruled out: taking any whole that the store tells (an answer underway since before the return, or a peer that has not heard of it, would take nodes back); asking for everything after each outage (the return may fall between two answers). Change: catalog.Point, era and revision, orders batches, positions and news; changes of a later era are used from a whole on alone.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -56,9 +56,10 @@
 	IdleTimeout    time.Duration `json:"idleTimeout,omitempty"`
 }
 
-// Instance is one start of one worker, as it was recorded in the store.
+// Instance is a worker, as it has recorded itself in the store.
 type Instance struct {
-	ID            string        `json:"id"` // never used again
+	ID            string        `json:"id"`             // of its record: a worker that starts again may have the same
+	Born          int64         `json:"born,omitempty"` // when it started, in Unix milliseconds of its clock; 0: not told
 	Service       string        `json:"service"`
 	Address       string        `json:"address"` // host:port, reached only from its own machine
 	Zone          string        `json:"zone"`
@@ -85,10 +86,15 @@
 }
 
 // Batch leads from one revision of the store to another. A whole batch states
-// everything that there is; others hold the changes after From.
+// everything that there is; others hold the changes after From. All revisions are of one
+// era.
 type Batch struct {
+	Era     uint64   `json:"era,omitempty"`
 	From    uint64   `json:"from"`
 	To      uint64   `json:"to"`
 	Whole   bool     `json:"whole,omitempty"`
 	Changes []Change `json:"changes,omitempty"`
 }
+
+// Point is the point of the store that a batch leads to.
+func (b *Batch) Point() Point { return Point{Era: b.Era, Revision: b.To} }
--- a/internal/catalog/lapse.go
+++ b/internal/catalog/lapse.go
@@ -16,8 +16,10 @@
 		return nil
 	}
 	taken := make(map[string]bool, len(s.instances))
-	for _, held := range s.instances {
-		taken[held.instance.Address] = true
+	for id, held := range s.instances {
+		if !s.doubts.instance(id) {
+			taken[held.instance.Address] = true
+		}
 	}
 	lapsed := make([]Instance, 0, len(s.lapsed))
 	for _, instance := range s.lapsed {
@@ -41,11 +43,16 @@
 	s.lapsed[gone.ID] = gone
 }
 
-// lapseMissing does so for all that a new whole lacks.
-func (s *State) lapseMissing(before map[string]record) {
-	for id, held := range before {
-		if _, present := s.instances[id]; !present {
-			s.lapse(held.instance)
+// lapseMissing does so for all that a new whole lacks, or tells against better knowledge.
+// What had been replaced at its address had ended.
+func (s *State) lapseMissing(before map[string]record, restored bool) {
+	for _, held := range latestOf(before) {
+		if _, present := s.instances[held.instance.ID]; present && !s.doubts.instance(held.instance.ID) {
+			continue
+		}
+		s.lapse(held.instance)
+		if !restored {
+			s.departures.note(&held.instance)
 		}
 	}
 }
--- a/internal/catalog/reading.go
+++ b/internal/catalog/reading.go
@@ -15,6 +15,7 @@
 
 // Answer is what a client of the store has read, in the order of revisions.
 type Answer struct {
+	Era      uint64 // of the store, when it answered
 	From, To uint64
 	Whole    bool
 	Items    []Item
@@ -25,7 +26,7 @@
 // other: the problem is told, and the item left out. Of several configurations
 // the newest that is sound counts; those before it are not decoded.
 func (a *Answer) Batch(problem func(error)) Batch {
-	batch := Batch{From: a.From, To: a.To, Whole: a.Whole}
+	batch := Batch{Era: a.Era, From: a.From, To: a.To, Whole: a.Whole}
 	configured := false
 	for _, item := range slices.Backward(a.Items) {
 		change := Change{Revision: item.Revision, Instance: item.Instance, Evacuation: item.Evacuation, Removed: item.Removed}
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -12,17 +13,19 @@
 const maxRemoved = 1024
 
 // State joins batches. Knowledge only grows: a batch that is older than what
-// is held changes nothing. It is not safe for use by several goroutines.
+// is held, by its Point, changes nothing. It is not safe for use by several goroutines.
 type State struct {
-	revision      uint64 // the store's revision that is known whole
+	point         Point  // of the store that is known whole; all revisions here are of its era
 	floor         uint64 // changes after this one are known one by one
 	configuration *Configuration
-	configuredAt  uint64           // revision of the configuration
+	configuredAt  uint64           // revision since when the store has the configuration, as far as is known
 	former        []*Configuration // those before it, oldest first
 	instances     map[string]record
 	evacuations   map[string]evacuation // by zone, those that were taken back included
 	removed       []removal             // oldest first
 	lapsed        map[string]Instance   // by id: those whose records are gone without a word of leaving
+	departures    departures
+	doubts        doubts
 }
 
 type record struct {
@@ -42,27 +45,28 @@
 
 // NewState returns the state of a node that knows nothing.
 func NewState() *State {
-	return &State{instances: map[string]record{}, evacuations: map[string]evacuation{}, lapsed: map[string]Instance{}}
+	return &State{
+		instances: map[string]record{}, evacuations: map[string]evacuation{}, lapsed: map[string]Instance{},
+		departures: newDepartures(), doubts: newDoubts(),
+	}
 }
 
 // Revision returns the store's revision up to which everything is known, 0
-// when nothing is.
-func (s *State) Revision() uint64 { return s.revision }
+// when nothing is. It falls when the store comes back from a copy.
+func (s *State) Revision() uint64 { return s.point.Revision }
+
+// Point returns the store's point up to which everything is known.
+func (s *State) Point() Point { return s.point }
 
 // Configuration returns the newest configuration, nil when none is known. It
 // must not be changed.
 func (s *State) Configuration() *Configuration { return s.configuration }
 
-// Instances returns the recorded instances, sorted by id. Of several at one
-// address only the one recorded last counts: the others have ended without a
-// word, and their records are still to be removed.
+// Instances returns the recorded instances, sorted by id. Of several at one address only
+// one counts, see latestOf. Those that a copy of the store tells against better knowledge
+// are left out.
 func (s *State) Instances() []Instance {
-	latest := make(map[string]record, len(s.instances))
-	for _, held := range s.instances {
-		if other, known := latest[held.instance.Address]; !known || held.revision > other.revision {
-			latest[held.instance.Address] = held
-		}
-	}
+	latest := s.latest()
 	instances := make([]Instance, 0, len(latest))
 	for _, held := range latest {
 		instances = append(instances, held.instance)
@@ -71,18 +75,44 @@
 	return instances
 }
 
+// latest returns the records that count, by address.
+func (s *State) latest() map[string]record {
+	if len(s.doubts.instances) == 0 {
+		return latestOf(s.instances)
+	}
+	sure := maps.Clone(s.instances)
+	maps.DeleteFunc(sure, func(id string, _ record) bool { return s.doubts.instance(id) })
+	return latestOf(sure)
+}
+
+// latestOf returns of the records at each address the one that was written last: the
+// others have ended without a word, and their records are still to be removed.
+func latestOf(records map[string]record) map[string]record {
+	latest := make(map[string]record, len(records))
+	for _, held := range records {
+		if other, known := latest[held.instance.Address]; !known || held.revision > other.revision {
+			latest[held.instance.Address] = held
+		}
+	}
+	return latest
+}
+
 // Join takes a batch in. It reports whether the batch could be used, and
 // whether it changed anything: a batch that starts after what is known leaves a
-// gap and can't be used.
+// gap and can't be used. Neither can changes of a later era, however well their
+// revisions fit: what lies before them is not what is known.
 func (s *State) Join(batch Batch) (usable, changed bool) {
+	if batch.Era < s.point.Era {
+		return true, false
+	}
 	if batch.Whole {
 		return s.joinWhole(batch)
 	}
-	if batch.From > s.revision || s.revision == 0 {
+	if batch.Era > s.point.Era || batch.From > s.point.Revision || s.point.Revision == 0 {
 		return false, false
 	}
 	for _, change := range batch.Changes {
-		if change.Revision <= s.revision {
+		if change.Revision <= s.point.Revision {
 			continue
 		}
 		if !s.resolve(&change) {
@@ -92,7 +122,7 @@
 			changed = true
 		}
 	}
-	s.revision = max(s.revision, batch.To)
+	s.point.Revision = max(s.point.Revision, batch.To)
 	return true, changed
 }
 
@@ -100,7 +130,7 @@
 // the one that is held. It can't be used when its configuration is told as the difference
 // to another one than is held.
 func (s *State) joinWhole(batch Batch) (usable, changed bool) {
-	if batch.To <= s.revision {
+	if batch.Point().Compare(s.point) <= 0 {
 		return true, false
 	}
 	changes := slices.Clone(batch.Changes)
@@ -109,7 +139,14 @@
 			return false, false
 		}
 	}
-	before := s.instances
+	restored := s.point.Revision > 0 && batch.Era > s.point.Era
+	known := s.knowledge()
+	var returned map[string]struct{}
+	if restored {
+		returned = s.returned(changes, known)
+		s.doubts = newDoubts()
+		s.configuredAt = batch.To // an older one in the copy is not taken
+	}
 	s.instances = map[string]record{}
 	s.evacuations = map[string]evacuation{}
 	s.removed = nil
@@ -117,8 +154,11 @@
 	for _, change := range changes {
 		s.apply(change)
 	}
-	s.lapseMissing(before)
-	s.revision = batch.To
+	if restored {
+		s.doubt(returned, known)
+	}
+	s.lapseMissing(known.instances, restored)
+	s.point = batch.Point()
 	return true, true
 }
 
@@ -139,10 +179,7 @@
 	case change.Configuration != nil:
 		return s.configure(change)
 	case change.Instance != nil:
-		before, known := s.instances[change.Instance.ID]
-		s.instances[change.Instance.ID] = record{instance: *change.Instance, revision: change.Revision}
-		delete(s.lapsed, change.Instance.ID)
-		return !known || before.instance != *change.Instance
+		return s.record(change)
 	case change.Evacuation != nil:
 		return s.evacuate(change)
 	case change.Removed != "":
@@ -152,6 +189,26 @@
 	}
 }
 
+// record takes in what a worker has recorded of itself. An incarnation that has said once
+// that it leaves is leaving, also where a copy of the store doesn't know that any more.
+func (s *State) record(change Change) bool {
+	instance := *change.Instance
+	before, known := s.instances[instance.ID]
+	if known && before.instance.Born != instance.Born {
+		s.departures.note(&before.instance)
+	}
+	instance.Draining = instance.Draining || s.departures.left(&instance)
+	if instance.Draining {
+		s.departures.note(&instance)
+	}
+	s.departures.forget(&instance)
+	s.instances[instance.ID] = record{instance: instance, revision: change.Revision}
+	delete(s.lapsed, instance.ID)
+	doubted := s.doubts.instance(instance.ID)
+	delete(s.doubts.instances, instance.ID)
+	return !known || doubted || before.instance != instance
+}
+
 // configure takes a configuration. A lower version never replaces a higher
 // one, whatever the store's revision says.
 func (s *State) configure(change Change) bool {
@@ -167,16 +224,32 @@
 
 // evacuate takes in whether a zone is evacuated.
 func (s *State) evacuate(change Change) bool {
-	before, known := s.evacuations[change.Evacuation.Zone]
-	s.evacuations[change.Evacuation.Zone] = evacuation{Evacuation: *change.Evacuation, revision: change.Revision}
-	return change.Evacuation.Ended != (!known || before.Ended)
+	zone := change.Evacuation.Zone
+	before := s.isEvacuated(zone)
+	s.evacuations[zone] = evacuation{Evacuation: *change.Evacuation, revision: change.Revision}
+	delete(s.doubts.evacuations, zone)
+	return s.isEvacuated(zone) != before
+}
+
+// isEvacuated reports whether a zone's workers are to be sent nothing.
+func (s *State) isEvacuated(zone string) bool {
+	if before, doubted := s.doubts.evacuations[zone]; doubted {
+		return before
+	}
+	told, known := s.evacuations[zone]
+	return known && !told.Ended
 }
 
 // Evacuated returns the zones whose workers are to be sent nothing, sorted.
 func (s *State) Evacuated() []string {
 	var zones []string
-	for zone, held := range s.evacuations {
-		if !held.Ended {
+	for zone := range s.evacuations {
+		if s.isEvacuated(zone) {
+			zones = append(zones, zone)
+		}
+	}
+	for zone, evacuated := range s.doubts.evacuations {
+		if _, told := s.evacuations[zone]; evacuated && !told {
 			zones = append(zones, zone)
 		}
 	}
@@ -208,10 +281,14 @@
 
 func (s *State) remove(change Change) bool {
 	gone, known := s.instances[change.Removed]
-	if known {
+	if known && !s.doubts.instance(change.Removed) {
 		s.lapse(gone.instance)
 	}
+	if known {
+		s.departures.note(&gone.instance)
+	}
 	delete(s.instances, change.Removed)
+	delete(s.doubts.instances, change.Removed)
 	s.removed = append(s.removed, removal{id: change.Removed, revision: change.Revision})
 	if len(s.removed) > maxRemoved {
 		s.floor = max(s.floor, s.removed[0].revision)
@@ -220,16 +297,9 @@
 	return known
 }
 
-// Position is what a node holds: the store's revision up to which it knows
-// everything, and the version of its configuration; 0 for none.
-type Position struct {
-	Revision uint64 `json:"revision"`
-	Version  uint64 `json:"version"`
-}
-
 // Position returns what is held here.
 func (s *State) Position() Position {
-	position := Position{Revision: s.revision}
+	position := Position{Point: s.point}
 	if s.configuration != nil {
 		position.Version = s.configuration.Version
 	}
@@ -241,11 +311,17 @@
 // the peer is told only what differs from the one that it holds, in a whole as well: after
 // the store has dropped its history, all nodes of a zone need the whole at once, and 1600
 // routes take 30 kB of a link for each of them.
+//
+// A peer that knows an era after this node's is told nothing; one of an era before, the
+// whole.
 func (s *State) Since(held Position) Batch {
+	if held.Era > s.point.Era {
+		return Batch{Era: s.point.Era, From: s.point.Revision, To: s.point.Revision}
+	}
 	revision := held.Revision
-	batch := Batch{From: revision, To: s.revision}
-	if revision < s.floor || revision == 0 {
-		batch = Batch{To: s.revision, Whole: true}
+	batch := Batch{Era: s.point.Era, From: revision, To: s.point.Revision}
+	if held.Era < s.point.Era || revision < s.floor || revision == 0 {
+		batch = Batch{Era: s.point.Era, To: s.point.Revision, Whole: true}
 		revision = 0
 	}
 	if s.configuration != nil && s.configuredAt > revision && !(batch.Whole && held.Version == s.configuration.Version) {
--- a/internal/catalog/state_test.go
+++ b/internal/catalog/state_test.go
@@ -189,7 +189,7 @@
 			batch := Batch{From: revision - 1, To: revision, Whole: revision == 1, Changes: []Change{change}}
 			elsewhere.Join(batch)
 			if revision == 1 || rapid.Bool().Draw(t, "seen") {
-				truth.Join(elsewhere.Since(Position{Revision: truth.Revision()})) // whole configurations, some missed
+				truth.Join(elsewhere.Since(Position{Point: truth.Point()})) // whole configurations, some missed
 			}
 			peer := NewState()
 			peer.Join(elsewhere.Since(Position{}))
--- a/internal/replication/confirm.go
+++ b/internal/replication/confirm.go
@@ -54,16 +54,21 @@
 
 // join takes a batch in that a reader's question brought, and tells what is new.
 // It reports false when the batch starts after what is known.
-func (m *Machine) join(batch catalog.Batch, confirmedAt time.Time, by confirmation) bool {
+func (m *Machine) join(batch catalog.Batch, confirmedAt time.Time, by confirmation, now time.Time) bool {
+	before := m.state.Point()
 	usable, changed := m.state.Join(batch)
 	if !usable {
 		m.needWhole = true
 		return false
 	}
-	if changed {
+	restored := before.Revision > 0 && m.state.Point().Era > before.Era
+	switch {
+	case restored:
+		m.onRestored(before, now)
+	case changed:
 		m.noteLapses(m.confirmed)
 	}
-	if batch.To >= m.state.Revision() && confirmedAt.After(m.confirmed) && !m.known(by) {
+	if batch.Point().Compare(m.state.Point()) >= 0 && confirmedAt.After(m.confirmed) && !m.known(by) {
 		m.confirmed = confirmedAt
 		m.confirmedBy = by
 		m.count(by)
--- a/internal/replication/event.go
+++ b/internal/replication/event.go
@@ -105,6 +105,9 @@
 	Revision uint64 // that the store told; 0: none
 	Duration time.Duration
 	Err      error
+	Before   catalog.Point // up to which everything was known, of EventStoreRestored
+	Missing  int           // workers whose records are gone, of EventStoreRestored and EventRestoreSettled
+	Doubted  int           // records and orders that are not followed: catalog.State.Doubted
 }
 
 // LogEvent names an event of the log.
@@ -112,13 +115,15 @@
 
 // The events of the log.
 const (
-	EventPaused        LogEvent = "replication.paused"        // the process stood still
-	EventStoreLost     LogEvent = "replication.storeLost"     // a question to the store failed
-	EventStoreRegained LogEvent = "replication.storeRegained" // the store answers again
-	EventHistoryGone   LogEvent = "replication.historyGone"   // the store doesn't know the changes that were asked for
-	EventAnswerOlder   LogEvent = "replication.answerOlder"   // the store's answer is older than what is held: it is not used
-	EventPeerLost      LogEvent = "replication.peerLost"      // a followed node is given up
-	EventFollowing     LogEvent = "replication.following"     // another node is followed
+	EventPaused         LogEvent = "replication.paused"         // the process stood still
+	EventStoreLost      LogEvent = "replication.storeLost"      // a question to the store failed
+	EventStoreRegained  LogEvent = "replication.storeRegained"  // the store answers again
+	EventHistoryGone    LogEvent = "replication.historyGone"    // the store doesn't know the changes that were asked for
+	EventAnswerOlder    LogEvent = "replication.answerOlder"    // the store's answer is older than what is held: it is not used
+	EventStoreRestored  LogEvent = "replication.storeRestored"  // the store has come back from an older copy
+	EventRestoreSettled LogEvent = "replication.restoreSettled" // what the copy says is followed from now on, also against what was known
+	EventPeerLost       LogEvent = "replication.peerLost"       // a followed node is given up
+	EventFollowing      LogEvent = "replication.following"      // another node is followed
 )
 
 func (Ask) effect()       {}
--- a/internal/replication/fleet_test.go
+++ b/internal/replication/fleet_test.go
@@ -187,7 +187,7 @@
 			return
 		}
 		node.question = nil
-		after := catalog.Position{Revision: asked.ask.After} // the store knows no differences
+		after := catalog.Position{Point: catalog.Point{Era: f.store.Point().Era, Revision: asked.ask.After}} // the store knows no differences
 		if asked.ask.Whole {
 			after = catalog.Position{}
 		}
@@ -227,7 +227,7 @@
 		return
 	}
 	state := from.machine.State()
-	if state.Revision() <= node.sent.Revision && f.now.Sub(node.told) < beat && !from.machine.Confirmed().After(node.confirmed) {
+	if state.Point().Compare(node.sent.Point) <= 0 && f.now.Sub(node.told) < beat && !from.machine.Confirmed().After(node.confirmed) {
 		return
 	}
 	batch := state.Since(node.sent)
--- a/internal/replication/machine.go
+++ b/internal/replication/machine.go
@@ -86,6 +86,8 @@
 	followed  time.Time        // since when
 	doubts    map[string]doubt // by address: nodes that were given up
 
+	settleAt time.Time // when doubts about a copy of the store end, the zero time while there are none
+
 	lapses  map[string]time.Time // by id of an instance whose record is gone: when it was last there
 	own     recordCheck
 	vouches bool
@@ -169,6 +171,7 @@
 	m.takeDuty(now)
 	m.follow(now)
 	m.forgetLapses(now)
+	m.settle(now)
 	m.ask(now)
 	m.vouch(now)
 	m.knock(now)
@@ -203,15 +206,15 @@
 	}
 	m.asked++
 	m.noteOlder(event.Batch)
-	m.join(event.Batch, m.confirmedAt(event.ConfirmedAt), confirmation{reader: m.config.Self, serial: m.asked})
-	if len(event.Batch.Changes) > 0 {
+	usable := m.join(event.Batch, m.confirmedAt(event.ConfirmedAt), confirmation{reader: m.config.Self, serial: m.asked}, now)
+	if usable && len(event.Batch.Changes) > 0 {
 		m.nextAsk = now.Add(m.spacing())
 	}
 }
 
 // noteOlder tells of an answer that is older than what is known, the first one in a row.
 func (m *Machine) noteOlder(batch catalog.Batch) {
-	older := batch.To < m.state.Revision()
+	older := batch.Point().Compare(m.state.Point()) < 0
 	if older && !m.unused {
 		m.emit(Log{Event: EventAnswerOlder, Revision: batch.To})
 	}
@@ -275,11 +278,12 @@
 	before, told := m.confirmed, now.Add(-m.ageOf(event, now))
 	by := confirmation{reader: event.Reader, serial: event.Serial}
 	repeated := m.known(by)
-	if !m.join(event.Batch, told, by) {
+	if !m.join(event.Batch, told, by, now) {
 		m.emit(Follow{Address: m.following})
 		return
 	}
-	if !told.Before(before) && !repeated {
+	current := event.Batch.Era == m.state.Point().Era
+	if current && !told.Before(before) && !repeated {
 		m.believe(event)
 	}
 }
--- a/internal/replicator/link.go
+++ b/internal/replicator/link.go
@@ -54,9 +54,8 @@
 
 // encodedNews is the last line, shared by all followers that hold the same.
 type encodedNews struct {
-	from catalog.Position
-	to   uint64
-	line []byte
+	from, to catalog.Position
+	line     []byte
 }
 
 // accept takes followers in until ctx ends.
@@ -165,14 +164,14 @@
 // take what it is sent is dropped: it will come back and say what it holds.
 func (r *Replicator) tell(mine *follower) {
 	state := r.machine.State()
-	if r.encoded.line == nil || r.encoded.from != mine.sent || r.encoded.to != state.Revision() {
+	if r.encoded.line == nil || r.encoded.from != mine.sent || r.encoded.to != state.Position() {
 		age, _ := r.machine.Age(r.config.Now())
 		reader, serial := r.machine.ConfirmedBy()
 		line, err := json.Marshal(news{Batch: state.Since(mine.sent), Age: age, Reader: reader, Serial: serial, Preferred: r.machine.Preferred()})
 		if err != nil {
 			return
 		}
-		r.encoded = encodedNews{from: mine.sent, to: state.Revision(), line: append(line, '\n')}
+		r.encoded = encodedNews{from: mine.sent, to: state.Position(), line: append(line, '\n')}
 	}
 	select {
 	case mine.lines <- r.encoded.line:
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -277,7 +277,15 @@
 }
 
 func (r *Replicator) log(event replication.Log) {
-	fields := logging.Fields{"revision": r.machine.State().Revision()}
+	point := r.machine.State().Point()
+	fields := logging.Fields{"revision": point.Revision}
+	switch event.Event {
+	case replication.EventStoreRestored:
+		fields["era"], fields["before_era"], fields["before_revision"] = point.Era, event.Before.Era, event.Before.Revision
+		fields["missing"], fields["doubted"] = event.Missing, event.Doubted
+	case replication.EventRestoreSettled:
+		fields["era"], fields["missing"], fields["doubted"] = point.Era, event.Missing, event.Doubted
+	}
 	if event.Peer != "" {
 		fields["peer"] = event.Peer
 	}
