--- a/internal/catalog/restored.go
+++ b/internal/catalog/restored.go
@@ -87,6 +87,8 @@
 func (s *State) Settle() bool {
 	changed := s.Doubted() > 0
 	for id := range s.doubts.instances {
+		instance := s.instances[id].instance
+		s.departures.forget(&instance)
 		delete(s.lapsed, id)
 	}
 	s.doubts = newDoubts()
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -145,7 +145,7 @@
 	if restored {
 		returned = s.returned(changes, known)
 		s.doubts = newDoubts()
-		s.configuredAt = batch.To // an older one in the copy is not taken
+		s.configuredAt = batch.To // of one that the copy holds an older version of; peers get it with the whole
 	}
 	s.instances = map[string]record{}
 	s.evacuations = map[string]evacuation{}
