Workers that start again under their ids, and entries of other writers

Cause: an id was taken for one start of a worker. Of a worker that ends and comes back under its id, two ends under a request counted as one, and what it had said of leaving would hold for its next life. Entries lacking fields or telling an unknown state counted as workers ready to take requests. Ruled out: ordering starts by born (a clock may be set back; the store's order holds); keeping an entry that is written over in force (it names no worker). Change: Instance.Incarnation, id and born, names what is learnt of a worker (balancing, rest from the start, quarantine, leaving); requests still name the id. Entries are checked (Instance.Validate), count as gone when they are no worker's, and are told once; those of services that the configuration doesn't know hide nobody.

--- a/internal/catalog/lapse.go
+++ b/internal/catalog/lapse.go
@@ -45,8 +45,8 @@
 
 // lapseMissing does so for all that a new whole lacks, or tells against better knowledge.
 // What had been replaced at its address had ended.
-func (s *State) lapseMissing(before map[string]record, restored bool) {
-	for _, held := range latestOf(before) {
+func (s *State) lapseMissing(latest map[string]record, restored bool) {
+	for _, held := range latest {
 		if _, present := s.instances[held.instance.ID]; present && !s.doubts.instance(held.instance.ID) {
 			continue
 		}
--- a/internal/catalog/reading.go
+++ b/internal/catalog/reading.go
@@ -3,7 +3,8 @@
 import "slices"
 
 // Item is one item as a client of the store has read it. Exactly one of
-// Configuration, Instance, Evacuation, Removed and Err is set.
+// Configuration, Instance, Evacuation, Removed and Err is set; or Removed and Err, for a
+// record that names no worker.
 type Item struct {
 	Revision      uint64
 	Configuration func() (*Configuration, error) // decodes a configuration, which is long
@@ -29,10 +30,13 @@
 	batch := Batch{Era: a.Era, From: a.From, To: a.To, Whole: a.Whole}
 	configured := false
 	for _, item := range slices.Backward(a.Items) {
+		item.refuseUnusable()
 		change := Change{Revision: item.Revision, Instance: item.Instance, Evacuation: item.Evacuation, Removed: item.Removed}
-		switch {
-		case item.Err != nil:
+		if item.Err != nil {
 			problem(item.Err)
+		}
+		switch {
+		case item.Err != nil && item.Removed == "":
 			continue
 		case item.Configuration != nil && configured:
 			continue
@@ -51,6 +55,16 @@
 	return batch
 }
 
+// refuseUnusable takes a record that can be no worker's for none.
+func (i *Item) refuseUnusable() {
+	if i.Instance == nil {
+		return
+	}
+	if err := i.Instance.Validate(); err != nil {
+		i.Removed, i.Instance, i.Err = i.Instance.ID, nil, err
+	}
+}
+
 // sound decodes a configuration and checks it.
 func (i *Item) sound() (*Configuration, error) {
 	configuration, err := i.Configuration()
--- a/internal/catalog/restored.go
+++ b/internal/catalog/restored.go
@@ -27,13 +27,14 @@
 
 // knowledge is what was known before a whole.
 type knowledge struct {
-	instances map[string]record
+	instances map[string]record // by id
+	latest    map[string]record // of them those that counted, by address
 	lapsed    map[string]Instance
 	evacuated map[string]bool // by zone, those that were taken back included
 }
 
 func (s *State) knowledge() knowledge {
-	known := knowledge{instances: s.instances, lapsed: maps.Clone(s.lapsed), evacuated: map[string]bool{}}
+	known := knowledge{instances: s.instances, latest: s.latest(), lapsed: maps.Clone(s.lapsed), evacuated: map[string]bool{}}
 	for zone, held := range s.evacuations {
 		known.evacuated[zone] = !held.Ended
 	}
@@ -44,7 +45,6 @@
 // returned returns the ids of a copy's records that are known to have been gone or replaced
 // when the copy was older.
 func (s *State) returned(changes []Change, known knowledge) map[string]struct{} {
-	latest := s.latest()
 	returned := map[string]struct{}{}
 	for _, change := range changes {
 		instance := change.Instance
@@ -52,7 +52,7 @@
 			continue
 		}
 		before, recorded := known.instances[instance.ID]
-		replaced := recorded && before.instance == *instance && latest[instance.Address].instance != *instance
+		replaced := recorded && before.instance == *instance && known.latest[instance.Address].instance != *instance
 		if replaced || s.departures.ended(instance) {
 			returned[instance.ID] = struct{}{}
 		}
--- a/internal/catalog/restored_test.go
+++ b/internal/catalog/restored_test.go
@@ -27,7 +27,7 @@
 	ordered  bool // whether the zone is evacuated
 	nodes    []*State
 	underway map[*State][]Batch // to a node, which may take it late or twice
-	left     []map[string]bool // by node: incarnations that it knew to leave
+	left     []map[string]bool  // by node: incarnations that it knew to leave
 }
 
 var historyIDs = []string{"a", "b", "c"}
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 )
 
@@ -64,7 +63,8 @@
 
 // Instances returns the recorded instances, sorted by id. Of several at one address only
 // one counts, see latestOf. Those that a copy of the store tells against better knowledge
-// are left out.
+// are left out, and those of services that the configuration doesn't know: no worker need
+// have written them, and none is to be hidden by them.
 func (s *State) Instances() []Instance {
 	latest := s.latest()
 	instances := make([]Instance, 0, len(latest))
@@ -77,19 +77,26 @@
 
 // latest returns the records that count, by address.
 func (s *State) latest() map[string]record {
-	if len(s.doubts.instances) == 0 {
-		return latestOf(s.instances)
+	return latestOf(s.instances, func(held *Instance) bool { return !s.doubts.instance(held.ID) && s.declares(held.Service) })
+}
+
+// declares reports whether the configuration knows a service, as far as can be told.
+func (s *State) declares(service string) bool {
+	if s.configuration == nil || len(s.configuration.Services) == 0 {
+		return true
 	}
-	sure := maps.Clone(s.instances)
-	maps.DeleteFunc(sure, func(id string, _ record) bool { return s.doubts.instance(id) })
-	return latestOf(sure)
+	_, declared := s.configuration.Services[service]
+	return declared
 }
 
-// latestOf returns of the records at each address the one that was written last: the
-// others have ended without a word, and their records are still to be removed.
-func latestOf(records map[string]record) map[string]record {
+// latestOf returns of the records at each address that count the one that was written last:
+// the others have ended without a word, and their records are still to be removed.
+func latestOf(records map[string]record, counts func(*Instance) bool) map[string]record {
 	latest := make(map[string]record, len(records))
 	for _, held := range records {
+		if !counts(&held.instance) {
+			continue
+		}
 		if other, known := latest[held.instance.Address]; !known || held.revision > other.revision {
 			latest[held.instance.Address] = held
 		}
@@ -157,7 +164,7 @@
 	if restored {
 		s.doubt(returned, known)
 	}
-	s.lapseMissing(known.instances, restored)
+	s.lapseMissing(known.latest, restored)
 	s.point = batch.Point()
 	return true, true
 }
--- a/internal/catalog/validate.go
+++ b/internal/catalog/validate.go
@@ -1,7 +1,9 @@
 package catalog
 
 import (
+	"net/netip"
 	"strings"
+	"time"
 
 	"sliphead/internal/fault"
 )
@@ -49,3 +51,41 @@
 	}
 	return nil
 }
+
+// Bounds of what a worker may record of itself. The store takes keys of 200 bytes; the
+// others lie far above what workers are.
+const (
+	maxIDLength = 200
+	maxCapacity = 1 << 16
+	maxCold     = 24 * time.Hour
+)
+
+// Validate checks what a worker is said to have recorded of itself: other writers may have
+// written it, or have written over it.
+func (i *Instance) Validate() error {
+	const remedy = "find out who writes to the store beside the workers"
+	address, err := netip.ParseAddrPort(i.Address)
+	switch {
+	case !validID(i.ID):
+		return fault.New(fault.Source, remedy, "a record has the id %.50q", i.ID)
+	case err != nil || address.Port() == 0 || address.Addr().IsUnspecified():
+		return fault.New(fault.Source, remedy, "the record of %q has address %.50q", i.ID, i.Address)
+	case i.Service == "" || i.Zone == "":
+		return fault.New(fault.Source, remedy, "the record of %q has service %.50q and zone %.50q", i.ID, i.Service, i.Zone)
+	case i.Capacity < 1 || i.Capacity > maxCapacity:
+		return fault.New(fault.Source, remedy, "the record of %q has capacity %d", i.ID, i.Capacity)
+	case i.ColdRemaining < 0 || i.ColdRemaining > maxCold:
+		return fault.New(fault.Source, remedy, "the record of %q is cold for %s", i.ID, i.ColdRemaining)
+	case i.Born < 0:
+		return fault.New(fault.Source, remedy, "the record of %q tells a start at %d", i.ID, i.Born)
+	}
+	return nil
+}
+
+// validID reports whether an id can go into a header as it is: it is sent to the worker.
+func validID(id string) bool {
+	if id == "" || len(id) > maxIDLength {
+		return false
+	}
+	return !strings.ContainsFunc(id, func(character rune) bool { return character <= ' ' || character > '~' })
+}
--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -49,10 +49,11 @@
 	quota      *quotakeeper.Keeper // nil: tenants have no limit
 	inbound    *traffic.Inbound
 	outbound   *traffic.Outbound
-	stopping   chan struct{} // closed when a planned stop begins
-	stop       func()        // begins it
-	stopBegan  time.Time     // set before stopping is closed
-	denials    atomic.Int32  // answers that the node is not ready, since then
+	refused    *logging.Problems // with items of the store
+	stopping   chan struct{}     // closed when a planned stop begins
+	stop       func()            // begins it
+	stopBegan  time.Time         // set before stopping is closed
+	denials    atomic.Int32      // answers that the node is not ready, since then
 }
 
 // leaseForever is for views that never end by themselves: a catalog's age is
@@ -64,7 +65,7 @@
 	if options.Registry == nil {
 		options.Registry = prometheus.NewRegistry()
 	}
-	n := &CatalogNode{settings: configured, options: options, holder: &snapshot.Holder{}, stopping: make(chan struct{})}
+	n := &CatalogNode{settings: configured, options: options, holder: &snapshot.Holder{}, stopping: make(chan struct{}), refused: logging.NewProblems(options.Logger)}
 	n.stop = sync.OnceFunc(n.beginStop)
 	n.holder.Renew(time.Now().Add(leaseForever))
 	peer, err := netip.ParseAddrPort(configured.Listen.Peer)
@@ -214,10 +215,11 @@
 	}
 }
 
-// itemRefused tells of an item of the store that can't be used: the last good
-// one serves on.
+// itemRefused tells once of an item of the store that can't be used, however often it is
+// read. Of configurations the last good one serves on; a record that can't be used names no
+// worker.
 func (n *CatalogNode) itemRefused(err error) {
-	logging.Problem(n.options.Logger, "version.refused", err, nil)
+	n.refused.Log("version.refused", err.Error(), err, nil)
 }
 
 // Run serves until ctx ends or a planned stop has finished.
--- a/internal/snapshot/catalog.go
+++ b/internal/snapshot/catalog.go
@@ -20,7 +20,8 @@
 
 // Local is the instance beside this node, as the catalog records it.
 type Local struct {
-	Instance      string // id
+	Instance      string // its incarnation: what is learnt of it is not of the one before
+	ID            string // by which requests name it to itself
 	Service       string
 	Slots         int // requests that it runs at once
 	Connections   int // open connections to it at most, 0: not told
@@ -110,7 +111,7 @@
 			return
 		}
 		endpoints[instance.Service] = append(endpoints[instance.Service], Endpoint{
-			Worker:      instance.ID,
+			Worker:      instance.Incarnation(),
 			Node:        host,
 			Zone:        instance.Zone,
 			Region:      input.Regions[instance.Zone],
@@ -175,7 +176,8 @@
 func localOf(instance catalog.Instance, configuration *catalog.Configuration) Local {
 	service := configuration.Services[instance.Service]
 	return Local{
-		Instance:      instance.ID,
+		Instance:      instance.Incarnation(),
+		ID:            instance.ID,
 		Service:       instance.Service,
 		Slots:         instance.Capacity,
 		Connections:   service.MaxConnections,
--- a/internal/source/poll.go
+++ b/internal/source/poll.go
@@ -21,7 +21,7 @@
 // ask in step. Each list read is emitted; a failure is logged once until it
 // changes and emits nothing, so that the last list stays in use.
 func (m *Machines) Poll(ctx context.Context, due Due, random *rand.Rand, logger log.Interface, emit func([]Machine)) {
-	known := newProblems(logger)
+	known := logging.NewProblems(logger)
 	for ctx.Err() == nil {
 		read, interval := due()
 		var err error
@@ -33,14 +33,14 @@
 }
 
 // pollOnce reads the list once and emits it, or logs the failure.
-func (m *Machines) pollOnce(ctx context.Context, known problems, emit func([]Machine)) error {
+func (m *Machines) pollOnce(ctx context.Context, known *logging.Problems, emit func([]Machine)) error {
 	machines, err := m.Fetch(ctx)
 	switch {
 	case ctx.Err() != nil:
 	case err != nil:
-		known.log("machines.failed", "", err, logging.Fields{"kind": fault.KindOf(err)})
+		known.Log("machines.failed", "", err, logging.Fields{"kind": fault.KindOf(err)})
 	default:
-		known.settled("machines.failed", "")
+		known.Settled("machines.failed", "")
 		emit(machines)
 	}
 	return err
--- a/internal/source/reader.go
+++ b/internal/source/reader.go
@@ -37,7 +37,7 @@
 	Random        *rand.Rand // jitter; used by Run's goroutine only
 
 	failures int
-	problems problems
+	problems *logging.Problems
 	etag     string
 	current  Result
 	sound    bool // whether the document given last is the current one
@@ -94,7 +94,7 @@
 	if r.Logger == nil {
 		r.Logger = logging.Discard()
 	}
-	r.problems = newProblems(r.Logger)
+	r.problems = logging.NewProblems(r.Logger)
 }
 
 // serve reads until the duty changes or ctx ends. It starts without an ETag,
@@ -184,11 +184,11 @@
 	r.etag = document.ETag
 	r.sound = err == nil
 	if err != nil {
-		r.problems.log("source.documentRefused", "", err, logging.Fields{"revision": document.Revision})
+		r.problems.Log("source.documentRefused", "", err, logging.Fields{"revision": document.Revision})
 		r.Emit(Result{Revision: document.Revision, Err: err})
 		return
 	}
-	r.problems.settled("source.documentRefused", "")
+	r.problems.Settled("source.documentRefused", "")
 	r.current = Result{Document: parsed, Revision: document.Revision, Secrets: make(map[string]string, len(parsed.Secrets))}
 	r.askSecrets(ctx, r.missing())
 	if ctx.Err() == nil {
@@ -220,10 +220,10 @@
 			return came
 		}
 		if err != nil {
-			r.problems.log("source.secretMissing", name, err, logging.Fields{"secret": name})
+			r.problems.Log("source.secretMissing", name, err, logging.Fields{"secret": name})
 			continue
 		}
-		r.problems.settled("source.secretMissing", name)
+		r.problems.Settled("source.secretMissing", name)
 		r.current.Secrets[name] = value
 		came = true
 	}
@@ -243,7 +243,7 @@
 // report logs a failure once per cause and emits it.
 func (r *Reader) report(err error) {
 	r.failures++
-	r.problems.log("source.failed", "", err, logging.Fields{"kind": fault.KindOf(err)})
+	r.problems.Log("source.failed", "", err, logging.Fields{"kind": fault.KindOf(err)})
 	r.Emit(Result{Err: err})
 }
 
@@ -256,7 +256,7 @@
 	}
 	logging.Event(r.Logger, "source.recovered", logging.Fields{"failures": r.failures})
 	r.failures = 0
-	r.problems.settled("source.failed", "")
+	r.problems.Settled("source.failed", "")
 	if !news && r.sound {
 		r.Emit(r.copy())
 	}
--- a/internal/traffic/catalog_mesh_test.go
+++ b/internal/traffic/catalog_mesh_test.go
@@ -276,7 +276,7 @@
 		}
 		view := snapshot.NewView(version.Version{Revision: 1}, time.Now(), routes)
 		view.Nodes = len(m.nodes)
-		view.Local = snapshot.Local{Instance: node.worker.id, Service: "shop", Slots: 2, Connections: 130}
+		view.Local = snapshot.Local{Instance: node.worker.id, ID: node.worker.id, Service: "shop", Slots: 2, Connections: 130}
 		node.holder.Store(view)
 	}
 }
--- a/internal/traffic/cold_test.go
+++ b/internal/traffic/cold_test.go
@@ -16,7 +16,7 @@
 func TestColdWorkerIsHeldToItsBound(t *testing.T) {
 	m := newCatalogMesh(t, 1)
 	const bears = 5 // a second; one may go out at once
-	cold := snapshot.Local{Instance: m.nodes[0].worker.id, Service: "shop", Slots: 2, Connections: 130, ColdPerSecond: bears, ColdStart: time.Hour, HealthPath: "/health"}
+	cold := snapshot.Local{Instance: m.nodes[0].worker.id, ID: m.nodes[0].worker.id, Service: "shop", Slots: 2, Connections: 130, ColdPerSecond: bears, ColdStart: time.Hour, HealthPath: "/health"}
 	m.nodes[0].in.Recorded(cold)
 	m.nodes[0].in.admitter.cold.Probed(time.Hour, time.Now())
 	statuses := map[int]int{}
--- a/internal/traffic/cold_wait_test.go
+++ b/internal/traffic/cold_wait_test.go
@@ -12,7 +12,7 @@
 
 // coldLocal is a worker that bears next to nothing while it is cold.
 func coldLocal(id string) snapshot.Local {
-	return snapshot.Local{Instance: id, Service: "shop", Slots: 2, Connections: 130, ColdPerSecond: 0.01, ColdStart: time.Hour, HealthPath: "/health"}
+	return snapshot.Local{Instance: id, ID: id, Service: "shop", Slots: 2, Connections: 130, ColdPerSecond: 0.01, ColdStart: time.Hour, HealthPath: "/health"}
 }
 
 // After all workers have started anew, callers come back while these are still cold. One
--- a/internal/traffic/protocol.go
+++ b/internal/traffic/protocol.go
@@ -52,7 +52,7 @@
 	fields = append(fields,
 		field{p.RequestID, x.id},
 		field{p.Deadline, strconv.FormatInt(x.millisecondsLeft(), 10)},
-		field{p.TargetInstance, x.instance})
+		field{p.TargetInstance, x.view.Local.ID})
 	if x.caller != "" {
 		fields = append(fields, field{p.CallerService, x.caller})
 	}
