The fleet in virtual time: stores that come back from copies

Cause: the mend was proved for states alone, not for how long a fleet takes. Ruled out: a time of its own for copies; the bound on changes holds through them. Change: fleet tests with restores, also twice within a second, beside the other faults; a change of the harness alone, that a store which is away is no node's lateness. Four lines of the mend taken out fail the tests.

--- a/internal/replication/fleet_test.go
+++ b/internal/replication/fleet_test.go
@@ -80,6 +80,9 @@
 	now       time.Time
 	store     *catalog.State
 	revision  uint64
+	versions  uint64 // by how much versions are ahead of revisions, since the store came back from copies
+	restored  uint64 // revision of the last copy that it came back from
+	away      bool   // whether it answers nobody
 	changedAt map[uint64]time.Time
 	nodes     []*simNode
 	calls     int
@@ -119,12 +122,25 @@
 	f.revision++
 	change.Revision = f.revision
 	if change.Configuration != nil {
-		change.Configuration.Version = f.revision
+		change.Configuration.Version = f.revision + f.versions
 	}
-	f.store.Join(catalog.Batch{From: f.revision - 1, To: f.revision, Changes: []catalog.Change{change}})
+	f.store.Join(catalog.Batch{Era: f.store.Point().Era, From: f.revision - 1, To: f.revision, Changes: []catalog.Change{change}})
 	f.changedAt[f.revision] = f.now
 }
 
+// restore brings the store back from a copy. What had been written since is lost.
+func (f *fleet) restore(older catalog.Batch) {
+	f.versions += f.revision - older.To
+	older.Era = f.store.Point().Era + 1
+	f.store = catalog.NewState()
+	f.store.Join(older)
+	f.revision, f.restored = older.To, older.To
+	f.changedAt[f.revision] = f.now
+	for _, node := range f.nodes {
+		node.problemSince = f.now
+	}
+}
+
 func (f *fleet) configure() { f.change(catalog.Change{Configuration: &catalog.Configuration{}}) }
 
 func (f *fleet) node(address string) *simNode {
@@ -170,18 +186,25 @@
 		return
 	}
 	waited := f.now.Sub(asked.since) - f.storeWay(node)
+	access := node.access
+	if f.away {
+		access = silent
+	}
 	limit := asked.ask.Wait + freshness/5
 	if asked.ask.Whole {
 		limit = freshness * 3 / 5
 	}
 	switch {
-	case (node.access == silent || node.access == slow || node.access == deaf && !asked.ask.Whole) && waited >= limit:
+	case (access == silent || access == slow || access == deaf && !asked.ask.Whole) && waited >= limit:
 		node.question = nil
 		f.step(node, StoreFailed{Err: errSilent, Silent: true})
-	case node.access == refuses && waited >= storeTime:
+	case access == refuses && waited >= storeTime:
 		node.question = nil
 		f.step(node, StoreFailed{Err: errRefused})
-	case (node.access == serves || node.access == deaf && asked.ask.Whole) && waited >= storeTime:
+	case !asked.ask.Whole && asked.ask.After > f.revision && waited >= storeTime:
+		node.question = nil
+		f.step(node, StoreFailed{Err: errRefused, HistoryGone: true})
+	case (access == serves || access == deaf && asked.ask.Whole) && waited >= storeTime:
 		changed := f.store.Revision() > asked.ask.After
 		if !asked.ask.Whole && !changed && waited < asked.ask.Wait {
 			return
@@ -268,12 +291,19 @@
 // and lack a change that is older than the bound.
 func (f *fleet) late() []string {
 	var late []string
+	if f.away {
+		return nil
+	}
 	for _, node := range f.nodes {
 		inTouch := node.up && !node.frozen && !node.cut && node.access == serves && f.now.Sub(node.problemSince) >= 3*time.Second
 		if !inTouch {
 			continue
 		}
-		for revision := node.machine.State().Revision() + 1; revision <= f.revision; revision++ {
+		next := node.machine.State().Revision() + 1
+		if node.machine.State().Point().Era < f.store.Point().Era {
+			next = f.restored // whatever the node knows, it lacks the copy
+		}
+		for revision := next; revision <= f.revision; revision++ {
 			if f.now.Sub(f.changedAt[revision]) > freshness {
 				late = append(late, fmt.Sprintf("%s lacks %d of %d", node.address, revision, f.revision))
 				break
