Let operators see that the store came back from a copy

Cause: status and metrics knew a revision alone, which falls without a word when the store comes back. Ruled out: an event for each record that is missing; the two lines count them. The pages' test looks for its method by its name now. Measured: tests of docs, commands and node pass.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -27,7 +27,7 @@
 var (
 	eventName  = regexp.MustCompile(`^[a-z]+\.[a-z][A-Za-z-]*$`)
 	metricName = regexp.MustCompile(`^sliphead_[a-z_]+$`)
-	loggers    = []string{"Event", "Problem", "log", "Debug", "Info", "Warn", "Error"}
+	loggers    = []string{"Event", "Problem", "Log", "log", "Debug", "Info", "Warn", "Error"}
 )
 
 func TestOperatorsPageNamesEverything(t *testing.T) {
--- a/internal/command/status/status.go
+++ b/internal/command/status/status.go
@@ -104,16 +104,16 @@
 	}
 	_, err := fmt.Fprintf(output, `node       %s in zone %s, service %s
 ready      %t %s
-version    %d in force, store revision %d, confirmed %.2f s ago
+version    %d in force, store revision %d of era %d, confirmed %.2f s ago
 news       %s, passes them on to %d nodes
-instances  %d recorded
+instances  %d recorded, %d records and orders of the store doubted
 evacuated  %s
 requests   %d in flight, %d slots in use, %d queued
 quarantine %d requests held, %d suspected
 off        %s
 `, status.Node, status.Zone, status.Service, status.Ready, status.Reason,
-		status.Replication.Version, status.Replication.Revision, status.Replication.AgeS,
-		role, status.Replication.Followers, status.Replication.Instances, cmp.Or(strings.Join(status.Evacuated, ", "), "no zone"),
+		status.Replication.Version, status.Replication.Revision, status.Replication.Era, status.Replication.AgeS,
+		role, status.Replication.Followers, status.Replication.Instances, status.Replication.Doubted, cmp.Or(strings.Join(status.Evacuated, ", "), "no zone"),
 		status.InFlight, status.Slots, status.Queued, status.Quarantine.Held, status.Quarantine.Suspected, strings.Join(status.Off, ", "))
 	if err != nil {
 		return err
--- a/internal/node/catalog_metrics.go
+++ b/internal/node/catalog_metrics.go
@@ -15,7 +15,9 @@
 // The metrics of a catalog node.
 var (
 	ageMetric       = describe("sliphead_catalog_age_seconds", "Time since the store was last known to have nothing newer.")
-	storeMetric     = describe("sliphead_catalog_revision", "The store's revision up to which everything is known.")
+	storeMetric     = describe("sliphead_catalog_revision", "The store's revision up to which everything is known. It falls when the era rises.")
+	eraMetric       = describe("sliphead_store_era", "How often the store has come back from a copy, as it counts. A change is a loss of what it had acknowledged.")
+	doubtedMetric   = describe("sliphead_catalog_doubted", "Records and orders in a copy of the store that are not followed, since newer ones were known.")
 	callsMetric     = describe("sliphead_store_calls_total", "Questions to the store, by what became of them.", "result")
 	followersMetric = describe("sliphead_catalog_followers", "Nodes that this one passes news on to.")
 	instancesMetric = describe("sliphead_catalog_instances", "Instances that the store records.")
@@ -32,7 +34,7 @@
 // Describe implements prometheus.Collector.
 func (catalogState) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, description := range []*prometheus.Desc{
-		readyMetric, readerMetric, revisionMetric, ageMetric, storeMetric, callsMetric, followersMetric, instancesMetric, linesMetric,
+		readyMetric, readerMetric, revisionMetric, ageMetric, storeMetric, eraMetric, doubtedMetric, callsMetric, followersMetric, instancesMetric, linesMetric,
 		heldMetric, tellingsMetric, toldBytesMetric, quotaMetric, asksMetric, askBytesMetric, lostAsksMetric,
 	} {
 		descriptions <- description
@@ -59,6 +61,8 @@
 	sink.gauge(revisionMetric, float64(status.Version))
 	sink.gauge(ageMetric, status.AgeS)
 	sink.gauge(storeMetric, float64(status.Revision))
+	sink.gauge(eraMetric, float64(status.Era))
+	sink.gauge(doubtedMetric, float64(status.Doubted))
 	sink.gauge(followersMetric, float64(status.Followers))
 	sink.gauge(instancesMetric, float64(status.Instances))
 	sink.counter(callsMetric, status.Answered, "answered")
