Tell a peer the newer version also when its revision is further

Cause: a node that starts on the copy, and has read more of the store than the node that it follows, was not told the version which that one had held since before the return. Ruled out: leaving it to the operator's next write (it comes within seconds, but callers' routes are missing until then). Change: of the configuration its version says whether it is known, not the revision.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -85,6 +85,18 @@
 	Removed       string         `json:"removed,omitempty"` // id of an instance whose record is gone
 }
 
+// version is that of the configuration which a change tells, 0 for none.
+func (c *Change) version() uint64 {
+	switch {
+	case c.Configuration != nil:
+		return c.Configuration.Version
+	case c.Difference != nil:
+		return c.Difference.To
+	default:
+		return 0
+	}
+}
+
 // Batch leads from one revision of the store to another. A whole batch states
 // everything that there is; others hold the changes after From. All revisions are of one
 // era.
--- a/internal/catalog/restored_test.go
+++ b/internal/catalog/restored_test.go
@@ -326,6 +326,12 @@
 	must.Eq(t, 7, fresh.Position().Version)
 	must.SliceEmpty(t, state.Since(fresh.Position()).Changes)
 
+	further := NewState() // that has read more of the store than the node that it follows
+	further.Join(Batch{Era: 2, To: 5, Whole: true, Changes: []Change{{Revision: 1, Configuration: older}}})
+	further.Join(state.Since(further.Position()))
+	must.Eq(t, 7, further.Position().Version)
+	must.Eq(t, 5, further.Revision())
+
 	before := state.Position()
 	told := behind.Since(before)
 	must.SliceEmpty(t, told.Changes)
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -119,7 +119,7 @@
 		return false, false
 	}
 	for _, change := range batch.Changes {
-		if change.Revision <= s.point.Revision {
+		if s.holds(change) {
 			continue
 		}
 		if !s.resolve(&change) {
@@ -133,6 +133,12 @@
 	return true, changed
 }
 
+// holds reports whether a change is known. A version may be newer than what is held though
+// its revision is not: a peer held it before the store came back from a copy.
+func (s *State) holds(change Change) bool {
+	return change.Revision <= s.point.Revision && change.version() <= s.Position().Version
+}
+
 // joinWhole replaces what is known by a newer whole. One without a configuration leaves
 // the one that is held. It can't be used when its configuration is told as the difference
 // to another one than is held.
@@ -331,7 +337,7 @@
 		batch = Batch{Era: s.point.Era, To: s.point.Revision, Whole: true}
 		revision = 0
 	}
-	if s.configuration != nil && s.configuredAt > revision && !(batch.Whole && held.Version == s.configuration.Version) {
+	if s.isToldConfiguration(held, revision, batch.Whole) {
 		batch.Changes = append(batch.Changes, s.configurationAfter(held.Version))
 	}
 	for _, held := range s.instances {
@@ -354,3 +360,17 @@
 	slices.SortFunc(batch.Changes, func(a, b Change) int { return cmp.Compare(a.Revision, b.Revision) })
 	return batch
 }
+
+// isToldConfiguration reports whether a peer is told the configuration with what it lacks
+// after a revision, or with the whole.
+func (s *State) isToldConfiguration(held Position, revision uint64, whole bool) bool {
+	version := s.Position().Version
+	switch {
+	case version == 0:
+		return false
+	case version == held.Version:
+		return !whole && s.configuredAt > revision
+	default:
+		return s.configuredAt > revision || version > held.Version
+	}
+}
--- a/internal/replication/fleet_test.go
+++ b/internal/replication/fleet_test.go
@@ -210,7 +210,8 @@
 			return
 		}
 		node.question = nil
-		after := catalog.Position{Point: catalog.Point{Era: f.store.Point().Era, Revision: asked.ask.After}} // the store knows no differences
+		after := f.store.Position() // the store knows nothing of the node but the revision
+		after.Revision = asked.ask.After
 		if asked.ask.Whole {
 			after = catalog.Position{}
 		}
