Nodes follow one another as before as soon as the store is back

Cause: while the store is away all nodes grow stale, and each passes over those that it followed, for up to 8 s. After it they follow nodes that follow them in turn: a change waits until its absence is noticed by age. Ruled out: shorter distrust (nodes that are gone would be asked again and again); asking the store at once at every node (calls are what it is short of then).

--- a/internal/replication/fleet_test.go
+++ b/internal/replication/fleet_test.go
@@ -359,6 +359,28 @@
 	}
 }
 
+// A change soon after the store was away for all is known as fast as it can be read: nodes
+// follow one another as before at once.
+func TestChangeRightAfterAnOutage(t *testing.T) {
+	for _, size := range [][2]int{{4, 3}, {2, 24}, {3, 80}} {
+		for _, since := range []time.Duration{tickStep, 400 * time.Millisecond, 800 * time.Millisecond} {
+			f := newFleet(size[0], size[1])
+			f.run(5 * time.Second)
+			f.configure()
+			f.run(time.Second)
+			f.away = true
+			f.run(3 * time.Second)
+			f.away = false
+			f.run(since)
+			f.configure()
+			f.run(freshness / 5)
+			for _, node := range f.nodes {
+				must.Eq(t, f.revision, node.machine.State().Revision(), must.Sprint(size, since, node.address))
+			}
+		}
+	}
+}
+
 // The nodes below one that passes news on, and fails, learn of a change in time.
 func TestNodeInTheTreeFails(t *testing.T) {
 	for name, fail := range map[string]func(*simNode){
