Announcements in place of knocks

Cause: terms that a newcomer has to look up. Change: names and comments, and the key of the message between nodes: a node of an older release takes an announcement for a follower that holds nothing, and ends its stream when it is closed. Measured: tests of replication, replicator, docs pass.

--- a/internal/replication/event.go
+++ b/internal/replication/event.go
@@ -88,8 +88,8 @@
 // Changed tells that the state has changed.
 type Changed struct{}
 
-// Knock speaks to another node, which takes it as PeerSeen.
-type Knock struct {
+// Announce speaks to another node, which takes it as PeerSeen.
+type Announce struct {
 	Address   string
 	Preferred []string // by this node, for its zone
 }
@@ -130,6 +130,6 @@
 func (AskRecord) effect() {}
 func (Follow) effect()    {}
 func (Changed) effect()   {}
-func (Knock) effect()     {}
+func (Announce) effect()  {}
 func (Vouch) effect()     {}
 func (Log) effect()       {}
--- a/internal/replication/fleet_test.go
+++ b/internal/replication/fleet_test.go
@@ -163,16 +163,16 @@
 			node.following, node.sent, node.told, node.underway = effect.Address, node.machine.State().Position(), time.Time{}, nil
 		case AskRecord:
 			node.record = &recordQuestion{id: effect.ID, since: f.now}
-		case Knock:
-			f.knock(node, effect)
+		case Announce:
+			f.announce(node, effect)
 		case Vouch:
 			node.vouches = effect.Vouches
 		}
 	}
 }
 
-// knock tells a node that another one has spoken to it.
-func (f *fleet) knock(by *simNode, at Knock) {
+// announce tells a node that another one has spoken to it.
+func (f *fleet) announce(by *simNode, at Announce) {
 	to := f.node(at.Address)
 	if to != nil && to.up && !to.frozen && !f.separated(to, by) {
 		f.step(to, PeerSeen{Address: by.address, Fast: by.fast, Preferred: at.Preferred})
--- a/internal/replication/machine.go
+++ b/internal/replication/machine.go
@@ -26,8 +26,8 @@
 // Shares of Config.Freshness, the age within which a change has to be known.
 const (
 	readWaitShare   = 0.45 // how long a reader's question waits at the store for a change
-	waryWaitShare   = 0.15 // the same after a question that met silence
-	waryForShare    = 3.0  // for how long after it
+	alertWaitShare  = 0.15 // the same after a question that met silence
+	alertForShare   = 3.0  // for how long after it
 	switchShare     = 0.68 // age at which another node is followed
 	readShare       = 0.7  // age at which the store is asked whoever the reader is
 	staggerShare    = 0.01 // by which ranks spread their questions
@@ -79,7 +79,7 @@
 	unused     bool      // whether the last answer of the store told less than is known, or no history
 	settled    bool      // whether this node's worker was recorded since the start
 	deaf       bool      // because a question for changes met silence, which one for everything may not
-	waryUntil  time.Time // until when the store's silence is expected again
+	alertUntil time.Time // until when the store's silence is expected again
 
 	following string // address of the node that is followed, "" for none
 	heard     time.Time
@@ -92,8 +92,8 @@
 	own     recordCheck
 	vouches bool
 
-	nextKnock time.Time
-	knocks    int // so far, of other nodes in turn
+	nextAnnouncement time.Time
+	announcements    int // so far, of other nodes in turn
 }
 
 // doubt is held of a node that was given up.
@@ -174,7 +174,7 @@
 	m.settle(now)
 	m.ask(now)
 	m.vouch(now)
-	m.knock(now)
+	m.announce(now)
 	return m.out
 }
 
@@ -254,7 +254,7 @@
 	}
 	m.deaf = event.Silent && !m.askedWhole
 	if m.deaf {
-		m.waryUntil = now.Add(m.share(waryForShare))
+		m.alertUntil = now.Add(m.share(alertForShare))
 	}
 	m.reading = false
 	m.nextAsk = now.Add(m.retryWait())
@@ -355,8 +355,8 @@
 // readWait is how long a reader's question waits at the store: while the store
 // may say nothing of a change, not for long.
 func (m *Machine) readWait(now time.Time) time.Duration {
-	if now.Before(m.waryUntil) {
-		return m.share(waryWaitShare)
+	if now.Before(m.alertUntil) {
+		return m.share(alertWaitShare)
 	}
 	return m.share(readWaitShare)
 }
--- a/internal/replication/prefer.go
+++ b/internal/replication/prefer.go
@@ -14,7 +14,7 @@
 // node then follows a fast one of another zone, and reads the store only if it knows none.
 //
 // A node knows its own link alone. A fast one tells the node that reads otherwise when it
-// knocks, and that one names the two with the highest weights with its news. What is known
+// announces itself, and that one names the two with the highest weights with its news. What is known
 // of links only grows, so the nodes of a zone come to the same order.
 
 // preferredNodes is how many nodes of a zone come first: one more than reads.
@@ -57,7 +57,7 @@
 	m.learnFast(event.Address)
 	told := slices.DeleteFunc(slices.Clone(event.Preferred), func(address string) bool { return !m.isOfZone(address) })
 	if len(told) > 0 && m.isOfZone(event.Address) && !slices.Equal(told, m.preferredHere()) {
-		m.emit(m.knockAt(event.Address))
+		m.emit(m.announcementTo(event.Address))
 	}
 }
 
--- a/internal/replication/prefer_test.go
+++ b/internal/replication/prefer_test.go
@@ -88,7 +88,7 @@
 		node.fast = true
 		f.start(node)
 	}
-	f.run(40 * time.Second) // knocks come in turn
+	f.run(40 * time.Second) // announcements come in turn
 	for _, zone := range []string{"z1", "z2"} {
 		must.SliceEmpty(t, f.readers(zone))
 	}
--- a/internal/replicator/greet_test.go
+++ b/internal/replicator/greet_test.go
@@ -13,12 +13,12 @@
 )
 
 // Whoever opens a connection has spoken to this node, to follow it as well as to
-// knock: a node that started while the store was away stayed alone when the only
+// announce itself: a node that started while the store was away stayed alone when the only
 // other one had begun to follow it.
 func TestGreetingTellsOfThePeer(t *testing.T) {
 	for name, said := range map[string]hello{
-		"a knock":    {From: "10.0.0.7", Knock: true},
-		"a follower": {From: "10.0.0.7"},
+		"an announcement": {From: "10.0.0.7", Announce: true},
+		"a follower":      {From: "10.0.0.7"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := New(Config{Address: "10.0.0.1", Freshness: time.Second})
--- a/internal/replicator/link.go
+++ b/internal/replicator/link.go
@@ -11,13 +11,13 @@
 	"sliphead/internal/replication"
 )
 
-// hello opens a stream: the follower tells what it holds. A knock only says that
+// hello opens a stream: the follower tells what it holds. An announcement only says that
 // the other node is there.
 type hello struct {
-	From  string           `json:"from"` // address by which the sender is reached
-	Held  catalog.Position `json:"held"`
-	Knock bool             `json:"knock,omitempty"`
-	Fast  bool             `json:"fast,omitempty"` // whether the sender's link is fast
+	From     string           `json:"from"` // address by which the sender is reached
+	Held     catalog.Position `json:"held"`
+	Announce bool             `json:"announce,omitempty"`
+	Fast     bool             `json:"fast,omitempty"` // whether the sender's link is fast
 	// Preferred are the nodes that the sender prefers for its zone.
 	Preferred []string `json:"preferred,omitempty"`
 }
@@ -85,7 +85,7 @@
 	}
 	_ = conn.SetReadDeadline(time.Time{})
 	r.submit(ctx, replication.PeerSeen{Address: said.From, Fast: said.Fast, Preferred: said.Preferred})
-	if said.Knock {
+	if said.Announce {
 		return
 	}
 	mine := &follower{address: said.From, conn: conn, lines: make(chan []byte, followerQueue), sent: said.Held}
@@ -116,14 +116,14 @@
 	r.tell(mine)
 }
 
-// lost ends the stream of a follower that is gone, and knocks at its node: it
+// lost ends the stream of a follower that is gone, and announces this node to its node: it
 // may start again while the store is away.
 func (r *Replicator) lost(ctx context.Context, mine *follower) {
 	if _, held := r.followers[mine]; !held {
 		return
 	}
 	r.drop(mine)
-	r.knockLater(ctx, mine.address)
+	r.announceLater(ctx, mine.address)
 }
 
 // drop ends a follower's stream.
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -87,7 +87,7 @@
 	stream           *stream   // the node that is followed, nil for none
 	encoded          encodedNews
 	answered, failed uint64                    // questions to the store
-	knocking         map[string]bool           // by address: nodes that are knocked at
+	announcing       map[string]bool           // by address: nodes that are sent announcements
 	confirmed        atomic.Pointer[time.Time] // when the store was last known to have nothing newer; nil while nothing is known
 }
 
@@ -97,7 +97,7 @@
 		config.Now = clock.Now
 	}
 	machine := replication.New(replication.Config{Self: config.Address, Zone: config.Zone, Regions: config.Regions, Freshness: config.Freshness, Fast: config.Fast}, config.Now())
-	return &Replicator{config: config, machine: machine, inputs: make(chan any, inputQueue), followers: map[*follower]struct{}{}, knocking: map[string]bool{}}
+	return &Replicator{config: config, machine: machine, inputs: make(chan any, inputQueue), followers: map[*follower]struct{}{}, announcing: map[string]bool{}}
 }
 
 // Seen tells that a node has spoken to this one. It does not wait.
@@ -155,8 +155,8 @@
 		r.admit(input)
 	case followerLost:
 		r.lost(ctx, input.follower)
-	case knocked:
-		delete(r.knocking, input.address)
+	case announced:
+		delete(r.announcing, input.address)
 	case streamMessage:
 		r.receive(ctx, input)
 	case statusRequest:
@@ -181,7 +181,7 @@
 		return
 	}
 	if message.lost {
-		r.knockLater(ctx, message.stream.address)
+		r.announceLater(ctx, message.stream.address)
 		r.step(ctx, replication.PeerLost{Address: message.stream.address})
 		return
 	}
@@ -208,8 +208,8 @@
 		case replication.Changed:
 			r.config.Changed(r.machine.State(), r.machine.Lapses())
 			r.tellFollowers()
-		case replication.Knock:
-			go r.knock(ctx, effect)
+		case replication.Announce:
+			go r.announce(ctx, effect)
 		case replication.Vouch:
 			r.config.Vouch(effect.Vouches)
 		case replication.Log:
