Review, case 3: requests reach a worker long after their client has left

Tried: renewals that wait for a slot while their clients leave, with and without Connection: close (review/3/run.sh).

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]func(*record, bool) (int, error){
 	"prefix": runPrefix,
 	"upload": runUpload,
+	"gone":   runGone,
 }
 
 func main() { os.Exit(runCase()) }
--- a/review/standin/mesh.go
+++ b/review/standin/mesh.go
@@ -155,7 +155,7 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(m.mesh.folder, m.name+".log"))
+	log, err := os.OpenFile(filepath.Join(m.mesh.folder, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
