--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -43,7 +43,7 @@
 	if _, err := io.WriteString(conn, head+"\r\n"); err != nil {
 		return answer{}, err
 	}
-	go func() { _, _ = conn.Write(body) }() // the answer may come before the whole body has been sent
+	go sendPaced(conn, body) // the answer may come before the whole body has been sent
 	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
 	if err != nil {
 		return answer{}, err
@@ -55,3 +55,16 @@
 	const shown = 60
 	return answer{response.StatusCode, response.Header.Get("X-Sliphead-Response-Signature"), string(text[:min(len(text), shown)])}, nil
 }
+
+// sendPaced sends a body at about half the rate of a link of 1,000 Mbit/s.
+func sendPaced(conn net.Conn, body []byte) {
+	const perMillisecond = 64 << 10
+	for len(body) > 0 {
+		count := min(len(body), perMillisecond)
+		if _, err := conn.Write(body[:count]); err != nil {
+			return
+		}
+		body = body[count:]
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/review/standin/upload.go
+++ b/review/standin/upload.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	uploadBytes = 32 << 20 // below maxBodyBytes, 64 MB
+	uploadBytes = 8 << 20  // below maxBodyBytes, 64 MB
 	firstBytes  = 64 << 10 // with which a worker works, while the rest comes in
 
 	holdTime   = 300 * time.Millisecond // after a rejection, until the worker reads on
@@ -41,11 +41,12 @@
 type uploads struct {
 	record *record
 
-	mutex   sync.Mutex
-	bodies  map[string][]byte // by request id: what the client sends; only the latest
-	changed int               // runs whose body was not the one that the client sent
-	ran     int
-	offered int // to the worker that rejects some
+	mutex       sync.Mutex
+	bodies      map[string][]byte // by request id: what the client sends; only the latest
+	changed     int               // runs whose body was not the one that the client sent
+	lastChanged string            // id of the latest of these
+	ran         int
+	offered     int // to the worker that rejects some
 }
 
 // runUpload uploads artwork while one worker rejects long requests before they are in.
@@ -69,19 +70,20 @@
 	if trouble {
 		record.line("%s and %s reject two of five long requests before they are in", m.machines[1].worker.id, m.machines[2].worker.id)
 	}
-	const count = 20
-	served := 0
+	const count = 40
+	served, accepted := 0, 0
 	for index := range count {
 		id := fmt.Sprintf("artwork-%d", index)
 		got := call(record, m.machines[0], http.MethodPost, "/artwork/2f", id, seen.prepare(id), 2*time.Second)
 		if got.status == http.StatusOK {
 			served++
+			accepted += seen.changedLast(id)
 		}
 	}
 	time.Sleep(time.Second)
 	seen.mutex.Lock()
 	defer seen.mutex.Unlock()
-	record.line("%d of %d uploads served, %d runs, UNASKED: %d of these with another body than the client sent", served, count, seen.ran, seen.changed)
+	record.line("%d of %d uploads served, %d runs, UNASKED: %d of these with another body than the client sent, and %d of those were answered to the client with 200", served, count, seen.ran, seen.changed, accepted)
 	switch {
 	case served == 0:
 		return failed, errors.New("no upload was served")
@@ -142,6 +144,7 @@
 	}
 	const compared = 256
 	u.changed++
+	u.lastChanged = id
 	u.record.line("UNASKED: %s runs %s, and the body that it gets begins at byte %d of what the client sent", w.id, id, bytes.Index(sent, got[:compared]))
 }
 
@@ -160,3 +163,13 @@
 	defer u.mutex.Unlock()
 	return u.bodies[id]
 }
+
+// changedLast returns 1 if the latest run with another body was of this upload, else 0.
+func (u *uploads) changedLast(id string) int {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	if u.lastChanged == id {
+		return 1
+	}
+	return 0
+}
