Fix: an upload is offered to no second worker once a part of it was sent

Cause: a body above 4 MB is read from the client by the attempt that sends it. The dispatch offered the request again after any refusal as not run, and after any failure that may be repeated, without asking whether the body is still whole. The goroutine that sends the body also outlives its attempt and read beside the next one.

Evidence: with the new log field body_read, request.retried says 2,424,832 bytes for artwork-1, and the next worker's body begins at 2,457,600; 2,752,512 and 2,785,280 for artwork-5. Both differ by 32,768, one read of the goroutine that outlives its attempt.

Change: a streamed body belongs to one attempt at a time. Before each offer the dispatch takes it back; reads by earlier attempts fail from then on, and whether any had begun is final. If one had, no offer follows, and the caller gets what the attempt ended with: 503 as not run, with a time to come back, after a rejection. Why this works: no attempt can get a stream that another one has begun to read, whatever the order of goroutines. The same fault on routes that may be repeated, after a 500 and after a broken connection, is mended by the same check.

--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -6,9 +6,6 @@
 	"io"
 	"net/http"
 	"os"
-	"sync"
-	"sync/atomic"
-	"time"
 )
 
 // readBody prepares the request's body: a small one is buffered, any other is streamed.
@@ -102,20 +99,22 @@
 	return body{present: true, length: request.ContentLength, whole: whole}, nil
 }
 
-// reader returns the body for one attempt.
+// reader returns the body for one attempt. A streamed body is then read by that attempt alone.
 func (b *body) reader() io.ReadCloser {
 	switch {
 	case !b.present:
 		return http.NoBody
 	case b.stream != nil:
-		return b.stream
+		return b.stream.newReader()
 	default:
 		return io.NopCloser(bytes.NewReader(b.whole))
 	}
 }
 
-// replayable reports whether the body can be sent again.
-func (b *body) replayable() bool { return b.stream == nil || !b.stream.readStarted.Load() }
+// reclaim takes the body back from an attempt that has ended, and reports whether all of it can
+// be sent to another node. The goroutine that sends the body may outlive its attempt; without
+// this it would go on reading what the next attempt is to send.
+func (b *body) reclaim() bool { return b.stream == nil || b.stream.reclaim() }
 
 // end stops reads from the caller's connection, which may then carry another request.
 func (b *body) end() {
@@ -123,58 +122,3 @@
 		b.stream.end()
 	}
 }
-
-// streamedBody reads from the caller as fast as the next hop accepts the data. Its Close does
-// nothing, so that an unread body can be sent to another node.
-type streamedBody struct {
-	source      io.Reader
-	controller  *http.ResponseController
-	timeout     time.Duration // for each read
-	deadline    time.Time     // for all reads
-	readStarted atomic.Bool
-	broken      atomic.Bool
-	finished    atomic.Bool
-
-	mutex sync.Mutex
-	ended bool
-}
-
-// Read implements io.Reader.
-func (s *streamedBody) Read(buffer []byte) (int, error) {
-	s.readStarted.Store(true)
-	until := time.Now().Add(s.timeout)
-	if s.deadline.Before(until) {
-		until = s.deadline
-	}
-	if !s.setReadDeadline(until) {
-		return 0, http.ErrBodyReadAfterClose
-	}
-	count, err := s.source.Read(buffer)
-	if err != nil {
-		// From now on the server watches the connection for the disconnect of the caller.
-		s.setReadDeadline(time.Time{})
-	}
-	s.finished.Store(err == io.EOF)
-	s.broken.Store(err != nil && err != io.EOF)
-	return count, err
-}
-
-// setReadDeadline sets the connection's read deadline and returns false if the request has
-// ended.
-func (s *streamedBody) setReadDeadline(deadline time.Time) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if !s.ended {
-		_ = s.controller.SetReadDeadline(deadline) // not supported by all writers
-	}
-	return !s.ended
-}
-
-func (s *streamedBody) end() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.ended = true
-}
-
-// Close implements io.Closer.
-func (s *streamedBody) Close() error { return nil }
--- a/internal/traffic/ending_log.go
+++ b/internal/traffic/ending_log.go
@@ -46,6 +46,9 @@
 	fields["cause"] = string(failure.cause)
 	fields["outcome"] = string(failure.outcome)
 	fields["may_repeat"] = d.mayRepeat()
+	if stream := d.x.body.stream; stream != nil {
+		fields["body_read"] = stream.bytesRead.Load()
+	}
 	d.out.config.Logger.WithFields(fields).Info("request.retried")
 }
 
--- a/internal/traffic/retry.go
+++ b/internal/traffic/retry.go
@@ -47,7 +47,7 @@
 	mayRunAgain := failure.outcome == outcome.NotRun || x.route.Repeatable
 	temporary := failure.status >= http.StatusInternalServerError && failure.status != http.StatusLoopDetected
 	return mayRunAgain && temporary && !failure.final &&
-		failure.cause != causeCallerGone && x.context.Err() == nil && x.body.replayable()
+		failure.cause != causeCallerGone && x.context.Err() == nil && x.body.reclaim()
 }
 
 // spendRetry takes a retry from the budgets of the call tree and of the node, and reports
