Fix: a disconnect cancels requests whatever follows them on the connection

Cause: after a request that closes the connection the reader only waits for the response. It watched for the client's disconnect meanwhile only if the body had been read at that moment; the handler that reads it had just been started, and the check was not made again. Ruled out: a disconnect that is seen and not passed on (kept connections show none), and the body's read deadline (the same).

Change: one function, watch, reads ahead whenever nobody reads a body and looks again at each change of the connection's state. All places at which the reader waits while requests are outstanding use it. Why this works: there is no single moment any more that can be missed. The same cause on related paths: bodies in chunks, HTTP/1.0, Expect with Connection: close; bytes behind a request that runs alone, that closes or is invalid ended the watch; at the limit of requests sent ahead nothing watched. The header's deadline is set when the header is read, since the watch leaves another one behind.

--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -26,14 +26,14 @@
 	context context.Context // ends with the connection
 	cancel  context.CancelFunc
 
-	mutex         sync.Mutex
-	changed       *sync.Cond
-	queue         []*response
-	pendingBytes  int  // bytes of responses that wait for earlier ones
-	readerIdle    bool // whether the reader waits for bytes outside of a request
-	readerBlocked bool // whether it waits only until the queue is empty
-	closing       bool // whether no further request is accepted
-	rejecting     bool // whether further requests are rejected, since the connection closes with the last response
+	mutex        sync.Mutex
+	changed      *sync.Cond
+	queue        []*response
+	pendingBytes int  // bytes of responses that wait for earlier ones
+	readerIdle   bool // whether the reader waits for bytes outside of a request
+	watching     bool // whether it waits for a change of this state as well
+	closing      bool // whether no further request is accepted
+	rejecting    bool // whether further requests are rejected, since the connection closes with the last response
 }
 
 // readerSize is the size of a connection's read buffer in bytes.
@@ -59,27 +59,8 @@
 	c.end()
 }
 
-// awaitCapacity waits until another request may be read. It returns false when none is to be
-// read any more.
-func (c *connection) awaitCapacity() bool {
-	for {
-		c.mutex.Lock()
-		for !c.closing && !c.hasCapacity() && !c.isContinuePending() {
-			c.changed.Wait()
-		}
-		closing, capacity := c.closing, c.hasCapacity()
-		c.mutex.Unlock()
-		switch {
-		case closing || capacity:
-			return !closing
-		case !c.watchUntilContinue():
-			return false
-		}
-	}
-}
-
 // hasCapacity reports whether the limits allow another request and the body of the one before
-// has been read.
+// has been read. The mutex must be held.
 func (c *connection) hasCapacity() bool {
 	if len(c.queue) == 0 {
 		return true
@@ -99,7 +80,6 @@
 		outstanding := c.endIdleRead()
 		switch {
 		case err == nil:
-			_ = c.conn.SetReadDeadline(time.Now().Add(c.server.HeaderTimeout))
 			return true
 		case !errors.Is(err, os.ErrDeadlineExceeded) || !outstanding:
 			return false
@@ -128,6 +108,7 @@
 
 // readNext reads one request and starts it. It reports whether more requests may be read.
 func (c *connection) readNext() bool {
+	_ = c.conn.SetReadDeadline(time.Now().Add(c.server.HeaderTimeout))
 	request, err := readRequest(c.reader, c.server.MaxHeaderBytes)
 	var invalid *requestError
 	if errors.As(err, &invalid) {
@@ -167,33 +148,6 @@
 	return len(c.queue) == 0 || answer.concurrent && c.queue[len(c.queue)-1].concurrent
 }
 
-// awaitEmptyQueue waits until all earlier requests have their responses. It returns false when
-// the connection ends before that. It detects a disconnect of the caller, unless more bytes
-// have arrived after the waiting request.
-func (c *connection) awaitEmptyQueue() bool {
-	c.setReaderBlocked(true)
-	defer c.setReaderBlocked(false)
-	c.beginIdleRead(time.Time{})
-	if c.hasOutstanding() {
-		if _, err := c.reader.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			return false
-		}
-	}
-	c.endIdleRead()
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for len(c.queue) > 0 {
-		c.changed.Wait()
-	}
-	return !c.closing && c.context.Err() == nil
-}
-
-func (c *connection) setReaderBlocked(blocked bool) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.readerBlocked = blocked
-}
-
 func (c *connection) newResponse(request *http.Request) *response {
 	ctx, cancel := context.WithCancel(c.context)
 	return &response{conn: c, request: request.WithContext(ctx), cancel: cancel, header: http.Header{}, earlierDone: make(chan struct{})}
@@ -280,13 +234,13 @@
 // The mutex must be held.
 func (c *connection) wakeReader() {
 	switch {
-	case len(c.queue) > 0 || !c.readerIdle:
-	case c.closing || c.readerBlocked:
-		_ = c.conn.SetReadDeadline(time.Unix(1, 0)) // wakes the reader
+	case c.watching || len(c.queue) > 0 || !c.readerIdle:
+	case c.closing:
+		c.wakeRead()
 	default:
 		_ = c.conn.SetReadDeadline(time.Now().Add(c.server.IdleTimeout))
 	}
-	c.changed.Broadcast()
+	c.notifyReader()
 }
 
 // decideClose reports whether a response announces that the connection closes. It does so if
@@ -317,7 +271,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.pendingBytes += bytes
-	c.changed.Broadcast()
+	c.notifyReader()
 }
 
 // stopReading makes the connection accept no further requests.
--- a/internal/traffic/caller_disconnect_test.go
+++ b/internal/traffic/caller_disconnect_test.go
@@ -13,14 +13,29 @@
 	"sliphead/internal/snapshot"
 )
 
+// leavingRequest is a request whose caller disconnects before the response.
+type leavingRequest struct {
+	method, path    string
+	closeConnection bool // whether the caller asks to close the connection after the response
+}
+
+// leavingRequests are requests without and with a body, on connections that are kept or not.
+var leavingRequests = []leavingRequest{
+	{http.MethodGet, "/lookup/1", false},
+	{http.MethodGet, "/lookup/1", true},
+	{http.MethodPost, "/order/1", false},
+	{http.MethodPost, "/order/1", true},
+}
+
 // disconnectAfter sends a request to the first node and closes its connection once the
 // condition holds.
-func (m *catalogMesh) disconnectAfter(method, path, id string, condition func() bool) {
+func (m *catalogMesh) disconnectAfter(leaving leavingRequest, id string, condition func() bool) {
 	m.t.Helper()
 	ctx, disconnect := context.WithCancel(context.Background())
 	defer disconnect()
-	request, err := http.NewRequestWithContext(ctx, method, m.nodes[0].outbound+path, strings.NewReader(bodyOf(method)))
+	request, err := http.NewRequestWithContext(ctx, leaving.method, m.nodes[0].outbound+leaving.path, strings.NewReader(bodyOf(leaving.method)))
 	must.NoError(m.t, err)
+	request.Close = leaving.closeConnection
 	request.Host = "shop.example"
 	request.Header.Set(testProtocol.RequestID, id)
 	request.Header.Set(testProtocol.Deadline, strconv.FormatInt(time.Hour.Milliseconds(), 10))
@@ -60,10 +75,10 @@
 // The disconnect of a caller propagates over both hops: the worker's connection is closed
 // during the run, long before the deadline, also for a body that waited for 100 Continue.
 func TestCallerDisconnectCancelsWorkerRequest(t *testing.T) {
-	for method, path := range map[string]string{http.MethodGet: "/lookup/1", http.MethodPost: "/order/1"} {
+	for _, leaving := range leavingRequests {
 		m := remoteMesh(t)
 		m.script("watch")
-		m.disconnectAfter(method, path, "r-left", func() bool { return m.runs() == 1 })
+		m.disconnectAfter(leaving, "r-left", func() bool { return m.runs() == 1 })
 		<-m.nodes[1].worker.disconnected
 		waitFor(t, func() bool { return m.nodes[1].in.Busy() == 0 && m.nodes[0].out.InFlight() == 0 })
 	}
@@ -73,19 +88,19 @@
 // caller disconnects, and never runs. The body of a request that must run at most once waits
 // for 100 Continue, so that only the connection shows the disconnect.
 func TestCallerDisconnectReleasesQueuePlace(t *testing.T) {
-	for method, path := range map[string]string{http.MethodGet: "/lookup/1", http.MethodPost: "/order/1"} {
+	for _, leaving := range leavingRequests {
 		m := remoteMesh(t)
 		m.script("wait", "wait")
 		answered := make(chan int, 2)
 		for range 2 { // both slots
 			go func() {
-				response, _, err := m.call(method, path, bodyOf(method))
+				response, _, err := m.call(leaving.method, leaving.path, bodyOf(leaving.method))
 				must.NoError(t, err)
 				answered <- response.StatusCode
 			}()
 		}
 		waitFor(t, func() bool { return m.runs() == 2 })
-		m.disconnectAfter(method, path, "r-left", func() bool { return m.nodes[1].in.Queued() == 1 })
+		m.disconnectAfter(leaving, "r-left", func() bool { return m.nodes[1].in.Queued() == 1 })
 		waitFor(t, func() bool { return m.nodes[1].in.Queued() == 0 })
 		must.Eq(t, 2, m.nodes[1].in.Busy()) // it was removed before a slot was free
 		close(m.nodes[1].worker.unblock)
