Fix: a short body is read before its request waits at the worker's node

What was seen: a request of a route that may be repeated, with a body of up to 16 KB, kept its place in the queue of the worker's node after its client and its client's node had given it up, and ran (GONE over two hops).

Cause: between nodes such a body is sent with its header, but it was read only once the request had a slot. While a body is unread the server can't watch the connection for a disconnect. Bodies that wait for 100 Continue, and longer ones, which always do, were watched.

Change: the worker's node reads a body that was sent with its header before the request waits. Memory: at most 16 KB for each queued request, 2 MB with a queue of 128.

Test: TestCallerDisconnectReleasesQueuePlace with POST to /lookup/, on kept and closing connections, failed before (the request stayed queued until the others' deadline) and passes now; the whole of internal/traffic and internal/node with -race passes.

--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -8,10 +8,14 @@
 	"os"
 )
 
-// readBody prepares the request's body: a small one is buffered, any other is streamed.
+// readBody prepares the request's body unless that was done before: a small one is buffered, any
+// other is streamed.
 func readBody(limits *Limits) filter {
 	return func(next stage) stage {
 		return func(x *exchange) result {
+			if x.body.present {
+				return next(x)
+			}
 			opened, err := openBody(x, limits)
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				return reject(http.StatusRequestTimeout, causeMalformed, "send the body faster")
@@ -26,6 +30,23 @@
 	}
 }
 
+// readDirectBody buffers a body that was sent with its header, before the request waits for a
+// slot. While it is unread, the server cannot see that the caller's node disconnects, and the
+// request would keep its place in the queue.
+func readDirectBody(limits *Limits) filter {
+	read := readBody(limits)
+	return func(next stage) stage {
+		withBody := read(next)
+		return func(x *exchange) result {
+			length := x.request.ContentLength
+			if x.bodyAwaited || length < 0 || length > directBody {
+				return next(x)
+			}
+			return withBody(x)
+		}
+	}
+}
+
 // maxWholeBody bounds, in bytes, the request bodies that are buffered with a catalog.
 const maxWholeBody = 4 << 20
 
--- a/internal/traffic/caller_disconnect_test.go
+++ b/internal/traffic/caller_disconnect_test.go
@@ -19,10 +19,13 @@
 	closeConnection bool // whether the caller asks to close the connection after the response
 }
 
-// leavingRequests are requests without and with a body, on connections that are kept or not.
+// leavingRequests are requests without and with a body, on routes that may be repeated or not,
+// on connections that are kept or not.
 var leavingRequests = []leavingRequest{
 	{http.MethodGet, "/lookup/1", false},
 	{http.MethodGet, "/lookup/1", true},
+	{http.MethodPost, "/lookup/1", false},
+	{http.MethodPost, "/lookup/1", true},
 	{http.MethodPost, "/order/1", false},
 	{http.MethodPost, "/order/1", true},
 }
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -41,7 +41,7 @@
 	in.registerLimit()
 	in.handle = pipe(in.forward, in.classify, limitDepth(config.Limits.MaxDepth), applyDeadline, readBody(&in.config.Limits), in.admitter.admit, in.claim)
 	if !config.Protocol.isNative() {
-		in.handle = pipe(in.forward, in.classify, applyDeadline, in.checkColdCapacity, in.paceBody, in.admitter.admit, in.stillLocal, in.takeColdCapacity, readBody(&in.config.Limits), in.stillLocal, in.refuseQuarantined)
+		in.handle = pipe(in.forward, in.classify, applyDeadline, readDirectBody(&in.config.Limits), in.checkColdCapacity, in.paceBody, in.admitter.admit, in.stillLocal, in.takeColdCapacity, readBody(&in.config.Limits), in.stillLocal, in.refuseQuarantined)
 	}
 	return in
 }
