Fix: a prefix of the store's routes matches only paths that it begins

Cause: declared prefixes have no slash at their end and stand for whole segments; the store's have one. One function read both in the first meaning. It also compared the decoded path, and matched no path with an empty segment or a single dot.

Change: a prefix begins the path; one without a slash at its end only where a segment ends. The store's routes are compared with the path as it was sent. A path that would not reach the worker as sent, because net/url escapes characters that a URI does not allow, is refused with 400; ".." as before.

--- a/internal/snapshot/match.go
+++ b/internal/snapshot/match.go
@@ -1,19 +1,23 @@
 package snapshot
 
 import (
+	"net/url"
 	"slices"
 	"strings"
 )
 
 // Match returns the route of a request, or nil if none matches. Routes for the request's host
-// take precedence over routes for any host, and longer prefixes over shorter ones. A prefix
-// matches whole path segments: /api matches /api and /api/x, but not /apix.
+// take precedence over routes for any host, and longer prefixes over shorter ones. The host may
+// include a port and is compared case-insensitively.
 //
-// The host may include a port and is compared case-insensitively. The path must be decoded
-// (url.URL.Path). A path with an empty, . or .. segment matches nothing: a worker might resolve
-// it to the path of another route, with other rules on retries.
-func (v *View) Match(host, path, method string) *Route {
-	if ambiguous(path) {
+// Routes of a catalog match the path as it was sent. Declared routes match the decoded path, and
+// a path with an empty, . or .. segment matches none of them: a worker might resolve it to the
+// path of another route, with other rules on retries.
+func (v *View) Match(host string, target *url.URL, method string) *Route {
+	path := target.Path
+	if v.configuration != nil {
+		path = target.EscapedPath()
+	} else if ambiguous(path) {
 		return nil
 	}
 	if route := v.match(hostName(host), path, method); route != nil {
@@ -41,11 +45,13 @@
 	return len(methods) == 0 || slices.Contains(methods, method)
 }
 
-// prefixMatches reports whether the prefix matches whole segments of the path.
+// prefixMatches reports whether a prefix begins a path. A prefix without a slash at its end, as
+// declared routes have, matches whole segments: /api matches /api and /api/x, but not /apix. One
+// with a slash at its end, as routes of a catalog have, does not match the path without it:
+// /api/ matches /api/ and /api/x, but not /api.
 func prefixMatches(prefix, path string) bool {
-	prefix = strings.TrimSuffix(prefix, "/")
 	rest, found := strings.CutPrefix(path, prefix)
-	return found && (rest == "" && prefix != "" || strings.HasPrefix(rest, "/"))
+	return found && (strings.HasSuffix(prefix, "/") || rest == "" || rest[0] == '/')
 }
 
 // hostName removes the port and the trailing dot.
--- a/internal/snapshot/match_test.go
+++ b/internal/snapshot/match_test.go
@@ -1,6 +1,7 @@
 package snapshot
 
 import (
+	"net/url"
 	"testing"
 	"time"
 
@@ -52,10 +53,10 @@
 	}
 	for _, each := range cases {
 		name := ""
-		if route := view.Match(each.host, each.path, each.method); route != nil {
+		if route := view.Match(each.host, &url.URL{Path: each.path}, each.method); route != nil {
 			name = route.Name
 		}
 		must.Eq(t, each.route, name, must.Sprintf("%+v", each))
 	}
-	must.Nil(t, NewView(version.Version{}, time.Time{}, nil).Match("", "/", "GET"))
+	must.Nil(t, NewView(version.Version{}, time.Time{}, nil).Match("", &url.URL{Path: "/"}, "GET"))
 }
--- a/internal/snapshot/resolve_bench_test.go
+++ b/internal/snapshot/resolve_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/url"
 	"testing"
 	"time"
 
@@ -92,6 +93,6 @@
 	last := view.Routes[len(view.Routes)-1].PathPrefix + "/7"
 	b.ReportAllocs()
 	for b.Loop() {
-		view.Match("shop.example:8080", last, "GET")
+		view.Match("shop.example:8080", &url.URL{Path: last}, "GET")
 	}
 }
--- a/internal/traffic/bad_input_test.go
+++ b/internal/traffic/bad_input_test.go
@@ -36,14 +36,15 @@
 	head := "POST /order/ HTTP/1.1\r\nHost: shop.example\r\nX-Test-Deadline: 20000\r\n"
 	id := "X-Test-Id: r-1\r\n"
 	for name, text := range map[string]string{
-		"no id":              head + "Content-Length: 0\r\n\r\n",
-		"long id":            head + "X-Test-Id: " + strings.Repeat("r", 10<<10) + "\r\nContent-Length: 0\r\n\r\n",
-		"id with a blank":    head + "X-Test-Id: r 1\r\nContent-Length: 0\r\n\r\n",
-		"two framings":       head + id + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-		"two lengths":        head + id + "Content-Length: 5\r\nContent-Length: 6\r\n\r\ncards!",
-		"bare line feed":     "POST /order/ HTTP/1.1\nHost: shop.example\r\n" + id + "\r\n",
-		"path leads upwards": "GET /lookup/../order/ HTTP/1.1\r\nHost: shop.example\r\n" + id + "\r\n",
-		"HTTP/1.0":           "GET /lookup/ HTTP/1.0\r\nHost: shop.example\r\n" + id + "\r\n",
+		"no id":               head + "Content-Length: 0\r\n\r\n",
+		"long id":             head + "X-Test-Id: " + strings.Repeat("r", 10<<10) + "\r\nContent-Length: 0\r\n\r\n",
+		"id with a blank":     head + "X-Test-Id: r 1\r\nContent-Length: 0\r\n\r\n",
+		"two framings":        head + id + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"two lengths":         head + id + "Content-Length: 5\r\nContent-Length: 6\r\n\r\ncards!",
+		"bare line feed":      "POST /order/ HTTP/1.1\nHost: shop.example\r\n" + id + "\r\n",
+		"path leads upwards":  "GET /lookup/../order/ HTTP/1.1\r\nHost: shop.example\r\n" + id + "\r\n",
+		"unencoded character": "GET /lookup/a|b HTTP/1.1\r\nHost: shop.example\r\n" + id + "\r\n",
+		"HTTP/1.0":            "GET /lookup/ HTTP/1.0\r\nHost: shop.example\r\n" + id + "\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := newCatalogMesh(t, 1)
--- a/internal/traffic/classify.go
+++ b/internal/traffic/classify.go
@@ -29,9 +29,21 @@
 		return "send a path that starts with a slash"
 	case slices.Contains(strings.Split(request.URL.Path, "/"), ".."):
 		return "send a path without .. segments"
+	case changesWhenForwarded(request):
+		return "percent-encode the characters of the path that a URI does not allow"
 	case hasHeader(request.Header, outcome.IdempotencyKey) && !validKey(request.Header[outcome.IdempotencyKey]):
 		return "send one Idempotency-Key of 1 to 255 visible ASCII characters"
 	default:
 		return ""
 	}
 }
+
+// changesWhenForwarded reports whether the target would not reach the worker as it was sent,
+// because net/url encodes characters in it that a URI does not allow.
+func changesWhenForwarded(request *http.Request) bool {
+	sent, target := request.RequestURI, request.URL
+	if target.RawPath == "" || sent == "" {
+		return false // the path is in its usual encoding
+	}
+	return !strings.HasSuffix(sent, target.RequestURI()) // an absolute target begins with its host
+}
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -166,7 +166,7 @@
 			return refuse(causeLease, time.Second, "send it again, this node has no confirmed configuration")
 		}
 		x.view = view
-		x.route = view.Match(hostOf(x.request), x.request.URL.Path, x.request.Method)
+		x.route = view.Match(hostOf(x.request), x.request.URL, x.request.Method)
 		if x.route == nil {
 			return reject(http.StatusNotFound, causeRoute, "check host, path and method, no route is declared for them")
 		}
@@ -198,7 +198,7 @@
 			return refuseUnconfigured()
 		}
 		x.view = view
-		x.route = view.Match(hostOf(x.request), x.request.URL.Path, x.request.Method)
+		x.route = view.Match(hostOf(x.request), x.request.URL, x.request.Method)
 		if x.route == nil {
 			return reject(http.StatusNotFound, causeRoute, "check host and path, no route is declared for them")
 		}
--- a/internal/traffic/server.go
+++ b/internal/traffic/server.go
@@ -38,6 +38,6 @@
 	if !current {
 		return false
 	}
-	route := view.Match(hostOf(request), request.URL.Path, request.Method)
+	route := view.Match(hostOf(request), request.URL, request.Method)
 	return route != nil && route.Repeatable
 }
