Fix: a rejected upload is told as not run when the worker closes the connection

Cause: such bodies were sent by the transport of net/http. When the write of the body fails it gives up without reading the response that came before. Ruled out: the response being lost on the way; a reader on the same connection finds it in all cases.

Change: with a catalog, streamed bodies go by the pooled connections as all others do. A goroutine of the attempt sends the body while the response is read; a body that breaks off at the caller interrupts the connection, and a failed write shows in the response or in its absence. A streamed body now always waits for 100 Continue between nodes, with the usual timeout for the acknowledgement.

Test: TestRejectedUploadIsReportedAsNotRun failed before where the worker closes, at both places. TestPartlySentUploadIsNotOfferedAgain now covers both places and holds the exact status at another node, too.

--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -132,6 +132,9 @@
 	}
 }
 
+// isBroken reports whether the body broke off at the caller.
+func (b *body) isBroken() bool { return b.stream != nil && b.stream.broken.Load() }
+
 // reclaim takes the body back from an attempt that has ended, and reports whether all of it can
 // be sent to another node. The goroutine that sends the body may outlive its attempt; without
 // this it would go on reading what the next attempt is to send.
--- a/internal/traffic/forward.go
+++ b/internal/traffic/forward.go
@@ -67,7 +67,7 @@
 
 // send makes one attempt. It returns the response, or how the attempt failed.
 func send(x *exchange, to *hop, check func(*http.Response) *result) (*answer, *result) {
-	if x.body.stream == nil && (x.body.length <= directBody || x.concurrentBody) {
+	if x.concurrentBody || x.body.stream == nil && x.body.length <= directBody {
 		if got, failure, done := sendDirect(x, to, check); done {
 			return got, failure
 		}
@@ -144,7 +144,7 @@
 // of it may have been sent.
 func roundTripFailure(x *exchange, mayHaveSent bool) result {
 	deadlinePassed := x.context.Err() != nil && !time.Now().Before(x.deadline)
-	callerGone := x.request.Context().Err() != nil || x.body.stream != nil && x.body.stream.broken.Load()
+	callerGone := x.request.Context().Err() != nil || x.body.isBroken()
 	switch {
 	case callerGone && mayHaveSent:
 		return unknown(http.StatusBadGateway, causeCallerGone, "the caller's connection or body broke off, check whether it ran before sending it again")
--- a/internal/traffic/offer.go
+++ b/internal/traffic/offer.go
@@ -158,7 +158,7 @@
 // bodyAwaitsContinue reports whether the body is sent only after the node has requested it with 100
 // Continue. A missing acknowledgement then proves that the request has not run.
 func (x *exchange) bodyAwaitsContinue() bool {
-	return x.body.length > 0 && (!x.route.Repeatable || x.body.length > directBody)
+	return x.body.stream != nil || x.body.length > 0 && (!x.route.Repeatable || x.body.length > directBody)
 }
 
 // roundTrips returns the number of round trips to a node until the response arrives.
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -11,8 +11,8 @@
 
 // pool manages connections on which the goroutine of a request performs its own round trip.
 // The transport of net/http hands each request to two other goroutines and back, and on a busy
-// machine each hand-over waits for a processor. Streamed bodies still use a transport, which
-// can read a response while the body is sent.
+// machine each hand-over waits for a processor. Without a catalog, long and streamed bodies
+// still use a transport.
 type pool struct {
 	dial    DialFunc // returns *sealedConn
 	maxOpen int      // maximum number of connections
--- a/internal/traffic/pooled_conn.go
+++ b/internal/traffic/pooled_conn.go
@@ -31,7 +31,7 @@
 	stopInterrupt   func() bool
 	ackState        atomic.Int32  // ackPending, ackReceived or ackMissed
 	bodyStarted     bool          // whether the body is being sent or has been sent
-	bodyWritten     chan struct{} // closed when a body that is sent concurrently has been written; nil: there is none
+	bodyWriter      *bodyWriter   // sends the body while the response is read; nil: there is none
 	peerIdleTimeout time.Duration // idle timeout announced by the other side; 0: none
 }
 
@@ -72,7 +72,7 @@
 // interrupted, that received more than one response, or whose body has not been written
 // completely, is closed.
 func (c *pooledConn) finish(reusable bool) {
-	if !c.stopInterrupt() || !reusable || c.reader.Buffered() > 0 || !c.bodySent() {
+	if !c.stopInterrupt() || !reusable || c.reader.Buffered() > 0 || !c.bodyWriter.isWhole() {
 		c.close()
 		return
 	}
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -25,7 +25,10 @@
 	for _, each := range to.fields {
 		writeStrings(writer, each.name, ": ", each.value, "\r\n")
 	}
-	if x.body.present || expectsBody(x.request.Method) {
+	switch {
+	case x.body.length < 0:
+		writeStrings(writer, "Transfer-Encoding: chunked\r\n")
+	case x.body.present || expectsBody(x.request.Method):
 		length := strconv.AppendInt(writer.AvailableBuffer(), x.body.length, 10)
 		writeStrings(writer, "Content-Length: ", string(length), "\r\n")
 	}
@@ -38,7 +41,7 @@
 
 // expectsContinue reports whether the request is first sent without its body, which waits for
 // 100 Continue.
-func (h *hop) expectsContinue(x *exchange) bool { return h.expectBuffered && x.body.length > 0 }
+func (h *hop) expectsContinue(x *exchange) bool { return h.expectBuffered && x.body.length != 0 }
 
 func writeStrings(writer *bufio.Writer, texts ...string) {
 	for _, text := range texts {
--- a/internal/traffic/roundtrip.go
+++ b/internal/traffic/roundtrip.go
@@ -12,7 +12,7 @@
 // is sent once the other side requests it.
 func (c *pooledConn) roundTrip(x *exchange, to *hop) (*http.Response, error) {
 	c.bodyStarted = false
-	c.bodyWritten = nil
+	c.bodyWriter = nil
 	timer := c.startAckTimer(to)
 	defer timer.Stop()
 	began := time.Now()
@@ -109,45 +109,6 @@
 	})
 }
 
-// writeBody sends a buffered body: a short one immediately, a long one while the response is
-// read, because the other side may respond before it has read the whole body.
-func (c *pooledConn) writeBody(x *exchange) error {
-	c.bodyStarted = true
-	if x.body.length <= directBody {
-		_, _ = c.writer.Write(x.body.whole) // Flush returns its error
-		return c.writer.Flush()
-	}
-	if err := c.writer.Flush(); err != nil {
-		return err
-	}
-	sent := make(chan struct{})
-	c.bodyWritten = sent
-	go func() {
-		defer close(sent)
-		_, _ = c.sealedConn.Write(x.body.whole) // an error shows in the response or its absence
-	}()
-	return nil
-}
-
-// bodySent reports whether the whole body has been written.
-func (c *pooledConn) bodySent() bool {
-	if c.bodyWritten == nil {
-		return true
-	}
-	select {
-	case <-c.bodyWritten:
-		return true
-	default:
-		return false
-	}
-}
-
-// mayPrecedeBody reports whether a response may have arrived before the other side has read
-// the whole body. The connection must then not carry another request.
-func (c *pooledConn) mayPrecedeBody(response *http.Response) bool {
-	return c.bodyWritten != nil && (response.StatusCode >= http.StatusMultipleChoices || !c.bodySent())
-}
-
 // maxForeignResponses is the number of responses to other requests that are skipped on one
 // connection.
 const maxForeignResponses = 2
@@ -177,7 +138,7 @@
 		response, err = c.readNextResponse(x, response)
 	}
 	if err != nil {
-		if x.context.Err() == nil {
+		if x.context.Err() == nil && !x.body.isBroken() {
 			c.recordReset()
 		}
 		failure := c.attemptFailure(x, to, watch.mayHaveSent())
--- a/internal/traffic/upload_test.go
+++ b/internal/traffic/upload_test.go
@@ -102,15 +102,18 @@
 	return response
 }
 
+// rejectUpload responds that the worker does not run the request.
+func rejectUpload(conn net.Conn) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Full\r\n%s: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", testProtocol.NotExecuted)
+}
+
 // earlyResponses are the responses of a worker that has received only a part of an upload.
 var earlyResponses = []struct {
 	name, path string
 	respond    func(net.Conn, *http.Request)
 	status     int // of the response to the caller
 }{
-	{"rejected", "/order/", func(conn net.Conn, _ *http.Request) {
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Full\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", testProtocol.NotExecuted)
-	}, http.StatusServiceUnavailable},
+	{"rejected", "/order/", func(conn net.Conn, _ *http.Request) { rejectUpload(conn) }, http.StatusServiceUnavailable},
 	{"failed", "/lookup/", func(conn net.Conn, request *http.Request) {
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 500 Error\r\n%s: %s\r\n%s: signed\r\nContent-Length: 0\r\n\r\n", testProtocol.RequestID, request.Header.Get(testProtocol.RequestID), testProtocol.Signature)
 	}, http.StatusInternalServerError},
@@ -121,27 +124,59 @@
 // received a part of it: the second one would run what is left of the client's file.
 func TestPartlySentUploadIsNotOfferedAgain(t *testing.T) {
 	for _, each := range earlyResponses {
-		t.Run(each.name, func(t *testing.T) {
-			m := newCatalogMesh(t, 3)
-			response := checkUploadIsOfferedOnce(t, m, each.path, each.respond)
-			must.Eq(t, each.status, response.StatusCode)
-			if each.status == http.StatusServiceUnavailable {
-				must.Eq(t, string(outcome.NotRun), response.Header.Get(outcome.Header))
-				must.NotEq(t, "", response.Header.Get("Retry-After"))
-			}
-		})
+		for _, place := range workerPlaces {
+			t.Run(each.name+", "+place.name, func(t *testing.T) {
+				m := newCatalogMesh(t, 3)
+				m.publish(place.change)
+				response := checkUploadIsOfferedOnce(t, m, each.path, each.respond)
+				must.Eq(t, each.status, response.StatusCode)
+			})
+		}
 	}
 }
 
-// The same holds if the worker is beside another node, to which the upload is sent first.
-func TestPartlySentUploadIsNotOfferedToAnotherNode(t *testing.T) {
-	for _, each := range earlyResponses {
-		t.Run(each.name, func(t *testing.T) {
-			m := newCatalogMesh(t, 3)
-			m.publish(func(route *snapshot.Route) { route.Targets[0].Endpoints = route.Targets[0].Endpoints[1:] })
-			response := checkUploadIsOfferedOnce(t, m, each.path, each.respond)
-			must.GreaterEq(t, http.StatusInternalServerError, response.StatusCode)
-		})
+// workerPlaces are the places of the worker that an upload is offered to first.
+var workerPlaces = []struct {
+	name   string
+	change func(*snapshot.Route)
+}{
+	{"beside the caller's node", nil},
+	{"beside another node", func(route *snapshot.Route) { route.Targets[0].Endpoints = route.Targets[0].Endpoints[1:] }},
+}
+
+// A caller whose upload a worker rejects is told that it has not run, however the worker treats
+// the connection. Fault: a worker that closed it made the write of the body fail before the
+// response was read, and the caller was told that the upload may have run.
+func TestRejectedUploadIsReportedAsNotRun(t *testing.T) {
+	for name, respond := range map[string]func(net.Conn, *http.Request){
+		"holds":  func(conn net.Conn, _ *http.Request) { rejectUpload(conn) },
+		"closes": func(conn net.Conn, _ *http.Request) { rejectUpload(conn); _ = conn.Close() },
+		"reads and closes": func(conn net.Conn, r *http.Request) {
+			rejectUpload(conn)
+			_, _ = io.Copy(io.Discard, r.Body)
+			_ = conn.Close()
+		},
+		"closes at the end": func(conn net.Conn, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			rejectUpload(conn)
+			_ = conn.Close()
+		},
+	} {
+		for _, place := range workerPlaces {
+			t.Run(name+", "+place.name, func(t *testing.T) {
+				m := newCatalogMesh(t, 3)
+				m.publish(place.change)
+				listenPartially(m, respond)
+				sent := longUpload()
+				const uploads = 10
+				for range uploads {
+					response := m.upload("/order/", sent)
+					must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+					must.Eq(t, string(outcome.NotRun), response.Header.Get(outcome.Header))
+					must.NotEq(t, "", response.Header.Get("Retry-After"))
+				}
+			})
+		}
 	}
 }
 
