Fix: long bodies in chunks are served, and stalled ones end

What callers saw: a body above 4 MB in chunks got 413, whatever maxBodyBytes allows; one that stopped coming got no answer.

Cause: a body in chunks was read whole, up to the 4 MB that are buffered, and past the reader that sets deadlines.

Change: it is read through that reader. Above 4 MB it is streamed in chunks; maxBodyBytes is counted while it is read, 413 as soon as it is exceeded. An attempt that has sent a part of such a body is broken off before its last chunk, so no worker takes it for whole.

Test: TestLongChunkedUploadIsServed failed before (413), TestStalledChunkedUploadIsRejected hung before, TestChunkedUploadAboveTheLimitIsRejected holds limits below and above what is buffered, at this node and another.

--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -17,11 +17,8 @@
 				return next(x)
 			}
 			opened, err := openBody(x, limits)
-			if errors.Is(err, os.ErrDeadlineExceeded) {
-				return reject(http.StatusRequestTimeout, causeMalformed, "send the body faster")
-			}
 			if err != nil {
-				return reject(http.StatusBadRequest, causeMalformed, "send the whole body")
+				return bodyFailure(err)
 			}
 			x.body = opened
 			defer x.body.end()
@@ -50,8 +47,8 @@
 // maxWholeBody bounds, in bytes, the request bodies that are buffered with a catalog.
 const maxWholeBody = 4 << 20
 
-// readWholeBody buffers the request's body, even one of unknown length, so that it can be
-// offered to several nodes.
+// readWholeBody buffers the request's body, even one in chunks, so that it can be offered to
+// several nodes. A longer one is streamed. It rejects bodies above the catalog's limit.
 func readWholeBody(limits *Limits) filter {
 	raised := *limits
 	raised.SmallBody = maxWholeBody
@@ -60,24 +57,56 @@
 		withLength := open(next)
 		return func(x *exchange) result {
 			if bound := x.view.Limits.MaxBodyBytes; bound > 0 && x.request.ContentLength > bound {
-				return reject(http.StatusRequestEntityTooLarge, causeLimits, "send a shorter body")
+				return rejectLongBody()
 			}
 			if x.request.ContentLength >= 0 {
 				return withLength(x)
 			}
-			whole, err := io.ReadAll(io.LimitReader(x.request.Body, maxWholeBody+1))
+			opened, err := openChunkedBody(x, limits)
 			if err != nil {
-				return reject(http.StatusBadRequest, causeMalformed, "send the whole body")
-			}
-			if len(whole) > maxWholeBody {
-				return reject(http.StatusRequestEntityTooLarge, causeLimits, "send a shorter body, or its length")
+				return bodyFailure(err)
 			}
-			x.body = body{present: true, length: int64(len(whole)), whole: whole}
+			x.body = opened
+			defer x.body.end()
 			return next(x)
 		}
 	}
 }
 
+// openChunkedBody prepares a body in chunks. Of one that is streamed, the part that was read to
+// measure it is sent first.
+func openChunkedBody(x *exchange, limits *Limits) (body, error) {
+	stream := newStreamedBody(x, limits)
+	if bound := x.view.Limits.MaxBodyBytes; bound > 0 {
+		stream.source = &boundedReader{source: stream.source, left: bound}
+	}
+	whole, err := io.ReadAll(io.LimitReader(stream, maxWholeBody+1))
+	if err != nil {
+		return body{}, err
+	}
+	if len(whole) <= maxWholeBody {
+		return body{present: true, length: int64(len(whole)), whole: whole}, nil
+	}
+	stream.source = io.MultiReader(bytes.NewReader(whole), stream.source)
+	return body{present: true, length: -1, stream: stream}, nil
+}
+
+// bodyFailure returns the result of a request whose body could not be read.
+func bodyFailure(err error) result {
+	switch {
+	case errors.Is(err, errBodyTooLong):
+		return rejectLongBody()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return reject(http.StatusRequestTimeout, causeMalformed, "send the body faster")
+	default:
+		return reject(http.StatusBadRequest, causeMalformed, "send the whole body")
+	}
+}
+
+func rejectLongBody() result {
+	return reject(http.StatusRequestEntityTooLarge, causeLimits, "send a shorter body")
+}
+
 // body is a request's body. A small one is buffered and can be sent again; any other is
 // streamed and can be sent again only while nothing of it has been read.
 type body struct {
@@ -106,7 +135,7 @@
 	if request.Body == nil || request.Body == http.NoBody || request.ContentLength == 0 {
 		return body{}, nil
 	}
-	stream := &streamedBody{source: request.Body, controller: http.NewResponseController(x.writer), timeout: limits.BodyTimeout, deadline: x.deadline}
+	stream := newStreamedBody(x, limits)
 	if request.ContentLength < 0 || request.ContentLength > limits.SmallBody {
 		return body{present: true, length: request.ContentLength, stream: stream}, nil
 	}
@@ -135,6 +164,9 @@
 // isBroken reports whether the body broke off at the caller.
 func (b *body) isBroken() bool { return b.stream != nil && b.stream.broken.Load() }
 
+// isTooLong reports whether the body is longer than the catalog allows.
+func (b *body) isTooLong() bool { return b.stream != nil && b.stream.tooLong.Load() }
+
 // reclaim takes the body back from an attempt that has ended, and reports whether all of it can
 // be sent to another node. The goroutine that sends the body may outlive its attempt; without
 // this it would go on reading what the next attempt is to send.
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -242,6 +242,8 @@
 	}
 	switch ended.cause {
 	case causeCallerGone:
+	case causeLimits:
+		return ended
 	case causeKey:
 		return rejectKey()
 	case causeStaleKeys:
--- a/internal/traffic/forward.go
+++ b/internal/traffic/forward.go
@@ -146,6 +146,10 @@
 	deadlinePassed := x.context.Err() != nil && !time.Now().Before(x.deadline)
 	callerGone := x.request.Context().Err() != nil || x.body.isBroken()
 	switch {
+	case x.body.isTooLong() && mayHaveSent:
+		return unknown(http.StatusRequestEntityTooLarge, causeLimits, "send a shorter body")
+	case x.body.isTooLong():
+		return rejectLongBody()
 	case callerGone && mayHaveSent:
 		return unknown(http.StatusBadGateway, causeCallerGone, "the caller's connection or body broke off, check whether it ran before sending it again")
 	case callerGone:
--- a/internal/traffic/pace.go
+++ b/internal/traffic/pace.go
@@ -13,6 +13,9 @@
 func (in *Inbound) paceBody(next stage) stage {
 	return func(x *exchange) result {
 		length := x.request.ContentLength
+		if length < 0 {
+			length = maxWholeBody // only longer bodies come in chunks
+		}
 		if !x.bodyAwaited || length <= directBody {
 			return next(x)
 		}
--- a/internal/traffic/streamed_body.go
+++ b/internal/traffic/streamed_body.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -18,7 +19,8 @@
 	controller *http.ResponseController
 	timeout    time.Duration // for each read
 	deadline   time.Time     // for all reads
-	broken     atomic.Bool   // whether the caller's body broke off
+	broken     atomic.Bool   // whether the caller's body broke off or is too long
+	tooLong    atomic.Bool   // whether it is longer than the catalog allows
 	finished   atomic.Bool   // whether the whole body was read
 	bytesRead  atomic.Int64
 
@@ -28,6 +30,10 @@
 	ended       bool
 }
 
+func newStreamedBody(x *exchange, limits *Limits) *streamedBody {
+	return &streamedBody{source: x.request.Body, controller: http.NewResponseController(x.writer), timeout: limits.BodyTimeout, deadline: x.deadline}
+}
+
 // newReader returns the reader of the next attempt. Reads by earlier attempts fail from now on.
 func (s *streamedBody) newReader() *streamReader {
 	s.mutex.Lock()
@@ -70,6 +76,7 @@
 	}
 	s.finished.Store(err == io.EOF)
 	s.broken.Store(err != nil && err != io.EOF)
+	s.tooLong.Store(errors.Is(err, errBodyTooLong))
 	return count, err
 }
 
@@ -122,3 +129,25 @@
 
 // Close implements io.Closer.
 func (r *streamReader) Close() error { return nil }
+
+// errBodyTooLong ends the reads of a body that is longer than the catalog allows.
+var errBodyTooLong = fault.New(fault.Caller, "send a shorter body", "the request body is longer than the catalog allows")
+
+// boundedReader fails once more bytes have been read than are left.
+type boundedReader struct {
+	source io.Reader
+	left   int64
+}
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(buffer []byte) (int, error) {
+	if r.left < 0 {
+		return 0, errBodyTooLong
+	}
+	count, err := r.source.Read(buffer)
+	r.left -= int64(count)
+	if r.left < 0 {
+		return 0, errBodyTooLong
+	}
+	return count, err
+}
--- a/internal/traffic/upload_test.go
+++ b/internal/traffic/upload_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"strings"
 	"sync"
 	"testing"
@@ -209,6 +210,96 @@
 	must.True(t, body == string(sent))
 }
 
+// limitBodies sets the longest request body that the catalog allows, in bytes.
+func (m *catalogMesh) limitBodies(bytes int64) {
+	for _, node := range m.nodes {
+		view, _ := node.holder.Current(time.Now())
+		limited := *view
+		limited.Limits.MaxBodyBytes = bytes
+		node.holder.Store(&limited)
+	}
+}
+
+// startChunkedUpload sends the header and a first part of a body in chunks, and returns the
+// connection.
+func (m *catalogMesh) startChunkedUpload(text []byte, deadline time.Duration) net.Conn {
+	m.t.Helper()
+	conn, err := net.Dial("tcp", address(m.nodes[0].outbound))
+	must.NoError(m.t, err)
+	m.t.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST /order/ HTTP/1.1\r\nHost: shop.example\r\n%s: r-upload\r\n%s: %d\r\nTransfer-Encoding: chunked\r\n\r\n", testProtocol.RequestID, testProtocol.Deadline, deadline.Milliseconds())
+	must.NoError(m.t, err)
+	go func() { // fails when the node closes the connection early
+		chunks := httputil.NewChunkedWriter(conn)
+		for len(text) > 0 {
+			count := min(len(text), directBody)
+			if _, err := chunks.Write(text[:count]); err != nil {
+				return
+			}
+			text = text[count:]
+		}
+	}()
+	return conn
+}
+
+// A body in chunks that is too long to be buffered reaches the worker whole, as one with a length
+// does, also beside another node. Fault: it was rejected with 413, whatever the catalog allows.
+func TestLongChunkedUploadIsServed(t *testing.T) {
+	for _, place := range workerPlaces {
+		t.Run(place.name, func(t *testing.T) {
+			m := newCatalogMesh(t, 2)
+			m.publish(place.change)
+			sent := longUpload()
+			m.limitBodies(int64(len(sent)))
+			request, err := http.NewRequest("POST", m.nodes[0].outbound+"/order/", io.MultiReader(bytes.NewReader(sent)))
+			must.NoError(t, err)
+			request.Host = "shop.example"
+			request.Header.Set(testProtocol.RequestID, "r-upload")
+			response, err := m.client.Do(request)
+			must.NoError(t, err)
+			must.NoError(t, response.Body.Close())
+			must.Eq(t, http.StatusOK, response.StatusCode)
+			must.Eq(t, 1, m.runs())
+			for _, node := range m.nodes {
+				if node.worker.runs() == 1 {
+					_, body := node.worker.lastRequest()
+					must.True(t, body == string(sent))
+				}
+			}
+		})
+	}
+}
+
+// A body in chunks that exceeds the catalog's limit is rejected once it does, without waiting for
+// its end, whether it is still being buffered or already sent to a worker, and does not run.
+func TestChunkedUploadAboveTheLimitIsRejected(t *testing.T) {
+	for _, limit := range []int64{100, maxWholeBody - 1, maxWholeBody + 1, 2*maxWholeBody - 1} {
+		for _, place := range workerPlaces {
+			t.Run(fmt.Sprint(limit, ", ", place.name), func(t *testing.T) {
+				m := newCatalogMesh(t, 2)
+				m.publish(place.change)
+				m.limitBodies(limit)
+				conn := m.startChunkedUpload(longUpload(), time.Minute)
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				must.NoError(t, err)
+				must.Eq(t, http.StatusRequestEntityTooLarge, response.StatusCode)
+				must.Zero(t, m.runs())
+			})
+		}
+	}
+}
+
+// A body in chunks that does not go on ends at the request's deadline. Fault: it was read without
+// a deadline, and the request never ended.
+func TestStalledChunkedUploadIsRejected(t *testing.T) {
+	m := newCatalogMesh(t, 1)
+	conn := m.startChunkedUpload([]byte("cards"), 100*time.Millisecond)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusRequestTimeout, response.StatusCode)
+	must.Zero(t, m.runs())
+}
+
 // The goroutine that sends a body may outlive its attempt. It reads nothing that the next
 // attempt is to send.
 func TestEndedAttemptReadsNothingFromTheBody(t *testing.T) {
