Fix: 102 and 100 Continue are written under their own request's deadline

Cause: an informational response is written before the final one sets the connection's write deadline, so that of the response before still held.

Change: each informational response sets the deadline of its own request first. It may be written by the goroutine that reads the body, so the deadline is now guarded by the mutex that orders these writes. Every other write comes after awaitEarlier, which sets the deadline; the pooled connections of the sending side have none besides the request's context.

--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -23,9 +23,9 @@
 
 	header         http.Header
 	status         int        // final status, 0: not yet set
-	deadline       time.Time  // zero: none
 	mayWrite       bool       // whether it may write to the connection, since the responses before it are complete
-	headerMutex    sync.Mutex // guards headerSent, and writes of informational responses before the final one
+	headerMutex    sync.Mutex // guards deadline and headerSent, and writes of informational responses before the final one
+	deadline       time.Time  // for writing; zero: none
 	headerSent     bool       // whether the header has been written
 	declaredLength int64      // declared by Content-Length, -1: none
 	written        int64      // bytes of the body
@@ -66,13 +66,17 @@
 	_ = r.writeInformational(status) // a failed write shows again in the final response
 }
 
-// writeInformational writes an informational response unless the final one has begun.
+// writeInformational writes an informational response unless the final one has begun. The
+// connection may still have the write deadline of the response before.
 func (r *response) writeInformational(status int) error {
 	r.headerMutex.Lock()
 	defer r.headerMutex.Unlock()
 	if r.headerSent {
 		return nil
 	}
+	if err := r.conn.conn.SetWriteDeadline(r.deadline); err != nil {
+		return err
+	}
 	_, err := io.WriteString(r.conn.conn, statusLine(status)+"\r\n")
 	return err
 }
@@ -121,6 +125,8 @@
 // SetWriteDeadline sets the deadline for writing this response. http.ResponseController calls
 // it.
 func (r *response) SetWriteDeadline(deadline time.Time) error {
+	r.headerMutex.Lock()
+	defer r.headerMutex.Unlock()
 	r.deadline = deadline
 	if r.mayWrite {
 		return r.conn.conn.SetWriteDeadline(deadline)
@@ -173,6 +179,8 @@
 			return r.conn.context.Err()
 		}
 	}
+	r.headerMutex.Lock()
+	defer r.headerMutex.Unlock()
 	r.mayWrite = true
 	r.writer = writers.Get().(*bufio.Writer)
 	r.writer.Reset(r.conn.conn)
