Fix: a refusal above the limit of connections is known as not run

What callers saw: where the worker's node had too many open connections, an order ended in 502 (unknown), though the refusal said that it had not run.

Cause: the listener refuses before a handler sees the request, with headers of the mesh without a store. The caller's node looks for the hop header, took the response for a foreign one and could not tell that nothing had run.

Change: such a refusal carries the hop header with the attempt and outcome of the request between the nodes. The order goes on to another node, or ends in 503 with a time to come back.

Test: TestOrderBeyondTheConnectionLimitIsNotRun (real nodes) failed before: 502 in place of 503.

--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"sliphead/internal/outcome"
+	"sliphead/internal/traffic"
 )
 
 // maxRejectedConnections is the maximum number of connections beyond the limit that are open
@@ -82,8 +83,8 @@
 }
 
 // guard rejects requests on connections beyond the limit and passes the others to handler. A
-// rejection carries the IDs of the request and the attempt, by which the caller's node
-// recognizes it as the response to its own request.
+// rejection carries the IDs of the request and the attempt, and with a catalog the hop header,
+// by which the caller's node recognizes it as the response to its own request.
 func (l *connectionLimit) guard(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if !l.isExcess(request.RemoteAddr) {
@@ -96,6 +97,7 @@
 				header.Set(name, value)
 			}
 		}
+		traffic.SetNotRunReply(header, request.Header)
 		header.Set("Connection", "close")
 		header.Set("Retry-After", "1")
 		header.Set(outcome.Header, string(outcome.NotRun))
--- a/internal/traffic/hop.go
+++ b/internal/traffic/hop.go
@@ -194,6 +194,18 @@
 	return &refused
 }
 
+// SetNotRunReply marks a response, to a request for which a listener has no room, as a refusal that
+// did not run, so that the caller's node recognizes it. It does nothing if the request does not
+// come from another node of a catalog's mesh.
+func SetNotRunReply(response, request http.Header) {
+	received, sound := decodeHopRequest(get(request, hopHeader))
+	if !sound {
+		return
+	}
+	flags := string(outcome.NotRun[:1])
+	response[hopHeader] = []string{strings.Join([]string{received.attempt, flags, ""}, hopSeparator)}
+}
+
 // suppressDefaultHeaders prevents net/http from adding headers that no node reads.
 func suppressDefaultHeaders(header http.Header) {
 	header["Date"] = nil
