Fix: a node that has ended leaves its addresses to the next one

What was seen: TestNodeRestartGrantsNoExtraBurst failed now and then beside load, in one case with logs because the restarted node could not bind the address of its quota datagrams. Only a second node in the same process meets this: a process that ends frees its sockets.

Cause: Run of the keepers of quotas and of the quarantine closed its socket in a function of its own when the context ended. A datagram that arrived at that moment let the reader return, and Run with it, while the socket was still being closed. The listeners for requests and for peers had the same order.

Change: sockets.CloseOnDone returns a function that returns once the socket is closed, whoever closes it; all four use it.

--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -8,6 +8,7 @@
 
 	"sliphead/internal/fault"
 	"sliphead/internal/liveness"
+	"sliphead/internal/sockets"
 	"sliphead/internal/traffic"
 )
 
@@ -58,8 +59,7 @@
 	if wrap != nil {
 		listener = wrap(listener)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
+	defer sockets.CloseOnDone(ctx, server)()
 	if err := server.Serve(listener); ctx.Err() == nil {
 		return fault.Wrap(err, fault.Internal, "restart the node", "serve on %s", address)
 	}
--- a/internal/quarantine/keeper/keeper.go
+++ b/internal/quarantine/keeper/keeper.go
@@ -17,6 +17,7 @@
 	"sliphead/internal/fault"
 	"sliphead/internal/logging"
 	"sliphead/internal/quarantine"
+	"sliphead/internal/sockets"
 )
 
 // readErrorBackoff is the pause after an error of a read from the socket.
@@ -159,8 +160,7 @@
 		return fault.Wrap(err, fault.Settings, "free the address or change listen.peer in the settings", "listen for datagrams of peers")
 	}
 	k.socket = socket
-	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
-	defer stop()
+	defer sockets.CloseOnDone(ctx, socket)()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return k.read(ctx, socket) })
 	group.Go(func() error {
--- a/internal/quota/keeper/keeper.go
+++ b/internal/quota/keeper/keeper.go
@@ -19,6 +19,7 @@
 	"sliphead/internal/fault"
 	"sliphead/internal/logging"
 	"sliphead/internal/quota"
+	"sliphead/internal/sockets"
 )
 
 // readErrorBackoff is the pause after an error of a read from the socket.
@@ -129,8 +130,7 @@
 		return fault.Wrap(err, fault.Settings, "free the address or change listen.quota in the settings", "listen for quota datagrams")
 	}
 	k.socket = socket
-	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
-	defer stop()
+	defer sockets.CloseOnDone(ctx, socket)()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return k.read(ctx, socket) })
 	group.Go(func() error {
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -19,6 +19,7 @@
 	"sliphead/internal/liveness"
 	"sliphead/internal/logging"
 	"sliphead/internal/replication"
+	"sliphead/internal/sockets"
 )
 
 // ErrHistoryGone is returned by Store.Changes if the store no longer has the changes after the
@@ -114,8 +115,7 @@
 		return fault.Wrap(err, fault.Settings, "free the address or change listen.peer in the settings", "listen for peers")
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
+	defer sockets.CloseOnDone(ctx, listener)()
 	group.Go(func() error { return r.accept(ctx, listener) })
 	group.Go(func() error {
 		r.runOwner(ctx)
