The memory of buffered request bodies is bounded, for a node and a client

Cause: each request body of up to 4 MB was buffered whole, so that it can be offered to several nodes, and nothing bounded how many. Bodies in chunks grew by doubling up to 4 MB before they were streamed.

Change: buffered bodies above 16 KB share 16 MB a node, and 8 MB for a client's address. One that finds no room is streamed: it can still be offered to other nodes until it is read. A body in chunks reserves memory as it grows. Metric: sliphead_body_buffer_bytes. Bodies of up to 16 KB are always buffered, so that requests that end workers are still recognized by them.

Test: TestBodyMemoryStaysWithinItsBounds (rapid) and TestUploadsBeyondTheBodyMemoryAreStreamed.

--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -48,47 +48,67 @@
 const maxWholeBody = 4 << 20
 
 // readWholeBody buffers the request's body, even one in chunks, so that it can be offered to
-// several nodes. A longer one is streamed. It rejects bodies above the catalog's limit.
-func readWholeBody(limits *Limits) filter {
-	raised := *limits
-	raised.SmallBody = maxWholeBody
-	open := readBody(&raised)
-	return func(next stage) stage {
-		withLength := open(next)
-		return func(x *exchange) result {
-			if bound := x.view.Limits.MaxBodyBytes; bound > 0 && x.request.ContentLength > bound {
-				return rejectLongBody()
-			}
-			if x.request.ContentLength >= 0 {
-				return withLength(x)
-			}
-			opened, err := openChunkedBody(x, limits)
-			if err != nil {
-				return bodyFailure(err)
-			}
-			x.body = opened
-			defer x.body.end()
-			return next(x)
+// several nodes. A longer one, and one for which there is no memory, is streamed. It rejects
+// bodies above the catalog's limit.
+func (out *Outbound) readWholeBody(next stage) stage {
+	return func(x *exchange) result {
+		if bound := x.view.Limits.MaxBodyBytes; bound > 0 && x.request.ContentLength > bound {
+			return rejectLongBody()
 		}
+		memory := out.bodyMemory.reservation(remoteHost(x.request))
+		defer memory.release()
+		opened, err := openWholeBody(x, &out.config.Limits, memory)
+		if err != nil {
+			return bodyFailure(err)
+		}
+		x.body = opened
+		defer x.body.end()
+		return next(x)
+	}
+}
+
+// openWholeBody prepares a body that is buffered if it fits into the reservation.
+func openWholeBody(x *exchange, limits *Limits, memory *bodyReservation) (body, error) {
+	length := x.request.ContentLength
+	if length < 0 {
+		return openChunkedBody(x, limits, memory)
+	}
+	bounded := *limits
+	bounded.SmallBody = directBody
+	if length > directBody && length <= maxWholeBody && memory.grow(length) {
+		bounded.SmallBody = maxWholeBody
 	}
+	return openBody(x, &bounded)
 }
 
+// firstChunkedBytes is how many bytes of a body in chunks are buffered before memory is reserved
+// for more.
+const firstChunkedBytes = directBody
+
 // openChunkedBody prepares a body in chunks. Of one that is streamed, the part that was read to
 // measure it is sent first.
-func openChunkedBody(x *exchange, limits *Limits) (body, error) {
+func openChunkedBody(x *exchange, limits *Limits, memory *bodyReservation) (body, error) {
 	stream := newStreamedBody(x, limits)
 	if bound := x.view.Limits.MaxBodyBytes; bound > 0 {
 		stream.source = &boundedReader{source: stream.source, left: bound}
 	}
-	whole, err := io.ReadAll(io.LimitReader(stream, maxWholeBody+1))
-	if err != nil {
-		return body{}, err
-	}
-	if len(whole) <= maxWholeBody {
-		return body{present: true, length: int64(len(whole)), whole: whole}, nil
+	whole := make([]byte, 0, firstChunkedBytes)
+	for {
+		count, err := stream.Read(whole[len(whole):cap(whole)])
+		whole = whole[:len(whole)+count]
+		switch {
+		case err == io.EOF:
+			return body{present: true, length: int64(len(whole)), whole: whole}, nil
+		case err != nil:
+			return body{}, err
+		case len(whole) < cap(whole):
+			continue
+		case cap(whole) >= maxWholeBody || !memory.grow(int64(cap(whole))):
+			stream.source = io.MultiReader(bytes.NewReader(whole), stream.source)
+			return body{present: true, length: -1, stream: stream}, nil
+		}
+		whole = append(make([]byte, 0, 2*cap(whole)), whole...)
 	}
-	stream.source = io.MultiReader(bytes.NewReader(whole), stream.source)
-	return body{present: true, length: -1, stream: stream}, nil
 }
 
 // bodyFailure returns the result of a request whose body could not be read.
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -37,6 +37,7 @@
 	reports        *workerReports
 	offers         offerBounds
 	hopBytes       *hopBytes
+	bodyMemory     *bodyMemory
 	stopSchedule   atomic.Pointer[stopSchedule] // nil until the node stops
 	nodeContext    context.Context              // ends when the node does
 	cancelNode     context.CancelFunc
@@ -71,7 +72,6 @@
 	settings.RemoteByteFactor = config.Limits.RegionBytes
 	out.chooser = &chooser{balancer: balance.New(settings, rand.New(config.Random)), logger: config.Logger}
 	out.retries = newRetryBucket(config.Limits)
-	out.metrics = newMetrics(config, "outbound", gauges{inFlight: out.inFlight.count})
 	out.weights = newWeights(rand.New(config.Random))
 	out.budget = newServiceBudget(config.Limits)
 	out.retrySchedules = newRetrySchedules()
@@ -81,10 +81,12 @@
 	out.reports = newWorkerReports()
 	out.offers = boundOffers(config.Limits.LinkMbps)
 	out.hopBytes = newHopBytes(config.Registerer)
+	out.bodyMemory = newBodyMemory()
+	out.metrics = newMetrics(config, "outbound", gauges{inFlight: out.inFlight.count, bodyBytes: out.bodyMemory.bytes})
 	out.nodeContext, out.cancelNode = context.WithCancel(context.Background())
 	out.handle = pipe(out.choose, out.classify, limitDepth(config.Limits.MaxDepth), applyDeadline, readBody(&out.config.Limits))
 	if !config.Protocol.isNative() {
-		out.handle = pipe(out.dispatch, out.classifyCatalog, out.authenticate, applyDeadline, out.refuseBeyondStop, readWholeBody(&out.config.Limits), out.recordBody, out.refuseQuarantined, out.enforceQuota)
+		out.handle = pipe(out.dispatch, out.classifyCatalog, out.authenticate, applyDeadline, out.refuseBeyondStop, out.readWholeBody, out.recordBody, out.refuseQuarantined, out.enforceQuota)
 	}
 	return out
 }
