A body in chunks may pause while it is buffered

Cause: since bodies in chunks are read through the reader that sets deadlines, a pause of more than 0.5 s between two parts ended them in 408. That bound is for bodies that hold a slot of a worker; one that is being buffered holds none, and a lost packet alone may delay it as long. They had no bound before.

Change: while it is buffered, only the request's deadline bounds the reads; once it is streamed, the pause is bounded as for other streams.

Test: TestStalledChunkedUploadIsRejected holds the deadline.

--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"time"
 )
 
 // readBody prepares the request's body unless that was done before: a small one is buffered, any
@@ -92,6 +93,7 @@
 	if bound := x.view.Limits.MaxBodyBytes; bound > 0 {
 		stream.source = &boundedReader{source: stream.source, left: bound}
 	}
+	stream.timeout = time.Until(x.deadline) // while it is buffered, it holds no slot
 	whole := make([]byte, 0, firstChunkedBytes)
 	for {
 		count, err := stream.Read(whole[len(whole):cap(whole)])
@@ -105,6 +107,7 @@
 			continue
 		case cap(whole) >= maxWholeBody || !memory.grow(int64(cap(whole))):
 			stream.source = io.MultiReader(bytes.NewReader(whole), stream.source)
+			stream.timeout = limits.BodyTimeout
 			return body{present: true, length: -1, stream: stream}, nil
 		}
 		whole = append(make([]byte, 0, 2*cap(whole)), whole...)
