--- a/internal/traffic/body_memory_test.go
+++ b/internal/traffic/body_memory_test.go
@@ -1,7 +1,9 @@
 package traffic
 
 import (
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -50,28 +52,22 @@
 	})
 }
 
-// An upload for which there is no memory is streamed and reaches the worker whole. Fault: any
-// number of bodies of up to 4 MB was buffered; with 500 uploads in chunks at once a node took
-// 2.7 GB.
-func TestUploadsBeyondTheBodyMemoryAreStreamed(t *testing.T) {
+// uploadFramings are the ways to send a body, with its length or in chunks.
+var uploadFramings = map[string]func(text string) io.Reader{
+	"length": func(text string) io.Reader { return strings.NewReader(text) },
+	"chunks": inChunks,
+}
+
+// An upload for which there is no memory reaches the worker whole, and all memory is returned.
+func TestUploadsBeyondTheBodyMemoryAreServed(t *testing.T) {
 	text := strings.Repeat("artwork ", 1<<15)
-	for name, body := range map[string]func() io.Reader{
-		"length": func() io.Reader { return strings.NewReader(text) },
-		"chunks": func() io.Reader { return io.MultiReader(strings.NewReader(text)) },
-	} {
+	for name, body := range uploadFramings {
 		for _, total := range []int64{0, 40 << 10, maxBodyMemory} {
-			t.Run(name, func(t *testing.T) {
+			t.Run(fmt.Sprint(name, ", ", total), func(t *testing.T) {
 				m := newCatalogMesh(t, 2)
 				memory := m.nodes[0].out.bodyMemory
 				memory.total = total
-				request, err := http.NewRequest("POST", m.nodes[0].outbound+"/order/", body())
-				must.NoError(t, err)
-				request.Host = "shop.example"
-				request.Header.Set(testProtocol.RequestID, "r-upload")
-				response, err := m.client.Do(request)
-				must.NoError(t, err)
-				must.NoError(t, response.Body.Close())
-				must.Eq(t, http.StatusOK, response.StatusCode)
+				must.Eq(t, http.StatusOK, m.sendOrderBody(body(text)).StatusCode)
 				_, got := m.nodes[0].worker.lastRequest()
 				must.True(t, got == text)
 				waitFor(t, func() bool { return memory.bytes() == 0 })
@@ -79,3 +75,21 @@
 		}
 	}
 }
+
+// A buffered upload that a worker rejects early is offered to a second one; an upload beyond the
+// memory is not buffered, so that only one worker gets it. Fault: any number of bodies of up to
+// 4 MB was buffered, and with 500 uploads in chunks at once a node took 2.7 GB.
+func TestUploadsBeyondTheBodyMemoryAreNotBuffered(t *testing.T) {
+	text := strings.Repeat("artwork ", 1<<15)
+	for name, body := range uploadFramings {
+		for total, offers := range map[int64]int{0: 1, 40 << 10: 1, maxBodyMemory: 2} {
+			t.Run(fmt.Sprint(name, ", ", total), func(t *testing.T) {
+				m := newCatalogMesh(t, 3)
+				m.nodes[0].out.bodyMemory.total = total
+				worker := listenPartially(m, func(conn net.Conn, _ *http.Request) { rejectUpload(conn) })
+				must.Eq(t, http.StatusServiceUnavailable, m.sendOrderBody(body(text)).StatusCode)
+				must.Len(t, offers, worker.uploads())
+			})
+		}
+	}
+}
--- a/internal/traffic/catalog_mesh_test.go
+++ b/internal/traffic/catalog_mesh_test.go
@@ -331,6 +331,23 @@
 	return response, string(text), err
 }
 
+// sendOrderBody sends an order whose body is read from a reader, in chunks unless its length is known
+// by the reader's type, and returns the response without its body.
+func (m *catalogMesh) sendOrderBody(body io.Reader) *http.Response {
+	m.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, m.nodes[m.entry].outbound+"/order/", body)
+	must.NoError(m.t, err)
+	request.Host = "shop.example"
+	request.Header.Set(testProtocol.RequestID, fmt.Sprintf("r-%d", m.serial.Add(1)))
+	response, err := m.client.Do(request)
+	must.NoError(m.t, err)
+	must.NoError(m.t, response.Body.Close())
+	return response
+}
+
+// inChunks hides the length of a text, so that a body is sent in chunks.
+func inChunks(text string) io.Reader { return io.MultiReader(strings.NewReader(text)) }
+
 // runs counts the runs at all workers.
 func (m *catalogMesh) runs() int {
 	total := 0
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -71,6 +71,7 @@
 	need := d.need()
 	endpoints := d.out.reports.withoutLeaving(d.inAllowedRegions(d.trialEndpoints(d.x.view.EndpointsOf(target))))
 	var excluded []int
+	// An upload of which an earlier attempt has read a part is not offered again.
 	for d.offers < d.out.offers.total && d.x.context.Err() == nil && d.x.body.reclaim() {
 		need.Rejected, need.StayInZone = d.fullRefusals > 0, d.crossZoneOffers >= d.out.offers.crossZone
 		choice := d.out.chooser.cheapest(need, endpoints, excluded)
--- a/internal/traffic/dispatch_test.go
+++ b/internal/traffic/dispatch_test.go
@@ -137,14 +137,7 @@
 func TestDispatchForwardsChunkedBody(t *testing.T) {
 	m := newCatalogMesh(t, 2)
 	text := strings.Repeat("artwork ", 1<<14)
-	request, err := http.NewRequest("POST", m.nodes[0].outbound+"/order/", io.MultiReader(strings.NewReader(text)))
-	must.NoError(t, err)
-	request.Host = "shop.example"
-	request.Header.Set(testProtocol.RequestID, "r-chunked")
-	response, err := m.client.Do(request)
-	must.NoError(t, err)
-	must.NoError(t, response.Body.Close())
-	must.Eq(t, http.StatusOK, response.StatusCode)
+	must.Eq(t, http.StatusOK, m.sendOrderBody(inChunks(text)).StatusCode)
 	_, body := m.nodes[0].worker.lastRequest()
 	must.True(t, body == text)
 }
--- a/internal/traffic/upload_test.go
+++ b/internal/traffic/upload_test.go
@@ -251,14 +251,7 @@
 			m.publish(place.change)
 			sent := longUpload()
 			m.limitBodies(int64(len(sent)))
-			request, err := http.NewRequest("POST", m.nodes[0].outbound+"/order/", io.MultiReader(bytes.NewReader(sent)))
-			must.NoError(t, err)
-			request.Host = "shop.example"
-			request.Header.Set(testProtocol.RequestID, "r-upload")
-			response, err := m.client.Do(request)
-			must.NoError(t, err)
-			must.NoError(t, response.Body.Close())
-			must.Eq(t, http.StatusOK, response.StatusCode)
+			must.Eq(t, http.StatusOK, m.sendOrderBody(inChunks(string(sent))).StatusCode)
 			must.Eq(t, 1, m.runs())
 			for _, node := range m.nodes {
 				if node.worker.runs() == 1 {
