The program says from which sources it was built

Change: package build reads what the compiler recorded (module version, commit, whether the sources differed from it) and the executable's build ID. They stand in `sliphead version`, in node.started of both kinds of node, and in sliphead_build_info (always 1, labels). Where the build records no commit (-buildvcs=false, as on this machine) it is "unknown"; the build ID still differs between two builds in one folder.

Ruled out: a digest of the executable (27 MB to read at each start); forcing -buildvcs in the deploy file, which fails the build where git refuses the folder.

--- a/cmd/sliphead/main.go
+++ b/cmd/sliphead/main.go
@@ -17,6 +17,7 @@
 	"sliphead/internal/command/release"
 	"sliphead/internal/command/status"
 	"sliphead/internal/command/trace"
+	"sliphead/internal/command/version"
 	"sliphead/platform"
 )
 
@@ -31,6 +32,7 @@
 	Refusals refusals.Command `cmd:"" help:"Show from the logs of all nodes when and why requests were rejected."`
 	Release  release.Command  `cmd:"" help:"Release a request from quarantine, where it is because workers terminated while they ran it."`
 	Drain    drain.Command    `cmd:"" help:"Start the planned shutdown of a node."`
+	Version  version.Command  `cmd:"" help:"Tell from which sources this program was built."`
 }
 
 func main() {
--- a/internal/command/node/node.go
+++ b/internal/command/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"sliphead/internal/build"
 	"sliphead/internal/fault"
 	"sliphead/internal/logging"
 	systemnode "sliphead/internal/node"
@@ -87,8 +88,9 @@
 // store, or one that reads declarations and communicates with peers.
 func newProcess(configured *settings.Settings, adapter systemnode.Adapter, logger log.Interface, dropped func() uint64) (process, error) {
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	options := systemnode.Options{Logger: logger, Registry: registry, DroppedLines: dropped}
+	program := build.Read()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), program.Metric())
+	options := systemnode.Options{Logger: logger, Registry: registry, DroppedLines: dropped, Build: program}
 	if configured.Source.Store != "" {
 		return systemnode.NewCatalog(configured, adapter, options)
 	}
--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -229,7 +229,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	logging.Event(n.options.Logger, "node.started", logging.Fields{"node": n.settings.Name, "zone": n.settings.Zone, "service": n.settings.Service})
+	n.options.logStarted(logging.Fields{"node": n.settings.Name, "zone": n.settings.Zone, "service": n.settings.Service})
 	group.Go(func() error { return n.replicator.Run(ctx) })
 	group.Go(func() error { return n.quarantine.Run(ctx) })
 	group.Go(func() error { return n.runQuota(ctx) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
+	"sliphead/internal/build"
 	"sliphead/internal/claim"
 	"sliphead/internal/control"
 	"sliphead/internal/logging"
@@ -31,6 +33,14 @@
 	Registry *prometheus.Registry // nil: the node creates one
 	// DroppedLines returns the number of log lines that were dropped; nil: not available.
 	DroppedLines func() uint64
+	Build        build.Info // of the program, for the first line of the log
+}
+
+// logStarted logs the start of a node and what identifies its build.
+func (o *Options) logStarted(node logging.Fields) {
+	fields := o.Build.Fields()
+	maps.Copy(fields, node)
+	logging.Event(o.Logger, "node.started", fields)
 }
 
 // Node is one process of the system.
@@ -98,7 +108,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	logging.Event(n.options.Logger, "node.started", logging.Fields{"node": n.self.Name, "zone": n.self.Zone, "start": n.self.Start})
+	n.options.logStarted(logging.Fields{"node": n.self.Name, "zone": n.self.Zone, "start": n.self.Start})
 	group.Go(func() error { return n.transport.Run(ctx) })
 	group.Go(func() error { return n.loop.Run(ctx) })
 	group.Go(func() error { return n.keeper.Run(ctx) })
