Fix: a worker's own 408, 429 or 503 is no promise to the caller

What callers saw: a worker runs an order and answers 503 (or 429, 408) of its own, without saying that it did not run it. The node passed that on, and for callers these statuses promise "has not run and will never run": they send the order again, and it runs twice.

Workers say "not run" by X-Sliphead-Not-Executed (or 421) alone ("Only an answer with ... says that the worker did not run the request"); callers read it from the status ("A 429 or 503 is a promise, and so is a 408 or 421"). checkCatalogWorker looked at the header, answer.pass copied the status.

Change: such an answer ends the attempt as "may have run" (cause ambiguous): the caller gets 502 without the worker's signature; a request that may be repeated goes to another worker. "The status ... goes back without change" stands against "has not run must be true" (REFUSED); the rule goes first. All other statuses of workers go back as before.

Ruled out: keeping the signature with the 502 (MIXED forbids it); asking the worker's headers for a hint (none is defined).

--- a/internal/traffic/catalog_mesh_test.go
+++ b/internal/traffic/catalog_mesh_test.go
@@ -182,6 +182,10 @@
 	w.record(request, body)
 	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s\r\nContent-Length: %d\r\n\r\n%s", w.headers(request), len(text), text)
 	lateResponse := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: other\r\n%s: signed\r\nContent-Length: 5\r\n\r\nother", testProtocol.RequestID, testProtocol.Signature)
+	if status, own := strings.CutPrefix(behaviour, "status "); own { // a failure of its own, after the run
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s Own\r\n%s\r\nContent-Length: 3\r\n\r\nown", status, w.headers(request))
+		return true
+	}
 	switch behaviour {
 	case "wait":
 		<-w.unblock
--- a/internal/traffic/exchange.go
+++ b/internal/traffic/exchange.go
@@ -114,6 +114,7 @@
 	causeBroken       cause = "broken"
 	causeForeign      cause = "foreign"
 	causeUnframed     cause = "unframed"
+	causeAmbiguous    cause = "ambiguous" // the worker's status implies that the request has not run, but the worker does not state it
 	causeCallerGone   cause = "caller-gone"
 	causeUnresponsive cause = "silent"
 	causeLimits       cause = "limits"
--- a/internal/traffic/instance.go
+++ b/internal/traffic/instance.go
@@ -168,9 +168,19 @@
 	if !unsigned {
 		in.recordReport(x, response)
 	}
+	if impliesNotRun(response.StatusCode) {
+		return ambiguous()
+	}
 	return nil
 }
 
+// ambiguous is the failure of an attempt whose response has a status that callers take as the
+// promise that the request has not run, while the worker itself does not state that.
+func ambiguous() *result {
+	failure := unknown(http.StatusBadGateway, causeAmbiguous, "check whether it ran before sending it again, the worker's answer does not say")
+	return &failure
+}
+
 // remoteHost returns the IP address that a request came from.
 func remoteHost(request *http.Request) string {
 	host, _, _ := net.SplitHostPort(request.RemoteAddr)
--- a/internal/traffic/protocol.go
+++ b/internal/traffic/protocol.go
@@ -75,6 +75,17 @@
 	return strings.TrimSpace(get(header, p.Leaving)) == leaves
 }
 
+// impliesNotRun reports whether callers take a status as the promise that the request has not run
+// and never will, so that they may send one again that must not run twice.
+func impliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // workerRefused reports whether a worker's response states that it did not run the request.
 func (p *Protocol) workerRefused(response *http.Response) bool {
 	return response.StatusCode == http.StatusMisdirectedRequest || hasHeader(response.Header, p.NotExecuted)
