Fix: a caller whose request may have run is not advised to send it again

What callers saw: an order whose connection to its worker broke at another node got 502 with "unknown: send it again later, the workers are busy or leave" (body and Sliphead-Remedy), and a Retry-After where that node was busy. Whoever follows the advice orders twice. At the local worker the same failure said "check whether it ran before sending it again".

Cause: hopReply.refusal filled in remedy and time to come back for a refusal that has not run, whatever the outcome that the reply reports.

Change: both belong to the outcome "not run"; an unknown one is told to check first, without a Retry-After.

Tests, failed before: TestMayHaveRunIsNotAdvisedToBeSentAgain (six failures of workers: all six at another node's worker failed, those at the local worker held), TestReplyOfUnknownOutcomeHasNoRetryAfter.

--- a/internal/traffic/hop.go
+++ b/internal/traffic/hop.go
@@ -173,12 +173,16 @@
 		outcome:       h.outcome,
 		status:        response.StatusCode,
 		cause:         causeRefused,
-		remedy:        "send it again later, the workers are busy or leave",
-		retryAfter:    h.load.Wait + h.load.Link + h.load.PausedFor,
 		reachedWorker: h.reachedWorker,
 		rejected:      h.rejected,
 		crashedBefore: h.crashedBefore,
 	}
+	if h.outcome == outcome.NotRun {
+		refused.remedy = "send it again later, the workers are busy or leave"
+		refused.retryAfter = h.load.Wait + h.load.Link + h.load.PausedFor
+	} else {
+		refused.remedy = "check whether it ran before sending it again, its connection to the worker broke or the answer was not usable"
+	}
 	switch {
 	case h.quarantined:
 		refused.cause = causeQuarantine
--- a/internal/traffic/promise_test.go
+++ b/internal/traffic/promise_test.go
@@ -4,8 +4,12 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
+
+	"sliphead/internal/outcome"
+	"sliphead/internal/traffic/balance"
 )
 
 // A caller gets no status that promises that its request has not run, unless the worker says so.
@@ -44,3 +48,31 @@
 		}
 	}
 }
+
+// A caller whose request may have run is told to check that first, whichever node the worker is at.
+// Fault: if it was at another node, the 502 said "send it again later".
+func TestMayHaveRunIsNotAdvisedToBeSentAgain(t *testing.T) {
+	for _, behaviour := range []string{"close", "reset", "half", "garbage", "unsigned", "status 503"} {
+		for entry, where := range []string{"local worker", "other node's worker"} {
+			t.Run(behaviour+", "+where, func(t *testing.T) {
+				m := newCatalogMesh(t, 2)
+				m.onlyFirstWorker(entry)
+				m.entry = entry
+				m.nodes[0].worker.script = []string{behaviour}
+				response, text, err := m.call("POST", "/order/", "cards")
+				must.NoError(t, err)
+				must.Eq(t, http.StatusBadGateway, response.StatusCode)
+				must.StrHasPrefix(t, "check whether it ran", response.Header.Get(outcome.Remedy))
+				must.StrContains(t, text, response.Header.Get(outcome.Remedy))
+			})
+		}
+	}
+}
+
+// A reply by which a request may have run names no time to come back, however busy its node is.
+func TestReplyOfUnknownOutcomeHasNoRetryAfter(t *testing.T) {
+	busy := balance.Load{Wait: time.Second, Link: time.Second, PausedFor: time.Second}
+	response := &http.Response{StatusCode: http.StatusBadGateway}
+	must.Zero(t, hopReply{outcome: outcome.Unknown, load: busy}.refusal(response).retryAfter)
+	must.Eq(t, 3*time.Second, hopReply{outcome: outcome.NotRun, load: busy}.refusal(response).retryAfter)
+}
