Fix: a request is not repeated once the configuration forbids it

The attempt fails, and the node sends the request to a second worker, however long the new configuration has been in force.

Cause: the permission was read once, from the view of the request's arrival; attempts last up to the route's timeout.

Change: before a repeat the request is matched against the view in force; a route that forbids repeats ends it with what is known (502, or the worker's own failure). A request that no route takes any more keeps the permission it arrived with. Both kinds of node. One match for each repeat, none otherwise.

Ruled out as a way to a second run: the target of an offer that has not run (at most one worker runs it, whatever its route does meanwhile); concurrent requests of one connection (each runs once).

--- a/internal/traffic/catalog_mesh_test.go
+++ b/internal/traffic/catalog_mesh_test.go
@@ -199,7 +199,10 @@
 		}
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 500 Error\r\n%s\r\nContent-Length: 5\r\n\r\nerror", w.headers(request))
 		return true
-	case "close":
+	case "wait-close", "close":
+		if behaviour == "wait-close" {
+			<-w.unblock
+		}
 		return false
 	case "reset":
 		_ = conn.(*net.TCPConn).SetLinger(0)
--- a/internal/traffic/choose.go
+++ b/internal/traffic/choose.go
@@ -70,7 +70,7 @@
 		out.chooser.record(x, endpoint, observed)
 		last = *failure
 		mayHaveRun = mayHaveRun || failure.outcome == outcome.Unknown
-		if !mayRetry(x, failure) {
+		if !out.mayRetry(x, failure) {
 			break
 		}
 		if failure.cause == causeFull && reroutes < maxReroutes {
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -219,7 +219,7 @@
 
 // mayRepeat reports whether a request that may have run may run again.
 func (d *dispatch) mayRepeat() bool {
-	return d.x.route.Repeatable && d.attempts < d.x.route.MaxAttempts && d.x.context.Err() == nil && d.x.request.Context().Err() == nil
+	return d.attempts < d.x.route.MaxAttempts && d.x.context.Err() == nil && d.x.request.Context().Err() == nil && d.out.isRepeatable(d.x)
 }
 
 func (d *dispatch) recordWait(wait time.Duration) {
--- a/internal/traffic/retry.go
+++ b/internal/traffic/retry.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"time"
 
 	"sliphead/internal/outcome"
 )
@@ -40,11 +41,26 @@
 	return true
 }
 
+// isRepeatable reports whether a request may run more than once. Its route must have allowed that
+// when the request arrived, and the configuration in force now must not forbid it: the operator may
+// have changed the route, or added one with a longer prefix, while an attempt ran.
+func (out *Outbound) isRepeatable(x *exchange) bool {
+	if !x.route.Repeatable {
+		return false
+	}
+	view, _ := out.config.Holder.Current(time.Now())
+	if view == nil || view == x.view {
+		return true
+	}
+	current := view.Match(hostOf(x.request), x.request.URL, x.request.Method)
+	return current == nil || current.Repeatable
+}
+
 // mayRetry reports whether another attempt may follow a failed one: the request did not run or
 // may run twice, no lower level of the call tree has spent its retries on it, and its body can
 // be sent again.
-func mayRetry(x *exchange, failure *result) bool {
-	mayRunAgain := failure.outcome == outcome.NotRun || x.route.Repeatable
+func (out *Outbound) mayRetry(x *exchange, failure *result) bool {
+	mayRunAgain := failure.outcome == outcome.NotRun || out.isRepeatable(x)
 	temporary := failure.status >= http.StatusInternalServerError && failure.status != http.StatusLoopDetected
 	return mayRunAgain && temporary && !failure.final &&
 		failure.cause != causeCallerGone && x.context.Err() == nil && x.body.reclaim()
