Fix: Idempotency-Key has no meaning where callers use headers of their own

What callers saw: on a mesh that a store serves, a request with an Idempotency-Key that is empty, holds a blank or is longer than 255 bytes got 400 ("send one Idempotency-Key of ..."), which counts as DENIED and is never retried.

One check, malformed, stood for both interfaces.

Change: the check applies to sliphead's own headers only; else the header goes to the worker as it came.

Test, failed before (400 for "order of 3 December"): TestCallersIdempotencyKeyIsPassedOn, through both nodes.

--- a/internal/traffic/bad_input_test.go
+++ b/internal/traffic/bad_input_test.go
@@ -68,3 +68,18 @@
 	waitFor(t, func() bool { return m.nodes[0].out.InFlight() == 0 })
 	must.Zero(t, m.runs())
 }
+
+// Where callers use headers of their own, Idempotency-Key is one of the headers that are passed on.
+// Fault: one that is not a valid key of sliphead's own interface got 400.
+func TestCallersIdempotencyKeyIsPassedOn(t *testing.T) {
+	for _, key := range []string{`"8e03978e-40d5-43e8-bc93-6894a57f9324"`, "order of 3 December", strings.Repeat("k", 300), ""} {
+		m := newCatalogMesh(t, 2)
+		m.onlyFirstWorker(1)
+		m.entry = 1 // both nodes read it
+		response, _, err := m.call("POST", "/order/", "cards", "Idempotency-Key", key)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusOK, response.StatusCode, must.Sprintf("key %q", key))
+		got, _ := m.nodes[0].worker.lastRequest()
+		must.Eq(t, []string{key}, got.Header["Idempotency-Key"])
+	}
+}
--- a/internal/traffic/classify.go
+++ b/internal/traffic/classify.go
@@ -18,8 +18,9 @@
 }
 
 // malformed returns the correction that a request needs before it can be forwarded, "" if it
-// needs none.
-func malformed(request *http.Request) string {
+// needs none. Only callers that use sliphead's own headers give Idempotency-Key a meaning; of any
+// others it is passed on as it is.
+func (p *Protocol) malformed(request *http.Request) string {
 	switch {
 	case !request.ProtoAtLeast(1, 1):
 		return "send the request by HTTP/1.1, in HTTP/1.0 a cut answer looks whole"
@@ -31,7 +32,7 @@
 		return "send a path without .. segments"
 	case changesWhenForwarded(request):
 		return "percent-encode the characters of the path that a URI does not allow"
-	case hasHeader(request.Header, outcome.IdempotencyKey) && !validKey(request.Header[outcome.IdempotencyKey]):
+	case p.isNative() && hasHeader(request.Header, outcome.IdempotencyKey) && !validKey(request.Header[outcome.IdempotencyKey]):
 		return "send one Idempotency-Key of 1 to 255 visible ASCII characters"
 	default:
 		return ""
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -116,7 +116,7 @@
 // local worker serves it.
 func (in *Inbound) classify(next stage) stage {
 	return func(x *exchange) result {
-		if fix := malformed(x.request); fix != "" {
+		if fix := in.config.Protocol.malformed(x.request); fix != "" {
 			return reject(http.StatusBadRequest, causeMalformed, fix)
 		}
 		if !validID(x.id) || !validID(x.attempt) {
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -160,7 +160,7 @@
 // classify finds the route.
 func (out *Outbound) classify(next stage) stage {
 	return func(x *exchange) result {
-		if fix := malformed(x.request); fix != "" {
+		if fix := out.config.Protocol.malformed(x.request); fix != "" {
 			return reject(http.StatusBadRequest, causeMalformed, fix)
 		}
 		view, current := out.config.Holder.Current(x.started)
@@ -189,7 +189,7 @@
 // classifyCatalog finds the route in a view that comes from a catalog.
 func (out *Outbound) classifyCatalog(next stage) stage {
 	return func(x *exchange) result {
-		if fix := malformed(x.request); fix != "" {
+		if fix := out.config.Protocol.malformed(x.request); fix != "" {
 			return reject(http.StatusBadRequest, causeMalformed, fix)
 		}
 		if !validID(x.id) {
