--- a/internal/traffic/catalog_mesh_test.go
+++ b/internal/traffic/catalog_mesh_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -81,6 +82,13 @@
 	return first
 }
 
+// setScript replaces the behaviours to come.
+func (w *instanceWorker) setScript(behaviours ...string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.script = behaviours
+}
+
 func (w *instanceWorker) runs() int {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -367,8 +375,6 @@
 // script sets the same script for all workers.
 func (m *catalogMesh) script(behaviours ...string) {
 	for _, node := range m.nodes {
-		node.worker.mutex.Lock()
-		node.worker.script = append([]string(nil), behaviours...)
-		node.worker.mutex.Unlock()
+		node.worker.setScript(slices.Clone(behaviours)...)
 	}
 }
