Fix: callers that use headers of their own choose their request ids

Change: such ids are visible ASCII of up to 200 bytes; blanks and longer ones get 400 as before. Ids in sliphead's own headers and of attempts keep the stricter form. `sliphead trace` finds ids that the log writes in quotes.

--- a/internal/command/logfile/logfile.go
+++ b/internal/command/logfile/logfile.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"io"
 	"os"
+	"strconv"
 	"strings"
 
 	"sliphead/internal/fault"
@@ -44,12 +45,17 @@
 }
 
 // Field returns the value of the first key=value pair with the given key in a line, ""
-// if there is none.
+// if there is none. A quoted value is returned without its quotes, if it holds no blank.
 func Field(line, key string) string {
 	for word := range strings.FieldsSeq(line) {
-		if name, value, found := strings.Cut(word, "="); found && name == key {
-			return value
+		name, value, found := strings.Cut(word, "=")
+		if !found || name != key {
+			continue
 		}
+		if unquoted, err := strconv.Unquote(value); err == nil && value[0] == '"' {
+			return unquoted
+		}
+		return value
 	}
 	return ""
 }
--- a/internal/traffic/bad_input_test.go
+++ b/internal/traffic/bad_input_test.go
@@ -83,3 +83,19 @@
 		must.Eq(t, []string{key}, got.Header["Idempotency-Key"])
 	}
 }
+
+// Callers that use headers of their own choose their ids. Fault: one longer than 64 bytes, or with
+// characters that ids of sliphead's own interface do not have, got 400.
+func TestCallersRequestIDIsPassedOn(t *testing.T) {
+	for _, id := range []string{"order/17:a=b", `{"till":3}`, "a+b/c==", strings.Repeat("i", 200)} {
+		m := newCatalogMesh(t, 2)
+		m.onlyFirstWorker(1)
+		m.entry = 1 // both nodes read it
+		response, _, err := m.call("POST", "/order/", "cards", testProtocol.RequestID, id)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusOK, response.StatusCode, must.Sprintf("id %q", id))
+		must.Eq(t, id, response.Header.Get(testProtocol.RequestID))
+		got, _ := m.nodes[0].worker.lastRequest()
+		must.Eq(t, []string{id}, got.Header[testProtocol.RequestID])
+	}
+}
--- a/internal/traffic/header.go
+++ b/internal/traffic/header.go
@@ -96,9 +96,14 @@
 	return value
 }
 
-const maxIDLength = 64
+// Maximum lengths of request ids, in bytes.
+const (
+	maxIDLength       = 64
+	maxCallerIDLength = 200 // of callers that use headers of their own
+)
 
-// validID reports whether a caller's request id may be used.
+// validID reports whether a request id of sliphead's own interface, or the id of an attempt, may be
+// used.
 func validID(id string) bool {
 	if id == "" || len(id) > maxIDLength {
 		return false
@@ -111,6 +116,18 @@
 	return true
 }
 
+// validRequestID reports whether a caller's request id may be used. Callers that use headers of
+// their own choose their ids freely: any that a header can carry without blanks.
+func (p *Protocol) validRequestID(id string) bool {
+	if p.isNative() {
+		return validID(id)
+	}
+	if id == "" || len(id) > maxCallerIDLength {
+		return false
+	}
+	return !strings.ContainsFunc(id, func(character rune) bool { return character <= ' ' || character > '~' })
+}
+
 func idByte(b byte) bool {
 	letter := b|0x20 >= 'a' && b|0x20 <= 'z'
 	digit := b >= '0' && b <= '9'
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -119,7 +119,7 @@
 		if fix := in.config.Protocol.malformed(x.request); fix != "" {
 			return reject(http.StatusBadRequest, causeMalformed, fix)
 		}
-		if !validID(x.id) || !validID(x.attempt) {
+		if !in.config.Protocol.validRequestID(x.id) || !validID(x.attempt) {
 			return reject(http.StatusBadRequest, causeMalformed, "send requests through a node's outbound listener")
 		}
 		view, current := in.config.Holder.Current(x.started)
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -192,7 +192,7 @@
 		if fix := out.config.Protocol.malformed(x.request); fix != "" {
 			return reject(http.StatusBadRequest, causeMalformed, fix)
 		}
-		if !validID(x.id) {
+		if !out.config.Protocol.validRequestID(x.id) {
 			return reject(http.StatusBadRequest, causeMalformed, "name the request by a short id in "+out.config.Protocol.RequestID)
 		}
 		view, current := out.config.Holder.Current(x.started)
--- a/internal/traffic/outcome.go
+++ b/internal/traffic/outcome.go
@@ -51,7 +51,7 @@
 	}
 	header := newFields(x.writer.Header())
 	x.setOutcome(header, ended.outcome)
-	if x.protocol != nil && validID(x.id) {
+	if x.protocol != nil && x.protocol.validRequestID(x.id) {
 		header.set(x.protocol.RequestID, x.id)
 	}
 	header.set(outcome.Remedy, ended.remedy)
