--- a/internal/catalog/validate.go
+++ b/internal/catalog/validate.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"sliphead/internal/ascii"
 	"sliphead/internal/fault"
 )
 
@@ -83,8 +84,5 @@
 
 // validID reports whether an id can be sent to the worker in a header without escaping.
 func validID(id string) bool {
-	if id == "" || len(id) > maxIDLength {
-		return false
-	}
-	return !strings.ContainsFunc(id, func(character rune) bool { return character <= ' ' || character > '~' })
+	return id != "" && len(id) <= maxIDLength && ascii.IsVisible(id)
 }
--- a/internal/traffic/changed_route_test.go
+++ b/internal/traffic/changed_route_test.go
@@ -35,27 +35,34 @@
 	}
 }
 
+// callDuringChange sends a request to a path of /lookup/, changes the routes while its first run waits,
+// and lets that run fail. It returns the status that the caller gets.
+func (m *catalogMesh) callDuringChange(path, failure string, change func(*snapshot.View) []*snapshot.Route) int {
+	m.script(failure)
+	statuses := make(chan int, 1)
+	go func() {
+		response, _, err := m.call("GET", path, "")
+		must.NoError(m.t, err)
+		statuses <- response.StatusCode
+	}()
+	waitFor(m.t, func() bool { return m.runs() == 1 })
+	m.script() // a second run succeeds
+	m.publishRoutes(change)
+	for _, node := range m.nodes {
+		close(node.worker.unblock)
+	}
+	return <-statuses
+}
+
 // A request that fails after the operator has forbidden to repeat it is not sent to a second
 // worker. Fault: the permission was taken from the configuration of the request's arrival, however
 // long an attempt ran.
 func TestRequestIsNotRepeatedOnceItsRouteForbidsIt(t *testing.T) {
 	for name, change := range forbidRepeats {
-		for _, failure := range []string{"wait-error", "wait-close"} {
+		for failure, status := range map[string]int{"wait-error": http.StatusInternalServerError, "wait-close": http.StatusBadGateway} {
 			t.Run(name+", "+failure, func(t *testing.T) {
 				m := newCatalogMesh(t, 2)
-				m.script(failure)
-				statuses := make(chan int, 1)
-				go func() {
-					response, _, err := m.call("GET", "/lookup/pay/1", "")
-					must.NoError(t, err)
-					statuses <- response.StatusCode
-				}()
-				waitFor(t, func() bool { return m.runs() == 1 })
-				m.publishRoutes(change)
-				for _, node := range m.nodes {
-					close(node.worker.unblock)
-				}
-				must.GreaterEq(t, http.StatusInternalServerError, <-statuses)
+				must.Eq(t, status, m.callDuringChange("/lookup/pay/1", failure, change))
 				must.Eq(t, 1, m.runs())
 			})
 		}
@@ -65,19 +72,6 @@
 // A change that does not concern a request leaves its repeats as they are.
 func TestRequestIsRepeatedAfterOtherChanges(t *testing.T) {
 	m := newCatalogMesh(t, 2)
-	m.script("wait-close")
-	statuses := make(chan int, 1)
-	go func() {
-		response, _, err := m.call("GET", "/lookup/1", "")
-		must.NoError(t, err)
-		statuses <- response.StatusCode
-	}()
-	waitFor(t, func() bool { return m.runs() == 1 })
-	m.script() // the second worker responds
-	m.publishRoutes(forbidRepeats["a longer prefix is added"])
-	for _, node := range m.nodes {
-		close(node.worker.unblock)
-	}
-	must.Eq(t, http.StatusOK, <-statuses)
+	must.Eq(t, http.StatusOK, m.callDuringChange("/lookup/1", "wait-close", forbidRepeats["a longer prefix is added"]))
 	must.Eq(t, 2, m.runs())
 }
--- a/internal/traffic/claim.go
+++ b/internal/traffic/claim.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"sliphead/internal/ascii"
 	"sliphead/internal/claim"
 	"sliphead/internal/outcome"
 )
@@ -62,15 +63,7 @@
 }
 
 func validKey(values []string) bool {
-	if len(values) != 1 || values[0] == "" || len(values[0]) > maxKeyLength {
-		return false
-	}
-	for index := range len(values[0]) {
-		if b := values[0][index]; b <= ' ' || b > '~' {
-			return false
-		}
-	}
-	return true
+	return len(values) == 1 && values[0] != "" && len(values[0]) <= maxKeyLength && ascii.IsVisible(values[0])
 }
 
 // requestDigest distinguishes requests that use the same key. It covers method, target and
--- a/internal/traffic/header.go
+++ b/internal/traffic/header.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"sliphead/internal/ascii"
 	"sliphead/internal/outcome"
 )
 
@@ -122,10 +123,7 @@
 	if p.isNative() {
 		return validID(id)
 	}
-	if id == "" || len(id) > maxCallerIDLength {
-		return false
-	}
-	return !strings.ContainsFunc(id, func(character rune) bool { return character <= ' ' || character > '~' })
+	return id != "" && len(id) <= maxCallerIDLength && ascii.IsVisible(id)
 }
 
 func idByte(b byte) bool {
--- a/internal/traffic/hop.go
+++ b/internal/traffic/hop.go
@@ -181,7 +181,7 @@
 		refused.remedy = "send it again later, the workers are busy or leave"
 		refused.retryAfter = h.load.Wait + h.load.Link + h.load.PausedFor
 	} else {
-		refused.remedy = "check whether it ran before sending it again, its connection to the worker broke or the answer was not usable"
+		refused.remedy = "check whether it ran before sending it again, no usable answer came from its worker"
 	}
 	switch {
 	case h.quarantined:
