--- a/internal/traffic/dispatch_test.go
+++ b/internal/traffic/dispatch_test.go
@@ -1,18 +1,14 @@
 package traffic
 
 import (
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
-	"sliphead/internal/outcome"
 	"sliphead/internal/snapshot"
 	"sliphead/internal/traffic/admission"
 )
@@ -142,137 +138,6 @@
 	must.True(t, body == text)
 }
 
-// A node whose worker drains refuses the request, which then runs at another worker.
-func TestDispatchSkipsDrainingWorker(t *testing.T) {
-	m := newCatalogMesh(t, 2)
-	view, _ := m.nodes[0].holder.Current(time.Now())
-	leaving := *view
-	leaving.Local.Draining = true
-	m.nodes[0].holder.Store(&leaving)
-	response, _, err := m.call("POST", "/order/", "cards")
-	must.NoError(t, err)
-	must.Eq(t, http.StatusOK, response.StatusCode)
-	must.Zero(t, m.nodes[0].worker.runs())
-}
-
-// A request that waits for a slot when its worker begins to drain is refused immediately, so that
-// it can run at another worker. Fault: it was granted a slot of a worker that had left more
-// than two seconds before.
-func TestQueuedRequestIsRefusedWhenWorkerDrains(t *testing.T) {
-	m := newCatalogMesh(t, 2)
-	m.nodes[0].worker.script = []string{"wait", "wait"}
-	m.onlyFirstWorker(0) // two requests take both slots of the first worker, the third one waits
-	statuses := make(chan int, 3)
-	for sent := range 3 {
-		go func() {
-			response, _, err := m.call("POST", "/order/", "cards")
-			must.NoError(t, err)
-			statuses <- response.StatusCode
-		}()
-		waitFor(t, func() bool { return m.nodes[0].in.Busy()+m.nodes[0].in.Queued() == sent+1 })
-	}
-	m.publish(nil)
-	view, _ := m.nodes[0].holder.Current(time.Now())
-	leaving := *view
-	leaving.Local.Draining = true
-	m.nodes[0].holder.Store(&leaving)
-	m.nodes[0].in.LocalChanged()
-	must.Eq(t, http.StatusServiceUnavailable, <-statuses) // its view had no other worker
-	close(m.nodes[0].worker.unblock)
-	must.Eq(t, http.StatusOK, <-statuses)
-	must.Eq(t, http.StatusOK, <-statuses)
-	must.Eq(t, 2, m.nodes[0].worker.runs())
-}
-
-// A request whose worker begins to drain while the body is received is refused as not run.
-// Fault: such requests reached a draining worker later than allowed.
-func TestRequestIsRefusedWhenWorkerDrainsDuringBody(t *testing.T) {
-	m := newCatalogMesh(t, 1)
-	node := m.nodes[0]
-	body, sender := io.Pipe()
-	request := httptest.NewRequest("POST", "/order/", body)
-	request.ContentLength = int64(len("cards"))
-	hopFields := hopRequest{attempt: "t-1", instance: node.worker.id, caller: "shop", route: "order", class: class{rank: 1}}
-	request.Header.Set(hopHeader, hopFields.encode())
-	request.Header.Set(testProtocol.RequestID, "r-1")
-	request.Header.Set(testProtocol.Deadline, "20000")
-	request.Header.Set("Expect", "100-continue")
-	recorder := httptest.NewRecorder()
-	ended := make(chan struct{})
-	go func() {
-		node.in.ServeHTTP(recorder, request)
-		close(ended)
-	}()
-	_, err := sender.Write([]byte("car")) // returns once the node reads the body
-	must.NoError(t, err)
-	view, _ := node.holder.Current(time.Now())
-	leaving := *view
-	leaving.Local.Draining = true
-	node.holder.Store(&leaving)
-	_, err = sender.Write([]byte("ds"))
-	must.NoError(t, err)
-	must.NoError(t, sender.Close())
-	<-ended
-	must.Eq(t, http.StatusServiceUnavailable, recorder.Code)
-	must.Eq(t, outcome.NotRun, decodeHopReply(recorder.Header().Get(hopHeader)).outcome)
-	must.Zero(t, node.worker.runs())
-}
-
-// A worker that responds that it is another instance is not called again for the old one.
-// After a crash, the record of the old instance remains in the catalog for seconds.
-func TestReplacedWorkerIsCalledOnce(t *testing.T) {
-	m := newCatalogMesh(t, 2)
-	m.nodes[0].worker.mutex.Lock()
-	m.nodes[0].worker.id = "i-new"
-	m.nodes[0].worker.mutex.Unlock()
-	response, _, err := m.call("POST", "/order/", "cards")
-	must.NoError(t, err)
-	must.Eq(t, http.StatusOK, response.StatusCode)
-	m.onlyFirstWorker(1)
-	m.entry = 1 // another node, which has not received that response
-	response, _, err = m.call("POST", "/order/", "cards")
-	must.NoError(t, err)
-	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
-	must.Eq(t, 1, m.nodes[0].worker.misdirectedCount())
-	must.Zero(t, m.nodes[0].worker.runs())
-}
-
-// A worker whose record was removed although it did not announce a drain is sent requests
-// until the record expires, and beyond that while the worker's own node retains it. Other
-// requests are refused as not run.
-func TestLapsedWorkerServesUntilExpiryOrWhileRetained(t *testing.T) {
-	m := newCatalogMesh(t, 2)
-	lapse := func(until time.Time) {
-		for own, node := range m.nodes {
-			view, _ := node.holder.Current(time.Now())
-			for _, route := range view.Routes {
-				endpoints := route.Targets[0].Endpoints[1:]
-				endpoints[0].Lapsed = true
-				route.Targets[0].Endpoints = endpoints
-			}
-			if own == 1 {
-				view.Local.Lapsed, view.Local.AcceptedUntil = true, until
-			}
-		}
-	}
-	status := func() int {
-		response, _, err := m.call("POST", "/order/", "cards")
-		must.NoError(t, err)
-		return response.StatusCode
-	}
-	lapse(time.Now().Add(time.Hour))
-	must.Eq(t, http.StatusOK, status())
-	view, _ := m.nodes[1].holder.Current(time.Now())
-	view.Local.AcceptedUntil = time.Now()
-	must.Eq(t, http.StatusServiceUnavailable, status())
-	must.Eq(t, 1, m.runs())
-	m.nodes[1].in.Retain(true)
-	must.Eq(t, http.StatusOK, status())
-	m.nodes[1].in.Retain(false)
-	must.Eq(t, http.StatusServiceUnavailable, status())
-	must.Eq(t, 2, m.runs())
-}
-
 // A node without a configuration responds 503, never 404.
 func TestDispatchWithoutConfigurationReturns503(t *testing.T) {
 	m := newCatalogMesh(t, 1)
@@ -282,48 +147,6 @@
 	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
 }
 
-// A stopping node accepts requests that end before it does, and refuses others as not run.
-// Fault: it accepted all requests and interrupted those that were still running when it ended.
-func TestStoppingNodeAcceptsOnlyRequestsThatFit(t *testing.T) {
-	m := newCatalogMesh(t, 1)
-	for _, step := range []struct {
-		strict, end time.Duration
-		status      int
-	}{
-		{time.Minute, time.Minute, http.StatusOK},                 // the latency objective fits
-		{time.Minute, time.Second, http.StatusServiceUnavailable}, // the latency objective does not fit
-		{0, time.Minute, http.StatusOK},                           // the caller's deadline of 20 s fits
-		{0, 10 * time.Second, http.StatusServiceUnavailable},      // the caller's deadline does not fit
-	} {
-		now := time.Now()
-		m.nodes[0].out.StopBy(now.Add(step.strict), now.Add(step.end))
-		response, _, err := m.call("GET", "/lookup/", "")
-		must.NoError(t, err)
-		must.Eq(t, step.status, response.StatusCode)
-	}
-	must.Eq(t, 2, m.runs())
-}
-
-// A node that ends sends a final response for requests that are still running. Fault: it cut
-// their connections.
-func TestEndingNodeSendsFinalResponse(t *testing.T) {
-	m := newCatalogMesh(t, 1)
-	defer close(m.nodes[0].worker.unblock)
-	m.script("wait")
-	statuses := make(chan int, 1)
-	go func() {
-		response, _, err := m.call("POST", "/order/", "cards")
-		if err != nil {
-			statuses <- 0
-			return
-		}
-		statuses <- response.StatusCode
-	}()
-	waitFor(t, func() bool { return m.runs() == 1 })
-	m.nodes[0].out.CancelRunning()
-	must.Eq(t, http.StatusBadGateway, <-statuses)
-}
-
 // Each service gets its share of a route's requests.
 func TestWeightsDistributeByShare(t *testing.T) {
 	w := newWeights(rand.New(rand.NewPCG(7, 7)))
@@ -361,70 +184,6 @@
 	}
 }
 
-// blockedLink accepts connections for a node and forwards nothing before release is closed,
-// like a link with a long queue.
-func blockedLink(t *testing.T, to string, release <-chan struct{}) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			near, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer near.Close()
-				<-release
-				far, err := net.Dial("tcp", to)
-				if err != nil {
-					return
-				}
-				defer far.Close()
-				go func() { _, _ = io.Copy(far, near) }()
-				_, _ = io.Copy(near, far)
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
-// A request that cannot be sent to a second worker waits for a node that has not acknowledged
-// it yet. Fault: it ended with 502 although the response was on its way, and a worker was
-// interrupted.
-func TestDispatchWaitsForSlowNodeWithoutAlternative(t *testing.T) {
-	for name, change := range map[string]func(*snapshot.Route){
-		"attempts": func(route *snapshot.Route) { route.MaxAttempts = 1 },
-		"budget":   func(*snapshot.Route) {},
-		"stopping": func(*snapshot.Route) {},
-	} {
-		t.Run(name, func(t *testing.T) {
-			m := newCatalogMesh(t, 2)
-			if name == "budget" {
-				m.nodes[0].out.budget = newServiceBudget(Limits{})
-			}
-			if name == "stopping" { // an abandoned attempt would count as cut
-				m.nodes[0].out.StopBy(time.Now().Add(time.Hour), time.Now().Add(time.Hour))
-			}
-			release := make(chan struct{})
-			slow := blockedLink(t, m.nodes[1].inbound, release)
-			m.publish(func(route *snapshot.Route) {
-				change(route)
-				far := route.Targets[0].Endpoints[1]
-				far.Address, far.Local = slow, false
-				route.Targets[0].Endpoints = []snapshot.Endpoint{far, far}
-				route.Targets[0].Endpoints[1].Worker, route.Targets[0].Endpoints[1].Zone = "i-none", "z2"
-			})
-			time.AfterFunc(2*maxAckTimeout, func() { close(release) })
-			response, text, err := m.call("GET", "/lookup/", "")
-			must.NoError(t, err)
-			must.Eq(t, http.StatusOK, response.StatusCode)
-			must.Eq(t, "answer to r-1", text)
-			must.Eq(t, 1, m.runs())
-		})
-	}
-}
-
 // A request of a higher priority than the running ones queues until its deadline. Fault: while
 // long runs of a lower-priority route held all slots, short calls between services were
 // refused, and the runs that had made them failed.
@@ -453,31 +212,6 @@
 	}
 }
 
-// An attempt at an unresponsive node stays pending when another node is attempted: the first
-// response is forwarded, and the other attempt is cancelled.
-func TestHedgedDispatchForwardsFirstResponse(t *testing.T) {
-	m := newCatalogMesh(t, 3)
-	m.nodes[0].in.Drain() // its own worker accepts no requests
-	release := make(chan struct{})
-	slow := blockedLink(t, m.nodes[1].inbound, release)
-	never := make(chan struct{})
-	t.Cleanup(func() { close(never) })
-	dead := blockedLink(t, m.nodes[2].inbound, never)
-	m.publish(func(route *snapshot.Route) {
-		first, second := route.Targets[0].Endpoints[1], route.Targets[0].Endpoints[2]
-		first.Address, first.Local = slow, false
-		second.Address, second.Local, second.Zone = dead, false, "z2" // attempted second
-		route.Targets[0].Endpoints = []snapshot.Endpoint{first, second}
-	})
-	time.AfterFunc(3*maxAckTimeout, func() { close(release) })
-	response, text, err := m.call("GET", "/lookup/", "")
-	must.NoError(t, err)
-	must.Eq(t, http.StatusOK, response.StatusCode)
-	must.Eq(t, "answer to r-1", text)
-	must.Eq(t, 1, m.runs())
-	must.Eq(t, 1, m.nodes[1].worker.runs())
-}
-
 // A caller that retries after a refusal does not retry again, so its request queues until its
 // deadline, where a first request would be refused with Retry-After.
 func TestRetryingCallerQueuesUntilDeadline(t *testing.T) {
--- /dev/null
+++ b/internal/traffic/slow_node_test.go
@@ -0,0 +1,102 @@
+package traffic
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"sliphead/internal/snapshot"
+)
+
+// blockedLink accepts connections for a node and forwards nothing before release is closed,
+// like a link with a long queue.
+func blockedLink(t *testing.T, to string, release <-chan struct{}) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer near.Close()
+				<-release
+				far, err := net.Dial("tcp", to)
+				if err != nil {
+					return
+				}
+				defer far.Close()
+				go func() { _, _ = io.Copy(far, near) }()
+				_, _ = io.Copy(near, far)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// A request that cannot be sent to a second worker waits for a node that has not acknowledged
+// it yet. Fault: it ended with 502 although the response was on its way, and a worker was
+// interrupted.
+func TestDispatchWaitsForSlowNodeWithoutAlternative(t *testing.T) {
+	for name, change := range map[string]func(*snapshot.Route){
+		"attempts": func(route *snapshot.Route) { route.MaxAttempts = 1 },
+		"budget":   func(*snapshot.Route) {},
+		"stopping": func(*snapshot.Route) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newCatalogMesh(t, 2)
+			if name == "budget" {
+				m.nodes[0].out.budget = newServiceBudget(Limits{})
+			}
+			if name == "stopping" { // an abandoned attempt would count as cut
+				m.nodes[0].out.StopBy(time.Now().Add(time.Hour), time.Now().Add(time.Hour))
+			}
+			release := make(chan struct{})
+			slow := blockedLink(t, m.nodes[1].inbound, release)
+			m.publish(func(route *snapshot.Route) {
+				change(route)
+				far := route.Targets[0].Endpoints[1]
+				far.Address, far.Local = slow, false
+				route.Targets[0].Endpoints = []snapshot.Endpoint{far, far}
+				route.Targets[0].Endpoints[1].Worker, route.Targets[0].Endpoints[1].Zone = "i-none", "z2"
+			})
+			time.AfterFunc(2*maxAckTimeout, func() { close(release) })
+			response, text, err := m.call("GET", "/lookup/", "")
+			must.NoError(t, err)
+			must.Eq(t, http.StatusOK, response.StatusCode)
+			must.Eq(t, "answer to r-1", text)
+			must.Eq(t, 1, m.runs())
+		})
+	}
+}
+
+// An attempt at an unresponsive node stays pending when another node is attempted: the first
+// response is forwarded, and the other attempt is cancelled.
+func TestHedgedDispatchForwardsFirstResponse(t *testing.T) {
+	m := newCatalogMesh(t, 3)
+	m.nodes[0].in.Drain() // its own worker accepts no requests
+	release := make(chan struct{})
+	slow := blockedLink(t, m.nodes[1].inbound, release)
+	never := make(chan struct{})
+	t.Cleanup(func() { close(never) })
+	dead := blockedLink(t, m.nodes[2].inbound, never)
+	m.publish(func(route *snapshot.Route) {
+		first, second := route.Targets[0].Endpoints[1], route.Targets[0].Endpoints[2]
+		first.Address, first.Local = slow, false
+		second.Address, second.Local, second.Zone = dead, false, "z2" // attempted second
+		route.Targets[0].Endpoints = []snapshot.Endpoint{first, second}
+	})
+	time.AfterFunc(3*maxAckTimeout, func() { close(release) })
+	response, text, err := m.call("GET", "/lookup/", "")
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, response.StatusCode)
+	must.Eq(t, "answer to r-1", text)
+	must.Eq(t, 1, m.runs())
+	must.Eq(t, 1, m.nodes[1].worker.runs())
+}
