Fix: deadlines with a fraction, below zero, or very long are read as what they say

Not seen by callers, but worse: a node that is paused between its last look at the time and its write sends a deadline below zero, and the worker's node took that for none and allowed an hour.

Change: readTimeout takes any number of milliseconds: below zero has passed and is refused as not run, more than an hour stands for an hour. No number, or none: as before, the route's timeout.

Ruled out: the other values read by `number` (retry budget, depth, Retry-After of sliphead's own interface), which only nodes of the same kind write.

Tests, failed before: TestWorkerIsToldTheCallersDeadline, TestPassedDeadlineBetweenNodesIsRefused; TestReadTimeout.

--- a/internal/traffic/deadline.go
+++ b/internal/traffic/deadline.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"math"
 	"net/http"
+	"strconv"
 	"time"
 
 	"sliphead/internal/outcome"
@@ -13,10 +16,9 @@
 func applyDeadline(next stage) stage {
 	return func(x *exchange) result {
 		allowed := time.Duration(x.route.DeadlineMS) * time.Millisecond
-		received := number(x.request.Header, outcome.Deadline, -1)
-		if received >= 0 {
-			x.callerTimeout = time.Duration(received) * time.Millisecond
-			allowed = min(allowed, x.callerTimeout)
+		if timeout, given := readTimeout(get(x.request.Header, outcome.Deadline)); given {
+			x.callerTimeout = timeout
+			allowed = min(allowed, timeout)
 		}
 		if allowed <= 0 {
 			return refuse(causeDeadline, time.Second, "the deadline has passed, send it again with more time")
@@ -30,6 +32,17 @@
 	}
 }
 
+// readTimeout reads a timeout in milliseconds, which may have a fraction. One below zero has passed;
+// one above maxDeadline stands for maxDeadline. It returns false if the text is no number.
+func readTimeout(text string) (time.Duration, bool) {
+	milliseconds, err := strconv.ParseFloat(text, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) || math.IsNaN(milliseconds) {
+		return 0, false
+	}
+	bounded := min(max(0, milliseconds), float64(maxDeadline.Milliseconds()))
+	return time.Duration(bounded * float64(time.Millisecond)), true
+}
+
 // limitDepth rejects requests at a call depth of levels or more, which stops services that
 // call each other in a loop.
 func limitDepth(levels int) filter {
