A test that an order at a silent node is sent to no other worker

Cause: for an order without a body nothing proves that a silent node has not run it, so it must count as "may have run" (unresponsive(true) in tryHedged).

Change: TestOrderAtSilentNodeIsSentToNoOtherWorker (GET, DELETE, POST): the order waits for the silent node's answer, and the second choice runs nothing. No product code: it was right.

Measured: passes, 5 times with -race; with the argument turned (a scratch copy) red in all three forms.

--- a/internal/traffic/slow_node_test.go
+++ b/internal/traffic/slow_node_test.go
@@ -76,6 +76,30 @@
 	}
 }
 
+// An order without a body that a silent node may run is sent to no other worker: nothing of it is
+// held back until the node answers, as a body is. Guards against taking silence for "not run".
+func TestOrderAtSilentNodeIsSentToNoOtherWorker(t *testing.T) {
+	for _, method := range []string{"GET", "DELETE", "POST"} {
+		t.Run(method, func(t *testing.T) {
+			m := newCatalogMesh(t, 3)
+			release := make(chan struct{})
+			slow := blockedLink(t, m.nodes[1].inbound, release)
+			m.publish(func(route *snapshot.Route) {
+				silent, other := route.Targets[0].Endpoints[1], route.Targets[0].Endpoints[2]
+				silent.Address = slow
+				other.Zone = "z2" // the second choice
+				route.Targets[0].Endpoints = []snapshot.Endpoint{silent, other}
+			})
+			time.AfterFunc(2*maxAckTimeout, func() { close(release) })
+			response, _, err := m.call(method, "/order/", "")
+			must.NoError(t, err)
+			must.Eq(t, http.StatusOK, response.StatusCode)
+			must.Eq(t, 1, m.nodes[1].worker.runs())
+			must.Zero(t, m.nodes[2].worker.runs())
+		})
+	}
+}
+
 // An attempt at an unresponsive node stays pending when another node is attempted: the first
 // response is forwarded, and the other attempt is cancelled.
 func TestHedgedDispatchForwardsFirstResponse(t *testing.T) {
