Tests: a lost node, and a rejection after a failed run

Cause: mutants of the guards for "at most once" and "has not run is true" were run against the tests of traffic, not only against the soak. Two that are no equivalents passed all of them: a body that was sent after 100 Continue counts as held back (an order whose node is lost would be offered to another worker, and run twice), and a run that failed without a response is forgotten when the next worker rejects the request (503 for what may have run).

Change: TestOrderWhoseNodeIsLostRunsAtNoOtherWorker (no body, short, long and streamed), TestRejectionAfterAFailedRunIsNoPromise. No product code: it was right.

--- a/internal/traffic/slow_node_test.go
+++ b/internal/traffic/slow_node_test.go
@@ -1,14 +1,17 @@
 package traffic
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"sliphead/internal/outcome"
 	"sliphead/internal/snapshot"
 )
 
@@ -76,6 +79,82 @@
 	}
 }
 
+// cutLink forwards connections to a node until cut is called, which closes all of them, as when the
+// node's machine is lost.
+func cutLink(t *testing.T, to string) (address string, cut func()) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	ctx, cut := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		_ = listener.Close()
+		cut()
+	})
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", to)
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			context.AfterFunc(ctx, func() {
+				_ = near.Close()
+				_ = far.Close()
+			})
+			go func() { _, _ = io.Copy(far, near) }()
+			go func() { _, _ = io.Copy(near, far) }()
+		}
+	}()
+	return listener.Addr().String(), cut
+}
+
+// An order that a worker runs when the connection to its node breaks is sent to no other worker,
+// and its caller is not told that it has not run. Guards against taking a body that was sent after
+// 100 Continue for one that is still held back.
+func TestOrderWhoseNodeIsLostRunsAtNoOtherWorker(t *testing.T) {
+	for name, body := range map[string]string{"no body": "", "short body": "cards", "long body": strings.Repeat("cards", directBody), "streamed body": strings.Repeat("x", maxWholeBody+1)} {
+		t.Run(name, func(t *testing.T) {
+			m := newCatalogMesh(t, 3)
+			link, cut := cutLink(t, m.nodes[1].inbound)
+			m.publish(func(route *snapshot.Route) {
+				lost, other := route.Targets[0].Endpoints[1], route.Targets[0].Endpoints[2]
+				lost.Address = link
+				other.Zone = "z2" // the second choice
+				route.Targets[0].Endpoints = []snapshot.Endpoint{lost, other}
+			})
+			m.nodes[1].worker.setScript("wait")
+			statuses := make(chan int, 1)
+			go func() {
+				response, _, err := m.call("POST", "/order/", body)
+				must.NoError(t, err)
+				statuses <- response.StatusCode
+			}()
+			waitFor(t, func() bool { return m.nodes[1].worker.runs() == 1 })
+			cut()
+			must.Eq(t, http.StatusBadGateway, <-statuses)
+			must.Zero(t, m.nodes[2].worker.runs())
+			close(m.nodes[1].worker.unblock)
+		})
+	}
+}
+
+// A request whose first run failed without a response, and that a second worker then rejects, may
+// have run: its caller is not told otherwise.
+func TestRejectionAfterAFailedRunIsNoPromise(t *testing.T) {
+	m := newCatalogMesh(t, 2)
+	m.publish(func(route *snapshot.Route) { route.Targets[0].Endpoints[1].Zone = "z2" })
+	m.nodes[0].worker.setScript("close")
+	m.nodes[1].worker.setScript("shed")
+	response, _, err := m.call("GET", "/lookup/", "")
+	must.NoError(t, err)
+	must.Eq(t, http.StatusBadGateway, response.StatusCode)
+	must.Eq(t, outcome.Unknown, outcome.Outcome(response.Header.Get(outcome.Header)))
+	must.Eq(t, 1, m.runs())
+}
+
 // An order without a body that a silent node may run is sent to no other worker: nothing of it is
 // held back until the node answers, as a body is. Guards against taking silence for "not run".
 func TestOrderAtSilentNodeIsSentToNoOtherWorker(t *testing.T) {
