Tests of the guards for "at most once" that no test held

Cause: 18 mutants, one for each guard on the way of a request (what counts as not run, which reply belongs to which attempt, how often a request is sent), against all tests of traffic, on a scratch copy.

No product code: it was right.

Ruled out as a fault: the first form of the test of lapsed workers failed twice in 15 runs without a mutant; a lapsed worker is the more expensive choice, so that the order ran at the other one first. Now all are lapsed.

--- a/internal/traffic/dispatch_test.go
+++ b/internal/traffic/dispatch_test.go
@@ -35,7 +35,7 @@
 // For each worker fault, a request that must not be repeated runs at most once, a refusal
 // means that it did not run, and a success is the worker's own response.
 func TestDispatchOutcomeByWorkerFault(t *testing.T) {
-	for _, behaviour := range []string{"", "shed", "error", "close", "reset", "garbage", "unsigned", "half", "late", "extra", "unframed", "unframed-reset"} {
+	for _, behaviour := range []string{"", "shed", "error", "close", "reset", "garbage", "unsigned", "half", "late", "late-thrice", "extra", "unframed", "unframed-reset"} {
 		for _, method := range []string{"GET", "POST", "POST-long"} {
 			for _, path := range []string{"/lookup/", "/order/"} {
 				t.Run(behaviour+method+path, func(t *testing.T) {
@@ -76,6 +76,20 @@
 	}
 }
 
+// A request runs at no more workers than its route allows, however it fails there.
+func TestRequestRunsAtNoMoreWorkersThanAllowed(t *testing.T) {
+	for _, behaviour := range []string{"close", "error", "half", "status 503"} {
+		for attempts := 1; attempts <= 3; attempts++ {
+			m := newCatalogMesh(t, 4)
+			m.publish(func(route *snapshot.Route) { route.MaxAttempts = attempts })
+			m.script(behaviour)
+			_, _, err := m.call("GET", "/lookup/", "")
+			must.NoError(t, err)
+			must.Eq(t, attempts, m.runs(), must.Sprint(behaviour))
+		}
+	}
+}
+
 // The error response of a worker is retained while another worker may do better, and the
 // caller gets exactly one response. Fault: ending a failed attempt wrote the retained response
 // after that of the second worker.
--- a/internal/traffic/instance_worker_test.go
+++ b/internal/traffic/instance_worker_test.go
@@ -206,6 +206,9 @@
 	case "late":
 		_, _ = io.WriteString(conn, lateResponse+whole)
 		return true
+	case "late-thrice": // more than are skipped
+		_, _ = io.WriteString(conn, strings.Repeat(lateResponse, maxForeignResponses+1)+whole)
+		return true
 	case "extra":
 		_, _ = io.WriteString(conn, whole+lateResponse)
 		return true
--- a/internal/traffic/leaving_worker_test.go
+++ b/internal/traffic/leaving_worker_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"sliphead/internal/snapshot"
+
 	"sliphead/internal/outcome"
 )
 
@@ -142,3 +144,24 @@
 	must.Eq(t, http.StatusServiceUnavailable, status())
 	must.Eq(t, 2, m.runs())
 }
+
+// An order that a worker ran is sent to no other worker, also if the records of both have
+// lapsed. Guards against treating every failure at a lapsed worker as that of an offer.
+func TestOrderRunByLapsedWorkerIsNotOfferedAgain(t *testing.T) {
+	for _, behaviour := range []string{"close", "reset", "garbage", "half", "unsigned"} {
+		t.Run(behaviour, func(t *testing.T) {
+			m := newCatalogMesh(t, 3)
+			m.publish(func(route *snapshot.Route) {
+				route.Targets[0].Endpoints = route.Targets[0].Endpoints[1:]
+				for index := range route.Targets[0].Endpoints {
+					route.Targets[0].Endpoints[index].Lapsed = true
+				}
+			})
+			m.script(behaviour)
+			response, _, err := m.call("POST", "/order/", "cards")
+			must.NoError(t, err)
+			must.Eq(t, http.StatusBadGateway, response.StatusCode)
+			must.Eq(t, 1, m.runs())
+		})
+	}
+}
