Fix: a worker that left counts from its own removal, also while another record hides it

Cause: all machines had lost power; the worker that started anew left at once, without announcing it, while the record of its predecessor was still in the store. Lapsed() leaves out an instance whose address another record has, and updateLapses noted the time of removal only of what Lapsed() returns: when the predecessor's record expired, 2 s later, the worker counted as just gone and was sent requests for 1.5 s more.

Change: times of removal are kept, and expire, for hidden instances too.

Test, failed before: TestLapseCountsFromItsOwnRemoval.

--- a/internal/catalog/lapse.go
+++ b/internal/catalog/lapse.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -32,6 +33,10 @@
 	return lapsed
 }
 
+// LapsedIDs returns the ids of all instances whose records were removed although the instance had not
+// announced that it leaves, also of those that Lapsed leaves out, sorted.
+func (s *State) LapsedIDs() []string { return slices.Sorted(maps.Keys(s.lapsed)) }
+
 // ForgetLapsed drops an instance from Lapsed.
 func (s *State) ForgetLapsed(id string) { delete(s.lapsed, id) }
 
--- a/internal/replication/lapse.go
+++ b/internal/replication/lapse.go
@@ -56,15 +56,17 @@
 }
 
 // updateLapses tracks since when records have been missing; before is when newly missing ones
-// were last present.
+// were last present. It includes those of instances that Lapses leaves out while another record has
+// their address: they may be reported later, and then count from their own removal.
 func (m *Machine) updateLapses(before time.Time) {
-	current := make(map[string]time.Time, len(m.lapses))
-	for _, instance := range m.state.Lapsed() {
-		since, known := m.lapses[instance.ID]
+	ids := m.state.LapsedIDs()
+	current := make(map[string]time.Time, len(ids))
+	for _, id := range ids {
+		since, known := m.lapses[id]
 		if !known {
 			since = before
 		}
-		current[instance.ID] = since
+		current[id] = since
 	}
 	m.lapses = current
 }
--- a/internal/replication/lapse_test.go
+++ b/internal/replication/lapse_test.go
@@ -120,3 +120,42 @@
 		must.SliceEmpty(t, node.machine.Lapses())
 	}
 }
+
+// A worker whose record was removed counts as missing from then on, also if the record of an earlier
+// worker at its address is removed later. Fault: after a loss of power, a worker that had left
+// without announcing it got requests again once its predecessor's record had expired, 2.6 s after it
+// had left.
+func TestLapseCountsFromItsOwnRemoval(t *testing.T) {
+	started := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	at := func(seconds float64) time.Time { return started.Add(time.Duration(seconds * float64(time.Second))) }
+	m := New(Config{Self: "10.0.0.1", Zone: "z", Freshness: freshness}, started)
+	revision := uint64(0)
+	poll := func(seconds float64, changes ...catalog.Change) {
+		batch := catalog.Batch{From: revision, Snapshot: revision == 0}
+		for _, change := range changes {
+			revision++
+			change.Revision = revision
+			batch.Changes = append(batch.Changes, change)
+		}
+		batch.To = revision
+		m.Step(Tick{}, at(seconds))
+		m.Step(PollSucceeded{Batch: batch, ConfirmedAt: at(seconds)}, at(seconds))
+	}
+	record := func(id string) catalog.Change {
+		return catalog.Change{Instance: &catalog.Instance{ID: id, Zone: "z", Address: "10.0.0.1:80", Service: "shop", Capacity: 6}}
+	}
+	poll(0, record("i-old"))
+	poll(0.5, record("i-new"))
+	poll(1, catalog.Change{Removed: "i-new"})
+	must.SliceEmpty(t, m.Lapses(), must.Sprint("the earlier record has the address"))
+	for seconds := 1.5; seconds < 3.5; seconds += 0.5 {
+		poll(seconds)
+	}
+	poll(3.5, catalog.Change{Removed: "i-old"})
+	since := map[string]time.Time{}
+	for _, lapse := range m.Lapses() {
+		since[lapse.Instance.ID] = lapse.Since
+	}
+	must.Eq(t, at(0.5), since["i-new"])
+	must.Eq(t, at(3), since["i-old"])
+}
