--- a/internal/traffic/kept_connection_test.go
+++ b/internal/traffic/kept_connection_test.go
@@ -49,15 +49,15 @@
 		method, body string
 		headers      []string
 	}{
-		"GET":                     {"GET", "", nil},
-		"HEAD":                    {"HEAD", "", nil},
-		"OPTIONS":                 {"OPTIONS", "", nil},
-		"POST":                    {"POST", "cards", nil},
-		"POST with a key":         {"POST", "cards", []string{"Idempotency-Key", "k-1"}},
-		"POST with an X-key":      {"POST", "cards", []string{"X-Idempotency-Key", "k-1"}},
-		"POST of a key, no body":  {"POST", "", []string{"Idempotency-Key", "k-1"}},
-		"PUT":                     {"PUT", "cards", nil},
-		"DELETE without any body": {"DELETE", "", nil},
+		"GET":                      {"GET", "", nil},
+		"HEAD":                     {"HEAD", "", nil},
+		"OPTIONS":                  {"OPTIONS", "", nil},
+		"POST":                     {"POST", "cards", nil},
+		"POST with a key":          {"POST", "cards", []string{"Idempotency-Key", "k-1"}},
+		"POST with an X-key":       {"POST", "cards", []string{"X-Idempotency-Key", "k-1"}},
+		"POST with a key, no body": {"POST", "", []string{"Idempotency-Key", "k-1"}},
+		"PUT":                      {"PUT", "cards", nil},
+		"DELETE":                   {"DELETE", "", nil},
 	}
 	for name, form := range forms {
 		for _, behaviour := range []string{"close", "reset", "garbage", "half"} {
--- a/internal/traffic/promise_test.go
+++ b/internal/traffic/promise_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"sliphead/internal/outcome"
+	"sliphead/internal/snapshot"
 	"sliphead/internal/traffic/balance"
 )
 
@@ -23,7 +24,7 @@
 					m := newCatalogMesh(t, 2)
 					m.onlyFirstWorker(entry)
 					m.entry = entry
-					m.nodes[0].worker.script = []string{fmt.Sprint("status ", status)}
+					m.nodes[0].worker.setScript(fmt.Sprint("status ", status))
 					response, _, err := m.call("POST", "/order/", body)
 					must.NoError(t, err)
 					must.Eq(t, 1, m.runs())
@@ -39,13 +40,13 @@
 func TestRepeatableRequestFollowsAmbiguousStatus(t *testing.T) {
 	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
 		m := newCatalogMesh(t, 2)
-		m.nodes[0].worker.script = []string{fmt.Sprint("status ", status)}
-		for range 2 { // one of the two is sent to the first worker
-			response, text, err := m.call("GET", "/lookup/", "")
-			must.NoError(t, err)
-			must.Eq(t, http.StatusOK, response.StatusCode)
-			must.StrHasPrefix(t, "answer to ", text)
-		}
+		m.publish(func(route *snapshot.Route) { route.Targets[0].Endpoints[1].Zone = "z2" }) // the second choice
+		m.nodes[0].worker.setScript(fmt.Sprint("status ", status))
+		response, text, err := m.call("GET", "/lookup/", "")
+		must.NoError(t, err)
+		must.Eq(t, http.StatusOK, response.StatusCode)
+		must.Eq(t, "answer to r-1", text)
+		must.Eq(t, 2, m.runs())
 	}
 }
 
@@ -58,7 +59,7 @@
 				m := newCatalogMesh(t, 2)
 				m.onlyFirstWorker(entry)
 				m.entry = entry
-				m.nodes[0].worker.script = []string{behaviour}
+				m.nodes[0].worker.setScript(behaviour)
 				response, text, err := m.call("POST", "/order/", "cards")
 				must.NoError(t, err)
 				must.Eq(t, http.StatusBadGateway, response.StatusCode)
--- a/internal/traffic/slow_node_test.go
+++ b/internal/traffic/slow_node_test.go
@@ -111,6 +111,17 @@
 	return listener.Addr().String(), cut
 }
 
+// publishTwoChoices lets routes reach the second node at the given address, and as the second choice
+// the third node.
+func (m *catalogMesh) publishTwoChoices(address string) {
+	m.publish(func(route *snapshot.Route) {
+		first, second := route.Targets[0].Endpoints[1], route.Targets[0].Endpoints[2]
+		first.Address = address
+		second.Zone = "z2"
+		route.Targets[0].Endpoints = []snapshot.Endpoint{first, second}
+	})
+}
+
 // An order that a worker runs when the connection to its node breaks is sent to no other worker,
 // and its caller is not told that it has not run. Guards against taking a body that was sent after
 // 100 Continue for one that is still held back.
@@ -119,12 +130,7 @@
 		t.Run(name, func(t *testing.T) {
 			m := newCatalogMesh(t, 3)
 			link, cut := cutLink(t, m.nodes[1].inbound)
-			m.publish(func(route *snapshot.Route) {
-				lost, other := route.Targets[0].Endpoints[1], route.Targets[0].Endpoints[2]
-				lost.Address = link
-				other.Zone = "z2" // the second choice
-				route.Targets[0].Endpoints = []snapshot.Endpoint{lost, other}
-			})
+			m.publishTwoChoices(link)
 			m.nodes[1].worker.setScript("wait")
 			statuses := make(chan int, 1)
 			go func() {
@@ -162,13 +168,7 @@
 		t.Run(method, func(t *testing.T) {
 			m := newCatalogMesh(t, 3)
 			release := make(chan struct{})
-			slow := blockedLink(t, m.nodes[1].inbound, release)
-			m.publish(func(route *snapshot.Route) {
-				silent, other := route.Targets[0].Endpoints[1], route.Targets[0].Endpoints[2]
-				silent.Address = slow
-				other.Zone = "z2" // the second choice
-				route.Targets[0].Endpoints = []snapshot.Endpoint{silent, other}
-			})
+			m.publishTwoChoices(blockedLink(t, m.nodes[1].inbound, release))
 			time.AfterFunc(2*maxAckTimeout, func() { close(release) })
 			response, _, err := m.call(method, "/order/", "")
 			must.NoError(t, err)
